The whole path, thin: entry host, operators' command, stand-ins, demo

A request goes from a caller through an entry host and four stages to backend servers as separate processes, driven by two tables applied to the platform as one numbered release. The seams for the parts that follow are fixed as small interfaces with fakes: platform.Store, peer.Link, member.View, lease.Holder, claim.Claims, quarantine.Guard, admission.Admitter, pick.Picker, backend.Caller, clock.Clock and clock.Rand.

--- /dev/null
+++ b/connection/backend/http.go
@@ -0,0 +1,289 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"bilberrydale/process/server"
+)
+
+// Header names of the hop to a backend server.
+const (
+	HeaderRequestID   = "X-Request-Id"
+	HeaderStage       = "X-Stage"
+	HeaderAttempt     = "X-Attempt"
+	HeaderHost        = "X-Entry-Host"
+	HeaderIncarnation = "X-Entry-Incarnation"
+	HeaderAccount     = "X-Client-Account"
+	HeaderPriority    = "X-Priority"
+	HeaderKey         = "X-Operation-Key"
+	HeaderResume      = "X-Resume-Offset"
+	HeaderNotStarted  = "X-Not-Started" // on a refusal: the work was not started
+)
+
+// HTTPOptions configure the HTTP caller.
+type HTTPOptions struct {
+	MaxAnswer   int64 // bytes; default 16 MiB
+	DialTimeout time.Duration
+	IdleConns   int // kept for each backend server
+}
+
+// HTTP is the Caller over net/http with one connection pool a backend server,
+// so that the pool of one server can be dropped without touching others.
+type HTTP struct {
+	opts    HTTPOptions
+	clients sync.Map // *server.State -> *http.Client
+}
+
+// NewHTTP returns an HTTP caller.
+func NewHTTP(opts HTTPOptions) *HTTP {
+	if opts.MaxAnswer <= 0 {
+		opts.MaxAnswer = 16 << 20
+	}
+	if opts.DialTimeout <= 0 {
+		opts.DialTimeout = 500 * time.Millisecond
+	}
+	if opts.IdleConns <= 0 {
+		opts.IdleConns = 64
+	}
+	return &HTTP{opts: opts}
+}
+
+func (h *HTTP) client(s *server.State) *http.Client {
+	if c, ok := h.clients.Load(s); ok {
+		return c.(*http.Client)
+	}
+	c, _ := h.clients.LoadOrStore(s, h.newClient())
+	return c.(*http.Client)
+}
+
+func (h *HTTP) newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			Proxy:               nil, // never a proxy from the environment
+			DialContext:         (&net.Dialer{Timeout: h.opts.DialTimeout}).DialContext,
+			MaxIdleConnsPerHost: h.opts.IdleConns,
+			IdleConnTimeout:     20 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Forget implements Caller.
+func (h *HTTP) Forget(s *server.State) { h.client(s).CloseIdleConnections() }
+
+// Probe implements Caller.
+func (h *HTTP) Probe(ctx context.Context, s *server.State) error {
+	c := h.newClient()
+	defer c.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+"/health", nil)
+	if err != nil {
+		return fmt.Errorf("build probe: %w", err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("probe of %s: status %d", s.Name, resp.StatusCode)
+	}
+	return nil
+}
+
+// Do implements Caller.
+func (h *HTTP) Do(ctx context.Context, c *Call) (*Reply, error) {
+	x, err := h.open(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	defer x.close()
+	body, err := io.ReadAll(io.LimitReader(x.body(), h.opts.MaxAnswer+1))
+	if err != nil {
+		return nil, x.failed(fmt.Errorf("%w: %w", ErrTruncated, err))
+	}
+	if int64(len(body)) > h.opts.MaxAnswer {
+		return nil, &Error{Sent: Answered, Status: x.resp.StatusCode, Cause: ErrTooLarge}
+	}
+	return &Reply{Status: x.resp.StatusCode, Body: body}, nil
+}
+
+// Stream implements Caller.
+func (h *HTTP) Stream(ctx context.Context, c *Call, sink func(Chunk) error) error {
+	x, err := h.open(ctx, c)
+	if err != nil {
+		return err
+	}
+	defer x.close()
+	next := c.Resume
+	dec := json.NewDecoder(x.body())
+	for {
+		var ch Chunk
+		if err := dec.Decode(&ch); err != nil {
+			return x.failed(fmt.Errorf("%w: %w", ErrTruncated, err))
+		}
+		if ch.Error != "" {
+			return &Error{Sent: Answered, Status: http.StatusInternalServerError, Cause: errors.New(ch.Error)}
+		}
+		if ch.Offset != next {
+			return x.failed(fmt.Errorf("%w: offset %d, want %d", ErrTruncated, ch.Offset, next))
+		}
+		if err := sink(ch); err != nil {
+			return err
+		}
+		if ch.Final {
+			return nil
+		}
+		next += int64(len(ch.Data))
+	}
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	resp   *http.Response
+	cancel context.CancelFunc
+	sent   *atomic.Bool
+	silent *atomic.Bool
+	timer  *time.Timer
+	idle   time.Duration
+}
+
+// open sends the call and checks that the answer's head belongs to it.
+func (h *HTTP) open(ctx context.Context, c *Call) (*exchange, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	x := &exchange{cancel: cancel, sent: &atomic.Bool{}, silent: &atomic.Bool{}, idle: c.Idle}
+	if c.FirstByte > 0 {
+		x.timer = time.AfterFunc(c.FirstByte, func() { x.silent.Store(true); cancel() })
+	}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) },
+	}), c)
+	if err != nil {
+		x.close()
+		return nil, &Error{Sent: NotSent, Cause: err}
+	}
+	x.resp, err = h.client(c.Server).Do(req)
+	if err != nil {
+		defer x.close()
+		return nil, x.failed(err)
+	}
+	x.progress()
+	if err := x.check(c); err != nil {
+		x.close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func newRequest(ctx context.Context, c *Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Server.Address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w", err)
+	}
+	// The transport repeats a request by itself on a reset of a kept-alive
+	// connection if it can rewind the body. Without GetBody it cannot, so a
+	// stage that must not be repeated is sent once.
+	req.GetBody = nil
+	set := req.Header.Set
+	set("Content-Type", "application/json")
+	set(HeaderRequestID, c.RequestID)
+	set(HeaderStage, c.Stage)
+	set(HeaderAttempt, strconv.Itoa(c.Attempt))
+	set(HeaderHost, c.Host)
+	set(HeaderIncarnation, strconv.FormatUint(c.Incarnation, 10))
+	set(HeaderAccount, c.Account)
+	set(HeaderPriority, strconv.Itoa(c.Priority))
+	if c.Key != "" {
+		// Not named Idempotency-Key: that name makes net/http's transport
+		// treat the request as safe to repeat.
+		set(HeaderKey, c.Key)
+	}
+	if c.Resume > 0 {
+		set(HeaderResume, strconv.FormatInt(c.Resume, 10))
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return req, nil
+}
+
+func (x *exchange) check(c *Call) error {
+	h := x.resp.Header
+	if h.Get(HeaderRequestID) != c.RequestID || h.Get(HeaderStage) != c.Stage || h.Get(HeaderAttempt) != strconv.Itoa(c.Attempt) {
+		return &Error{Sent: MaySent, Cause: fmt.Errorf("%w: got %q/%q/%q", ErrMisdelivered, h.Get(HeaderRequestID), h.Get(HeaderStage), h.Get(HeaderAttempt))}
+	}
+	if x.resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(x.resp.Body, 512))
+	return &Error{
+		Sent: Answered, Status: x.resp.StatusCode,
+		Refused: h.Get(HeaderNotStarted) == "true",
+		Cause:   fmt.Errorf("status %d: %s", x.resp.StatusCode, text),
+	}
+}
+
+// body returns the answer's body; each read that brings bytes restarts the
+// timer that detects silence.
+func (x *exchange) body() io.Reader { return progressReader{x} }
+
+type progressReader struct{ x *exchange }
+
+// Read implements io.Reader.
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.x.resp.Body.Read(b)
+	if n > 0 {
+		p.x.progress()
+	}
+	return n, err
+}
+
+// progress restarts the timer that detects silence, or stops it when later
+// bytes are bounded by the context alone.
+func (x *exchange) progress() {
+	switch {
+	case x.timer == nil:
+	case x.idle > 0:
+		x.timer.Reset(x.idle)
+	default:
+		x.timer.Stop()
+	}
+}
+
+func (x *exchange) failed(err error) *Error {
+	e := &Error{Cause: err, Silent: x.silent.Load()}
+	if e.Silent {
+		e.Cause = fmt.Errorf("%w: %w", errSilent, err)
+	}
+	if x.sent.Load() {
+		e.Sent = MaySent
+	}
+	e.Reset = !e.Silent && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+	return e
+}
+
+// close ends the exchange. Cancelling before the body was read to its end
+// makes the transport close the connection, so that a late rest of this answer
+// can never be read as the answer of a later request.
+func (x *exchange) close() {
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	x.cancel()
+	if x.resp != nil {
+		x.resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/entryhost/admin.go
@@ -0,0 +1,83 @@
+package entryhost
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strings"
+)
+
+// Status is what an entry host says of itself to operators.
+type Status struct {
+	Name        string `json:"name"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
+	Incarnation uint64 `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+	Draining    bool   `json:"draining"`
+	Active      int64  `json:"active"`
+	Release     uint64 `json:"release"`
+	Hash        string `json:"hash"`
+	LastError   string `json:"last_error,omitempty"`
+	Completed   int64  `json:"completed"`
+	Refused     int64  `json:"refused"`
+	Failed      int64  `json:"failed"`
+}
+
+// Status returns the present state.
+func (h *Host) Status() Status {
+	rel, _ := h.releases.follower.Current()
+	s := Status{
+		Name: h.opts.Name, Domain: h.opts.Domain, Region: h.opts.Region, Incarnation: h.incarnation,
+		Ready: h.ready(), Draining: h.gate.Closed(), Active: h.gate.Active(),
+		Release: rel.Number, Hash: rel.Hash,
+		Completed: h.requests.counters.Completed.Load(), Refused: h.requests.counters.Refused.Load(), Failed: h.requests.counters.Failed.Load(),
+	}
+	if err := h.releases.follower.LastError(); err != nil {
+		s.LastError = err.Error()
+	}
+	return s
+}
+
+func (h *Host) ready() bool { return h.inForce.Load() != nil && !h.gate.Closed() }
+
+func (h *Host) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /status", h.authorized(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) }))
+	mux.Handle("POST /drain", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		h.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	mux.Handle("GET /debug/vars", h.authorized(expvar.Handler().ServeHTTP))
+	h.adminReleases(mux)
+	h.adminMembers(mux)
+	h.adminPolicy(mux)
+	h.adminRequests(mux)
+	return mux
+}
+
+// authorized asks for the admin token, compared in constant time so that its
+// bytes cannot be found by timing. Without a token the listener is loopback.
+func (h *Host) authorized(next http.HandlerFunc) http.Handler {
+	want := sha256.Sum256([]byte(h.opts.AdminToken))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
+		if h.opts.AdminToken != "" && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			http.Error(w, "admin token missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/process/quarantine/quarantine.go
@@ -0,0 +1,57 @@
+// Package quarantine bounds the backend servers lost to a request that crashes
+// whatever runs it. Requests are known by fingerprint, so that a resend to
+// another entry host is recognized.
+package quarantine
+
+import "time"
+
+// Fingerprint identifies the content of a request, whoever sends it.
+type Fingerprint uint64
+
+// Verdict tells how a request may run.
+type Verdict int
+
+// Verdicts.
+const (
+	Clear   Verdict = iota // run as any other
+	Alone                  // a suspect: run apart from other requests
+	Refused                // in quarantine
+)
+
+// Entry is one row of the operators' list.
+type Entry struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Crashes     int         `json:"crashes"`
+	Verdict     Verdict     `json:"verdict"`
+	Expires     time.Time   `json:"expires"`
+}
+
+// Guard is asked before each attempt and told of each attempt's end. Check
+// takes no lock that another request holds for long.
+type Guard interface {
+	Check(fp Fingerprint) (v Verdict, retryAfter time.Duration)
+	Begin(fp Fingerprint, server string)
+	// End reports an attempt's end; died means that the server was lost while
+	// it ran this request.
+	End(fp Fingerprint, server string, died bool)
+	List() []Entry
+	Lift(fp Fingerprint) bool
+}
+
+// Open is the Guard that lets everything run: the naive variant.
+type Open struct{}
+
+// Check implements Guard.
+func (Open) Check(Fingerprint) (Verdict, time.Duration) { return Clear, 0 }
+
+// Begin implements Guard.
+func (Open) Begin(Fingerprint, string) {}
+
+// End implements Guard.
+func (Open) End(Fingerprint, string, bool) {}
+
+// List implements Guard.
+func (Open) List() []Entry { return nil }
+
+// Lift implements Guard.
+func (Open) Lift(Fingerprint) bool { return false }
