--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -83,7 +83,9 @@
 		registry: server.NewRegistry(),
 	}
 	// The order matters: later parts use what earlier ones made.
-	h.wireMembers()
+	if err := h.wireMembers(); err != nil {
+		return nil, err
+	}
 	h.wireReleases()
 	h.wirePolicy()
 	h.wireRequests()
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -80,7 +80,7 @@
 	if o.AdminToken == "" && !loopback(o.Admin) {
 		return errors.New("--admin: an address other than loopback needs --admin-token")
 	}
-	return nil
+	return o.checkPeer()
 }
 
 func loopback(addr string) bool {
