Membership of entry hosts: heartbeats on a ring, links across domains, fresh connections before judgement

Cause: nobody knew who was alive. Each host sends heartbeats to three successors of its domain and, if it is one of two, to each other domain; news and the hash of the membership ride on them. A failed heartbeat makes a peer suspect; only failed fresh connections make it gone, and hearsay only starts a check of one's own.

--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/process/member"
@@ -15,8 +16,9 @@
 // membersPart knows the other entry hosts and gives orders to engines.
 type membersPart struct {
 	link peer.Link
-	view member.View // nil until membership is wired
+	view member.View
 
+	monitor  *member.Monitor
 	mesh     *peer.Mesh
 	listener net.Listener
 }
@@ -60,15 +62,34 @@
 		defer mesh.Close()
 		return server.Run(ctx, l)
 	})
+	h.watchPeers(mesh)
 	return nil
 }
 
+// watchPeers keeps the view of the other entry hosts.
+func (h *Host) watchPeers(mesh *peer.Mesh) {
+	seeds := h.opts.seeds()
+	m := member.New(member.Options{
+		Link: mesh, Clock: h.clock, Rand: h.rand, Draining: h.gate.Closed,
+		Seeds: func() []string { return seeds },
+	})
+	mesh.OnSeen(m.Seen)
+	h.members.monitor, h.members.view = m, m
+	h.add("membership", m.Run)
+}
+
+func (o *Options) seeds() []string {
+	var out []string
+	for address := range strings.SplitSeq(o.Peers, ",") {
+		if address = strings.TrimSpace(address); address != "" {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 func (h *Host) adminMembers(mux *http.ServeMux) {
 	mux.Handle("GET /peers", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
-		peers := []member.Peer{}
-		if h.members.view != nil {
-			peers = h.members.view.Peers()
-		}
-		writeJSON(w, peers)
+		writeJSON(w, h.members.view.Peers())
 	}))
 }
--- /dev/null
+++ b/process/member/links.go
@@ -0,0 +1,106 @@
+package member
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrydale/process/peer"
+)
+
+// Rank orders hosts for a key by rendezvous hashing: every host that knows the
+// same hosts gets the same order, and a host that comes or goes moves only the
+// keys it is first for. hosts is sorted in place and returned.
+func Rank(key string, hosts []string) []string {
+	score := func(host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
+	sort.Slice(hosts, func(i, j int) bool {
+		if a, b := score(hosts[i]), score(hosts[j]); a != b {
+			return a > b
+		}
+		return hosts[i] < hosts[j]
+	})
+	return hosts
+}
+
+// Domain returns the names of the hosts of domain that are not gone, with self
+// if it stands there.
+func Domain(v View, self peer.Identity, domain string) []string {
+	var out []string
+	if self.Domain == domain {
+		out = append(out, self.Host)
+	}
+	for _, p := range v.Peers() {
+		if p.Domain == domain && p.State != Gone {
+			out = append(out, p.Host)
+		}
+	}
+	return out
+}
+
+// First reports whether self is among the first n of its domain for key.
+func First(v View, self peer.Identity, key string, n int) bool {
+	for i, host := range Rank(key, Domain(v, self, self.Domain)) {
+		if i >= n {
+			return false
+		}
+		if host == self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// targets returns whom self sends heartbeats to: its successors on the hashed
+// ring of its domain, and a few links to each other domain. The number does
+// not grow with the hosts of a domain, and every host of a domain with at
+// least two is watched by its predecessors.
+func targets(self peer.Identity, peers []Peer, successors, links int) []string {
+	domains := map[string][]string{self.Domain: {self.Host}}
+	for _, p := range peers {
+		if p.State != Gone {
+			domains[p.Domain] = append(domains[p.Domain], p.Host)
+		}
+	}
+	out := ring(self.Host, domains[self.Domain], successors)
+	for domain, hosts := range domains {
+		if domain == self.Domain {
+			continue
+		}
+		out = append(out, across(self, domain, domains[self.Domain], hosts, links)...)
+	}
+	return out
+}
+
+func ring(self string, hosts []string, n int) []string {
+	sort.Slice(hosts, func(i, j int) bool { return xxhash.Sum64String(hosts[i]) < xxhash.Sum64String(hosts[j]) })
+	at := 0
+	for i, h := range hosts {
+		if h == self {
+			at = i
+		}
+	}
+	var out []string
+	for i := 1; i <= n && i < len(hosts); i++ {
+		out = append(out, hosts[(at+i)%len(hosts)])
+	}
+	return out
+}
+
+// across returns the target in another domain, if self is one of the hosts
+// that keep the links between the two domains.
+func across(self peer.Identity, domain string, own, theirs []string, links int) []string {
+	pair := self.Domain + "\x00" + domain
+	if domain < self.Domain {
+		pair = domain + "\x00" + self.Domain
+	}
+	sources, sinks := Rank(pair, append([]string(nil), own...)), Rank(pair, theirs)
+	for i, s := range sources {
+		if i >= links {
+			break
+		}
+		if s == self.Host {
+			return []string{sinks[i%len(sinks)]}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/process/member/member_test.go
@@ -0,0 +1,248 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/peer/peertest"
+)
+
+const (
+	interval = 20 * time.Millisecond
+	patience = 10 * time.Second
+)
+
+// fleet is a set of monitors on an in-memory network.
+type fleet struct {
+	t        *testing.T
+	g        Gomega
+	net      *peertest.Network
+	started  uint64
+	draining sync.Map // by host
+	hosts    map[string]*host
+}
+
+type host struct {
+	*member.Monitor
+	stop func()
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, g: NewWithT(t), net: peertest.NewNetwork(), hosts: map[string]*host{}}
+}
+
+func address(name string) string { return name + ":1" }
+
+// start runs one host that knows the seed hosts; with the name of a running
+// host it is a restart.
+func (f *fleet) start(name, domain string, attach func(*member.Monitor), seeds ...string) *host {
+	f.started++
+	link := f.net.Join(peer.Identity{Host: name, Incarnation: f.started, Domain: domain, Region: "r", Address: address(name)})
+	m := member.New(member.Options{
+		Link: link, Clock: clock.System{}, Rand: clock.NewSeeded(f.started), Interval: interval, SeedEvery: 10 * interval,
+		Draining: func() bool { _, ok := f.draining.Load(name); return ok },
+		Seeds: func() []string {
+			var out []string
+			for _, s := range seeds {
+				out = append(out, address(s))
+			}
+			return out
+		},
+	})
+	if attach != nil {
+		attach(m)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	h := &host{Monitor: m, stop: sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})}
+	f.t.Cleanup(h.stop)
+	f.hosts[name] = h
+	return h
+}
+
+// domain starts n hosts d-0, d-1, ... whose seed is the given host.
+func (f *fleet) domain(d string, n int, seeds ...string) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("%s-%d", d, i))
+		f.start(names[i], d, nil, seeds...)
+	}
+	return names
+}
+
+func (f *fleet) kill(name string) {
+	f.net.Leave(name)
+	f.hosts[name].stop()
+	delete(f.hosts, name)
+}
+
+func states(v member.View) map[string]member.State {
+	out := map[string]member.State{}
+	for _, p := range v.Peers() {
+		out[p.Host] = p.State
+	}
+	return out
+}
+
+// see waits until every running host but except holds want of host.
+func (f *fleet) see(want member.State, hosts ...string) {
+	f.t.Helper()
+	for name, h := range f.hosts {
+		for _, other := range hosts {
+			if name != other {
+				f.g.Eventually(func() any {
+					p, ok := h.Lookup(other)
+					return []any{ok, p.State}
+				}, patience, interval).Should(Equal([]any{true, want}), "%s of %s", name, other)
+			}
+		}
+	}
+}
+
+func (f *fleet) cut(as, bs []string, do func(a, b string)) {
+	for _, a := range as {
+		for _, b := range bs {
+			do(a, b)
+		}
+	}
+}
+
+// All hosts are replaced at once, as in a roll-out gone wrong. They know one
+// seed each and nothing else. Every host has to find all others of the new
+// incarnation, in its own domain and the others.
+func TestHostsFindEachOtherAlsoAfterAllRestartAtOnce(t *testing.T) {
+	f := newFleet(t)
+	for range 2 {
+		for name, h := range f.hosts {
+			h.stop()
+			f.net.Leave(name)
+		}
+		all := append(f.domain("a", 5, "a-0"), f.domain("b", 4, "a-0")...)
+		f.see(member.Alive, all...)
+		for _, h := range f.hosts {
+			for _, p := range h.Peers() {
+				f.g.Eventually(func() uint64 { x, _ := h.Lookup(p.Host); return x.Incarnation }, patience).Should(BeNumerically(">", f.started-9))
+			}
+		}
+	}
+}
+
+// A connection between two hosts goes silent for good while new ones work. A
+// host that judged its peer by the connection would take it for dead and hand
+// its work to another. It has to try a fresh connection first: the peer may be
+// suspect for a moment and is never gone.
+func TestForgottenConnectionDoesNotMakeAPeerGone(t *testing.T) {
+	f := newFleet(t)
+	f.domain("a", 2, "a-0")
+	f.see(member.Alive, "a-0", "a-1")
+	var suspected, gone atomic.Int64
+	h := f.hosts["a-0"]
+	h.OnChange(func() {
+		switch p, _ := h.Lookup("a-1"); p.State {
+		case member.Suspect:
+			suspected.Add(1)
+		case member.Gone:
+			gone.Add(1)
+		}
+	})
+	for i := range int64(3) {
+		f.net.Break("a-0", "a-1")
+		f.g.Eventually(suspected.Load, patience).Should(BeNumerically(">", i))
+		f.see(member.Alive, "a-1")
+	}
+	f.g.Expect(gone.Load()).To(BeZero())
+}
+
+// One host of nine dies without a word. Only its three predecessors send it
+// heartbeats; the others hear of it from them, check it on a connection of
+// their own, and agree. When it restarts everybody takes the new incarnation.
+func TestKilledHostIsGoneForEveryoneAndItsSuccessorAlive(t *testing.T) {
+	f := newFleet(t)
+	names := f.domain("a", 9, "a-0")
+	f.see(member.Alive, names...)
+	f.kill("a-4")
+	f.see(member.Gone, "a-4")
+	f.start("a-4", "a", nil, "a-0")
+	f.see(member.Alive, "a-4")
+}
+
+// A domain is cut off from the others for a while. Each side goes on with the
+// hosts it reaches, holds the others for gone, and takes them back after the
+// heal without a restart or an order.
+func TestCutDomainIsGoneAndComesBack(t *testing.T) {
+	f := newFleet(t)
+	as, bs := f.domain("a", 3, "a-0"), f.domain("b", 3, "a-0")
+	f.see(member.Alive, append(as, bs...)...)
+	f.cut(as, bs, f.net.Cut)
+	for _, a := range as {
+		for _, b := range bs {
+			f.g.Eventually(func() member.State { p, _ := f.hosts[a].Lookup(b); return p.State }, patience).Should(Equal(member.Gone))
+			f.g.Eventually(func() member.State { p, _ := f.hosts[b].Lookup(a); return p.State }, patience).Should(Equal(member.Gone))
+		}
+		for _, other := range as {
+			if a != other {
+				p, _ := f.hosts[a].Lookup(other)
+				f.g.Expect(p.State).NotTo(Equal(member.Gone))
+			}
+		}
+	}
+	f.cut(as, bs, f.net.Heal)
+	f.see(member.Alive, append(as, bs...)...)
+}
+
+// One host cannot reach another that everyone else reaches. It tells its peers
+// that the other is silent. If they believed it, one bad link would take a
+// healthy host out everywhere; each checks by itself and keeps it.
+func TestOneHostsEvidenceDoesNotJudgeForOthers(t *testing.T) {
+	f := newFleet(t)
+	names := f.domain("a", 4, "a-0")
+	f.see(member.Alive, names...)
+	gone := atomic.Int64{}
+	for _, n := range []string{"a-2", "a-3"} {
+		h := f.hosts[n]
+		h.OnChange(func() {
+			if p, _ := h.Lookup("a-1"); p.State == member.Gone {
+				gone.Add(1)
+			}
+		})
+	}
+	f.net.Cut("a-0", "a-1")
+	f.g.Eventually(func() member.State { p, _ := f.hosts["a-0"].Lookup("a-1"); return p.State }, patience).Should(Equal(member.Gone))
+	received := f.hosts["a-2"].Counters.Received.Load()
+	f.g.Eventually(f.hosts["a-2"].Counters.Received.Load, patience).Should(BeNumerically(">", received+20))
+	f.g.Expect(gone.Load()).To(BeZero())
+}
+
+func TestDrainingAndAttachedSummariesSpread(t *testing.T) {
+	f := newFleet(t)
+	var got sync.Map
+	f.start("a-0", "a", func(m *member.Monitor) {
+		m.Attach("release", func() []byte { return []byte("42") }, func(peer.Identity, []byte) {})
+	}, "a-1")
+	f.start("a-1", "a", func(m *member.Monitor) {
+		m.Attach("release", func() []byte { return nil }, func(from peer.Identity, data []byte) { got.Store(from.Host, string(data)) })
+	}, "a-0")
+	f.domain("b", 2, "a-0")
+	f.see(member.Alive, "a-0", "a-1", "b-0", "b-1")
+	f.g.Eventually(func() any { v, _ := got.Load("a-0"); return v }, patience).Should(Equal("42"))
+	f.draining.Store("a-0", true)
+	for name, h := range f.hosts {
+		if name != "a-0" {
+			f.g.Eventually(func() bool { p, _ := h.Lookup("a-0"); return p.Draining }, patience).Should(BeTrue(), name)
+		}
+	}
+	f.g.Expect(states(f.hosts["b-0"])).To(HaveKeyWithValue("a-0", member.Alive))
+}
--- a/process/peer/peertest/network.go
+++ b/process/peer/peertest/network.go
@@ -25,8 +25,9 @@
 type cut int
 
 const (
-	cutBefore cut = iota + 1 // calls do not reach the peer
-	cutAfter                 // calls reach the peer, answers are lost
+	cutBefore     cut = iota + 1 // calls do not reach the peer
+	cutAfter                     // calls reach the peer, answers are lost
+	cutConnection                // calls get lost until a fresh connection is opened
 )
 
 // NewNetwork returns an empty network.
@@ -120,6 +121,9 @@
 	if to == nil || c == cutBefore {
 		return peer.ErrUnreachable
 	}
+	if c == cutConnection {
+		return peer.ErrNoAnswer
+	}
 	if h == nil {
 		return fmt.Errorf("%w: no handler for %s", peer.ErrRefused, m)
 	}
