Publisher: group commit through a queue, records chained for lost answers, history, rollback

Change sets wait in a queue on the platform; whoever stops waiting first merges the whole queue. Each release writes a record that names its predecessors, so a writer learns from the chain whether its own write happened. A refused set is withdrawn and the head fenced before the refusal is reported. A floor object, written by hosts that are ahead of the platform, stops publishers on a restored platform until Recover.

--- /dev/null
+++ b/process/release/chain.go
@@ -0,0 +1,174 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"bilberrydale/process/platform"
+)
+
+const (
+	// recentRefs is how many earlier releases a head names. Looking back n
+	// releases costs n/recentRefs reads, and the head stays a few KB.
+	recentRefs = 32
+	// kept is how many releases stay on the platform for Rollback and for
+	// writers that lost an answer.
+	kept = 500
+)
+
+func numberPrefix(number uint64) string { return fmt.Sprintf("%s%020d-", partPrefix, number) }
+
+func objectKey(r Ref, name string) string { return numberPrefix(r.Number) + r.ID + "/" + name }
+
+func recordKey(r Ref) string { return objectKey(r, "record") }
+
+func decodeHead(obj platform.Object) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(obj.Value, &h); err != nil {
+		return Head{}, fmt.Errorf("decode %s: %w", obj.Key, err)
+	}
+	return h, nil
+}
+
+// readHead returns the head and its object; both are zero before the first
+// release.
+func readHead(ctx context.Context, store platform.Store) (Head, platform.Object, error) {
+	obj, err := store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, platform.Object{Key: HeadKey}, nil
+	}
+	if err != nil {
+		return Head{}, obj, fmt.Errorf("read head: %w", err)
+	}
+	head, err := decodeHead(obj)
+	return head, obj, err
+}
+
+func readRecord(ctx context.Context, store platform.Store, ref Ref) (Head, error) {
+	obj, err := store.Get(ctx, recordKey(ref))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, fmt.Errorf("%w: release %d", ErrNotKept, ref.Number)
+	}
+	if err != nil {
+		return Head{}, fmt.Errorf("read record of release %d: %w", ref.Number, err)
+	}
+	return decodeHead(obj)
+}
+
+// walk calls f for the releases from head backwards until f returns false or
+// the history ends. Each record names its predecessors, so the chain holds
+// exactly the releases that were accepted; objects of writers that lost the
+// race or died are not on it.
+func walk(ctx context.Context, store platform.Store, head Head, f func(Ref) bool) error {
+	if head.Number == 0 || !f(head.Ref()) {
+		return nil
+	}
+	for len(head.Recent) > 0 {
+		for _, ref := range head.Recent {
+			if !f(ref) {
+				return nil
+			}
+		}
+		last := head.Recent[len(head.Recent)-1]
+		if last.Number <= 1 {
+			return nil
+		}
+		var err error
+		if head, err = readRecord(ctx, store, last); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// find returns the accepted release of the given number.
+func find(ctx context.Context, store platform.Store, head Head, number uint64) (Ref, error) {
+	var found Ref
+	err := walk(ctx, store, head, func(r Ref) bool {
+		if r.Number == number {
+			found = r
+		}
+		return r.Number > number
+	})
+	if err == nil && found.Number == 0 {
+		err = fmt.Errorf("%w: release %d", ErrNotKept, number)
+	}
+	return found, err
+}
+
+// History returns up to n accepted releases, the newest first, without rows.
+func (p *Publisher) History(ctx context.Context, n int) ([]Ref, error) {
+	head, _, err := readHead(ctx, p.Store)
+	if err != nil {
+		return nil, err
+	}
+	var refs []Ref
+	err = walk(ctx, p.Store, head, func(r Ref) bool {
+		if len(refs) < n {
+			refs = append(refs, r)
+		}
+		return len(refs) < n
+	})
+	if errors.Is(err, ErrNotKept) {
+		err = nil
+	}
+	return refs, err
+}
+
+// At returns the accepted release of the given number with its rows.
+func (p *Publisher) At(ctx context.Context, number uint64) (Release, error) {
+	head, _, err := readHead(ctx, p.Store)
+	if err != nil {
+		return Release{}, err
+	}
+	ref, err := find(ctx, p.Store, head, number)
+	if err != nil {
+		return Release{}, err
+	}
+	record, err := readRecord(ctx, p.Store, ref)
+	if err != nil {
+		return Release{}, err
+	}
+	return loadParts(ctx, p.Store, record)
+}
+
+// Rollback accepts a new release with the rows of the release of the given
+// number. The numbers rise as always; a row that somebody changes meanwhile is
+// a conflict.
+func (p *Publisher) Rollback(ctx context.Context, number uint64, author string) (Release, error) {
+	old, err := p.At(ctx, number)
+	if err != nil {
+		return Release{}, err
+	}
+	now, _, err := p.Head(ctx)
+	if err != nil {
+		return Release{}, err
+	}
+	set := Difference(now, old.Rows)
+	set.Author, set.Note = author, fmt.Sprintf("rollback to release %d", number)
+	return p.Apply(ctx, set)
+}
+
+// Difference returns the changes that turn the rows of from into want.
+func Difference(from Release, want []Row) ChangeSet {
+	var set ChangeSet
+	left := make(map[string]Row, len(want))
+	for _, r := range want {
+		left[r.Key] = r
+	}
+	for _, cur := range from.Rows {
+		r, stays := left[cur.Key]
+		delete(left, cur.Key)
+		if !stays {
+			set.Changes = append(set.Changes, Change{Key: cur.Key, Delete: true, Base: cur.Version})
+		} else if string(r.Data) != string(cur.Data) {
+			set.Changes = append(set.Changes, Change{Key: cur.Key, Data: r.Data, Base: cur.Version})
+		}
+	}
+	for _, r := range sorted(left) {
+		set.Changes = append(set.Changes, Change{Key: r.Key, Data: r.Data})
+	}
+	return set
+}
--- /dev/null
+++ b/process/release/floor.go
@@ -0,0 +1,92 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"bilberrydale/process/platform"
+)
+
+// Floor is what entry hosts report when they have a release in force that the
+// platform's head does not know: its state was restored from an earlier one.
+type Floor struct {
+	Number uint64 `json:"number"` // highest release in force on a host
+	Hash   string `json:"hash"`
+	Host   string `json:"host"`
+}
+
+func readFloor(ctx context.Context, store platform.Store) (Floor, uint64, error) {
+	obj, err := store.Get(ctx, FloorKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Floor{}, 0, nil
+	}
+	if err != nil {
+		return Floor{}, 0, fmt.Errorf("read floor: %w", err)
+	}
+	var f Floor
+	if err := json.Unmarshal(obj.Value, &f); err != nil {
+		return Floor{}, 0, fmt.Errorf("decode floor: %w", err)
+	}
+	return f, obj.Version, nil
+}
+
+// raiseFloor records f unless a floor at least as high is there.
+func raiseFloor(ctx context.Context, store platform.Store, f Floor) error {
+	cur, version, err := readFloor(ctx, store)
+	if err != nil || cur.Number >= f.Number {
+		return err
+	}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("encode floor: %w", err)
+	}
+	_, err = store.Put(ctx, FloorKey, data, version)
+	return err
+}
+
+// checkFloor refuses to accept on top of a restored platform: the new release
+// would get a number that entry hosts have seen with other content, and they
+// would either ignore it or disagree with each other.
+func (p *Publisher) checkFloor(ctx context.Context, head Head) error {
+	f, _, err := readFloor(ctx, p.Store)
+	if err != nil {
+		return err
+	}
+	if head.Number < f.Number || (head.Number == f.Number && head.Hash != f.Hash) {
+		return fmt.Errorf("%w: head is release %d, host %s has release %d (hash %s) in force; recover from its tables first",
+			ErrBehind, head.Number, f.Host, f.Number, f.Hash)
+	}
+	return nil
+}
+
+// Recover mends a restored platform: it accepts the rows of rel, as an entry
+// host shows them, under a number above the head's and every number that hosts
+// reported. An operator calls it after choosing which content is right.
+func (p *Publisher) Recover(ctx context.Context, rel Release, author string) (Release, error) {
+	if err := rel.Verify(); err != nil {
+		return Release{}, err
+	}
+	head, obj, err := readHead(ctx, p.Store)
+	if err != nil {
+		return Release{}, err
+	}
+	floor, _, err := readFloor(ctx, p.Store)
+	if err != nil {
+		return Release{}, err
+	}
+	if err := p.Validate(rel.Rows); err != nil {
+		return Release{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	next := rel
+	next.Number = max(head.Number, floor.Number, rel.Number) + 1
+	next.ID, next.Author, next.Time = uuid.NewString(), author, p.Clock.Now()
+	next.Note = fmt.Sprintf("recovered from release %d (hash %s)", rel.Number, rel.Hash)
+	next.Previous = rel.Hash
+	h := Head{Release: next, Recent: recent(head), Swept: max(head.Swept, 1)}
+	h.Rows = nil
+	return next, p.write(ctx, base{head: head, obj: obj}, next, h)
+}
--- a/process/release/publish.go
+++ b/process/release/publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -28,7 +27,7 @@
 }
 
 const (
-	defaultAttempts = 40
+	defaultAttempts = 60
 	firstBackoff    = 5 * time.Millisecond
 	maxBackoff      = 500 * time.Millisecond
 )
@@ -37,198 +36,142 @@
 // is the head object's, to be given to a conditional update. A platform that
 // has no release yet gives an empty one numbered 0.
 func (p *Publisher) Head(ctx context.Context) (Release, uint64, error) {
-	obj, err := p.Store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Release{}, 0, nil
-	}
+	head, obj, err := readHead(ctx, p.Store)
 	if err != nil {
-		return Release{}, 0, fmt.Errorf("read head: %w", err)
+		return Release{}, 0, err
 	}
-	rel, err := Load(ctx, p.Store, obj)
+	rel, err := loadParts(ctx, p.Store, head)
 	return rel, obj.Version, err
 }
 
-// Apply merges set into the newest release and accepts the result. It retries
-// when another publisher was faster, and answers from the head's release id
-// when the answer of its own write was lost.
-func (p *Publisher) Apply(ctx context.Context, set ChangeSet) (Release, error) {
-	attempts := p.Attempts
-	if attempts <= 0 {
-		attempts = defaultAttempts
-	}
-	var last error
-	for try := range attempts {
-		if err := p.pause(ctx, try); err != nil {
-			return Release{}, err
-		}
-		base, version, err := p.Head(ctx)
-		if err != nil {
-			last = err
-			continue
-		}
-		rel, err := p.next(base, set)
-		if err != nil {
-			return Release{}, err
-		}
-		err = p.accept(ctx, rel, version)
-		if err == nil {
-			return rel, nil
-		}
-		last = err
-		if errors.Is(err, platform.ErrTooLarge) {
-			return Release{}, err
-		}
-	}
-	return Release{}, fmt.Errorf("release not accepted after %d attempts: %w", attempts, last)
+// base is the state that a commit builds on.
+type base struct {
+	head Head
+	obj  platform.Object
+	rel  Release
 }
 
-func (p *Publisher) pause(ctx context.Context, try int) error {
-	if try == 0 {
-		return ctx.Err()
+// unchanged reports whether g leaves the rows as they are.
+func (b base) unchanged(g group) bool {
+	return b.rel.Number > 0 && HashRows(g.draft.sorted()) == b.rel.Hash
+}
+
+func (p *Publisher) read(ctx context.Context) (base, error) {
+	head, obj, err := readHead(ctx, p.Store)
+	if err != nil {
+		return base{}, err
 	}
-	limit := firstBackoff << min(try, 7)
-	limit = min(limit, maxBackoff)
-	wait := time.Duration(p.Rand.Float64() * float64(limit))
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-p.Clock.After(wait):
-		return nil
+	rel, err := loadParts(ctx, p.Store, head)
+	if err != nil {
+		return base{}, err
 	}
+	return base{head: head, obj: obj, rel: rel}, p.checkFloor(ctx, head)
 }
 
-func (p *Publisher) next(base Release, set ChangeSet) (Release, error) {
-	rows, err := Merge(base, set)
+// Apply merges set into the newest release and accepts the result, whole. The
+// error is a *ConflictError, ErrInvalid or ErrBehind for a set that was refused
+// (nothing of it is or will be in force), and ErrPending when the platform went
+// away before the outcome was known.
+func (p *Publisher) Apply(ctx context.Context, set ChangeSet) (Release, error) {
+	if set.ID == "" {
+		set.ID = uuid.NewString()
+	}
+	b, err := p.readRetrying(ctx)
 	if err != nil {
 		return Release{}, err
 	}
-	if err := p.Validate(rows); err != nil {
-		return Release{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	// A set that is refused alone is refused here, before it costs a write.
+	g := p.merge(b.rel, []ChangeSet{set})
+	if err := g.refused[set.ID]; err != nil {
+		return Release{}, err
+	}
+	if b.unchanged(g) {
+		return b.rel, nil
 	}
-	return Release{
-		Number: base.Number + 1, ID: uuid.NewString(), Hash: HashRows(rows),
-		Author: set.Author, Note: set.Note, Time: p.Clock.Now(), Rows: rows,
-	}, nil
+	return p.join(ctx, set, b.head.Number)
 }
 
-// accept writes the rows under keys nobody else uses and then moves the head.
-// A release is in force for readers only through the head, so a writer that
-// dies in between leaves unreferenced objects and nothing else.
-func (p *Publisher) accept(ctx context.Context, rel Release, version uint64) error {
-	head := Head{Release: rel}
-	head.Rows = nil
-	for i, part := range split(rel.Rows) {
-		key := fmt.Sprintf("%s%020d-%s/%03d", partPrefix, rel.Number, rel.ID, i)
-		data, err := json.Marshal(part)
-		if err != nil {
-			return fmt.Errorf("encode rows: %w", err)
+func (p *Publisher) readRetrying(ctx context.Context) (base, error) {
+	var last error
+	for try := range p.attempts() {
+		if err := p.pause(ctx, try); err != nil {
+			return base{}, errors.Join(err, last)
 		}
-		if err := p.putPart(ctx, key, data); err != nil {
-			return err
+		b, err := p.read(ctx)
+		if err == nil || errors.Is(err, ErrBehind) {
+			return b, err
 		}
-		head.Parts = append(head.Parts, key)
-	}
-	data, err := json.Marshal(head)
-	if err != nil {
-		return fmt.Errorf("encode head: %w", err)
+		last = err
 	}
-	_, err = p.Store.Put(ctx, HeadKey, data, version)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		return p.resolve(ctx, rel, err)
+	return base{}, last
+}
+
+func (p *Publisher) attempts() int {
+	if p.Attempts > 0 {
+		return p.Attempts
 	}
-	return err
+	return defaultAttempts
 }
 
-// putPart writes one immutable part; a lost answer is harmless because the
-// key is unique to this writer, so a conflict means that the write happened.
-func (p *Publisher) putPart(ctx context.Context, key string, data []byte) error {
-	var err error
-	for range 3 {
-		_, err = p.Store.Put(ctx, key, data, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return nil
-		}
-		if !errors.Is(err, platform.ErrUnknownOutcome) {
-			return err
-		}
+func (p *Publisher) backoff(try int) time.Duration {
+	limit := min(firstBackoff<<min(try, 7), maxBackoff)
+	return time.Duration(p.Rand.Float64() * float64(limit))
+}
+
+func (p *Publisher) pause(ctx context.Context, try int) error {
+	if try == 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.Clock.After(p.backoff(try)):
+		return nil
 	}
-	return err
 }
 
-// resolve decides whether a head write with a lost answer took effect. Without
-// it the writer would either repeat an accepted change set or report a failure
-// for a release that is in force.
-func (p *Publisher) resolve(ctx context.Context, rel Release, cause error) error {
-	for try := range defaultAttempts {
+// resolve decides whether the head write of a release took effect although its
+// answer was lost. Without it the writer would either repeat an accepted change
+// set or report a failure for a release that is in force. The chain of records
+// answers also when the head has moved on, for as long as releases are kept.
+func (p *Publisher) resolve(ctx context.Context, ref Ref, cause error) error {
+	for try := range p.attempts() {
 		if err := p.pause(ctx, try); err != nil {
 			return fmt.Errorf("%w (reading back: %w)", cause, err)
 		}
-		obj, err := p.Store.Get(ctx, HeadKey)
-		if errors.Is(err, platform.ErrNotFound) {
-			return platform.ErrConflict
-		}
+		head, obj, err := readHead(ctx, p.Store)
 		if err != nil {
 			continue
 		}
-		var head Head
-		if err := json.Unmarshal(obj.Value, &head); err != nil {
-			return fmt.Errorf("decode head: %w", err)
-		}
-		if head.ID == rel.ID {
-			return nil
+		if head.Number < ref.Number {
+			if p.fence(ctx, obj) == nil {
+				return platform.ErrConflict
+			}
+			continue
 		}
-		if head.Number < rel.Number {
-			return platform.ErrConflict
+		accepted, err := find(ctx, p.Store, head, ref.Number)
+		if errors.Is(err, ErrNotKept) {
+			return fmt.Errorf("%w: %w", cause, err)
 		}
-		return p.resolveFromHistory(ctx, rel, cause)
-	}
-	return cause
-}
-
-// resolveFromHistory handles a head that has already moved past rel.Number:
-// the release of that number is ours only if its parts carry our id and a
-// later head was built on it, which its successors' history records.
-func (p *Publisher) resolveFromHistory(ctx context.Context, rel Release, cause error) error {
-	_ = ctx
-	return fmt.Errorf("%w: the head has moved past release %d; see the history", cause, rel.Number)
-}
-
-// Load reads the rows that head refers to and checks them against its hash.
-func Load(ctx context.Context, store platform.Store, obj platform.Object) (Release, error) {
-	var head Head
-	if err := json.Unmarshal(obj.Value, &head); err != nil {
-		return Release{}, fmt.Errorf("decode head: %w", err)
-	}
-	rel := head.Release
-	for _, key := range head.Parts {
-		part, err := store.Get(ctx, key)
 		if err != nil {
-			return Release{}, fmt.Errorf("read %s: %w", key, err)
+			continue
 		}
-		var rows []Row
-		if err := json.Unmarshal(part.Value, &rows); err != nil {
-			return Release{}, fmt.Errorf("decode %s: %w", key, err)
+		if accepted.ID == ref.ID {
+			return nil
 		}
-		rel.Rows = append(rel.Rows, rows...)
+		return platform.ErrConflict
 	}
-	return rel, rel.Verify()
+	return cause
 }
 
-func split(rows []Row) [][]Row {
-	var parts [][]Row
-	var part []Row
-	size := 0
-	for _, r := range rows {
-		n := len(r.Key) + len(r.Data) + 128
-		if size+n > maxPart && len(part) > 0 {
-			parts = append(parts, part)
-			part, size = nil, 0
-		}
-		part = append(part, r)
-		size += n
+// fence writes the head back unchanged under a new version. A write that is
+// still under way, sent before the fence and built on an earlier version, can
+// then no longer take effect: what was read before the fence is final. nil and
+// ErrConflict both say that the head has a newer version than obj.
+func (p *Publisher) fence(ctx context.Context, obj platform.Object) error {
+	if obj.Version == 0 {
+		obj.Value = []byte("{}") // a head that names no release
 	}
-	if len(part) > 0 {
-		parts = append(parts, part)
-	}
-	return parts
+	_, err := p.Store.Put(ctx, HeadKey, obj.Value, obj.Version)
+	return err
 }
--- /dev/null
+++ b/process/release/publish_test.go
@@ -0,0 +1,373 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	standin "bilberrydale/internal/standin/platform"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/platform"
+)
+
+// joined is a small validator: a row "routes/x" holds the name of a pool, and
+// the row "pools/<name>" must exist.
+func joined(rows []Row) error {
+	have := map[string]bool{}
+	for _, r := range rows {
+		have[r.Key] = true
+	}
+	for _, r := range rows {
+		var pool string
+		if strings.HasPrefix(r.Key, "routes/") && json.Unmarshal(r.Data, &pool) == nil && !have["pools/"+pool] {
+			return fmt.Errorf("%s names pool %q, which does not exist", r.Key, pool)
+		}
+	}
+	return nil
+}
+
+func publisher(store platform.Store, seed uint64) *Publisher {
+	return &Publisher{Store: store, Validate: joined, Clock: clock.System{}, Rand: clock.NewSeeded(seed)}
+}
+
+func put(author, key, text string, base uint64) ChangeSet {
+	data, _ := json.Marshal(text)
+	return ChangeSet{Author: author, Changes: []Change{{Key: key, Data: data, Base: base}}}
+}
+
+func remove(author, key string, base uint64) ChangeSet {
+	return ChangeSet{Author: author, Changes: []Change{{Key: key, Delete: true, Base: base}}}
+}
+
+func must(g *WithT) func(Release, error) Release {
+	return func(r Release, err error) Release {
+		g.THelper()
+		g.Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+}
+
+// losing loses the answer of the next write of key after its effect, and runs
+// meanwhile before the writer hears of it.
+type losing struct {
+	platform.Store
+	key       string
+	meanwhile func()
+	once      sync.Once
+}
+
+func (l *losing) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	v, err := l.Store.Put(ctx, key, value, expect)
+	if key == l.key && err == nil {
+		lost := false
+		l.once.Do(func() { lost = true })
+		if lost {
+			l.meanwhile()
+			return 0, platform.ErrUnknownOutcome
+		}
+	}
+	return v, err
+}
+
+// The operator sees one accepted release, though the answer to the head's
+// update was lost and others moved the head on by many releases before it could
+// be read back. Comparing the head's id alone would report a failure (or accept
+// the set a second time); the chain of records tells for certain.
+func TestLostAnswerIsResolvedAfterTheHeadMovedOn(t *testing.T) {
+	for _, later := range []int{0, 1, 2, recentRefs + 4, recentRefs + 5} {
+		g := NewWithT(t)
+		ctx, objects := context.Background(), standin.New()
+		first := must(g)(publisher(objects, 1).Apply(ctx, put("ada", "pools/a", "0", 0)))
+		lossy := &losing{Store: objects, key: HeadKey, meanwhile: func() {
+			for i := range later {
+				must(g)(publisher(objects, uint64(i)).Apply(ctx, put("bo", fmt.Sprintf("pools/b%d", i), "1", 0)))
+			}
+		}}
+		// alone is the way of sets too large for the queue, which has its own
+		// look at the chain of records.
+		accept := []func(context.Context, ChangeSet) (Release, error){publisher(lossy, 2).Apply, publisher(lossy, 2).alone}[later%2]
+		rel := must(g)(accept(ctx, put("ada", "pools/a", "1", first.Number)))
+		g.Expect(rel.Number).To(Equal(first.Number + 1))
+		head := must(g)(objects2head(ctx, objects))
+		g.Expect(head.Number).To(Equal(first.Number + 1 + uint64(later)))
+		row, _ := head.Row("pools/a")
+		g.Expect(row.Version).To(Equal(rel.Number), "accepted once")
+	}
+}
+
+func objects2head(ctx context.Context, store platform.Store) (Release, error) {
+	rel, _, err := publisher(store, 9).Head(ctx)
+	return rel, err
+}
+
+// Two operators, then fifty, then three hundred release at once, each another
+// row. All of them see their change accepted, no row is lost, and the backlog
+// is accepted in groups: a writer costs its own entry and its removal, not a
+// series of failed updates.
+func TestRacingOperatorsLoseNothing(t *testing.T) {
+	for _, n := range []int{2, 50, 300} {
+		g := NewWithT(t)
+		ctx, objects := context.Background(), standin.New()
+		objects.SetFaults(standin.Faults{Delay: 1e6})
+		errs := race(n, func(i int) error {
+			_, err := publisher(objects, uint64(i)).Apply(ctx, put(fmt.Sprint("op", i), fmt.Sprintf("pools/%03d", i), "x", 0))
+			return err
+		})
+		g.Expect(errors.Join(errs...)).NotTo(HaveOccurred())
+		head := must(g)(objects2head(ctx, objects))
+		g.Expect(head.Rows).To(HaveLen(n))
+		left, err := objects.List(ctx, queuePrefix)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(left).To(BeEmpty())
+		t.Logf("%d operators: %d releases, %+v", n, head.Number, objects.Counts())
+		if n >= 50 {
+			g.Expect(head.Number).To(BeNumerically("<", n/2), "accepted in groups")
+			g.Expect(objects.Counts().Writes).To(BeNumerically("<", 3*n))
+		}
+	}
+}
+
+func race(n int, f func(i int) error) []error {
+	errs := make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { errs[i] = f(i) })
+	}
+	wg.Wait()
+	return errs
+}
+
+// Fifty operators edit the same row from the same version. One is accepted; the
+// others see a conflict that names the row and the author who was faster.
+func TestOneOfFiftyEditsOfARowIsAccepted(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	must(g)(publisher(objects, 1).Apply(ctx, put("ada", "pools/a", "0", 0)))
+	errs := race(50, func(i int) error {
+		_, err := publisher(objects, uint64(i)).Apply(ctx, put(fmt.Sprint("op", i), "pools/a", fmt.Sprint("edit", i), 1))
+		return err
+	})
+	head := must(g)(objects2head(ctx, objects))
+	row, _ := head.Row("pools/a")
+	won := 0
+	for i, err := range errs {
+		var conflict *ConflictError
+		if err == nil {
+			won++
+			g.Expect(row.Author).To(Equal(fmt.Sprint("op", i)))
+			continue
+		}
+		g.Expect(errors.As(err, &conflict)).To(BeTrue(), fmt.Sprint(err))
+		g.Expect(conflict.Rows).To(Equal([]RowConflict{{Key: "pools/a", Base: 1, Current: row.Version, Author: row.Author}}))
+	}
+	g.Expect(won).To(Equal(1))
+}
+
+// One operator deletes a pool while another adds a route to it. Each edit is
+// valid alone; together the route would dangle. Exactly one is accepted and the
+// other one is told why, whoever commits the two.
+func TestEditsThatDangleTogetherAreNotBothAccepted(t *testing.T) {
+	for seed := range 20 {
+		g := NewWithT(t)
+		ctx, objects := context.Background(), standin.New()
+		must(g)(publisher(objects, 1).Apply(ctx, put("ada", "pools/a", "0", 0)))
+		sets := []ChangeSet{remove("ada", "pools/a", 1), put("bo", "routes/r", "a", 0)}
+		errs := race(2, func(i int) error {
+			_, err := publisher(objects, uint64(2*seed+i)).Apply(ctx, sets[i])
+			return err
+		})
+		g.Expect(errs).To(ContainElement(BeNil()))
+		g.Expect(errs).To(ContainElement(MatchError(ErrInvalid)))
+		g.Expect(joined(must(g)(objects2head(ctx, objects)).Rows)).To(Succeed())
+	}
+}
+
+// A conflict with a deletion names who deleted the row.
+func TestConflictWithADeletionNamesItsAuthor(t *testing.T) {
+	g := NewWithT(t)
+	ctx, p := context.Background(), publisher(standin.New(), 1)
+	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
+	must(g)(p.Apply(ctx, remove("bo", "pools/a", 1)))
+	_, err := p.Apply(ctx, put("ada", "pools/a", "1", 1))
+	g.Expect(err).To(MatchError(ContainSubstring("deleted in 2 by bo")))
+}
+
+// A writer dies after it queued its edit and another commits it; the row is
+// then deleted. The entry that the dead writer left must not bring the row back.
+func TestEntryOfADeadWriterIsAcceptedOnce(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
+	dead := put("cy", "pools/c", "0", 0)
+	dead.ID = "dead"
+	left := entry{Set: dead, Since: 1, Expires: p.Clock.Now().Add(queueLife)}
+	g.Expect(p.putNew(ctx, queuePrefix+"dead", left)).To(Succeed())
+	second := must(g)(p.Apply(ctx, put("bo", "pools/b", "0", 0)))
+	g.Expect(second.Rows).To(HaveLen(3), "accepted together")
+	must(g)(p.Apply(ctx, remove("bo", "pools/c", second.Number)))
+	last := must(g)(p.Apply(ctx, put("bo", "pools/d", "0", 0)))
+	_, back := last.Row("pools/c")
+	g.Expect(back).To(BeFalse())
+}
+
+// Somebody else commits a writer's queued edit, and a third operator edits the
+// same row again before the writer wakes up. It must hear that its edit was
+// accepted, and not of a conflict with itself.
+func TestWriterLearnsOfAcceptanceByOthers(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
+	set := put("bo", "pools/a", "1", 1)
+	set.ID = "slow"
+	q := &queued{p: p, set: set, since: 1, key: queuePrefix + set.ID}
+	g.Expect(p.putNew(ctx, q.key, entry{Set: set, Since: 1, Expires: p.Clock.Now().Add(queueLife)})).To(Succeed())
+	second := must(g)(p.Apply(ctx, put("cy", "pools/c", "0", 0)))
+	must(g)(p.Apply(ctx, put("cy", "pools/a", "2", second.Number)))
+	rel, done, err := q.step(ctx, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(done).To(BeTrue())
+	g.Expect(rel.Number).To(Equal(second.Number))
+}
+
+// A writer withdraws its edit from the queue and reports it as refused, while
+// another has already merged it and is about to update the head. The other's
+// update must fail, or an edit that was reported as refused would be in force.
+func TestRefusedSetIsNotAcceptedBehindItsWriter(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
+	set := put("ada", "routes/r", "a", 0)
+	set.ID = "withdrawn"
+	q := &queued{p: p, set: set, since: 1, key: queuePrefix + set.ID}
+	g.Expect(p.putNew(ctx, q.key, entry{Set: set, Since: 1, Expires: p.Clock.Now().Add(queueLife)})).To(Succeed())
+	racing := &before{Store: objects, key: HeadKey, run: func() {
+		_, done, err := q.withdraw(ctx, ErrInvalid)
+		g.Expect(done).To(BeTrue())
+		g.Expect(err).To(MatchError(ErrInvalid))
+	}}
+	rel := must(g)(publisher(racing, 2).Apply(ctx, put("bo", "pools/b", "0", 0)))
+	_, accepted := rel.Row("routes/r")
+	g.Expect(accepted).To(BeFalse())
+	g.Expect(rel.Rows).To(HaveLen(2))
+}
+
+// before runs a step before the first write of key.
+type before struct {
+	platform.Store
+	key  string
+	run  func()
+	once sync.Once
+}
+
+func (b *before) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if key == b.key {
+		b.once.Do(b.run)
+	}
+	return b.Store.Put(ctx, key, value, expect)
+}
+
+// Tables over the platform's value limit are split, and still accepted by one
+// update of the head: a writer that dies before it leaves the earlier release.
+func TestLargeTablesAreAcceptedInOneStep(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	big := strings.Repeat("x", 300<<10)
+	set := ChangeSet{Author: "ada"}
+	for i := range 8 {
+		set.Changes = append(set.Changes, put("", fmt.Sprint("pools/", i), big, 0).Changes...)
+	}
+	must(g)(publisher(objects, 1).Apply(ctx, set))
+	head, _, err := readHead(ctx, objects)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(head.Parts)).To(BeNumerically(">", 2))
+	g.Expect(must(g)(objects2head(ctx, objects)).Rows).To(HaveLen(8))
+
+	dead := publisher(&dying{Store: objects, key: HeadKey}, 1)
+	dead.Attempts = 2
+	_, err = dead.Apply(ctx, put("ada", "pools/0", "small", 1))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(must(g)(objects2head(ctx, objects)).Number).To(BeEquivalentTo(1))
+}
+
+// dying refuses every write of key.
+type dying struct {
+	platform.Store
+	key string
+}
+
+func (d *dying) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	if key == d.key {
+		return 0, platform.ErrUnavailable
+	}
+	return d.Store.Put(ctx, key, value, expect)
+}
+
+// History lists the accepted releases only, and a rollback is a new release
+// with the old rows under a higher number.
+func TestHistoryAndRollback(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	const n = 2*recentRefs + 10
+	for i := range n {
+		must(g)(p.Apply(ctx, put("ada", "pools/a", fmt.Sprint(i), uint64(i))))
+	}
+	refs, err := p.History(ctx, 1000)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(refs).To(HaveLen(n))
+	for i, r := range refs {
+		g.Expect(r.Number).To(BeEquivalentTo(n - i))
+	}
+	back := must(g)(p.Rollback(ctx, 3, "bo"))
+	g.Expect(back.Number).To(BeEquivalentTo(n + 1))
+	old := must(g)(p.At(ctx, 3))
+	g.Expect(back.Hash).To(Equal(old.Hash))
+	_, err = p.Rollback(ctx, 4711, "bo")
+	g.Expect(err).To(MatchError(ErrNotKept))
+}
+
+// Objects of writers that lost a race or died go when the release of their
+// number is no longer kept, so that the platform's store stays bounded.
+func TestObjectsNoLongerKeptAreCollected(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	for n := uint64(1); n <= 3; n++ {
+		g.Expect(p.putNew(ctx, objectKey(Ref{Number: n, ID: "dead"}, "000"), []Row{})).To(Succeed())
+	}
+	g.Expect(p.collect(ctx, 1, kept+1)).To(BeEquivalentTo(1))
+	g.Expect(p.collect(ctx, 1, kept+3)).To(BeEquivalentTo(3))
+	objs, err := objects.List(ctx, partPrefix)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(objs).To(HaveLen(1))
+}
+
+// The platform is restored to an earlier state while entry hosts have a later
+// release in force. An operator who goes on editing is refused, with the way to
+// mend it; after Recover the numbers are above all that hosts have seen.
+func TestRestoredPlatformRefusesUntilRecovered(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	p := publisher(objects, 1)
+	must(g)(p.Apply(ctx, put("ada", "pools/a", "old", 0)))
+	inForce := Release{Number: 5, Rows: []Row{{Key: "pools/a", Data: []byte(`"new"`), Version: 5}}}
+	inForce.Hash = HashRows(inForce.Rows)
+	g.Expect(raiseFloor(ctx, objects, Floor{Number: 5, Hash: inForce.Hash, Host: "e1"})).To(Succeed())
+
+	_, err := p.Apply(ctx, put("bo", "pools/b", "1", 0))
+	g.Expect(err).To(MatchError(ErrBehind))
+	rel := must(g)(p.Recover(ctx, inForce, "bo"))
+	g.Expect(rel.Number).To(BeEquivalentTo(6))
+	next := must(g)(p.Apply(ctx, put("bo", "pools/b", "1", 0)))
+	g.Expect(next.Number).To(BeEquivalentTo(7))
+	g.Expect(next.Rows).To(HaveLen(2))
+}
--- a/process/release/release.go
+++ b/process/release/release.go
@@ -13,14 +13,15 @@
 	"errors"
 	"fmt"
 	"sort"
-	"strings"
 	"time"
 )
 
 // Keys on the platform.
 const (
-	HeadKey    = "bilberry/head"
-	partPrefix = "bilberry/releases/"
+	HeadKey     = "bilberry/head"
+	FloorKey    = "bilberry/floor"
+	queuePrefix = "bilberry/queue/"
+	partPrefix  = "bilberry/releases/"
 	// maxPart leaves room below platform.MaxValue for the JSON around rows.
 	maxPart = 900 << 10
 )
@@ -34,6 +35,13 @@
 	ErrInvalid = errors.New("release: invalid tables")
 	// ErrCorrupt: content read back does not have the hash it was stored under.
 	ErrCorrupt = errors.New("release: content does not match its hash")
+	// ErrNotKept: the release is older than the history that is kept.
+	ErrNotKept = errors.New("release: no longer kept")
+	// ErrBehind: entry hosts have a release in force that the platform does
+	// not know, so it was restored to an earlier state. See Publisher.Recover.
+	ErrBehind = errors.New("release: the platform is behind the entry hosts")
+	// ErrPending: the change set is still queued and may yet be accepted.
+	ErrPending = errors.New("release: outcome not known yet")
 )
 
 // Row is one row of one table. Key is "<table>/<name>"; Data is its canonical
@@ -53,14 +61,39 @@
 	Author string    `json:"author"`
 	Note   string    `json:"note,omitempty"`
 	Time   time.Time `json:"time"`
-	Rows   []Row     `json:"rows,omitempty"` // by key
+	// Previous is the hash of the release numbered one lower.
+	Previous string `json:"previous,omitempty"`
+	Rows     []Row  `json:"rows,omitempty"` // by key
+	// Removed holds key, version and author of the newest deletions, so that a
+	// conflict with a deletion names its author.
+	Removed []Row `json:"removed,omitempty"`
 }
 
-// Head is the value of the head object: the newest accepted release and the
-// keys of the objects that hold its rows.
+// Head is the value of the head object and of each release's record: the
+// release without rows, and what a writer needs to look back.
 type Head struct {
 	Release
-	Parts []string `json:"parts"`
+	Parts []string `json:"parts"`          // keys of the objects that hold the rows
+	Sets  []string `json:"sets,omitempty"` // change sets accepted by this release
+	// Recent are the releases before this one, newest first, up to recentRefs.
+	Recent []Ref `json:"recent,omitempty"`
+	// Swept is the lowest number whose objects may still exist.
+	Swept uint64 `json:"swept,omitempty"`
+}
+
+// Ref names one accepted release.
+type Ref struct {
+	Number uint64    `json:"number"`
+	ID     string    `json:"id"`
+	Hash   string    `json:"hash"`
+	Author string    `json:"author"`
+	Note   string    `json:"note,omitempty"`
+	Time   time.Time `json:"time"`
+}
+
+// Ref returns the release's reference.
+func (r *Release) Ref() Ref {
+	return Ref{Number: r.Number, ID: r.ID, Hash: r.Hash, Author: r.Author, Note: r.Note, Time: r.Time}
 }
 
 // Change is one row as an operator wants it. Base is the row version that the
@@ -74,9 +107,10 @@
 
 // ChangeSet is one operator's edit; it is accepted whole or refused whole.
 type ChangeSet struct {
-	Author  string
-	Note    string
-	Changes []Change
+	ID      string   `json:"id"` // unique; Apply makes one when it is empty
+	Author  string   `json:"author"`
+	Note    string   `json:"note,omitempty"`
+	Changes []Change `json:"changes"`
 }
 
 // HashRows returns the content hash of rows, which must be sorted by key.
@@ -105,72 +139,3 @@
 	}
 	return nil
 }
-
-// ConflictError names every row of a change set that somebody else changed.
-type ConflictError struct{ Rows []RowConflict }
-
-// RowConflict is one conflicting row.
-type RowConflict struct {
-	Key     string
-	Base    uint64 // the version the edit was made from
-	Current uint64 // the version now in the head
-	Author  string // who changed it
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	parts := make([]string, len(e.Rows))
-	for i, c := range e.Rows {
-		parts[i] = fmt.Sprintf("%s (edited from version %d, now %d by %s)", c.Key, c.Base, c.Current, c.Author)
-	}
-	return ErrRowConflict.Error() + ": " + strings.Join(parts, ", ")
-}
-
-// Is lets errors.Is match ErrRowConflict.
-func (e *ConflictError) Is(target error) bool { return target == ErrRowConflict }
-
-// Merge applies set to base and returns the rows of the next release. Rows
-// that another author changed since set was made are a *ConflictError; an edit
-// equal to what is already there is no conflict.
-func Merge(base Release, set ChangeSet) ([]Row, error) {
-	rows := make(map[string]Row, len(base.Rows)+len(set.Changes))
-	for _, r := range base.Rows {
-		rows[r.Key] = r
-	}
-	var conflicts []RowConflict
-	for _, c := range set.Changes {
-		cur, exists := rows[c.Key]
-		if sameContent(cur, exists, c) {
-			continue
-		}
-		if cur.Version != c.Base {
-			conflicts = append(conflicts, RowConflict{Key: c.Key, Base: c.Base, Current: cur.Version, Author: cur.Author})
-			continue
-		}
-		if c.Delete {
-			delete(rows, c.Key)
-			continue
-		}
-		rows[c.Key] = Row{Key: c.Key, Data: c.Data, Version: base.Number + 1, Author: set.Author}
-	}
-	if len(conflicts) > 0 {
-		return nil, &ConflictError{Rows: conflicts}
-	}
-	return sorted(rows), nil
-}
-
-func sameContent(cur Row, exists bool, c Change) bool {
-	if c.Delete {
-		return !exists
-	}
-	return exists && string(cur.Data) == string(c.Data)
-}
-
-func sorted(rows map[string]Row) []Row {
-	out := make([]Row, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, r)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out
-}
