Claims: keys claimed on the platform by group commit, tickets decided by their minter

Keys of the caller's making are claimed in sharded objects by conditional update, many to one write. A lost answer is resolved by reading; a claim that stays undecided was never dispatched and is taken up by the resend. Nothing is ever granted a second time; an owner gives a claim back only itself. Tickets name the incarnation that minted them and need no platform call; another host borrows the right to run one once.

Ruled out: taking over a dead owner's claim after a lease (a paused owner wakes and runs it as well).

--- /dev/null
+++ b/process/claim/options.go
@@ -0,0 +1,29 @@
+package claim
+
+import "time"
+
+// Options bound what claims cost.
+type Options struct {
+	Shards          int           // objects on the platform; every host must use the same number
+	Window          time.Duration // time for which the platform remembers a key
+	WritesPerSecond float64       // of this host on the platform, for claims
+	WriteBurst      int
+	CommitTimeout   time.Duration // for one batch, with its repeats
+	Backoff         time.Duration // refusals at once after the platform failed
+	MaxKeys         int           // keys held in memory
+	AnswerBytes     int64         // bytes of answers kept for resends
+	AnswerTime      time.Duration // for which an answer is kept
+	TicketLife      time.Duration // from minting to the last first use
+	AskTimeout      time.Duration // for one question to another host
+	PollInterval    time.Duration // between questions about a running request
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		Shards: 16, Window: 30 * time.Minute, WritesPerSecond: 30, WriteBurst: 15,
+		CommitTimeout: time.Second, Backoff: 500 * time.Millisecond,
+		MaxKeys: 200_000, AnswerBytes: 32 << 20, AnswerTime: 10 * time.Minute,
+		TicketLife: 10 * time.Minute, AskTimeout: 500 * time.Millisecond, PollInterval: 50 * time.Millisecond,
+	}
+}
