Request path: claims before the first byte, progress bounds, resumed streams, retry budgets

Cause: read critically, the thin path said 'ran: no' to resends it knew nothing of, checked answers against ids that callers choose, kept an empty answer for streamed keyed routes, cut a booking in flight when its caller left, waited on silent connections to the deadline and never resumed a stream.

--- a/connection/backend/backend.go
+++ b/connection/backend/backend.go
@@ -32,6 +32,10 @@
 	// wait between later ones. 0: only ctx bounds them.
 	FirstByte time.Duration
 	Idle      time.Duration
+	// Doubt, if set, is asked when a bound has passed without progress; true
+	// gives the call up, false doubles the bound. Unset: the call is given up.
+	// reused tells that the connection served an earlier call.
+	Doubt func(reused bool) bool
 }
 
 // Reply is a whole answer.
--- /dev/null
+++ b/connection/backend/exchange.go
@@ -0,0 +1,171 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	call   *Call
+	resp   *http.Response
+	cancel context.CancelFunc
+	sent   atomic.Bool // a connection was there: bytes may have left
+	reused atomic.Bool // the connection served an earlier exchange
+	silent atomic.Bool
+
+	mu    sync.Mutex // orders the timer's rounds against progress and the end
+	timer *time.Timer
+	round int
+	bound time.Duration
+	ended bool
+}
+
+// open sends the call and checks that the answer's head belongs to it.
+func (h *HTTP) open(ctx context.Context, c *Call) (*exchange, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	x := &exchange{call: c, cancel: cancel}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.connected}), c)
+	if err != nil {
+		cancel()
+		return nil, &Error{Sent: NotSent, Cause: err}
+	}
+	x.watch(c.FirstByte)
+	x.resp, err = h.client(c.Server).Do(req)
+	if err != nil {
+		defer x.close()
+		return nil, x.failed(err)
+	}
+	x.watch(c.Idle)
+	if err := x.check(c); err != nil {
+		x.close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *exchange) connected(info httptrace.GotConnInfo) {
+	x.reused.Store(info.Reused)
+	x.sent.Store(true)
+}
+
+// watch restarts the wait for progress; 0 ends it.
+func (x *exchange) watch(bound time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.round++
+	x.arm(bound)
+}
+
+// arm is called with x.mu held.
+func (x *exchange) arm(bound time.Duration) {
+	x.bound = bound
+	switch {
+	case x.ended || bound <= 0:
+		if x.timer != nil {
+			x.timer.Stop()
+		}
+	case x.timer == nil:
+		x.timer = time.AfterFunc(bound, x.doubt)
+	default:
+		x.timer.Reset(bound)
+	}
+}
+
+// doubt runs when a bound has passed without progress. Something between the
+// two ends may have forgotten the connection: nothing would ever come, and no
+// error either.
+func (x *exchange) doubt() {
+	x.mu.Lock()
+	round, ended := x.round, x.ended
+	x.mu.Unlock()
+	if ended {
+		return
+	}
+	if x.call.Doubt == nil || x.call.Doubt(x.reused.Load()) {
+		x.giveUp(round)
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.round == round {
+		x.arm(2 * x.bound)
+	}
+}
+
+// giveUp ends the exchange unless progress came while it was doubted.
+func (x *exchange) giveUp(round int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.round == round && !x.ended {
+		x.silent.Store(true)
+		x.cancel()
+	}
+}
+
+// delimited reports whether the end of the answer is marked. An answer that
+// ends with its connection looks whole after any cut.
+func (x *exchange) delimited() bool {
+	return x.resp.ContentLength >= 0 || len(x.resp.TransferEncoding) > 0
+}
+
+// body returns the answer's body; each read that brings bytes restarts the
+// wait for progress.
+func (x *exchange) body() io.Reader { return progressReader{x} }
+
+type progressReader struct{ x *exchange }
+
+// Read implements io.Reader.
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.x.resp.Body.Read(b)
+	if n > 0 {
+		p.x.watch(p.x.call.Idle)
+	}
+	return n, err
+}
+
+func (x *exchange) failed(err error) *Error {
+	e := &Error{Cause: err, Silent: x.silent.Load()}
+	if e.Silent {
+		e.Cause = fmt.Errorf("%w: %w", errSilent, err)
+	}
+	if x.sent.Load() {
+		e.Sent = MaySent
+	}
+	e.Reset = !e.Silent && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+	return e
+}
+
+// maxTrailer bounds what may follow the final chunk, such as a line end.
+const maxTrailer = 64
+
+// finish reads the end of a stream after its final chunk, so that the
+// connection may serve another exchange. More than an end is left unread, and
+// the connection is closed.
+func (x *exchange) finish() {
+	x.watch(x.call.Idle)
+	_, _ = io.CopyN(io.Discard, x.resp.Body, maxTrailer)
+}
+
+// close ends the exchange. Cancelling before the body was read to its end
+// makes the transport close the connection, so that a late rest of this answer
+// can never be read as the answer of a later request.
+func (x *exchange) close() {
+	x.mu.Lock()
+	x.ended = true
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	x.mu.Unlock()
+	x.cancel()
+	if x.resp != nil {
+		x.resp.Body.Close()
+	}
+}
--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -9,10 +9,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -113,6 +111,9 @@
 		return nil, err
 	}
 	defer x.close()
+	if !x.delimited() {
+		return nil, x.failed(fmt.Errorf("%w: neither length nor chunks mark its end", ErrTruncated))
+	}
 	body, err := io.ReadAll(io.LimitReader(x.body(), h.opts.MaxAnswer+1))
 	if err != nil {
 		return nil, x.failed(fmt.Errorf("%w: %w", ErrTruncated, err))
@@ -131,7 +132,7 @@
 	}
 	defer x.close()
 	next := c.Resume
-	dec := json.NewDecoder(x.body())
+	dec := json.NewDecoder(io.LimitReader(x.body(), h.opts.MaxAnswer))
 	for {
 		var ch Chunk
 		if err := dec.Decode(&ch); err != nil {
@@ -147,49 +148,13 @@
 			return err
 		}
 		if ch.Final {
+			x.finish()
 			return nil
 		}
 		next += int64(len(ch.Data))
 	}
 }
 
-// exchange is one request and its answer on one connection.
-type exchange struct {
-	resp   *http.Response
-	cancel context.CancelFunc
-	sent   *atomic.Bool
-	silent *atomic.Bool
-	timer  *time.Timer
-	idle   time.Duration
-}
-
-// open sends the call and checks that the answer's head belongs to it.
-func (h *HTTP) open(ctx context.Context, c *Call) (*exchange, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	x := &exchange{cancel: cancel, sent: &atomic.Bool{}, silent: &atomic.Bool{}, idle: c.Idle}
-	if c.FirstByte > 0 {
-		x.timer = time.AfterFunc(c.FirstByte, func() { x.silent.Store(true); cancel() })
-	}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) },
-	}), c)
-	if err != nil {
-		x.close()
-		return nil, &Error{Sent: NotSent, Cause: err}
-	}
-	x.resp, err = h.client(c.Server).Do(req)
-	if err != nil {
-		defer x.close()
-		return nil, x.failed(err)
-	}
-	x.progress()
-	if err := x.check(c); err != nil {
-		x.close()
-		return nil, err
-	}
-	return x, nil
-}
-
 func newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Server.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
@@ -235,55 +200,3 @@
 		Cause:   fmt.Errorf("status %d: %s", x.resp.StatusCode, text),
 	}
 }
-
-// body returns the answer's body; each read that brings bytes restarts the
-// timer that detects silence.
-func (x *exchange) body() io.Reader { return progressReader{x} }
-
-type progressReader struct{ x *exchange }
-
-// Read implements io.Reader.
-func (p progressReader) Read(b []byte) (int, error) {
-	n, err := p.x.resp.Body.Read(b)
-	if n > 0 {
-		p.x.progress()
-	}
-	return n, err
-}
-
-// progress restarts the timer that detects silence, or stops it when later
-// bytes are bounded by the context alone.
-func (x *exchange) progress() {
-	switch {
-	case x.timer == nil:
-	case x.idle > 0:
-		x.timer.Reset(x.idle)
-	default:
-		x.timer.Stop()
-	}
-}
-
-func (x *exchange) failed(err error) *Error {
-	e := &Error{Cause: err, Silent: x.silent.Load()}
-	if e.Silent {
-		e.Cause = fmt.Errorf("%w: %w", errSilent, err)
-	}
-	if x.sent.Load() {
-		e.Sent = MaySent
-	}
-	e.Reset = !e.Silent && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
-	return e
-}
-
-// close ends the exchange. Cancelling before the body was read to its end
-// makes the transport close the connection, so that a late rest of this answer
-// can never be read as the answer of a later request.
-func (x *exchange) close() {
-	if x.timer != nil {
-		x.timer.Stop()
-	}
-	x.cancel()
-	if x.resp != nil {
-		x.resp.Body.Close()
-	}
-}
--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 )
 
@@ -10,7 +11,10 @@
 type Gate struct {
 	closed atomic.Bool
 	active atomic.Int64
-	idle   atomic.Pointer[chan struct{}]
+
+	once sync.Once
+	mu   sync.Mutex
+	idle chan struct{} // closed when the gate is closed and no work is left
 }
 
 // Enter admits one piece of work; false means that the gate is closed. After
@@ -26,6 +30,10 @@
 	return true
 }
 
+// Hold counts a piece of work that goes on after the one that let it in, also
+// while the gate is closed. The caller still holds the gate; Exit must follow.
+func (g *Gate) Hold() { g.active.Add(1) }
+
 // Exit ends one piece of work.
 func (g *Gate) Exit() {
 	if g.active.Add(-1) == 0 && g.closed.Load() {
@@ -34,7 +42,12 @@
 }
 
 // Close stops new work. It may be called more than once.
-func (g *Gate) Close() { g.closed.Store(true) }
+func (g *Gate) Close() {
+	g.closed.Store(true)
+	if g.active.Load() == 0 {
+		g.signal()
+	}
+}
 
 // Closed reports whether Close was called.
 func (g *Gate) Closed() bool { return g.closed.Load() }
@@ -43,24 +56,25 @@
 func (g *Gate) Active() int64 { return g.active.Load() }
 
 // Wait returns when the gate is closed and no work is left, or with ctx's
-// error. One goroutine may wait at a time.
+// error.
 func (g *Gate) Wait(ctx context.Context) error {
-	for {
-		ch := make(chan struct{})
-		g.idle.Store(&ch)
-		if g.closed.Load() && g.active.Load() == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ch:
-		}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.done():
+		return nil
 	}
 }
 
-func (g *Gate) signal() {
-	if ch := g.idle.Swap(nil); ch != nil {
-		close(*ch)
+func (g *Gate) done() chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.idle == nil {
+		g.idle = make(chan struct{})
 	}
+	return g.idle
+}
+
+func (g *Gate) signal() {
+	g.once.Do(func() { close(g.done()) })
 }
--- a/process/kind/kind.go
+++ b/process/kind/kind.go
@@ -114,6 +114,10 @@
 	// Dispatched is true once any byte of the request may have reached a
 	// backend server. It weakens "ran: no" to "ran: unknown".
 	Dispatched bool
+	// Earlier is true if an earlier send with the same key may have run. It
+	// weakens "ran: no" in the same way: the caller asks about its request,
+	// not about this one send of it.
+	Earlier bool
 	// RanYes marks a backend server's own answer as proof of execution.
 	RanYes bool
 	Cause  error
@@ -138,7 +142,7 @@
 		return RanYes
 	}
 	ran := Lookup(e.Kind).Ran
-	if e.Dispatched && ran == RanNo {
+	if (e.Dispatched || e.Earlier) && ran == RanNo {
 		return RanUnknown
 	}
 	return ran
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -38,6 +38,21 @@
 	Lift(fp Fingerprint) bool
 }
 
+// Apart is what a Guard may offer beside: suspects run one a server, so that a
+// crash tells which of them caused it, and a suspect that ran is cleared.
+type Apart interface {
+	// Busy reports whether a suspect runs on server.
+	Busy(server string) bool
+	// Enter takes server for a suspect; false: another one has it. Leave
+	// follows once after true.
+	Enter(server string) bool
+	Leave(server string)
+	// Freed returns a channel that is closed at the next Leave.
+	Freed() <-chan struct{}
+	// Clear tells that a request ran to its end without harm.
+	Clear(fp Fingerprint)
+}
+
 // Open is the Guard that lets everything run: the naive variant.
 type Open struct{}
 
--- a/request/entry/claim.go
+++ b/request/entry/claim.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
+	"bilberrydale/connection/backend"
 	"bilberrydale/process/claim"
 	"bilberrydale/process/kind"
 	"bilberrydale/request/pipeline"
@@ -18,11 +20,11 @@
 		res := c.Claims.Begin(ctx, c.claimKey)
 		switch res.State {
 		case claim.Granted:
-			c.claimed = true
+			c.claimed, c.fresh = true, true
 			return false, nil
 		case claim.Done:
 			if res.Answer != nil {
-				c.answer(res.Answer.Status, res.Answer.Body)
+				c.replay(res.Answer)
 				return true, nil
 			}
 			e := kind.New(kind.OutcomeUnknown, "the request ran; its answer is no longer kept")
@@ -53,7 +55,7 @@
 	case claim.Unavailable:
 		e = kind.New(kind.ClaimUnavailable, "the claim could not be made")
 	case claim.Foreign:
-		e = kind.New(kind.UnknownTicket, "only the entry host that minted the ticket may run it")
+		e = kind.New(kind.UnknownTicket, "the entry host that minted the ticket cannot be asked, or did not mint it")
 	default:
 		e = kind.New(kind.OutcomeUnknown, "an earlier attempt with this key may have run")
 	}
@@ -61,6 +63,18 @@
 	return e
 }
 
+// replay gives a kept answer, in the form that this send asks for.
+func (c *call) replay(a *claim.Answer) {
+	if !c.wantsStream() {
+		c.answer(a.Status, a.Body)
+		return
+	}
+	c.stream = &streamWriter{w: c.w}
+	if c.stream.write(backend.Chunk{Data: string(a.Body)}) == nil {
+		_ = c.stream.write(backend.Chunk{Offset: int64(len(a.Body)), Final: true})
+	}
+}
+
 // settle tells the claim store how the attempt ended. It uses a context of its
 // own: a caller that went away must not keep the outcome from being recorded.
 func (c *call) settle(res *pipeline.Result, err *kind.Error) {
@@ -72,9 +86,50 @@
 	switch {
 	case err == nil:
 		c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: res.Body})
-	case err.Ran() == kind.RanNo:
+	case res == nil || !res.Started:
+		// Stages before may have run: they may be repeated.
 		c.Claims.Release(ctx, c.claimKey)
 	default:
 		c.Claims.Lose(ctx, c.claimKey)
 	}
 }
+
+// settleLate records the outcome of a stage that must not be repeated when it
+// comes after the caller got its answer, so that a resend learns it. The gate
+// counts it as work in flight.
+func (c *call) settleLate(pending <-chan pipeline.Late) {
+	c.Gate.Hold()
+	claimed := c.claimed
+	c.claimed = false
+	ctx := context.WithoutCancel(c.r.Context())
+	go func() {
+		defer c.Gate.Exit()
+		late := <-pending
+		switch {
+		case !claimed:
+		case late.NotStarted:
+			c.Claims.Release(ctx, c.claimKey)
+		case late.Whole:
+			c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: late.Body})
+		default:
+			c.Claims.Lose(ctx, c.claimKey)
+		}
+	}()
+}
+
+// mint answers a request for a ticket.
+func (c *call) mint() {
+	text, err := c.Claims.Mint(c.r.Context(), c.r.Header.Get(c.Headers.Account))
+	if err != nil || text == "" {
+		c.refuse(kind.New(kind.ClaimUnavailable, "no ticket can be minted here"))
+		return
+	}
+	body, _ := json.Marshal(Ticket{Ticket: text}) // cannot fail
+	c.answer(http.StatusOK, body)
+}
+
+// Ticket is the answer of POST TicketPath. Its text goes into the key header
+// of one request of the same client account.
+type Ticket struct {
+	Ticket string `json:"ticket"`
+}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -41,6 +41,9 @@
 	return Headers{RequestID: "X-Request-Id", Account: "X-Client-Account", Timeout: "X-Request-Timeout", Key: "Idempotency-Key"}
 }
 
+// TicketPath is where a caller gets a ticket with POST.
+const TicketPath = "/tickets"
+
 // Limits bound what a caller may send.
 type Limits struct {
 	Body    int64 // bytes
@@ -72,7 +75,8 @@
 	*Handler
 	w        http.ResponseWriter
 	r        *http.Request
-	id       string
+	id       string // the caller's, for its own use
+	hopID    string // unique; travels on each hop
 	account  string
 	key      string
 	body     []byte
@@ -80,7 +84,9 @@
 	route    *snapshot.Route
 	admitted admission.Request
 	stream   *streamWriter
-	claimed  bool
+	claimed  bool // the claim is held and not settled
+	fresh    bool // the claim was granted to this send
+	answered bool // the answer's head has been written
 	claimKey claim.Key
 }
 
@@ -90,8 +96,13 @@
 	ctx, span := h.Tracer.Start(ctx, "entry "+r.Method, trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	c := &call{Handler: h, w: w, r: r.WithContext(ctx), id: r.Header.Get(h.Headers.RequestID)}
+	// Two callers may send the same id, or one caller the same id twice. The
+	// id of the hops has to tell them apart, or a crossed answer would pass
+	// for the right one; it also names this incarnation.
+	unique := uuid.NewString()
+	c.hopID = strconv.FormatUint(h.Runner.Incarnation, 36) + "-" + unique
 	if c.id == "" || len(c.id) > h.Limits.Key {
-		c.id = uuid.NewString()
+		c.id = unique
 	}
 	span.SetAttributes(attribute.String("request.id", c.id))
 	w.Header().Set(h.Headers.RequestID, c.id)
@@ -101,22 +112,42 @@
 		return
 	}
 	defer h.Gate.Exit()
+	if r.URL.Path == TicketPath && r.Method == http.MethodPost {
+		c.mint()
+		return
+	}
 	if err := c.serve(); err != nil {
+		err.Earlier = c.mayHaveRunEarlier(err)
 		c.refuse(err)
 	}
 }
 
+// mayHaveRunEarlier reports whether another send of the same key can have run
+// for all this host knows. Until the claim is granted a refusal may answer a
+// resend whose first send ran elsewhere, so it must not say "not run".
+func (c *call) mayHaveRunEarlier(e *kind.Error) bool {
+	repeatable := c.route != nil && c.route.Repeatable
+	return c.key != "" && !repeatable && !c.fresh && e.Kind != kind.KeyReused
+}
+
 // recovered keeps a panic of one request from ending the process and with it
 // every other request in flight.
 func (c *call) recovered() {
 	v := recover()
-	if v == nil || v == http.ErrAbortHandler { //nolint:errorlint // recovered value
+	if v == nil {
 		return
 	}
+	if v == http.ErrAbortHandler { //nolint:errorlint // recovered value
+		// Swallowed, it would let a cut answer end as if it were whole.
+		panic(v)
+	}
 	c.Log.Error("request panicked", "request", c.id, "panic", v)
 	if c.claimed {
 		c.Claims.Lose(c.r.Context(), c.claimKey)
 	}
+	if c.answered {
+		panic(http.ErrAbortHandler)
+	}
 	c.refuse(&kind.Error{Kind: kind.Internal, Detail: "the entry host failed on this request", Dispatched: true})
 }
 
@@ -216,14 +247,18 @@
 
 func (c *call) run(fp quarantine.Fingerprint) *kind.Error {
 	req := &pipeline.Request{
-		ID: c.id, Account: c.account, Key: c.key, Body: c.body, Snapshot: c.snap,
-		Route: c.route, Admitted: &c.admitted, Fingerprint: fp,
+		ID: c.hopID, Account: c.account, Key: c.key, Body: c.body, Snapshot: c.snap,
+		Route: c.route, Admitted: &c.admitted, Fingerprint: fp, Keep: c.claimed,
 	}
 	if c.wantsStream() {
 		c.stream = &streamWriter{w: c.w}
 		req.Sink = c.stream.write
 	}
 	res, err := c.Runner.Run(c.r.Context(), req)
+	if res != nil && res.Pending != nil {
+		c.settleLate(res.Pending)
+		return err
+	}
 	c.settle(res, err)
 	if err != nil {
 		return err
@@ -236,6 +271,7 @@
 }
 
 func (c *call) answer(status int, body []byte) {
+	c.answered = true
 	c.w.Header().Set("Content-Type", "application/json")
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
--- /dev/null
+++ b/request/pipeline/attempt.go
@@ -0,0 +1,211 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/process/kind"
+	"bilberrydale/process/quarantine"
+	"bilberrydale/version/pick"
+	"bilberrydale/version/snapshot"
+)
+
+// affinityBytes of a stage's input choose the server that has them cached.
+const affinityBytes = 64
+
+// attempt is one sending of a stage to one backend server.
+type attempt struct {
+	server *pick.Server
+	number int
+	alone  bool // a suspect of crashing servers
+}
+
+// choose picks the server of the next attempt, if the request may still run.
+func (x *run) choose(ctx context.Context, st *snapshot.Stage, in []byte) (*attempt, *kind.Error) {
+	if err := x.expired(ctx); err != nil {
+		return nil, err
+	}
+	verdict, wait := x.Quarantine.Check(x.req.Fingerprint)
+	if verdict == quarantine.Refused {
+		e := kind.New(kind.Quarantined, "fingerprint %016x", uint64(x.req.Fingerprint))
+		e.RetryAfter = wait
+		return nil, e
+	}
+	info := pick.Info{
+		Now: x.Clock.Now(), Rand: x.Rand, Bytes: len(in), Exclude: x.tried,
+		Class: x.req.Route.Class, Affinity: xxhash.Sum64(in[:min(len(in), affinityBytes)]),
+	}
+	srv, err := x.pickServer(ctx, st, &info, verdict == quarantine.Alone)
+	if err != nil {
+		return nil, err
+	}
+	x.tried = append(x.tried, srv.State)
+	x.number++
+	return &attempt{server: srv, number: x.number, alone: verdict == quarantine.Alone}, nil
+}
+
+// pickServer asks the picker. A suspect runs on a server where no other
+// suspect runs, so that a crash tells which of them caused it.
+func (x *run) pickServer(ctx context.Context, st *snapshot.Stage, info *pick.Info, alone bool) (*pick.Server, *kind.Error) {
+	apart, ok := x.Quarantine.(quarantine.Apart)
+	for {
+		var free <-chan struct{}
+		try := *info
+		if alone && ok {
+			free = apart.Freed()
+			for i, s := range st.Pool.Picker.Servers() {
+				if apart.Busy(s.Name) {
+					try.Exclude = append(try.Exclude[:len(try.Exclude):len(try.Exclude)], st.Pool.Picker.Servers()[i].State)
+				}
+			}
+		}
+		srv, err := st.Pool.Picker.Pick(&try)
+		if err == nil && (!alone || !ok || apart.Enter(srv.Name)) {
+			return srv, nil
+		}
+		if err != nil && len(try.Exclude) == len(info.Exclude) {
+			return nil, kind.New(kind.NoBackend, "pool %s: %w", st.Pool.Name, err)
+		}
+		select {
+		case <-free:
+		case <-ctx.Done():
+			return nil, x.expired(ctx)
+		}
+	}
+}
+
+// do sends one attempt with send and tells the quarantine how it ended.
+func (x *run) do(ctx context.Context, st *snapshot.Stage, a *attempt, send func(context.Context) error) error {
+	ctx, span := x.Tracer.Start(ctx, "stage "+st.Name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("request.id", x.req.ID), attribute.String("pool", st.Pool.Name),
+		attribute.String("server", a.server.Name), attribute.Int("attempt", a.number)))
+	defer span.End()
+	a.server.State.Begin()
+	defer a.server.State.End()
+	x.Quarantine.Begin(x.req.Fingerprint, a.server.Name)
+	err := send(ctx)
+	x.ended(a, err)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+// ended reports the attempt's end. A connection that broke is no proof that
+// the server died: only a fresh connection that fails as well is.
+func (x *run) ended(a *attempt, err error) {
+	var be *backend.Error
+	died := errors.As(err, &be) && be.Reset && be.Sent != backend.NotSent && !x.alive(a)
+	x.Quarantine.End(x.req.Fingerprint, a.server.Name, died)
+	if apart, ok := x.Quarantine.(quarantine.Apart); ok {
+		if a.alone {
+			apart.Leave(a.server.Name)
+		}
+		if err == nil {
+			apart.Clear(x.req.Fingerprint)
+		}
+	}
+}
+
+// alive asks the server on a fresh connection, whatever became of the request.
+func (x *run) alive(a *attempt) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), x.Options.ProbeTime)
+	defer cancel()
+	err := x.Backend.Probe(ctx, a.server.State)
+	if err != nil {
+		x.Counters.ProbesFailed.Add(1)
+	} else {
+		// The server lives: connections that lost their way to it would
+		// each cost a later request its wait.
+		x.Backend.Forget(a.server.State)
+	}
+	if x.Evidence != nil {
+		x.Evidence(a.server.State, err == nil)
+	}
+	return err == nil
+}
+
+func (x *run) call(st *snapshot.Stage, a *attempt, in []byte) *backend.Call {
+	path := st.Path
+	if path == "" {
+		path = "/"
+	}
+	return &backend.Call{
+		Server: a.server.State, Path: path, RequestID: x.req.ID, Stage: st.Name, Attempt: a.number,
+		Host: x.Host, Incarnation: x.Incarnation, Body: in, Account: x.req.Account,
+		Priority: x.req.Route.Priority, Key: x.req.Key,
+	}
+}
+
+// sent notes what the attempt's end proves about execution.
+func (x *run) sent(err error) {
+	var be *backend.Error
+	if !errors.As(err, &be) || be.Sent != backend.NotSent {
+		x.dispatched = true
+	}
+}
+
+// mayTryAgain reports whether another attempt of the stage may follow err: not
+// after a byte of a stage that must not be repeated may have left, and within
+// the time left and the pool's budget of retries.
+func (x *run) mayTryAgain(st *snapshot.Stage, err error) bool {
+	var be *backend.Error
+	if !errors.As(err, &be) {
+		return false
+	}
+	if x.number >= maxAttemptNumber || len(x.tried) >= x.Options.MaxAttempts {
+		return false
+	}
+	harmless := be.Sent == backend.NotSent || be.Refused
+	if !harmless && !st.Repeatable {
+		return false
+	}
+	if be.Sent == backend.Answered && !be.Refused && be.Status < 500 {
+		return false
+	}
+	if be.Sent == backend.NotSent {
+		return true // it cost no server anything
+	}
+	return x.mayRetry(st)
+}
+
+// maxAttemptNumber bounds the attempts of all stages and resumptions together.
+const maxAttemptNumber = 64
+
+func (x *run) mayRetry(st *snapshot.Stage) bool {
+	p := x.pool(st)
+	if x.left() < time.Duration(p.firstByte.mean.Load()) || !p.budget.spend() {
+		x.Counters.RetriesDenied.Add(1)
+		return false
+	}
+	x.Counters.Retries.Add(1)
+	return true
+}
+
+// classify turns a failed attempt into the error that the caller gets if no
+// other attempt follows.
+func (x *run) classify(ctx context.Context, st *snapshot.Stage, err error) *kind.Error {
+	if gone := x.expired(ctx); gone != nil {
+		return gone
+	}
+	var be *backend.Error
+	switch {
+	case !errors.As(err, &be):
+		return kind.New(kind.Cancelled, "stage %s: %w", st.Name, err)
+	case be.Sent == backend.NotSent || be.Refused:
+		return kind.New(kind.NoBackend, "stage %s: %w", st.Name, err)
+	case be.Sent == backend.Answered && be.Status < 500:
+		return kind.New(kind.BackendRefused, "stage %s: %w", st.Name, err)
+	case !st.Repeatable:
+		return kind.New(kind.OutcomeUnknown, "stage %s: %w", st.Name, err)
+	default:
+		return kind.New(kind.BackendFailed, "stage %s: %w", st.Name, err)
+	}
+}
--- /dev/null
+++ b/request/pipeline/options.go
@@ -0,0 +1,34 @@
+package pipeline
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Options bound retries and the wait for progress.
+type Options struct {
+	MaxAttempts int     // of one stage
+	RetryShare  float64 // retries for each first attempt, over a pool
+	RetryBurst  float64 // retries that a quiet pool may have saved up
+	// A connection without progress is doubted after the pool's measured time
+	// to the first byte with its deviation, but never sooner than MinSilence.
+	MinSilence time.Duration
+	MaxIdle    time.Duration // between chunks, before anything is measured
+	ProbeTime  time.Duration // for the answer on a fresh connection
+	// Settle is how long a stage that must not be repeated may go on after
+	// its caller was answered, so that its outcome is learnt.
+	Settle time.Duration
+}
+
+// DefaultOptions returns the defaults.
+func DefaultOptions() Options {
+	return Options{
+		MaxAttempts: 3, RetryShare: 0.2, RetryBurst: 20, MinSilence: 100 * time.Millisecond,
+		MaxIdle: time.Second, ProbeTime: 300 * time.Millisecond, Settle: 10 * time.Second,
+	}
+}
+
+// Counters count what the runner did beside first attempts.
+type Counters struct {
+	Retries, RetriesDenied, Doubted, ProbesFailed, Resumed, LateUsed atomic.Int64
+}
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"bilberrydale/connection/backend"
@@ -18,7 +16,6 @@
 	"bilberrydale/process/kind"
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/server"
-	"bilberrydale/version/pick"
 	"bilberrydale/version/snapshot"
 )
 
@@ -33,11 +30,17 @@
 	Tracer      trace.Tracer
 	Host        string // this entry host's name and incarnation, sent on each hop
 	Incarnation uint64
+	Options     Options
+	// Evidence, if set, is told what a probe on a fresh connection found.
+	Evidence func(s *server.State, alive bool)
+	Counters Counters
+
+	pools pools
 }
 
 // Request is one admitted request.
 type Request struct {
-	ID          string
+	ID          string // unique over all hosts and incarnations
 	Account     string
 	Key         string
 	Body        []byte
@@ -46,27 +49,42 @@
 	Admitted    *admission.Request
 	Fingerprint quarantine.Fingerprint
 	// Sink receives the chunks of a streamed last stage; nil: the answer is
-	// collected whole.
+	// only collected.
 	Sink func(backend.Chunk) error
+	// Keep collects the whole answer beside the Sink, for resends.
+	Keep bool
 }
 
-// Result is a whole answer.
+// Result is a whole answer, or with an error what is known of the run.
 type Result struct {
-	Body []byte // empty when it went to the Sink
+	Body []byte // empty when it went to the Sink and Keep was not set
+	// Started is true if a stage that must not be repeated may have run.
+	Started bool
+	// Pending, with an error, brings the outcome of such a stage that still
+	// runs after the caller was answered.
+	Pending <-chan Late
 }
 
-const maxAttempts = 3
+// Late is the outcome of a stage that the caller no longer waits for.
+type Late struct {
+	Whole      bool // Body is the request's whole answer
+	Body       []byte
+	NotStarted bool // it cannot have run
+}
 
 // run is the state of one request.
 type run struct {
 	*Runner
 	req        *Request
-	dispatched bool  // a byte may have reached a backend server
-	offset     int64 // bytes of the streamed answer that the caller has
+	number     int  // of attempts made
+	dispatched bool // a byte may have reached a backend server
+	started    bool // of a stage that must not be repeated
+	pending    <-chan Late
+	tried      []*server.State // of the present stage
 }
 
 // Run executes every stage in turn and returns the whole answer or the one
-// error that the caller gets.
+// error that the caller gets. The result is never nil.
 func (r *Runner) Run(ctx context.Context, req *Request) (*Result, *kind.Error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Admitted.Deadline)
 	defer cancel()
@@ -76,50 +94,39 @@
 		out, err := x.stage(ctx, &req.Route.Stages[i], body)
 		if err != nil {
 			err.Dispatched = err.Dispatched || x.dispatched
-			return nil, err
+			return &Result{Started: x.started, Pending: x.pending}, err
 		}
 		body = out
 	}
-	return &Result{Body: body}, nil
+	return &Result{Body: body, Started: x.started}, nil
 }
 
 // stage runs one stage, with retries where they are allowed.
 func (x *run) stage(ctx context.Context, st *snapshot.Stage, in []byte) ([]byte, *kind.Error) {
 	start := x.Clock.Now()
 	x.Admission.StageStart(start, x.req.Admitted, st.Index)
-	out, err := x.attempts(ctx, st, in)
+	x.tried = nil
+	x.pool(st).budget.earn()
+	var out []byte
+	var err *kind.Error
+	switch {
+	case st.Stream:
+		out, err = x.stream(ctx, st, in)
+	case st.Repeatable:
+		out, err = x.repeat(ctx, st, in)
+	default:
+		out, err = x.once(ctx, st, in)
+	}
 	now := x.Clock.Now()
 	x.Admission.StageDone(now, x.req.Admitted, st.Index, now.Sub(start), err == nil)
 	return out, err
 }
 
-func (x *run) attempts(ctx context.Context, st *snapshot.Stage, in []byte) ([]byte, *kind.Error) {
-	var tried []*server.State
-	var last *kind.Error
-	for attempt := range maxAttempts {
-		if err := x.expired(ctx); err != nil {
-			return nil, err
-		}
-		info := pick.Info{Now: x.Clock.Now(), Rand: x.Rand, Bytes: len(in), Exclude: tried}
-		srv, err := st.Pool.Picker.Pick(&info)
-		if err != nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, kind.New(kind.NoBackend, "pool %s: %w", st.Pool.Name, err)
-		}
-		out, callErr := x.attempt(ctx, st, srv, attempt, in)
-		if callErr == nil {
-			return out, nil
-		}
-		last = x.classify(ctx, st, callErr)
-		if !x.mayRepeat(st, callErr) {
-			return nil, last
-		}
-		tried = append(tried, srv.State)
-	}
-	return nil, last
-}
+// last reports whether the answer of st is the answer of the request.
+func (x *run) last(st *snapshot.Stage) bool { return st.Index == len(x.req.Route.Stages)-1 }
+
+// left returns the time until the request's deadline.
+func (x *run) left() time.Duration { return x.req.Admitted.Deadline.Sub(x.Clock.Now()) }
 
 func (x *run) expired(ctx context.Context) *kind.Error {
 	switch err := ctx.Err(); {
@@ -131,104 +138,3 @@
 		return kind.New(kind.Cancelled, "the caller went away")
 	}
 }
-
-// attempt sends the stage to one backend server.
-func (x *run) attempt(ctx context.Context, st *snapshot.Stage, srv *pick.Server, n int, in []byte) ([]byte, error) {
-	ctx, span := x.Tracer.Start(ctx, "stage "+st.Name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("request.id", x.req.ID), attribute.String("pool", st.Pool.Name),
-		attribute.String("server", srv.Name), attribute.Int("attempt", n)))
-	defer span.End()
-	srv.State.Begin()
-	defer srv.State.End()
-	x.Quarantine.Begin(x.req.Fingerprint, srv.Name)
-	out, err := x.send(ctx, st, x.call(st, srv, n, in))
-	var be *backend.Error
-	errors.As(err, &be)
-	x.Quarantine.End(x.req.Fingerprint, srv.Name, be != nil && be.Reset)
-	if err != nil {
-		span.SetStatus(codes.Error, err.Error())
-		if be == nil || be.Sent != backend.NotSent {
-			x.dispatched = true
-		}
-		return nil, err
-	}
-	x.dispatched = true
-	return out, nil
-}
-
-func (x *run) call(st *snapshot.Stage, srv *pick.Server, n int, in []byte) *backend.Call {
-	path := st.Path
-	if path == "" {
-		path = "/"
-	}
-	return &backend.Call{
-		Server: srv.State, Path: path, RequestID: x.req.ID, Stage: st.Name, Attempt: n,
-		Host: x.Host, Incarnation: x.Incarnation, Body: in, Account: x.req.Account,
-		Priority: x.req.Route.Priority, Key: x.req.Key, Resume: x.offset,
-	}
-}
-
-func (x *run) send(ctx context.Context, st *snapshot.Stage, c *backend.Call) ([]byte, error) {
-	if !st.Stream {
-		reply, err := x.Backend.Do(ctx, c)
-		if err != nil {
-			return nil, err
-		}
-		return reply.Body, nil
-	}
-	var whole []byte
-	err := x.Backend.Stream(ctx, c, func(ch backend.Chunk) error {
-		if x.req.Sink == nil {
-			whole = append(whole, ch.Data...)
-			return nil
-		}
-		if err := x.req.Sink(ch); err != nil {
-			return fmt.Errorf("write to the caller: %w", err)
-		}
-		x.offset += int64(len(ch.Data))
-		return nil
-	})
-	return whole, err
-}
-
-// mayRepeat reports whether another attempt cannot run the stage twice, or may
-// run it twice without harm.
-func (x *run) mayRepeat(st *snapshot.Stage, err error) bool {
-	if x.offset > 0 {
-		// The caller has seen part of this answer; another run could differ.
-		return false
-	}
-	var be *backend.Error
-	if !errors.As(err, &be) {
-		return false
-	}
-	if be.Sent == backend.NotSent || be.Refused {
-		return true
-	}
-	return st.Repeatable && be.Sent == backend.MaySent
-}
-
-// classify turns a failed attempt into the error that the caller gets if no
-// other attempt follows.
-func (x *run) classify(ctx context.Context, st *snapshot.Stage, err error) *kind.Error {
-	if gone := x.expired(ctx); gone != nil {
-		return gone
-	}
-	var be *backend.Error
-	switch {
-	case !errors.As(err, &be):
-		return kind.New(kind.Cancelled, "stage %s: %w", st.Name, err)
-	case x.offset > 0:
-		return kind.New(kind.StreamCut, "stage %s: %w", st.Name, err)
-	case be.Sent == backend.Answered && !be.Refused:
-		e := kind.New(kind.BackendRefused, "stage %s: %w", st.Name, err)
-		e.RanYes = be.Status < 500 && !st.Repeatable && be.Status != 400
-		return e
-	case be.Sent == backend.NotSent || be.Refused:
-		return kind.New(kind.NoBackend, "stage %s: %w", st.Name, err)
-	case !st.Repeatable:
-		return kind.New(kind.OutcomeUnknown, "stage %s: %w", st.Name, err)
-	default:
-		return kind.New(kind.BackendFailed, "stage %s: %w", st.Name, err)
-	}
-}
--- /dev/null
+++ b/request/pipeline/pools.go
@@ -0,0 +1,85 @@
+package pipeline
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bilberrydale/version/snapshot"
+)
+
+// pools keeps what was measured of each pool across releases.
+type pools struct{ byName sync.Map }
+
+type poolState struct {
+	budget    retryBudget
+	firstByte progress
+	gap       progress // between chunks
+}
+
+func (r *Runner) pool(st *snapshot.Stage) *poolState {
+	if p, ok := r.pools.byName.Load(st.Pool.Name); ok {
+		return p.(*poolState)
+	}
+	fresh := &poolState{}
+	fresh.budget.share, fresh.budget.burst = r.Options.RetryShare, r.Options.RetryBurst
+	fresh.budget.tokens.Store(math.Float64bits(fresh.budget.burst))
+	p, _ := r.pools.byName.LoadOrStore(st.Pool.Name, fresh)
+	return p.(*poolState)
+}
+
+// retryBudget bounds retries to a share of first attempts. When every request
+// of a slow pool fails, retries add at most that share to its load.
+type retryBudget struct {
+	share, burst float64
+	tokens       atomic.Uint64 // float64 bits
+}
+
+func (b *retryBudget) change(by float64) bool {
+	for {
+		old := b.tokens.Load()
+		v := math.Float64frombits(old) + by
+		if v < 0 {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, math.Float64bits(min(v, b.burst))) {
+			return true
+		}
+	}
+}
+
+func (b *retryBudget) earn()       { b.change(b.share) }
+func (b *retryBudget) spend() bool { return b.change(-1) }
+
+// progress estimates how long the next byte may take: the mean and the mean
+// deviation of what was measured, as TCP does for its retransmission timer.
+type progress struct{ mean, deviation atomic.Int64 } // nanoseconds; 0: not measured
+
+const (
+	meanShift      = 3 // weight 1/8
+	deviationShift = 2 // weight 1/4
+	deviations     = 8
+)
+
+func (p *progress) observe(d time.Duration) {
+	mean := p.mean.Load()
+	if mean == 0 {
+		p.mean.Store(int64(d))
+		p.deviation.Store(int64(d) / 2)
+		return
+	}
+	diff := int64(d) - mean
+	p.mean.Store(mean + diff>>meanShift)
+	dev := p.deviation.Load()
+	p.deviation.Store(dev + (max(diff, -diff)-dev)>>deviationShift)
+}
+
+// bound returns the wait after which a connection is doubted.
+func (p *progress) bound(least, unmeasured time.Duration) time.Duration {
+	mean := p.mean.Load()
+	if mean == 0 {
+		return max(unmeasured, least)
+	}
+	return max(time.Duration(mean+deviations*p.deviation.Load()), least)
+}
