Quarantine: crashing requests are shared between hosts, suspects run apart

The first death makes all that ran on the server suspects; suspects run one a server, and what runs beside a suspect is not blamed. The second death convicts, unless other servers die at the same time, then the third does. Peers hear before the caller is answered.

--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrydale/connection/backend"
+	"bilberrydale/internal/settings"
 	"bilberrydale/process/claim"
 	"bilberrydale/process/quarantine"
 	"bilberrydale/request/entry"
@@ -14,7 +15,7 @@
 
 // requestsPart serves callers.
 type requestsPart struct {
-	guard    quarantine.Guard
+	guard    *quarantine.Shared
 	claims   *claim.Manager
 	counters entry.Counters
 	handler  http.Handler
@@ -22,16 +23,17 @@
 
 func (h *Host) wireRequests() {
 	p := &h.requests
-	p.guard = quarantine.Open{}
+	p.guard = quarantine.NewShared(h.clock, h.rand, h.members.link, h.opts.Requests.Quarantine)
+	h.add("quarantine", p.guard.Run)
 	p.claims = claim.New(claim.Config{
 		Host: h.opts.Name, Incarnation: h.incarnation, Store: h.store, Clock: h.clock,
-		Link: h.members.link, Options: claim.DefaultOptions(),
+		Link: h.members.link, Options: h.opts.Requests.Claims,
 	})
 	h.add("claims", h.flushClaims)
 	runner := &pipeline.Runner{
 		Backend: backend.NewHTTP(backend.HTTPOptions{}), Admission: h.policy.admit, Quarantine: p.guard,
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
-		Options: pipeline.DefaultOptions(),
+		Options: h.opts.Requests.Run, Apart: p.guard,
 	}
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
@@ -60,4 +62,43 @@
 	return nil
 }
 
-func (h *Host) adminRequests(*http.ServeMux) {}
+func (h *Host) adminRequests(mux *http.ServeMux) {
+	mux.Handle("GET /quarantine", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, h.requests.guard.List())
+	}))
+	mux.Handle("DELETE /quarantine/{fingerprint}", h.authorized(func(w http.ResponseWriter, r *http.Request) {
+		var fp quarantine.Fingerprint
+		if err := fp.UnmarshalText([]byte(r.PathValue("fingerprint"))); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !h.requests.guard.Lift(fp) {
+			http.Error(w, "no such request in quarantine", http.StatusNotFound)
+		}
+	}))
+}
+
+// RequestOptions are the settings of the request path.
+type RequestOptions struct {
+	Claims     claim.Options
+	Quarantine quarantine.Options
+	Run        pipeline.Options
+}
+
+// DefaultRequestOptions returns the defaults.
+func DefaultRequestOptions() RequestOptions {
+	return RequestOptions{Claims: claim.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Run: pipeline.DefaultOptions()}
+}
+
+func (o *RequestOptions) register(set *settings.Set) {
+	set.Int(&o.Claims.Shards, "claim-shards", "objects that hold the claims; the same on every entry host", 1, 4096)
+	set.Duration(&o.Claims.Window, "claim-window", "time for which a key is remembered on the platform", time.Minute, 24*time.Hour)
+	set.Float(&o.Claims.WritesPerSecond, "claim-writes", "writes a second on the platform for claims", 0.1, 1000)
+	set.Duration(&o.Claims.TicketLife, "ticket-life", "time from minting a ticket to its last first use", time.Second, 24*time.Hour)
+	set.Duration(&o.Claims.AnswerTime, "answer-time", "time for which an answer is kept for resends", time.Second, 24*time.Hour)
+	set.Int(&o.Quarantine.Deaths, "quarantine-deaths", "backend servers lost to a request before it is refused", 1, 100)
+	set.Duration(&o.Quarantine.Term, "quarantine-term", "time for which such a request is refused", time.Second, 24*time.Hour)
+	set.Int(&o.Run.MaxAttempts, "attempts", "attempts of one stage", 1, 10)
+	set.Float(&o.Run.RetryShare, "retry-share", "retries for each request of a pool", 0, 1)
+	set.Duration(&o.Run.MinSilence, "min-silence", "least wait for progress before a connection is doubted", time.Millisecond, time.Minute)
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -3,11 +3,29 @@
 // another entry host is recognized.
 package quarantine
 
-import "time"
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
 
 // Fingerprint identifies the content of a request, whoever sends it.
 type Fingerprint uint64
 
+// MarshalText implements encoding.TextMarshaler: operators see it as in the
+// refusals, in hexadecimal.
+func (f Fingerprint) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%016x", uint64(f)), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("fingerprint %q is not a hexadecimal number", text)
+	}
+	*f = Fingerprint(v)
+	return nil
+}
+
 // Verdict tells how a request may run.
 type Verdict int
 
@@ -43,13 +61,13 @@
 type Apart interface {
 	// Busy reports whether a suspect runs on server.
 	Busy(server string) bool
-	// Enter takes server for a suspect; false: another one has it. Leave
+	// Enter takes server for the suspect; false: another one has it. Leave
 	// follows once after true.
-	Enter(server string) bool
+	Enter(server string, fp Fingerprint) bool
 	Leave(server string)
 	// Freed returns a channel that is closed at the next Leave.
 	Freed() <-chan struct{}
-	// Clear tells that a request ran to its end without harm.
+	// Clear tells that the whole request ran to its end without harm.
 	Clear(fp Fingerprint)
 }
 
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -13,6 +13,7 @@
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/kind"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/server"
 	"bilberrydale/version/pick"
 	"bilberrydale/version/snapshot"
 )
@@ -38,36 +39,36 @@
 		e.RetryAfter = wait
 		return nil, e
 	}
+	alone := verdict == quarantine.Alone && x.Apart != nil
 	info := pick.Info{
 		Now: x.Clock.Now(), Rand: x.Rand, Bytes: len(in), Exclude: x.tried,
 		Class: x.req.Route.Class, Affinity: xxhash.Sum64(in[:min(len(in), affinityBytes)]),
 	}
-	srv, err := x.pickServer(ctx, st, &info, verdict == quarantine.Alone)
+	srv, err := x.pickServer(ctx, st, &info, alone)
 	if err != nil {
 		return nil, err
 	}
 	x.tried = append(x.tried, srv.State)
 	x.number++
-	return &attempt{server: srv, number: x.number, alone: verdict == quarantine.Alone}, nil
+	return &attempt{server: srv, number: x.number, alone: alone}, nil
 }
 
 // pickServer asks the picker. A suspect runs on a server where no other
 // suspect runs, so that a crash tells which of them caused it.
 func (x *run) pickServer(ctx context.Context, st *snapshot.Stage, info *pick.Info, alone bool) (*pick.Server, *kind.Error) {
-	apart, ok := x.Quarantine.(quarantine.Apart)
+	if !alone {
+		srv, err := st.Pool.Picker.Pick(info)
+		if err != nil {
+			return nil, kind.New(kind.NoBackend, "pool %s: %w", st.Pool.Name, err)
+		}
+		return srv, nil
+	}
 	for {
-		var free <-chan struct{}
+		free := x.Apart.Freed()
 		try := *info
-		if alone && ok {
-			free = apart.Freed()
-			for i, s := range st.Pool.Picker.Servers() {
-				if apart.Busy(s.Name) {
-					try.Exclude = append(try.Exclude[:len(try.Exclude):len(try.Exclude)], st.Pool.Picker.Servers()[i].State)
-				}
-			}
-		}
+		try.Exclude = append(x.busy(st), info.Exclude...)
 		srv, err := st.Pool.Picker.Pick(&try)
-		if err == nil && (!alone || !ok || apart.Enter(srv.Name)) {
+		if err == nil && x.Apart.Enter(srv.Name, x.req.Fingerprint) {
 			return srv, nil
 		}
 		if err != nil && len(try.Exclude) == len(info.Exclude) {
@@ -81,6 +82,17 @@
 	}
 }
 
+// busy returns the pool's servers on which a suspect runs.
+func (x *run) busy(st *snapshot.Stage) []*server.State {
+	var out []*server.State
+	for _, s := range st.Pool.Picker.Servers() {
+		if x.Apart.Busy(s.Name) {
+			out = append(out, s.State)
+		}
+	}
+	return out
+}
+
 // do sends one attempt with send and tells the quarantine how it ended.
 func (x *run) do(ctx context.Context, st *snapshot.Stage, a *attempt, send func(context.Context) error) error {
 	ctx, span := x.Tracer.Start(ctx, "stage "+st.Name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
@@ -104,13 +116,8 @@
 	var be *backend.Error
 	died := errors.As(err, &be) && be.Reset && be.Sent != backend.NotSent && !x.alive(a)
 	x.Quarantine.End(x.req.Fingerprint, a.server.Name, died)
-	if apart, ok := x.Quarantine.(quarantine.Apart); ok {
-		if a.alone {
-			apart.Leave(a.server.Name)
-		}
-		if err == nil {
-			apart.Clear(x.req.Fingerprint)
-		}
+	if a.alone {
+		x.Apart.Leave(a.server.Name)
 	}
 }
 
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -25,6 +25,7 @@
 	Backend     backend.Caller
 	Admission   admission.Admitter
 	Quarantine  quarantine.Guard
+	Apart       quarantine.Apart // nil: suspects run like any request
 	Clock       clock.Clock
 	Rand        clock.Rand
 	Tracer      trace.Tracer
@@ -98,6 +99,9 @@
 		}
 		body = out
 	}
+	if r.Apart != nil {
+		r.Apart.Clear(req.Fingerprint)
+	}
 	return &Result{Body: body, Started: x.started}, nil
 }
 
