Replay traces in virtual time on the decision code, naive baseline and bound

Cause: the decisions under load have to be measured before they are built. internal/replay runs seeded or recorded traces through admission.Admitter and pick.Picker with fake servers (slots, bounded queue, recorded service times, lagging reports); cmd/replay and make replay print the table. Same seed, same bytes is tested.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fmt demo bench
+.PHONY: build test fmt demo bench replay
 
 build:
 	go build ./...
@@ -19,3 +19,8 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+# Replays the stated traces on the decision code: make replay SEED=7 OUT=f.json
+SEED ?= 1
+replay:
+	go run ./cmd/replay --seed=$(SEED) $(if $(OUT),--out=$(OUT))
--- /dev/null
+++ b/cmd/replay/main.go
@@ -0,0 +1,84 @@
+// Command replay replays seeded or recorded traces in virtual time on the
+// decision code and prints the measures of every policy side by side.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"bilberrydale/internal/replay"
+	"bilberrydale/internal/settings"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "replay:", err)
+		os.Exit(1)
+	}
+}
+
+type options struct {
+	seed       int
+	deployment string
+	trace      string
+	policies   string
+	out        string
+	parallel   int
+}
+
+func run(args []string) error {
+	o := options{seed: 1, policies: strings.Join(replay.PolicyNames(), ","), parallel: max(1, runtime.NumCPU()/4)}
+	p := flaggy.NewParser("replay")
+	p.Description = "Replays traces on the decision code, in virtual time."
+	p.ShowHelpOnUnexpected = false
+	set := settings.New(p, "REPLAY")
+	set.Int(&o.seed, "seed", "seed of the traces", 0, 1<<31-1)
+	set.String(&o.deployment, "deployment", "kalahari or zagara; empty: both", nil)
+	set.String(&o.trace, "trace", "one trace by name; empty: all", nil)
+	set.String(&o.policies, "policies", "policies to compare, separated by commas", settings.Required)
+	set.String(&o.out, "out", "file for the measures as JSON", nil)
+	set.Int(&o.parallel, "parallel", "replays at once", 1, 64)
+	if err := p.ParseArgs(args); err != nil {
+		return err
+	}
+	if err := set.Check(); err != nil {
+		return err
+	}
+	return o.run()
+}
+
+func (o *options) run() error {
+	job := replay.Job{Seed: uint64(o.seed), Only: o.trace, Parallel: o.parallel}
+	for _, d := range replay.Deployments() {
+		if o.deployment == "" || o.deployment == d.Name {
+			job.Deployments = append(job.Deployments, d)
+		}
+	}
+	for _, name := range strings.Split(o.policies, ",") {
+		p, err := replay.PolicyByName(name)
+		if err != nil {
+			return err
+		}
+		job.Policies = append(job.Policies, p)
+	}
+	results, err := replay.Run(job)
+	if err != nil {
+		return err
+	}
+	if err := replay.WriteTable(os.Stdout, results); err != nil {
+		return err
+	}
+	if o.out == "" {
+		return nil
+	}
+	f, err := os.Create(o.out)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return replay.WriteJSON(f, results)
+}
--- /dev/null
+++ b/internal/replay/measure.go
@@ -0,0 +1,204 @@
+package replay
+
+import (
+	"slices"
+	"time"
+)
+
+// Result holds the measures of one replay.
+type Result struct {
+	Deployment string  `json:"deployment"`
+	Scenario   string  `json:"scenario"`
+	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
+	Offered    int     `json:"offered"`
+	Completed  int     `json:"completed"`
+	Refused    int     `json:"refused"`
+	Worth      float64 `json:"worth"`    // of requests completed in time
+	OfBound    float64 `json:"of_bound"` // worth as a part of the bound
+	OfFluid    float64 `json:"of_fluid"` // the same of the bound that knows routes' means only
+	// Attainment is the part completed in time, by class.
+	Interactive float64 `json:"interactive"`
+	Standard    float64 `json:"standard"`
+	Background  float64 `json:"background"`
+	Cost        float64 `json:"cost"` // of slot seconds, by the stages' price
+	Stages      []Spend `json:"stages"`
+	Wasted      float64 `json:"wasted"` // worst stage's part spent on requests that missed
+	WastedIn    string  `json:"wasted_in"`
+	CrossBytes  int64   `json:"cross_bytes"`
+	WorstShare  float64 `json:"worst_share"` // worst account's part of its fair due
+	Returned    int     `json:"returned"`    // came back when told to
+	Served      float64 `json:"served"`      // part of those that completed then
+}
+
+// Spend is what one stage's slot time went into.
+type Spend struct {
+	Stage  string  `json:"stage"`
+	Cost   float64 `json:"cost"`
+	Wasted float64 `json:"wasted"`
+}
+
+func (r *run) measure() *Result {
+	m := &Result{Deployment: r.deployment.Name, Scenario: r.scenario.Name, Policy: r.policy.Name, Offered: len(r.outcomes)}
+	for _, o := range r.outcomes {
+		m.count(o, r.deployment.route(o.rec.Route).Worth)
+	}
+	m.Interactive, m.Standard, m.Background = r.attained("interactive"), r.attained("standard"), r.attained("background")
+	m.spending(slices.Concat(r.outcomes, r.returned), r.deployment)
+	m.WorstShare = r.worstShare()
+	m.Returned = len(r.returned)
+	served := 0
+	for _, o := range r.returned {
+		m.CrossBytes += o.crossed
+		if o.completed {
+			served++
+		}
+	}
+	if m.Returned > 0 {
+		m.Served = float64(served) / float64(m.Returned)
+	}
+	return m
+}
+
+func (m *Result) count(o *outcome, worth float64) {
+	m.CrossBytes += o.crossed
+	switch {
+	case o.completed:
+		m.Completed++
+		m.Worth += worth
+	case o.refused:
+		m.Refused++
+	}
+}
+
+func (r *run) attained(class string) float64 {
+	all, done := 0, 0
+	for _, o := range r.outcomes {
+		if string(r.deployment.route(o.rec.Route).Class) != class || o.rec.Poison {
+			continue
+		}
+		all++
+		if o.completed {
+			done++
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(done) / float64(all)
+}
+
+// leastSpend is the slot time below which a stage's wasted part says nothing.
+const leastSpend = 5 * time.Second
+
+func (m *Result) spending(outcomes []*outcome, d *Deployment) {
+	slots := map[string]time.Duration{}
+	wasted := map[string]time.Duration{}
+	cost := map[string]float64{}
+	for _, o := range outcomes {
+		for _, s := range o.spent {
+			slots[s.stage] += s.slot
+			cost[s.stage] += s.cost * s.slot.Seconds()
+			if !o.completed {
+				wasted[s.stage] += s.slot
+			}
+		}
+	}
+	for _, p := range d.Tables.Pools {
+		if slots[p.Name] == 0 {
+			continue
+		}
+		part := float64(wasted[p.Name]) / float64(slots[p.Name])
+		m.Stages = append(m.Stages, Spend{p.Name, cost[p.Name], part})
+		m.Cost += cost[p.Name]
+		if part > m.Wasted && slots[p.Name] >= leastSpend {
+			m.Wasted, m.WastedIn = part, p.Name
+		}
+	}
+}
+
+// sharePhase is the length of the phases in which shares are compared.
+const sharePhase = 30 * time.Second
+
+// worstShare compares, in each phase, the engine time that each account got for
+// requests completed in time with its weighted max-min share of what the
+// engines can do. Background work has no due.
+func (r *run) worstShare() float64 {
+	worst := 1.0
+	for from := time.Duration(0); from < length(r.scenario); from += sharePhase {
+		asked := make([]float64, len(r.deployment.Accounts))
+		got := make([]float64, len(asked))
+		for _, o := range r.outcomes {
+			if o.arrived < from || o.arrived >= from+sharePhase || o.rec.Poison {
+				continue
+			}
+			i := slices.IndexFunc(r.deployment.Accounts, func(a Account) bool { return a.Name == o.rec.Account })
+			s := r.engineSeconds(o.rec)
+			asked[i] += s
+			if o.completed {
+				got[i] += s
+			}
+		}
+		for i, due := range fairDue(asked, r.deployment.Accounts, r.engineCapacity(from)) {
+			if due > 1 {
+				worst = min(worst, got[i]/due)
+			}
+		}
+	}
+	return worst
+}
+
+func (r *run) engineSeconds(rec *Record) float64 {
+	rt := r.deployment.route(rec.Route)
+	if rt.Class == "background" {
+		return 0
+	}
+	for i, st := range rt.Stages {
+		if st.Pool == r.deployment.Engines {
+			return fromMicros(rec.Work[i]).Seconds()
+		}
+	}
+	return 0
+}
+
+func (r *run) engineCapacity(from time.Duration) float64 {
+	c := capacity(r.deployment, r.scenario, r.deployment.Engines, int((from+sharePhase)/time.Second))
+	var sum float64
+	for _, v := range c[int(from/time.Second):] {
+		sum += v
+	}
+	return sum
+}
+
+// fairDue is the weighted max-min allocation of capacity to what was asked.
+func fairDue(asked []float64, accounts []Account, capacity float64) []float64 {
+	due := make([]float64, len(asked))
+	open := len(asked)
+	full := make([]bool, len(asked))
+	for open > 0 {
+		var weights float64
+		for i := range asked {
+			if !full[i] {
+				weights += accounts[i].Weight
+			}
+		}
+		level, filled := capacity/weights, false
+		for i := range asked {
+			if !full[i] && asked[i] <= level*accounts[i].Weight {
+				due[i], full[i], filled = asked[i], true, true
+				capacity -= asked[i]
+				open--
+			}
+		}
+		if filled {
+			continue
+		}
+		for i := range asked {
+			if !full[i] {
+				due[i] = level * accounts[i].Weight
+			}
+		}
+		return due
+	}
+	return due
+}
--- /dev/null
+++ b/internal/replay/report.go
@@ -0,0 +1,77 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Job names the replays of one table.
+type Job struct {
+	Seed        uint64
+	Deployments []*Deployment
+	Only        string // one scenario; empty: all
+	Policies    []Policy
+	Parallel    int
+}
+
+// Run replays every scenario under every policy and returns the results in a
+// fixed order.
+func Run(j Job) ([]*Result, error) {
+	type unit struct {
+		d       *Deployment
+		s       Scenario
+		records []Record
+	}
+	var units []unit
+	for _, d := range j.Deployments {
+		for _, s := range Scenarios(d) {
+			if j.Only == "" || j.Only == s.Name {
+				units = append(units, unit{d: d, s: s})
+			}
+		}
+	}
+	if len(units) == 0 {
+		return nil, fmt.Errorf("there is no scenario %q", j.Only)
+	}
+	n := len(j.Policies)
+	out := make([]*Result, len(units)*n)
+	g := errgroup.Group{}
+	g.SetLimit(max(1, j.Parallel))
+	for i, u := range units {
+		g.Go(func() error {
+			u.records = Generate(u.d, u.s, j.Seed)
+			bound := Bound(u.d, u.s, u.records)
+			fluid := Bound(u.d, u.s, ByRoute(u.d, u.records))
+			for k, p := range j.Policies {
+				res := Replay(u.d, u.s, u.records, p, j.Seed)
+				res.Seed, res.OfBound, res.OfFluid = j.Seed, res.Worth/bound, res.Worth/fluid
+				out[i*n+k] = res
+			}
+			return nil
+		})
+	}
+	return out, g.Wait()
+}
+
+// WriteTable prints results for people.
+func WriteTable(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "deployment\ttrace\tpolicy\toffered\trefused\tworth\tof bound\tof fluid\tinteractive\tstandard\tbackground\tcost\twasted\tin\tcross MB\tworst share\tback\tserved\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%s\t%.1f\t%.2f\t%d\t%.2f\t\n",
+			r.Deployment, r.Scenario, r.Policy, r.Offered, r.Refused, r.Worth, r.OfBound, r.OfFluid, r.Interactive, r.Standard, r.Background,
+			r.Cost, r.Wasted, r.WastedIn, float64(r.CrossBytes)/(1<<20), r.WorstShare, r.Returned, r.Served)
+	}
+	return t.Flush()
+}
+
+// WriteJSON writes results as one JSON document.
+func WriteJSON(w io.Writer, results []*Result) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(results)
+}
