Placement by place and load, ejection with trials, budgets, load reports

Cause: the naive picker sends anywhere. Placed: own domain, region, other regions when the gain pays for the bytes; the better of two by own in-flight and reports weighted by age; rendezvous subsets; prefix affinity with a bounded load; slow start; ejection within a bound. Now a lost connection ejects at once and a trial is one request at a time. Seen red, by breaking the safeguard: bound of ejections, one trial, bounded affinity, stable subsets, better of two, billed bytes, retry budget. Breaking RemoteBelow alone is not seen by a test.

--- /dev/null
+++ b/process/limit/budget_test.go
@@ -0,0 +1,38 @@
+package limit
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Without a budget a pool that fails every attempt gets three times the load
+// just when it can bear the least.
+func TestRetriesAreBoundedByFirstAttempts(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBudget(BudgetOptions{Ratio: .1, Most: 5})
+	allowed := 0
+	for range 1000 {
+		b.First()
+		for range 2 {
+			if b.Allow() {
+				allowed++
+			}
+		}
+	}
+	g.Expect(allowed).To(BeNumerically("<=", 105))
+	g.Expect(allowed).To(BeNumerically(">=", 95))
+	g.Expect(b.Denied()).To(Equal(int64(2000 - allowed)))
+}
+
+func TestSavingsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBudget(BudgetOptions{Ratio: .1, Most: 5})
+	for range 10_000 {
+		b.First()
+	}
+	for range 5 {
+		g.Expect(b.Allow()).To(BeTrue())
+	}
+	g.Expect(b.Allow()).To(BeFalse())
+}
--- /dev/null
+++ b/process/server/load.go
@@ -0,0 +1,42 @@
+package server
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// reported is the last load report, taken apart once so that the request path
+// reads two numbers.
+type reported struct {
+	load     atomic.Pointer[Load]
+	others   atomic.Int64 // requests on the server that other hosts sent
+	received atomic.Int64 // unix nanoseconds
+}
+
+// reportHalfLife is the age at which a report counts for half. A report says
+// less and less about the present; trusting a stale one sends every host to the
+// server that was least loaded when it was made.
+const reportHalfLife = 5 * time.Second
+
+// SetLoad stores a report. What this host has in flight is taken out of it: it
+// is known exactly at any time and needs no report.
+func (s *State) SetLoad(l *Load) {
+	s.reported.others.Store(max(0, int64(l.Running+l.Queued)-s.Inflight()))
+	s.reported.received.Store(l.Received.UnixNano())
+	s.reported.load.Store(l)
+}
+
+// Load returns the last report, or nil.
+func (s *State) Load() *Load { return s.reported.load.Load() }
+
+// Busy estimates the requests on the server now: those of this host, and those
+// of others by the last report, weighted by its age.
+func (s *State) Busy(now time.Time) float64 {
+	own := float64(max(0, s.Inflight()))
+	others := s.reported.others.Load()
+	if others == 0 {
+		return own
+	}
+	age := float64(now.UnixNano() - s.reported.received.Load())
+	return own + float64(others)/(1+max(0, age)/float64(reportHalfLife))
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is the knowledge about one backend server. Its address is fixed: a
@@ -15,12 +17,15 @@
 type State struct {
 	Name    string
 	Address string
+	hash    uint64 // of the address, for rendezvous hashing
 
 	inflight atomic.Int64
 	down     atomic.Bool
 	leaving  atomic.Bool
-	load     atomic.Pointer[Load]
 	since    atomic.Int64 // unix nanoseconds of the first sight, for slow start
+
+	reported reported
+	health   health
 }
 
 // Load is a backend server's own report; it lags by up to its reporting period.
@@ -33,6 +38,9 @@
 	Received time.Time
 }
 
+// Hash returns a hash of the address that is the same on every entry host.
+func (s *State) Hash() uint64 { return s.hash }
+
 // Begin counts a request as in flight; End must follow once.
 func (s *State) Begin() { s.inflight.Add(1) }
 
@@ -54,12 +62,6 @@
 // Usable reports whether the server may get new work.
 func (s *State) Usable() bool { return !s.down.Load() && !s.leaving.Load() }
 
-// SetLoad stores a report.
-func (s *State) SetLoad(l *Load) { s.load.Store(l) }
-
-// Load returns the last report, or nil.
-func (s *State) Load() *Load { return s.load.Load() }
-
 // FirstSeen returns when this entry host first heard of the server.
 func (s *State) FirstSeen() time.Time { return time.Unix(0, s.since.Load()) }
 
@@ -80,7 +82,7 @@
 	key := name + "|" + address
 	s, ok := r.states[key]
 	if !ok {
-		s = &State{Name: name, Address: address}
+		s = &State{Name: name, Address: address, hash: xxhash.Sum64String(address)}
 		s.since.Store(now.UnixNano())
 		r.states[key] = s
 	}
--- /dev/null
+++ b/version/pick/affinity.go
@@ -0,0 +1,42 @@
+package pick
+
+import "github.com/cespare/xxhash/v2"
+
+// PrefixBytes is how much of a prompt decides where it is cached.
+const PrefixBytes = 256
+
+// Prefix returns the affinity of a prompt: the hash of its start, never 0.
+func Prefix(body []byte) uint64 {
+	return max(1, xxhash.Sum64(body[:min(len(body), PrefixBytes)]))
+}
+
+// cached returns the server that the prefix belongs to, if it has a free slot
+// and is not far above the mean of its tier. Cache events come late and with
+// gaps, so the place of a prefix is decided by rendezvous hashing alone: every
+// host finds the same server without being told, and a prefix that is in high
+// demand spills to others instead of making its server a hot spot.
+func (p *Placed) cached(t tier, info *Info) (*Server, float64) {
+	var best *Server
+	var rank uint64
+	var sum float64
+	n := 0
+	for _, s := range t {
+		if !p.usable(t, s, info) {
+			continue
+		}
+		sum += p.load(s, info.Now)
+		n++
+		if r := mix(info.Affinity, s.State.Hash()); best == nil || r > rank {
+			best, rank = s, r
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	load := p.load(best, info.Now)
+	bound := p.opts.AffinityBound*sum/float64(n) + 1/float64(max(1, best.Slots))
+	if load >= p.opts.SpillAt || load > bound {
+		return nil, 0
+	}
+	return best, load
+}
--- /dev/null
+++ b/version/pick/explain.go
@@ -0,0 +1,69 @@
+package pick
+
+import (
+	"time"
+
+	"bilberrydale/process/server"
+)
+
+// Candidate is one server as the picker sees it.
+type Candidate struct {
+	Name   string  `json:"name"`
+	Tier   string  `json:"tier"` // domain, region, remote or unused
+	Load   float64 `json:"load"` // requests for a slot
+	State  string  `json:"state"`
+	Own    int64   `json:"own"`              // requests of this host in flight
+	Report float64 `json:"report,omitempty"` // age of the load report in seconds
+}
+
+// Explain describes every server of the pool.
+func (p *Placed) Explain(now time.Time) []Candidate {
+	tiers := map[*Server]string{}
+	for name, t := range map[string]tier{"domain": p.near, "region": p.region, "remote": p.remote} {
+		for _, s := range t {
+			tiers[s] = name
+		}
+	}
+	out := make([]Candidate, 0, len(p.servers))
+	for i := range p.servers {
+		s := &p.servers[i]
+		c := Candidate{Name: s.Name, Tier: tiers[s], Load: p.load(s, now), State: describe(s, now), Own: s.State.Inflight()}
+		if c.Tier == "" {
+			c.Tier = "unused"
+		}
+		if l := s.State.Load(); l != nil {
+			c.Report = now.Sub(l.Received).Seconds()
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func describe(s *Server, now time.Time) string {
+	switch {
+	case s.State.Leaving():
+		return "leaving"
+	case !s.State.Usable():
+		return "down"
+	}
+	switch s.State.Health(now) {
+	case server.OnTrial:
+		return "on trial"
+	case server.Outlier:
+		return "ejected: attempts fail"
+	case server.Lost:
+		return "ejected: no connection"
+	}
+	return "usable"
+}
+
+// Reach returns the servers that this host may use, near ones first.
+func (p *Placed) Reach() []*server.State {
+	var out []*server.State
+	for _, t := range []tier{p.near, p.region, p.remote} {
+		for _, s := range t {
+			out = append(out, s.State)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/version/pick/load.go
@@ -0,0 +1,54 @@
+package pick
+
+import (
+	"time"
+
+	"bilberrydale/process/server"
+)
+
+// Load is what a picker's host can use of its pool.
+type Load struct {
+	Slots float64 // of usable servers near by, with what others can spare
+	Busy  float64 // requests on the servers near by
+}
+
+// spareShare is the part of other regions' free slots that this host's region
+// counts on: the others may want them too.
+const spareShare = .5
+
+// Load estimates the pool's load as this host sees it. Ejected servers count as
+// gone, without the bound that picking keeps: admission had better expect too
+// little.
+func (p *Placed) Load(now time.Time) Load {
+	var out Load
+	for _, t := range []tier{p.near, p.region} {
+		for _, s := range t {
+			if s.serves(now) {
+				out.Slots += s.capacity()
+				out.Busy += s.State.Busy(now)
+			}
+		}
+	}
+	for _, s := range p.remote {
+		if !s.serves(now) {
+			continue
+		}
+		spare := p.opts.RemoteBelow*s.capacity() - s.State.Busy(now)
+		out.Slots += spareShare * max(0, spare)
+	}
+	return out
+}
+
+// serves reports whether the server can be counted on.
+func (s *Server) serves(now time.Time) bool {
+	return s.State.Usable() && s.State.Health(now) == server.Healthy
+}
+
+// capacity returns the slots of the server by its weight.
+func (s *Server) capacity() float64 {
+	slots := float64(max(1, s.Slots))
+	if s.Weight > 0 {
+		slots *= s.Weight
+	}
+	return slots
+}
--- /dev/null
+++ b/version/pick/placed.go
@@ -0,0 +1,236 @@
+package pick
+
+import (
+	"time"
+
+	"bilberrydale/process/server"
+	"bilberrydale/version/table"
+)
+
+// Options set a Placed picker.
+type Options struct {
+	Host   string // name of this entry host; decides its subsets
+	Domain string
+	Region string
+
+	// SubsetRegion and SubsetRemote bound the servers used in other domains of
+	// the region and in each other region.
+	SubsetRegion int
+	SubsetRemote int
+	// SpillAt is the load (requests for a slot) of the nearest servers from
+	// which the rest of the region is tried.
+	SpillAt float64
+	// RemoteAt is the load of the own region from which other regions are
+	// tried, RemoteBelow the load that they may have.
+	RemoteAt    float64
+	RemoteBelow float64
+	// RemotePerMB is the load by which another region has to be better for
+	// each billed megabyte of input.
+	RemotePerMB float64
+	// AffinityBound is how far, as a factor of the mean load, a server that
+	// has the prefix cached may be above the others.
+	AffinityBound float64
+	// SlowStart is how long a new server's load counts as higher than it is.
+	SlowStart time.Duration
+	// EjectShare bounds the part of a tier that ejections may take out.
+	EjectShare float64
+}
+
+// DefaultOptions returns the defaults for a host at the given place.
+func DefaultOptions(host, domain, region string) Options {
+	return Options{
+		Host: host, Domain: domain, Region: region, SubsetRegion: 8, SubsetRemote: 4,
+		SpillAt: 1, RemoteAt: 1.2, RemoteBelow: .8, RemotePerMB: 1,
+		AffinityBound: 1.25, SlowStart: 5 * time.Second, EjectShare: .5,
+	}
+}
+
+// Placed picks by place, then by load: the own failure domain, the own region,
+// other regions. Within a tier it takes the better of two at random, so that
+// hosts that share no queue and see reports late do not all send to the server
+// that was least loaded a moment ago.
+type Placed struct {
+	opts    Options
+	servers []Server
+	near    tier // own failure domain
+	region  tier // subset of the own region's other domains
+	remote  tier // subsets of other regions
+}
+
+// tier is a group of servers that are equally good by place.
+type tier []*Server
+
+// NewPlaced returns a picker over servers.
+func NewPlaced(opts Options, servers []Server) *Placed {
+	p := &Placed{opts: opts, servers: servers}
+	others := map[string]tier{}
+	var regions []string
+	var rest tier
+	for i := range servers {
+		s := &servers[i]
+		switch {
+		case s.Domain == opts.Domain && s.Region == opts.Region:
+			p.near = append(p.near, s)
+		case s.Region == opts.Region:
+			rest = append(rest, s)
+		default:
+			if others[s.Region] == nil {
+				regions = append(regions, s.Region)
+			}
+			others[s.Region] = append(others[s.Region], s)
+		}
+	}
+	p.region = subset(opts.Host, rest, opts.SubsetRegion)
+	for _, r := range regions {
+		p.remote = append(p.remote, subset(opts.Host, others[r], opts.SubsetRemote)...)
+	}
+	return p
+}
+
+// Servers implements Picker.
+func (p *Placed) Servers() []Server { return p.servers }
+
+// Pick implements Picker.
+func (p *Placed) Pick(info *Info) (*Server, error) {
+	for range maxTrials {
+		s, err := p.pick(info)
+		if err != nil || s.State.Health(info.Now) != server.OnTrial || s.State.Trial(info.Now) {
+			return s, err
+		}
+	}
+	return nil, ErrNone
+}
+
+// maxTrials bounds how often another request takes a trial first.
+const maxTrials = 8
+
+// Prefer returns the server that Pick would try first, without claiming a
+// trial.
+func (p *Placed) Prefer(info *Info) (*Server, error) { return p.pick(info) }
+
+func (p *Placed) pick(info *Info) (*Server, error) {
+	best, load := p.choose(p.near, info)
+	if best != nil && load < p.opts.SpillAt {
+		return best, nil
+	}
+	if s, l := p.choose(p.region, info); s != nil && (best == nil || l < load) {
+		best, load = s, l
+	}
+	if best != nil && !p.mayLeave(info, load) {
+		return best, nil
+	}
+	s, l := p.choose(p.remote, info)
+	switch {
+	case s == nil && best == nil:
+		return nil, ErrNone
+	case s == nil:
+		return best, nil
+	case best == nil || p.worthLeaving(info, load, l):
+		return s, nil
+	}
+	return best, nil
+}
+
+// mayLeave reports whether the own region is so full that another is tried.
+func (p *Placed) mayLeave(info *Info, load float64) bool {
+	return load >= p.opts.RemoteAt && info.Class != table.Background
+}
+
+// worthLeaving weighs a shorter queue in another region against its bytes.
+func (p *Placed) worthLeaving(info *Info, here, there float64) bool {
+	const megabyte = 1 << 20
+	return there < p.opts.RemoteBelow && here-there >= p.opts.RemotePerMB*float64(info.Bytes)/megabyte
+}
+
+// choose returns the server of t to use and its load, or nil.
+func (p *Placed) choose(t tier, info *Info) (*Server, float64) {
+	if len(t) == 0 {
+		return nil, 0
+	}
+	if info.Affinity != 0 {
+		if s, l := p.cached(t, info); s != nil {
+			return s, l
+		}
+	}
+	a, la := p.from(t, info, info.Rand.IntN(len(t)), nil)
+	if a == nil {
+		return nil, 0
+	}
+	b, lb := p.from(t, info, info.Rand.IntN(len(t)), a)
+	if b != nil && lb < la {
+		a, la = b, lb
+	}
+	if la < p.opts.SpillAt {
+		return a, la
+	}
+	return p.least(t, info)
+}
+
+// from returns the first usable server at or after start, other than not.
+func (p *Placed) from(t tier, info *Info, start int, not *Server) (*Server, float64) {
+	for i := range t {
+		s := t[(start+i)%len(t)]
+		if s != not && p.usable(t, s, info) {
+			return s, p.load(s, info.Now)
+		}
+	}
+	return nil, 0
+}
+
+// least returns the least loaded server: used only when two at random are both
+// full, to see whether any slot is free before work leaves the tier.
+func (p *Placed) least(t tier, info *Info) (*Server, float64) {
+	var best *Server
+	var load float64
+	start := info.Rand.IntN(len(t))
+	for i := range t {
+		s := t[(start+i)%len(t)]
+		if !p.usable(t, s, info) {
+			continue
+		}
+		if l := p.load(s, info.Now); best == nil || l < load {
+			best, load = s, l
+		}
+	}
+	return best, load
+}
+
+func (p *Placed) usable(t tier, s *Server, info *Info) bool {
+	return s.State.Usable() && !info.Excluded(s.State) && !p.ejected(t, s, info.Now)
+}
+
+// ejected reports whether s is to be passed over. Servers that answer with
+// failures are passed over only within the bound of their tier: a fault that
+// makes every server look bad, such as a poisoned request, must not leave none.
+// A server to which no connection can be made is of no use in any case.
+func (p *Placed) ejected(t tier, s *Server, now time.Time) bool {
+	switch s.State.Health(now) {
+	case server.Healthy, server.OnTrial:
+		return false
+	case server.Lost:
+		return true
+	}
+	bound := max(1, int(p.opts.EjectShare*float64(len(t))))
+	for _, x := range t {
+		if x == s {
+			return bound > 0
+		}
+		if x.State.Health(now) == server.Outlier {
+			bound--
+		}
+	}
+	return false
+}
+
+// load returns requests for a slot, raised while the server is new.
+func (p *Placed) load(s *Server, now time.Time) float64 {
+	slots := s.capacity()
+	l := s.State.Busy(now) / slots
+	if age := now.Sub(s.State.FirstSeen()); age < p.opts.SlowStart {
+		ramp := max(.1, float64(age)/float64(p.opts.SlowStart))
+		l = (l + 1/slots) / ramp
+	}
+	return l
+}
+
+var _ Picker = (*Placed)(nil)
--- /dev/null
+++ b/version/pick/placed_test.go
@@ -0,0 +1,194 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/server"
+	"bilberrydale/version/table"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func servers(n int, place func(i int) (domain, region string)) []Server {
+	reg := server.NewRegistry()
+	out := make([]Server, n)
+	for i := range out {
+		d, r := place(i)
+		s := table.Server{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/256, i%256), Domain: d, Region: r}
+		out[i] = Server{Server: s, State: reg.Get(s.Name, s.Address, start.Add(-time.Hour)), Slots: 4}
+	}
+	return out
+}
+
+func near(int) (string, string) { return "a1", "a" }
+
+func info() *Info { return &Info{Now: start, Rand: clock.NewSeeded(1), Class: table.Standard} }
+
+func fill(s *Server, n int) {
+	for range n {
+		s.State.Begin()
+	}
+}
+
+func TestWorkStaysNearUntilNearIsFull(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(3, func(i int) (string, string) {
+		return []string{"a1", "a2", "b1"}[i], []string{"a", "a", "b"}[i]
+	})
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	want := func(name string, in *Info) {
+		t.Helper()
+		s, err := p.Pick(in)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Name).To(Equal(name))
+	}
+	want("s0", info())
+	fill(&all[0], 4)
+	want("s1", info()) // the own region has room
+	fill(&all[1], 5)
+	want("s0", info()) // full, but not by enough to pay for another region
+	fill(&all[0], 1)
+	want("s2", info())
+	heavy := info()
+	heavy.Bytes = 4 << 20
+	want("s0", heavy) // too many billed bytes for the gain
+	background := info()
+	background.Class = table.Background
+	want("s0", background)
+}
+
+// What the caller sees without the bound: every server of the pool fails for a
+// while, and then the pool refuses all requests although the servers are well.
+// A poisoned request or a full network makes each server fail in turn; each is
+// ejected; none is left. The bound keeps half of them in use.
+func TestEjectionsLeaveAShareInUse(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(4, near)
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	for i := range all {
+		for range 5 {
+			all[i].State.Record(start, server.Failed, time.Second)
+		}
+		g.Expect(all[i].State.Health(start)).To(Equal(server.Outlier))
+	}
+	usable := 0
+	for i := range all {
+		if p.usable(p.near, &all[i], info()) {
+			usable++
+		}
+	}
+	g.Expect(usable).To(Equal(2))
+	_, err := p.Pick(info())
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// What the caller sees without it: a dead server answers "connection refused"
+// at once, has nothing in flight, and so looks like the least loaded one; it
+// draws request after request until something takes it out.
+func TestDeadServerIsTriedByOneRequestAtATime(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(2, near)
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	fill(&all[1], 3)
+	all[0].State.Record(start, server.Unreachable, 0)
+	for range 20 {
+		s, err := p.Pick(info())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Name).To(Equal("s1"))
+	}
+	later := info()
+	later.Now = start.Add(2 * time.Second)
+	trials := 0
+	for range 20 {
+		if s, err := p.Pick(later); err == nil && s.Name == "s0" {
+			trials++
+		}
+	}
+	g.Expect(trials).To(Equal(1))
+	all[0].State.Record(later.Now, server.Succeeded, time.Millisecond)
+	g.Expect(all[0].State.Health(later.Now)).To(Equal(server.Healthy))
+}
+
+func TestSubsetsAreStableSmallAndEven(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, n, k = 200, 100, 8
+	all := servers(n, func(int) (string, string) { return "a2", "a" })
+	used := map[string]int{}
+	for h := range hosts {
+		p := NewPlaced(DefaultOptions(fmt.Sprint("host", h), "a1", "a"), all)
+		g.Expect(p.region).To(HaveLen(k))
+		for _, s := range p.region {
+			used[s.Name]++
+		}
+		// One server less moves at most one place of the subset.
+		fewer := NewPlaced(DefaultOptions(fmt.Sprint("host", h), "a1", "a"), all[:n-1])
+		same := 0
+		for _, s := range fewer.region {
+			for _, x := range p.region {
+				if x.Name == s.Name {
+					same++
+				}
+			}
+		}
+		g.Expect(same).To(BeNumerically(">=", k-1))
+	}
+	for _, s := range all {
+		g.Expect(used[s.Name]).To(And(BeNumerically(">", 0), BeNumerically("<", 3*hosts*k/n)), s.Name)
+	}
+}
+
+// Without the bound on load, every request with the one prefix in demand goes
+// to one server while the others idle.
+func TestAffinityKeepsPlaceButMakesNoHotSpot(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(8, near)
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	in := info()
+	in.Affinity = Prefix([]byte("you are a soap boiler"))
+	first, err := p.Pick(in)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 10 {
+		s, _ := p.Pick(in)
+		g.Expect(s).To(BeIdenticalTo(first))
+	}
+	for range 16 { // half of all slots
+		s, _ := p.Pick(in)
+		s.State.Begin()
+	}
+	g.Expect(first.State.Inflight()).To(BeNumerically("<=", 4))
+	for i := range all {
+		g.Expect(all[i].State.Inflight()).To(BeNumerically("<=", 4))
+	}
+}
+
+// Hosts see the same report, a second old, of one idle server among busy ones.
+// If each sends to the least loaded by report, all their work lands on it.
+func TestStaleReportDrawsNoHerd(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, each, n = 20, 10, 20
+	sent := map[string]int{}
+	for h := range hosts {
+		all := servers(n, near)
+		for i := range all {
+			running := 2
+			if i == 7 {
+				running = 0
+			}
+			all[i].State.SetLoad(&server.Load{Running: running, Received: start.Add(-time.Second)})
+		}
+		p := NewPlaced(DefaultOptions(fmt.Sprint("h", h), "a1", "a"), all)
+		in := &Info{Now: start, Rand: clock.NewSeeded(uint64(h))}
+		for range each {
+			s, err := p.Pick(in)
+			g.Expect(err).NotTo(HaveOccurred())
+			s.State.Begin()
+			sent[s.Name]++
+		}
+	}
+	g.Expect(sent["s7"]).To(BeNumerically("<", 3*hosts*each/n))
+}
