Admission by estimate: order of worth, fair shares, hysteresis of a down pool

Each request's place in the order of worth is compared with the part of the demand that each pool can take; what is refused is refused at once with a turn to come back that every host computes alike.

--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -82,7 +82,7 @@
 func (h *host) arrive(rec *Record, out *outcome) {
 	rt := h.deployment.route(rec.Route)
 	f := &flow{host: h, rec: rec, out: out, route: rt}
-	f.req = admission.Request{Profile: h.profiles[rec.Route], Account: rec.Account, Arrived: h.time(), Deadline: h.time().Add(rt.Deadline.Std())}
+	f.req = admission.Request{Profile: h.profiles[rec.Route], Account: rec.Account, Arrived: h.time(), Deadline: h.time().Add(rt.Deadline.Std()), Identity: rec.identity()}
 	if err := h.Admitter.Admit(h.time(), &f.req); err != nil {
 		out.refused, out.why, out.retryAfter = true, string(err.Kind), err.Wait()
 		return
@@ -170,7 +170,7 @@
 	f.current = nil
 	a.srv.State.End()
 	if f.Record != nil {
-		f.Record(f.time(), a.srv.State, r == succeeded, f.now-a.at)
+		f.Record(f.time(), a.srv.State, recorded(r), f.now-a.at)
 	}
 	if r == succeeded {
 		f.bytes(a.srv, f.rec.Bytes[f.stage+1])
@@ -190,6 +190,19 @@
 	f.end(admission.Failed)
 }
 
+func recorded(r result) server.Outcome {
+	switch r {
+	case succeeded:
+		return server.Succeeded
+	case refused:
+		return server.Overloaded
+	case unreached:
+		return server.Unreachable
+	default:
+		return server.Failed
+	}
+}
+
 func (f *flow) next() {
 	f.Admitter.StageDone(f.time(), &f.req, f.stage, f.now-f.began, true)
 	f.stage++
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"bilberrydale/process/admission"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/limit"
 	"bilberrydale/process/server"
 	"bilberrydale/version/pick"
 	"bilberrydale/version/table"
@@ -22,7 +25,7 @@
 	// Tick runs the periodic part of the decisions; nil: none.
 	Tick func(now time.Time, pools map[string]pick.Picker)
 	// Record tells the decisions how an attempt ended; nil: not told.
-	Record func(now time.Time, s *server.State, ok bool, took time.Duration)
+	Record func(now time.Time, s *server.State, o server.Outcome, took time.Duration)
 	// Retry reports whether the budget allows another attempt at a pool;
 	// First counts a first attempt.
 	Retry func(pool string) bool
@@ -49,8 +52,57 @@
 	}}
 }
 
+// Placement is the naive policy with servers chosen by place and load, priority
+// at the engines and a retry budget, but no admission.
+func Placement() Policy {
+	return Policy{"placement", func(at Place, _ clock.Rand) *Decider {
+		d := &Decider{
+			Admitter: admission.Always{},
+			NewPicker: func(_ table.Pool, s []pick.Server) pick.Picker {
+				return pick.NewPlaced(pick.DefaultOptions(at.Name, at.Domain, at.Region), s)
+			},
+			Record: func(now time.Time, s *server.State, o server.Outcome, took time.Duration) { s.Record(now, o, took) },
+		}
+		d.budgets()
+		return d
+	}}
+}
+
+// Current is the policy of the entry host.
+func Current() Policy {
+	return Policy{"current", func(at Place, r clock.Rand) *Decider {
+		d := Placement().New(at, r)
+		c := admission.NewController(admission.DefaultOptions(), r)
+		d.Admitter = c
+		d.Tick = func(now time.Time, pools map[string]pick.Picker) { c.Tick(now, loads(now, pools)) }
+		return d
+	}}
+}
+
+func loads(now time.Time, pools map[string]pick.Picker) []admission.PoolLoad {
+	var out []admission.PoolLoad
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		l := pools[name].(*pick.Placed).Load(now)
+		out = append(out, admission.PoolLoad{Pool: name, Slots: l.Slots, Busy: l.Busy})
+	}
+	return out
+}
+
+// budgets gives the decider a retry budget for each pool.
+func (d *Decider) budgets() {
+	pools := map[string]*limit.Budget{}
+	of := func(pool string) *limit.Budget {
+		if pools[pool] == nil {
+			pools[pool] = limit.NewBudget(limit.DefaultBudget())
+		}
+		return pools[pool]
+	}
+	d.First = func(pool string) { of(pool).First() }
+	d.Retry = func(pool string) bool { return of(pool).Allow() }
+}
+
 // Policies returns every policy, the baseline first.
-func Policies() []Policy { return []Policy{Naive()} }
+func Policies() []Policy { return []Policy{Naive(), Placement(), Current()} }
 
 // PolicyNames returns their names.
 func PolicyNames() []string {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -130,7 +131,8 @@
 	if !o.refused || o.retryAfter <= 0 || r.rand.IntN(comeBack) > 0 {
 		return
 	}
-	wait := time.Duration(float64(o.retryAfter) * (1 + spread*r.rand.Float64()))
+	told := math.Ceil(o.retryAfter.Seconds()) // the header has whole seconds
+	wait := time.Duration(told * (1 + spread*r.rand.Float64()) * float64(time.Second))
 	if r.now+wait >= length(r.scenario) {
 		return
 	}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -7,11 +7,14 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Record is one request of a trace: one JSON line. Times are microseconds.
@@ -60,3 +63,11 @@
 func micros(d time.Duration) int64 { return d.Microseconds() }
 
 func fromMicros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// identity is the same when the request is sent again.
+func (r *Record) identity() uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(r.At))
+	binary.LittleEndian.PutUint64(b[8:], r.Prefix)
+	return max(1, xxhash.Sum64(b[:]))
+}
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -42,6 +42,11 @@
 	Account  string // client account
 	Arrived  time.Time
 	Deadline time.Time
+	// Identity is the same when the caller sends the request again, on
+	// whichever entry host, such as a hash of its body; 0: unknown.
+	Identity uint64
+
+	reached int // stages started
 }
 
 // Outcome tells how an admitted request ended.
--- /dev/null
+++ b/process/admission/judge.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"bilberrydale/process/kind"
+)
+
+// Reason is why a request is admitted or refused.
+type Reason string
+
+// Reasons.
+const (
+	Fits       Reason = "fits"
+	PoolDown   Reason = "pool down"       // no server of a stage's pool is usable
+	TooLate    Reason = "cannot finish"   // the estimated finish is past the deadline
+	Outweighed Reason = "outweighed"      // the pool is full of requests worth more
+	OverShare  Reason = "over its share"  // the account is over its fair share of a full pool
+	Waits      Reason = "not idle enough" // background work while others wait
+)
+
+var reasons = [...]Reason{Fits, PoolDown, TooLate, Outweighed, OverShare, Waits}
+
+func (r Reason) index() int {
+	for i, x := range reasons {
+		if x == r {
+			return i
+		}
+	}
+	return 0
+}
+
+// Refusals returns how many requests were refused for each reason.
+func (c *Controller) Refusals() map[Reason]int64 {
+	out := map[Reason]int64{}
+	for i, r := range reasons[1:] {
+		out[r] = c.refusals[i+1].Load()
+	}
+	return out
+}
+
+// Verdict is a decision with its reason.
+type Verdict struct {
+	Reason     Reason        `json:"reason"`
+	Pool       string        `json:"pool,omitempty"`
+	Expected   time.Duration `json:"expected"` // from now to the whole answer
+	Left       time.Duration `json:"left"`     // until the deadline
+	Position   float64       `json:"position"` // part of the demand that comes before it
+	Threshold  float64       `json:"threshold"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+func (v *Verdict) refusal() *kind.Error {
+	k := kind.Overloaded
+	switch v.Reason {
+	case OverShare:
+		k = kind.AccountLimit
+	case PoolDown:
+		k = kind.NoBackend
+	}
+	e := kind.New(k, "%s: pool %q, expected %s of %s", v.Reason, v.Pool, v.Expected.Round(time.Millisecond), v.Left.Round(time.Millisecond))
+	e.RetryAfter = v.RetryAfter
+	return e
+}
+
+// Waits told with refusals, besides those worked out from the load.
+const (
+	waitBackground = 5 * time.Second
+	waitTooLate    = 2 * time.Second
+	waitOutweighed = 10 * time.Second
+)
+
+// judge decides. With count set the request is counted as demand, and as
+// admitted if it is.
+func (c *Controller) judge(now time.Time, r *Request, p *plan, count bool) Verdict {
+	v := Verdict{Reason: Fits, Left: r.Deadline.Sub(now), Threshold: 1}
+	v.Expected = c.finish(p, now)
+	if count {
+		c.demand(r, p)
+	}
+	for i := range p.stages {
+		if pl := p.stages[i].pool; pl.down.Load() && !(count && pl.probe(now, c.opts.Probe)) {
+			v.Reason, v.Pool, v.RetryAfter = PoolDown, pl.name, pl.outageWait(now)
+			return v
+		}
+	}
+	if v.Expected > v.Left {
+		v.Reason, v.RetryAfter = TooLate, waitTooLate
+		return v
+	}
+	if r.Profile.Class == Background {
+		c.background(p, &v)
+		return v
+	}
+	for i := range p.stages {
+		if !c.fits(now, r, &p.stages[i], &v) {
+			return v
+		}
+	}
+	if count {
+		c.admitted(r, p)
+	}
+	return v
+}
+
+// finish estimates the time to the whole answer.
+func (c *Controller) finish(p *plan, now time.Time) time.Duration {
+	var sum float64
+	for i := range p.stages {
+		s := &p.stages[i]
+		if s.latency.Samples() < minSamples || now.Sub(s.latency.Last()) > estimateLife {
+			// Without recent evidence a request is let through: only requests
+			// that run can bring the estimate back.
+			continue
+		}
+		sum += s.latency.Mean() + c.opts.Margin*s.latency.Deviation()
+	}
+	return time.Duration(sum * float64(time.Second))
+}
+
+const (
+	minSamples   = 8
+	estimateLife = 3 * time.Second
+)
+
+func (c *Controller) background(p *plan, v *Verdict) {
+	for i := range p.stages {
+		pl := p.stages[i].pool
+		if l := pl.now(); l >= c.opts.BackgroundBelow {
+			v.Reason, v.Pool, v.RetryAfter = Waits, pl.name, waitBackground
+			v.Position, v.Threshold = l, c.opts.BackgroundBelow
+			return
+		}
+	}
+}
+
+// fits compares the request's place in the order of worth with the part of the
+// demand that the pool can serve.
+func (c *Controller) fits(now time.Time, r *Request, s *step, v *Verdict) bool {
+	pl := s.pool
+	threshold := pl.part()
+	if threshold >= 1 {
+		return true
+	}
+	reason := Outweighed
+	if a := pl.accounts.Load(); a != nil {
+		t := a.find(accountHash(r.Account)).threshold.Load()
+		if t >= 1 {
+			// The account asks for less than its share: nothing is refused.
+			return true
+		}
+		usual := pl.share.Load()
+		if t < usual {
+			reason = OverShare
+		}
+		threshold = min(1, threshold*t/max(leastPart, usual))
+	}
+	lv := int(s.level.Load())
+	above, mass := pl.above[lv].Load(), pl.mass[lv].Load()
+	phase := c.phase(now, r)
+	v.Position, v.Threshold = above+phase*mass, threshold
+	if v.Position < threshold {
+		return true
+	}
+	v.Reason, v.Pool = reason, pl.name
+	v.RetryAfter = c.turn(phase, (threshold-above)/max(mass, 1e-9))
+	return false
+}
+
+// phase places a request among those of equal worth. It moves with time, the
+// same for every entry host, so that a request that is refused now has its turn
+// later wherever it comes back.
+func (c *Controller) phase(now time.Time, r *Request) float64 {
+	id := r.Identity
+	if id == 0 {
+		return c.rand.Float64()
+	}
+	_, f := math.Modf(float64(id>>11)/(1<<53) + float64(now.UnixNano()%int64(c.opts.Rotation))/float64(c.opts.Rotation))
+	return f
+}
+
+// turn returns after how many whole seconds a request at phase is within the
+// admitted part of its level, also if it comes a tenth of the wait late.
+func (c *Controller) turn(phase, part float64) time.Duration {
+	rotation := c.opts.Rotation.Seconds()
+	if part > 1/rotation {
+		for wait := 1.0; wait <= rotation+1; wait++ {
+			_, at := math.Modf(phase + wait/rotation)
+			if at+wait*lateness/rotation < part*turnMargin {
+				return time.Duration(wait) * time.Second
+			}
+		}
+	}
+	return waitOutweighed
+}
+
+const (
+	lateness   = .1
+	turnMargin = .9
+)
