Entry host: decisions wired in, settings, expvar, explain

GET /explain?method=&path=&account=&header= on the admin port says whether a request would be admitted and where each stage would run, and why.

--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -36,6 +36,8 @@
 	Spans        string
 	SpansTo      string
 	SpansShare   float64
+
+	Policy PolicyOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -44,6 +46,7 @@
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peer: "127.0.0.1:8082",
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
+		Policy: defaultPolicyOptions(),
 	}
 }
 
@@ -66,6 +69,7 @@
 	set.String(&o.Spans, "spans", "span exporter: none, stdout or otlp", nil)
 	set.String(&o.SpansTo, "spans-to", "OTLP collector, host:port", nil)
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
+	o.Policy.register(set)
 }
 
 func address(v string) error {
--- a/entryhost/policy.go
+++ b/entryhost/policy.go
@@ -1,23 +1,125 @@
 package entryhost
 
 import (
+	"context"
+	"expvar"
+	"maps"
 	"net/http"
+	"slices"
+	"time"
 
+	"bilberrydale/connection/loadreport"
+	"bilberrydale/internal/settings"
 	"bilberrydale/process/admission"
+	"bilberrydale/process/server"
 	"bilberrydale/version/pick"
 	"bilberrydale/version/table"
 )
 
+// PolicyOptions are the settings of the decisions under load.
+type PolicyOptions struct {
+	LoadTarget      float64
+	BackgroundBelow float64
+	RemoteAt        float64
+	RemotePerMB     float64
+	SubsetRegion    int
+	SubsetRemote    int
+	LoadReports     int
+}
+
+func defaultPolicyOptions() PolicyOptions {
+	a, p := admission.DefaultOptions(), pick.DefaultOptions("", "", "")
+	return PolicyOptions{
+		LoadTarget: a.Target, BackgroundBelow: a.BackgroundBelow, RemoteAt: p.RemoteAt, RemotePerMB: p.RemotePerMB,
+		SubsetRegion: p.SubsetRegion, SubsetRemote: p.SubsetRemote, LoadReports: loadreport.DefaultOptions().PerSecond,
+	}
+}
+
+func (o *PolicyOptions) register(set *settings.Set) {
+	set.Float(&o.LoadTarget, "load-target", "requests for a slot at which a full pool is held", .5, 10)
+	set.Float(&o.BackgroundBelow, "background-below", "load of every pool below which background requests start", 0, 10)
+	set.Float(&o.RemoteAt, "remote-at", "load of the own region from which other regions are tried", .5, 100)
+	set.Float(&o.RemotePerMB, "remote-per-mb", "load by which another region has to be better for each billed megabyte", 0, 1000)
+	set.Int(&o.SubsetRegion, "subset-region", "servers of a pool used in other domains of the own region", 1, 1000)
+	set.Int(&o.SubsetRemote, "subset-remote", "servers of a pool used in each other region", 1, 1000)
+	set.Int(&o.LoadReports, "load-reports", "load reports fetched a second", 1, 1000)
+}
+
 // policyPart decides what to admit and where to run it.
 type policyPart struct {
-	admit admission.Admitter
+	admit   admission.Admitter
+	control *admission.Controller
 }
 
-func (h *Host) wirePolicy() { h.policy.admit = admission.Always{} }
+// tickEvery is how often loads are taken in; a tick reads atomics only.
+const tickEvery = 100 * time.Millisecond
+
+// policyVars shows every entry host of the process by name.
+var policyVars = expvar.NewMap("policy")
+
+func (h *Host) wirePolicy() {
+	opts := admission.DefaultOptions()
+	opts.Target, opts.BackgroundBelow = h.opts.Policy.LoadTarget, h.opts.Policy.BackgroundBelow
+	h.policy.control = admission.NewController(opts, h.rand)
+	h.policy.admit = h.policy.control
+	h.add("admission", h.tick)
+	reports := loadreport.DefaultOptions()
+	reports.PerSecond = h.opts.Policy.LoadReports
+	h.add("load reports", loadreport.New(reports, h.clock, h.reach).Run)
+	policyVars.Set(h.opts.Name, expvar.Func(func() any {
+		return map[string]any{"pools": h.policy.control.States(), "refusals": h.policy.control.Refusals()}
+	}))
+}
 
 // newPicker makes the picker of one pool of a new snapshot.
 func (h *Host) newPicker(_ table.Pool, servers []pick.Server) pick.Picker {
-	return pick.NewRandom(servers)
+	o := pick.DefaultOptions(h.opts.Name, h.opts.Domain, h.opts.Region)
+	o.RemoteAt, o.RemotePerMB = h.opts.Policy.RemoteAt, h.opts.Policy.RemotePerMB
+	o.SubsetRegion, o.SubsetRemote = h.opts.Policy.SubsetRegion, h.opts.Policy.SubsetRemote
+	return pick.NewPlaced(o, servers)
 }
 
-func (h *Host) adminPolicy(*http.ServeMux) {}
+func (h *Host) tick(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.clock.After(tickEvery):
+			now := h.clock.Now()
+			h.policy.control.Tick(now, h.loads(now))
+		}
+	}
+}
+
+// placed returns the pickers in force by pool, in a fixed order.
+func (h *Host) placed(f func(pool string, p *pick.Placed)) {
+	snap := h.inForce.Load()
+	if snap == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(snap.Pools)) {
+		if p, ok := snap.Pools[name].Picker.(*pick.Placed); ok {
+			f(name, p)
+		}
+	}
+}
+
+func (h *Host) loads(now time.Time) []admission.PoolLoad {
+	var out []admission.PoolLoad
+	h.placed(func(pool string, p *pick.Placed) {
+		l := p.Load(now)
+		out = append(out, admission.PoolLoad{Pool: pool, Slots: l.Slots, Busy: l.Busy})
+	})
+	return out
+}
+
+// reach returns the servers whose load reports matter here.
+func (h *Host) reach() []*server.State {
+	var out []*server.State
+	h.placed(func(_ string, p *pick.Placed) { out = append(out, p.Reach()...) })
+	return out
+}
+
+func (h *Host) adminPolicy(mux *http.ServeMux) {
+	mux.Handle("GET /explain", h.authorized(h.explain))
+}
