--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -38,6 +38,7 @@
 	SpansShare   float64
 
 	Requests RequestOptions
+	Policy   PolicyOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -47,6 +48,7 @@
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
 		Requests: DefaultRequestOptions(),
+		Policy:   defaultPolicyOptions(),
 	}
 }
 
@@ -70,6 +72,7 @@
 	set.String(&o.SpansTo, "spans-to", "OTLP collector, host:port", nil)
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
 	o.Requests.register(set)
+	o.Policy.register(set)
 }
 
 func address(v string) error {
