--- a/version/table/rows.go
+++ b/version/table/rows.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"io"
 	"strings"
 
-	"go.yaml.in/yaml/v3"
-
 	"bilberrydale/process/release"
 )
 
@@ -20,22 +18,14 @@
 )
 
 // FromRows decodes a release's rows. Unknown fields and unknown tables are
-// faults.
+// faults, and so is a row whose key is not its name: the key decides conflicts
+// between operators and the name what requests use, so they have to agree.
 func FromRows(rows []release.Row) (Tables, error) {
 	var t Tables
 	var faults Faults
 	for _, r := range rows {
-		var err error
-		switch {
-		case strings.HasPrefix(r.Key, RoutePrefix):
-			err = appendRow(&t.Routes, r.Data)
-		case strings.HasPrefix(r.Key, PoolPrefix):
-			err = appendRow(&t.Pools, r.Data)
-		default:
-			err = fmt.Errorf("row of no known table")
-		}
-		if err != nil {
-			faults = append(faults, Fault{r.Key, "row", err.Error(), "correct or remove the row"})
+		if err := t.appendRow(r); err != nil {
+			faults = append(faults, Fault{Row: r.Key, Field: "row", What: err.Error(), Mend: "correct or remove the row"})
 		}
 	}
 	if faults != nil {
@@ -44,15 +34,40 @@
 	return t, nil
 }
 
-func appendRow[T any](list *[]T, data []byte) error {
+func (t *Tables) appendRow(r release.Row) error {
+	if len(r.Data) > MaxRowBytes {
+		return fmt.Errorf("has %d bytes, over %d", len(r.Data), MaxRowBytes)
+	}
+	if name, ok := strings.CutPrefix(r.Key, RoutePrefix); ok {
+		v, err := decodeRow[Route](r.Data)
+		if err == nil && v.Name != name {
+			err = fmt.Errorf("holds the name %q", v.Name)
+		}
+		t.Routes = append(t.Routes, v)
+		return err
+	}
+	if name, ok := strings.CutPrefix(r.Key, PoolPrefix); ok {
+		v, err := decodeRow[Pool](r.Data)
+		if err == nil && v.Name != name {
+			err = fmt.Errorf("holds the name %q", v.Name)
+		}
+		t.Pools = append(t.Pools, v)
+		return err
+	}
+	return errors.New("row of no known table")
+}
+
+func decodeRow[T any](data []byte) (T, error) {
+	var v T
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
-	var v T
 	if err := dec.Decode(&v); err != nil {
-		return err
+		return v, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return v, errors.New("holds more than one value")
 	}
-	*list = append(*list, v)
-	return nil
+	return v, nil
 }
 
 // Check decodes and validates rows; it is the publisher's Validator.
@@ -83,41 +98,3 @@
 	}
 	return out, nil
 }
-
-// ReadDir reads every *.yaml file of dir, each with a routes and a pools list.
-// A field that no table has is an error that names the file and line.
-func ReadDir(dir string) (Tables, error) {
-	files, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
-	if err != nil {
-		return Tables{}, fmt.Errorf("list %s: %w", dir, err)
-	}
-	if len(files) == 0 {
-		return Tables{}, fmt.Errorf("%s: no *.yaml file; put routes.yaml and pools.yaml there", dir)
-	}
-	var all Tables
-	var faults []string
-	for _, f := range files {
-		t, err := readFile(f)
-		if err != nil {
-			faults = append(faults, fmt.Sprintf("%s: %v", f, err))
-			continue
-		}
-		all.Routes = append(all.Routes, t.Routes...)
-		all.Pools = append(all.Pools, t.Pools...)
-	}
-	if faults != nil {
-		return all, fmt.Errorf("%s", strings.Join(faults, "\n"))
-	}
-	return all, nil
-}
-
-func readFile(path string) (Tables, error) {
-	var t Tables
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return t, err
-	}
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	return t, dec.Decode(&t)
-}
--- /dev/null
+++ b/version/table/table_test.go
@@ -0,0 +1,223 @@
+package table
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bilberrydale/process/release"
+)
+
+func sound() Tables {
+	return Tables{
+		Routes: []Route{{
+			Name: "draft", Match: Match{Path: "/v1/drafts"}, Deadline: Duration(5 * time.Second), Worth: 1, Class: Standard,
+			Stages: []Stage{{Name: "generate", Pool: "model", Budget: Duration(time.Second), Repeatable: true, Stream: true}},
+		}},
+		Pools: []Pool{{
+			Name: "model", Kind: Engine, Model: Model{Name: "m"}, Slots: 8,
+			Servers: []Server{{Name: "m-1", Address: "10.0.0.1:8000", Domain: "d1", Region: "r1"}},
+		}},
+	}
+}
+
+func TestValidateNamesRowAndField(t *testing.T) {
+	cases := map[string]struct {
+		edit       func(*Tables)
+		row, field string
+	}{
+		"empty name":        {func(t *Tables) { t.Routes[0].Name = "" }, "routes[0]", "name"},
+		"route twice":       {func(t *Tables) { t.Routes = append(t.Routes, t.Routes[0]) }, "routes/draft", "name"},
+		"same match":        {func(t *Tables) { t.Routes = append(t.Routes, t.Routes[0]); t.Routes[1].Name = "b" }, "routes/b", "match"},
+		"dangling pool":     {func(t *Tables) { t.Routes[0].Stages[0].Pool = "modle" }, "routes/draft", "stages[0].pool"},
+		"no stages":         {func(t *Tables) { t.Routes[0].Stages = nil }, "routes/draft", "stages"},
+		"budgets too long":  {func(t *Tables) { t.Routes[0].Stages[0].Budget = Duration(6 * time.Second) }, "routes/draft", "deadline"},
+		"no deadline":       {func(t *Tables) { t.Routes[0].Deadline = 0 }, "routes/draft", "deadline"},
+		"long deadline":     {func(t *Tables) { t.Routes[0].Deadline = MaxDeadline + 1 }, "routes/draft", "deadline"},
+		"worth":             {func(t *Tables) { t.Routes[0].Worth = -1 }, "routes/draft", "worth"},
+		"class":             {func(t *Tables) { t.Routes[0].Class = "fast" }, "routes/draft", "class"},
+		"relative path":     {func(t *Tables) { t.Routes[0].Match.Path = "v1" }, "routes/draft", "match.path"},
+		"method":            {func(t *Tables) { t.Routes[0].Match.Method = "post" }, "routes/draft", "match.method"},
+		"header name":       {func(t *Tables) { t.Routes[0].Match.Headers = map[string]string{"a b": "c"} }, "routes/draft", "match.headers"},
+		"unsafe stream":     {func(t *Tables) { t.Routes[0].Stages[0].Repeatable = false }, "routes/draft", "stages[0].stream"},
+		"stage path":        {func(t *Tables) { t.Routes[0].Stages[0].Path = "/a?b" }, "routes/draft", "stages[0].path"},
+		"negative cost":     {func(t *Tables) { t.Routes[0].Stages[0].Cost = -1 }, "routes/draft", "stages[0].cost"},
+		"kind":              {func(t *Tables) { t.Pools[0].Kind = "gpu" }, "pools/model", "kind"},
+		"no model":          {func(t *Tables) { t.Pools[0].Model = Model{} }, "pools/model", "model.name"},
+		"model of service":  {func(t *Tables) { t.Pools[0].Kind = Service }, "pools/model", "model"},
+		"slots":             {func(t *Tables) { t.Pools[0].Slots = 0 }, "pools/model", "slots"},
+		"no servers":        {func(t *Tables) { t.Pools[0].Servers = nil }, "pools/model", "servers"},
+		"address":           {func(t *Tables) { t.Pools[0].Servers[0].Address = "10.0.0.1" }, "pools/model", "servers[0].address"},
+		"port":              {func(t *Tables) { t.Pools[0].Servers[0].Address = "10.0.0.1:0" }, "pools/model", "servers[0].address"},
+		"unspecified":       {func(t *Tables) { t.Pools[0].Servers[0].Address = "0.0.0.0:80" }, "pools/model", "servers[0].address"},
+		"no domain":         {func(t *Tables) { t.Pools[0].Servers[0].Domain = "" }, "pools/model", "servers[0].domain"},
+		"weight":            {func(t *Tables) { t.Pools[0].Servers[0].Weight = -1 }, "pools/model", "servers[0].weight"},
+		"domain in 2 areas": {func(t *Tables) { t.Pools = append(t.Pools, other("m-2", "10.0.0.2:1", "d1", "r2")) }, "pools/other", "servers[0].region"},
+		"address shared":    {func(t *Tables) { t.Pools = append(t.Pools, other("m-2", "10.0.0.1:8000", "d1", "r1")) }, "pools/other", "servers[0].address"},
+		"server moved":      {func(t *Tables) { t.Pools = append(t.Pools, other("m-1", "10.0.0.9:8000", "d1", "r1")) }, "pools/other", "servers[0].address"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tables := sound()
+			g.Expect(Validate(tables)).To(Succeed())
+			c.edit(&tables)
+			err := Validate(tables)
+			g.Expect(err).To(BeAssignableToTypeOf(Faults{}))
+			got := err.(Faults)[0] //nolint:errorlint // the type is asserted above
+			g.Expect([]string{got.Row, got.Field}).To(Equal([]string{c.row, c.field}), err.Error())
+			g.Expect(got.Mend).NotTo(BeEmpty())
+		})
+	}
+}
+
+func other(name, addr, domain, region string) Pool {
+	return Pool{Name: "other", Kind: Service, Slots: 1, Servers: []Server{{Name: name, Address: addr, Domain: domain, Region: region}}}
+}
+
+const faultyRoutes = `routes:
+  - name: draft
+    match: {path: /v1/drafts}
+    deadline: 5 seconds
+    worth: 1
+    clas: standard
+    class: standard
+    stages:
+      - {name: generate, pool: modle, budget: 1s, repeatable: true}
+      - {name: generate, pool: model, budget: 1s, repeatable: maybe}
+`
+
+const faultyPools = `pools:
+  - name: model
+    kind: engine
+    model: {name: m}
+    slots: 8
+    slots: 9
+    servers:
+      - {name: m-1, address: '10.0.0.1', domain: d1, region: r1}
+      - &more {name: m-2, address: '10.0.0.2:80', domain: d1, region: r1}
+`
+
+// Operators release a frozen backlog at once; a report that stopped at the
+// first fault would cost one round a fault.
+func TestOneReportHoldsEveryFaultOfBothFiles(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Parse([]File{{"pools.yaml", []byte(faultyPools)}, {"routes.yaml", []byte(faultyRoutes)}})
+	var faults Faults
+	g.Expect(err).To(BeAssignableToTypeOf(faults))
+	faults = err.(Faults) //nolint:errorlint // the type is asserted above
+	var got []string
+	for _, f := range faults {
+		got = append(got, fmt.Sprintf("%s:%d %s %s", f.File, f.Line, f.Row, f.Field))
+	}
+	g.Expect(got).To(ConsistOf(
+		"pools.yaml:6 pools/model slots",
+		"pools.yaml:8 pools/model servers[0].address",
+		"pools.yaml:9 pools/model servers[1]",
+		"pools.yaml:9 pools/model servers[1].name", // not decoded because of the anchor
+		"pools.yaml:9 pools/model servers[1].address",
+		"pools.yaml:9 pools/model servers[1].domain",
+		"pools.yaml:9 pools/model servers[1].region",
+		"routes.yaml:4 routes/draft deadline",
+		"routes.yaml:6 routes/draft clas",
+		"routes.yaml:9 routes/draft stages[0].pool",
+		"routes.yaml:10 routes/draft stages[1].repeatable",
+		"routes.yaml:10 routes/draft stages[1].name",
+	), err.Error())
+}
+
+func TestExamplesHoldTogether(t *testing.T) {
+	dirs, err := filepath.Glob("../../examples/*")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(dirs)).To(BeNumerically(">=", 2))
+	for _, dir := range dirs {
+		tables, err := ReadDir(dir)
+		g.Expect(err).NotTo(HaveOccurred(), dir)
+		g.Expect(tables.Routes).NotTo(BeEmpty(), dir)
+	}
+}
+
+func TestRowsRefuseWhatNoTableHas(t *testing.T) {
+	row := func(key, data string) release.Row { return release.Row{Key: key, Data: []byte(data)} }
+	for name, r := range map[string]release.Row{
+		"unknown table": row("hosts/a", `{"name":"a"}`),
+		"unknown field": row("pools/a", `{"name":"a","colour":1}`),
+		"other name":    row("pools/a", `{"name":"b"}`),
+		"two values":    row("pools/a", `{"name":"a"}{}`),
+		"no JSON":       row("routes/a", `name: a`),
+		"bad duration":  row("routes/a", `{"name":"a","deadline":"soon"}`),
+		"too large":     row("routes/a", `{"name":"`+strings.Repeat("a", MaxRowBytes)+`"}`),
+	} {
+		_, err := FromRows([]release.Row{r})
+		NewWithT(t).Expect(err).To(HaveOccurred(), name)
+	}
+}
+
+func TestReadDirRefusesAnEmptyFolderAndAHugeFile(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	_, err := ReadDir(dir)
+	g.Expect(err).To(MatchError(ContainSubstring(RoutesFile)))
+	g.Expect(os.WriteFile(filepath.Join(dir, "big.yaml"), make([]byte, MaxFileBytes+1), 0o600)).To(Succeed())
+	_, err = ReadDir(dir)
+	g.Expect(err).To(MatchError(ContainSubstring("big.yaml")))
+}
+
+// genTables makes sound tables of any shape.
+func genTables(t *rapid.T) Tables {
+	name := rapid.StringMatching(`[a-z][a-z0-9.-]{0,8}`)
+	pools := rapid.SliceOfNDistinct(name, 1, 4, rapid.ID).Draw(t, "pools")
+	var out Tables
+	for i, p := range pools {
+		pool := Pool{Name: p, Kind: rapid.SampledFrom([]PoolKind{Encoder, Service}).Draw(t, "kind"), Slots: rapid.IntRange(1, 99).Draw(t, "slots")}
+		for j := range rapid.IntRange(1, 3).Draw(t, "servers") {
+			n := p + string(rune('a'+j)) + string(rune('0'+i))
+			pool.Servers = append(pool.Servers, Server{Name: n, Address: "10.0." + string(rune('0'+i)) + "." + string(rune('0'+j)) + ":80", Domain: "d", Region: "r", Weight: rapid.Float64Range(0, 10).Draw(t, "weight")})
+		}
+		out.Pools = append(out.Pools, pool)
+	}
+	for _, r := range rapid.SliceOfNDistinct(name, 0, 4, rapid.ID).Draw(t, "routes") {
+		route := Route{Name: r, Match: Match{Path: "/" + r}, Deadline: Duration(time.Minute), Worth: rapid.Float64Range(0.1, 9).Draw(t, "worth"), Class: Background}
+		route.Match.Headers = rapid.MapOfN(rapid.StringMatching(`X-[A-Z]{1,4}`), rapid.String(), 1, 3).Draw(t, "headers")
+		for i := range rapid.IntRange(1, MaxStages).Draw(t, "stages") {
+			route.Stages = append(route.Stages, Stage{
+				Name: "s" + string(rune('a'+i)), Pool: rapid.SampledFrom(pools).Draw(t, "pool"),
+				Budget: Duration(rapid.Int64Range(1, int64(time.Second)).Draw(t, "budget")), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			})
+		}
+		out.Routes = append(out.Routes, route)
+	}
+	return out
+}
+
+func TestTablesSurviveRowsAndFiles(t *testing.T) {
+	dir := t.TempDir()
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		want := genTables(rt)
+		g.Expect(Validate(want)).To(Succeed())
+		g.Expect(WriteDir(dir, want)).To(Succeed())
+		got, err := ReadDir(dir)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(want))
+		rows, err := Encode(got)
+		g.Expect(err).NotTo(HaveOccurred())
+		var list []release.Row
+		for _, r := range want.Routes {
+			list = append(list, release.Row{Key: RoutePrefix + r.Name, Data: rows[RoutePrefix+r.Name]})
+		}
+		for _, p := range want.Pools {
+			list = append(list, release.Row{Key: PoolPrefix + p.Name, Data: rows[PoolPrefix+p.Name]})
+		}
+		back, err := FromRows(list)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(back).To(Equal(want))
+	})
+}
