bilberryctl: commands in a registry, edits from a known base, field diff, hosts

Cause: apply took the newest release as the base of every row, so the later of two operators silently undid the earlier one (the test was red with that base: TestTwoOperatorsCannotUndoEachOther, TestApplyAgainLeavesOthersRowsAlone). export writes the tables with a base file of row versions; apply compares with it, keeps others' rows out of the edit and is refused whole on a conflict. Moving the whole base to the accepted release was red too: the folder's old rows of others then count as edits. status fails when hosts differ, do not answer or have no release; found by a flaky test that took two hosts at release 0 for agreement. Settings: unknown flags were ignored silently by flaggy; every fault is now reported together, and secrets can come from a file. The demo knows both examples, wires peers, checks ports and prints executions.

--- a/cmd/bilberryd/main.go
+++ b/cmd/bilberryd/main.go
@@ -25,13 +25,9 @@
 	opts := entryhost.DefaultOptions()
 	p := flaggy.NewParser("bilberryd")
 	p.Description = "Serves callers' requests through the stages of their routes."
-	p.ShowHelpOnUnexpected = false
 	set := settings.New(p, "BILBERRYD")
 	opts.Register(set)
-	if err := p.ParseArgs(args); err != nil {
-		return err
-	}
-	if err := set.Check(); err != nil {
+	if err := settings.Parse(p, args, set); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,7 +29,6 @@
 
 func run(args []string) error {
 	p := flaggy.NewParser("standin")
-	p.ShowHelpOnUnexpected = false
 	listen := "127.0.0.1:0"
 	eng := engine.Options{Name: "engine", Slots: 8, Tokens: 16, Prefill: 20 * time.Millisecond, PerToken: 2 * time.Millisecond, ReportLag: time.Second, Crash: crash}
 	svc := service.Options{Name: "service", Slots: 64, Time: 5 * time.Millisecond, Crash: crash}
@@ -47,14 +46,9 @@
 	sets[2].String(&svc.Name, "name", "name of the backend server", settings.Required)
 	sets[2].Int(&svc.Slots, "slots", "requests run at once", 1, 10000)
 	sets[2].Duration(&svc.Time, "time", "time of one execution", 0, time.Minute)
-	if err := p.ParseArgs(args); err != nil {
+	if err := settings.Parse(p, args, sets...); err != nil {
 		return err
 	}
-	for _, s := range sets {
-		if err := s.Check(); err != nil {
-			return err
-		}
-	}
 	switch {
 	case pc.Used:
 		return serve(listen, platform.New().Handler())
--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -60,6 +60,7 @@
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
 	h.adminRequests(mux)
+	h.adminQuarantine(mux)
 	return mux
 }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,4 +1,6 @@
-// Package ctl holds the operators' commands behind cmd/bilberryctl.
+// Package ctl is the operators' command behind cmd/bilberryctl: a registry of
+// small commands on releases (through the platform) and on running entry hosts
+// (through their admin ports).
 package ctl
 
 import (
@@ -6,107 +8,173 @@
 	"errors"
 	"fmt"
 	"io"
-	"sort"
+	"os"
+	"strings"
+	"time"
 
-	"bilberrydale/process/clock"
+	"github.com/integrii/flaggy"
+
+	"bilberrydale/internal/settings"
 	"bilberrydale/process/platform"
-	"bilberrydale/process/release"
-	"bilberrydale/version/table"
 )
 
-// Tables are the operators' commands on releases.
-type Tables struct {
-	Store  platform.Store
-	Author string
+// Env is what commands work on. Tests fill it with in-process parts.
+type Env struct {
 	Out    io.Writer
+	JSON   bool // print JSON in place of tables
+	Author string
+	Note   string
+	Store  platform.Store
+	Hosts  *Hosts
+}
+
+// command is one operators' command. Its name is one word, or a group and a
+// word, such as "quarantine list".
+type command struct {
+	name  string
+	help  string
+	arg   string // name of its one positional argument; empty: none
+	flags func(*settings.Set)
+	run   func(ctx context.Context, env *Env, arg string) error
+}
+
+// commands makes the registry anew for each parse, because flags hold state.
+func commands() []*command {
+	var all []*command
+	for _, group := range [][]*command{tableCommands(), releaseCommands(), hostCommands(), quarantineCommands(), explainCommands()} {
+		all = append(all, group...)
+	}
+	return all
+}
+
+type options struct {
+	platform, platformToken string
+	hosts, adminToken, ca   string
+	author, note            string
+	json                    bool
+	timeout                 time.Duration
 }
 
-func (t *Tables) publisher() *release.Publisher {
-	return &release.Publisher{Store: t.Store, Validate: table.Check, Clock: clock.System{}, Rand: clock.SystemRand{}}
+func (o *options) register(set *settings.Set) {
+	set.String(&o.platform, "platform", "base URL of the platform's object API", settings.Required)
+	set.Secret(&o.platformToken, "platform-token", "bearer token for the platform")
+	set.String(&o.hosts, "hosts", "admin addresses of entry hosts, host:port separated by commas", nil)
+	set.Secret(&o.adminToken, "admin-token", "bearer token for the admin ports")
+	set.String(&o.ca, "admin-ca", "PEM file of the authority that signs the admin ports' certificates; set: TLS", nil)
+	set.String(&o.author, "author", "name that a release is accepted under", settings.Required)
+	set.String(&o.note, "note", "why the release is made", nil)
+	set.Bool(&o.json, "json", "print JSON")
+	set.Duration(&o.timeout, "timeout", "longest time for one command", time.Second, 10*time.Minute)
 }
 
-// Validate checks the tables of dir on their own.
-func (t *Tables) Validate(dir string) error {
-	tables, err := table.ReadDir(dir)
+func (o *options) env(out io.Writer) (*Env, error) {
+	hosts, err := NewHosts(HostsOptions{Addresses: splitList(o.hosts), Token: o.adminToken, CA: o.ca})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := table.Validate(tables); err != nil {
-		return err
+	return &Env{
+		Out: out, JSON: o.json, Author: o.author, Note: o.note, Hosts: hosts,
+		Store: platform.NewHTTP(platform.HTTPOptions{BaseURL: o.platform, Token: o.platformToken}),
+	}, nil
+}
+
+func splitList(text string) []string {
+	var out []string
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
 	}
-	fmt.Fprintf(t.Out, "%s: %d routes and %d pools hold together\n", dir, len(tables.Routes), len(tables.Pools))
-	return nil
+	return out
 }
 
-// Apply makes the tables of dir the next release: rows that differ from the
-// newest release are changed, rows that dir lacks are deleted.
-func (t *Tables) Apply(ctx context.Context, dir, note string) error {
-	set, err := t.changes(ctx, dir, note)
+// Run parses args and runs one command.
+func Run(ctx context.Context, args []string, out io.Writer) error {
+	author := os.Getenv("USER")
+	if author == "" {
+		author = "unknown"
+	}
+	o := &options{platform: "http://127.0.0.1:8090", hosts: "127.0.0.1:8081", author: author, timeout: time.Minute}
+	chosen, arg, err := parse(o, args)
 	if err != nil {
 		return err
 	}
-	if len(set.Changes) == 0 {
-		fmt.Fprintln(t.Out, "nothing to change")
-		return nil
-	}
-	rel, err := t.publisher().Apply(ctx, set)
+	env, err := o.env(out)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(t.Out, "release %d accepted: %d rows changed, hash %s\n", rel.Number, len(set.Changes), rel.Hash)
-	return nil
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	return chosen.run(ctx, env, arg)
 }
 
-// Diff prints what Apply would change.
-func (t *Tables) Diff(ctx context.Context, dir string) error {
-	set, err := t.changes(ctx, dir, "")
-	if err != nil {
-		return err
+// attached is a command with its place in the parser.
+type attached struct {
+	*command
+	sub *flaggy.Subcommand
+	arg string
+}
+
+func parse(o *options, args []string) (*command, string, error) {
+	p := flaggy.NewParser("bilberryctl")
+	p.Description = "Edits the tables and looks after entry hosts."
+	set := settings.New(p, "BILBERRYCTL")
+	o.register(set)
+	list, sets := attach(p)
+	if err := settings.Parse(p, args, append(sets, set)...); err != nil {
+		return nil, "", err
 	}
-	for _, c := range set.Changes {
-		switch {
-		case c.Delete:
-			fmt.Fprintln(t.Out, "-", c.Key)
-		case c.Base == 0:
-			fmt.Fprintln(t.Out, "+", c.Key)
-		default:
-			fmt.Fprintln(t.Out, "~", c.Key)
+	for _, a := range list {
+		if !a.sub.Used {
+			continue
 		}
+		if a.command.arg != "" && a.arg == "" {
+			return nil, "", fmt.Errorf("%s: name the %s", a.name, a.command.arg)
+		}
+		return a.command, a.arg, nil
 	}
-	return nil
+	return nil, "", errors.New("name a command: " + strings.Join(commandNames(), ", ") + "; see --help")
 }
 
-// changes compares the tables of dir with the newest release.
-func (t *Tables) changes(ctx context.Context, dir, note string) (release.ChangeSet, error) {
-	set := release.ChangeSet{Author: t.Author, Note: note}
-	tables, err := table.ReadDir(dir)
-	if err != nil {
-		return set, err
-	}
-	if err := errors.Join(table.Validate(tables)); err != nil {
-		return set, err
-	}
-	want, err := table.Encode(tables)
-	if err != nil {
-		return set, err
-	}
-	head, _, err := t.publisher().Head(ctx)
-	if err != nil {
-		return set, err
-	}
-	for _, row := range head.Rows {
-		data, kept := want[row.Key]
-		delete(want, row.Key)
-		switch {
-		case !kept:
-			set.Changes = append(set.Changes, release.Change{Key: row.Key, Delete: true, Base: row.Version})
-		case string(data) != string(row.Data):
-			set.Changes = append(set.Changes, release.Change{Key: row.Key, Data: data, Base: row.Version})
+func attach(p *flaggy.Parser) ([]*attached, []*settings.Set) {
+	var list []*attached
+	var sets []*settings.Set
+	groups := map[string]*flaggy.Subcommand{}
+	for _, c := range commands() {
+		a := &attached{command: c}
+		group, word, nested := strings.Cut(c.name, " ")
+		if !nested {
+			word = group
+		}
+		a.sub = flaggy.NewSubcommand(word)
+		a.sub.Description = c.help
+		if c.arg != "" {
+			a.sub.AddPositionalValue(&a.arg, c.arg, 1, false, c.arg)
 		}
+		if c.flags != nil {
+			set := settings.New(a.sub, "BILBERRYCTL")
+			c.flags(set)
+			sets = append(sets, set)
+		}
+		if !nested {
+			p.AttachSubcommand(a.sub, 1)
+		} else {
+			if groups[group] == nil {
+				groups[group] = flaggy.NewSubcommand(group)
+				groups[group].Description = "commands on " + group
+				p.AttachSubcommand(groups[group], 1)
+			}
+			groups[group].AttachSubcommand(a.sub, 1)
+		}
+		list = append(list, a)
 	}
-	for key, data := range want {
-		set.Changes = append(set.Changes, release.Change{Key: key, Data: data})
+	return list, sets
+}
+
+func commandNames() []string {
+	var names []string
+	for _, c := range commands() {
+		names = append(names, c.name)
 	}
-	sort.Slice(set.Changes, func(i, j int) bool { return set.Changes[i].Key < set.Changes[j].Key })
-	return set, nil
+	return names
 }
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,238 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/entryhost"
+	"bilberrydale/internal/standin/platform"
+)
+
+// operator runs commands against one platform, as a person would.
+type operator struct {
+	t        *testing.T
+	name     string
+	platform string
+	hosts    string
+}
+
+func newOperator(t *testing.T) *operator {
+	srv := httptest.NewServer(platform.New().Handler())
+	t.Cleanup(srv.Close)
+	return &operator{t: t, name: "ada", platform: srv.URL, hosts: "127.0.0.1:1"}
+}
+
+func (o *operator) as(name string) *operator {
+	other := *o
+	other.name = name
+	return &other
+}
+
+func (o *operator) run(args ...string) (string, error) {
+	var out bytes.Buffer
+	all := append(args, "--platform", o.platform, "--author", o.name, "--hosts", o.hosts)
+	err := Run(context.Background(), all, &out)
+	return out.String(), err
+}
+
+func (o *operator) must(args ...string) string {
+	o.t.Helper()
+	out, err := o.run(args...)
+	NewWithT(o.t).Expect(err).NotTo(HaveOccurred(), strings.Join(args, " "))
+	return out
+}
+
+// example copies an example's tables into a folder of its own.
+func example(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	NewWithT(t).Expect(os.CopyFS(dir, os.DirFS("../../examples/kalahari"))).To(Succeed())
+	return dir
+}
+
+func replace(t *testing.T, dir, file, old, replacement string) {
+	t.Helper()
+	g := NewWithT(t)
+	path := filepath.Join(dir, file)
+	data, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(ContainSubstring(old))
+	g.Expect(os.WriteFile(path, []byte(strings.Replace(string(data), old, replacement, 1)), 0o600)).To(Succeed())
+}
+
+// Two operators export the same release and both change the same row. The
+// first apply is accepted. The second would undo it, so it has to be refused
+// whole, naming the row and who changed it; an edit of another row passes.
+func TestTwoOperatorsCannotUndoEachOther(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	ada.must("apply", example(t))
+	bo := ada.as("bo")
+	first, second := t.TempDir(), t.TempDir()
+	ada.must("export", first)
+	bo.must("export", second)
+
+	replace(t, first, "routes.yaml", "worth: 8", "worth: 9")
+	replace(t, second, "routes.yaml", "worth: 8", "worth: 7")
+	replace(t, second, "pools.yaml", "slots: 16", "slots: 17")
+	ada.must("apply", first)
+	out, err := bo.run("diff", second)
+	g.Expect(err).To(MatchError(ContainSubstring("1 rows conflict")))
+	g.Expect(out).To(ContainSubstring(`changed meanwhile by "ada" in release 2`))
+	_, err = bo.run("apply", second)
+	g.Expect(err).To(MatchError(And(ContainSubstring("nothing was changed"), ContainSubstring("routes/draft"), ContainSubstring("ada"))))
+
+	replace(t, second, "routes.yaml", "worth: 7", "worth: 8")
+	g.Expect(bo.must("apply", second)).To(ContainSubstring("release 3 accepted: 1 rows changed"))
+	fresh := t.TempDir()
+	ada.must("export", fresh)
+	data, err := os.ReadFile(filepath.Join(fresh, "routes.yaml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(ContainSubstring("worth: 9"))
+}
+
+// A folder that was applied once still holds the old rows of others. Applying
+// it again must not count those as edits.
+func TestApplyAgainLeavesOthersRowsAlone(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir)
+	other := t.TempDir()
+	ada.must("export", other)
+	replace(t, other, "routes.yaml", "worth: 8", "worth: 9")
+	ada.must("apply", other)
+
+	replace(t, dir, "pools.yaml", "slots: 16", "slots: 17")
+	g.Expect(ada.must("apply", dir)).To(ContainSubstring("1 other rows in the folder are older"))
+	g.Expect(ada.must("apply", dir)).To(ContainSubstring("nothing to change"))
+}
+
+func TestApplyWithoutABaseIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	ada.must("apply", example(t))
+	dir := example(t)
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	_, err := ada.run("apply", dir)
+	g.Expect(err).To(MatchError(ContainSubstring("--force-rebase")))
+	g.Expect(ada.must("apply", dir, "--force-rebase")).To(ContainSubstring("1 rows changed"))
+}
+
+func TestBaseOfAnotherPlatformIsRefused(t *testing.T) {
+	dir := example(t)
+	newOperator(t).must("apply", dir)
+	_, err := newOperator(t).run("apply", dir)
+	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("which this platform does not have")))
+}
+
+func TestExportKeepsEditsThatAreNotApplied(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir)
+	ada.must("export", dir)
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	_, err := ada.run("export", dir)
+	g.Expect(err).To(MatchError(ContainSubstring("1 edited rows")))
+}
+
+func TestDiffNamesFields(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir)
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	replace(t, dir, "pools.yaml", "      - {name: encoder-1, address: '127.0.0.1:18201', domain: khomas-1, region: khomas}\n", "")
+	out := ada.must("diff", dir)
+	g.Expect(out).To(ContainSubstring("routes/draft\n  ~ worth: 8 -> 9\n"))
+	g.Expect(out).To(ContainSubstring(`- servers[encoder-1].address: "127.0.0.1:18201"`))
+	g.Expect(out).NotTo(ContainSubstring("encoder-2"))
+	g.Expect(ada.must("diff", dir, "--json")).To(ContainSubstring(`"field": "worth"`))
+}
+
+func TestValidateReportsEveryFault(t *testing.T) {
+	g := NewWithT(t)
+	dir := example(t)
+	replace(t, dir, "routes.yaml", "class: standard", "class: fast")
+	replace(t, dir, "pools.yaml", "slots: 32", "slots: none")
+	ada := newOperator(t)
+	_, err := ada.run("validate", dir)
+	g.Expect(err).To(MatchError(And(ContainSubstring("routes.yaml:"), ContainSubstring("pools.yaml:"))))
+	out, err := ada.run("validate", dir, "--json")
+	g.Expect(err).To(MatchError("2 faults"))
+	g.Expect(out).To(ContainSubstring(`"field": "class"`))
+}
+
+// host runs an entry host in this process.
+func (o *operator) host(name string) string {
+	o.t.Helper()
+	g := NewWithT(o.t)
+	opts := entryhost.DefaultOptions()
+	opts.Name, opts.Domain, opts.Region, opts.Platform = name, "khomas-1", "khomas", o.platform
+	opts.Listen, opts.Admin, opts.Peer, opts.LogLevel = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "error"
+	ctx, cancel := context.WithCancel(context.Background())
+	h, err := entryhost.New(ctx, opts)
+	g.Expect(err).NotTo(HaveOccurred())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	o.t.Cleanup(func() {
+		cancel()
+		NewWithT(o.t).Eventually(done, 10*time.Second).Should(Receive(BeNil()))
+	})
+	_, admin := h.Addresses()
+	return admin
+}
+
+func TestStatusDrainAndQuarantineOfRunningHosts(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	ada.must("apply", example(t))
+	a, b := ada.host("e1"), ada.host("e2")
+	ada.hosts = a + "," + b
+	g.Eventually(func() error { _, err := ada.run("status"); return err }, 5*time.Second).Should(Succeed())
+	g.Expect(ada.must("status")).To(ContainSubstring("e2"))
+	g.Expect(ada.must("quarantine", "list", "--json")).To(Equal("[]\n"))
+	_, err := ada.run("quarantine", "lift", "00000000000000ff")
+	g.Expect(err).To(MatchError(ContainSubstring("no entry host has")))
+	_, err = ada.run("quarantine", "lift", "xyz")
+	g.Expect(err).To(MatchError(ContainSubstring("not a fingerprint")))
+
+	_, err = ada.run("drain")
+	g.Expect(err).To(MatchError(ContainSubstring("name one")))
+	one := *ada
+	one.hosts = a
+	one.must("drain")
+	g.Expect(one.must("status", "--json")).To(ContainSubstring(`"draining": true`))
+
+	ada.hosts = a + ",127.0.0.1:1"
+	_, err = ada.run("status")
+	g.Expect(err).To(MatchError("1 of 2 entry hosts do not answer"))
+}
+
+func TestStatusFailsWhenHostsDiffer(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(disagreement([]HostStatus{{Release: 1, Hash: "a"}, {Release: 1, Hash: "a"}})).To(Succeed())
+	g.Expect(disagreement([]HostStatus{{Release: 0}, {Release: 0}})).To(HaveOccurred())
+	g.Expect(disagreement([]HostStatus{{Release: 1, Hash: "a"}, {Release: 2, Hash: "b"}})).To(HaveOccurred())
+	g.Expect(disagreement([]HostStatus{{Release: 1, Hash: "a"}, {Release: 1, Hash: "b"}})).To(HaveOccurred())
+}
+
+func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	_, err := ada.run("aply", ".")
+	g.Expect(err).To(HaveOccurred())
+	_, err = ada.run()
+	g.Expect(err).To(MatchError(ContainSubstring("validate, export, diff, apply")))
+	_, err = ada.run("apply")
+	g.Expect(err).To(MatchError("apply: name the folder"))
+}
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,155 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+
+	"bilberrydale/internal/settings"
+	"bilberrydale/process/release"
+)
+
+// FieldChange is one field that an edit changes. Old or New is empty where
+// the field is added or removed.
+type FieldChange struct {
+	Row   string `json:"row"`
+	Field string `json:"field"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+	// Conflict names who changed the row since the edit's base.
+	Conflict string `json:"conflict,omitempty"`
+}
+
+type diffCommand struct{ rebase bool }
+
+func (c *diffCommand) flags(set *settings.Set) {
+	set.Bool(&c.rebase, "force-rebase", "without a base file, compare with the newest release")
+}
+
+func (c *diffCommand) run(ctx context.Context, env *Env, dir string) error {
+	x, err := env.readEdit(ctx, dir, c.rebase)
+	if errors.Is(err, errNoBase) {
+		return fmt.Errorf("%s: %w; export into a folder and edit there, or use --force-rebase to compare with the newest release", dir, err)
+	}
+	if err != nil {
+		return err
+	}
+	fields, err := x.fields()
+	if err != nil {
+		return err
+	}
+	if env.JSON {
+		return env.print(fields, nil, nil)
+	}
+	printFields(env, fields)
+	if n := len(x.conflicts()); n > 0 {
+		return fmt.Errorf("%d rows conflict: others changed them since release %d", n, x.base.Number)
+	}
+	return nil
+}
+
+func printFields(env *Env, fields []FieldChange) {
+	row := ""
+	for _, f := range fields {
+		if f.Row != row {
+			row = f.Row
+			env.say("%s", row)
+			if f.Conflict != "" {
+				env.say("  ! changed meanwhile by %s", f.Conflict)
+			}
+		}
+		switch {
+		case f.Old == "":
+			env.say("  + %s: %s", f.Field, f.New)
+		case f.New == "":
+			env.say("  - %s: %s", f.Field, f.Old)
+		default:
+			env.say("  ~ %s: %s -> %s", f.Field, f.Old, f.New)
+		}
+	}
+}
+
+func (x *edit) fields() ([]FieldChange, error) {
+	conflicts := x.conflicts()
+	out := []FieldChange{}
+	for _, c := range x.set.Changes {
+		fields, err := fieldChanges(c, x.base.Rows[c.Key].Data)
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range fields {
+			if row, ok := conflicts[c.Key]; ok {
+				f.Conflict = fmt.Sprintf("%q in release %d", row.Author, row.Version)
+			}
+			out = append(out, f)
+		}
+	}
+	return out, nil
+}
+
+func fieldChanges(c release.Change, old json.RawMessage) ([]FieldChange, error) {
+	before, err := flatten(old)
+	if err != nil {
+		return nil, fmt.Errorf("row %s: %w", c.Key, err)
+	}
+	after, err := flatten(c.Data)
+	if err != nil {
+		return nil, fmt.Errorf("row %s: %w", c.Key, err)
+	}
+	var out []FieldChange
+	for field, text := range after {
+		if before[field] != text {
+			out = append(out, FieldChange{Row: c.Key, Field: field, Old: before[field], New: text})
+		}
+	}
+	for field, text := range before {
+		if _, kept := after[field]; !kept {
+			out = append(out, FieldChange{Row: c.Key, Field: field, Old: text})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Field < out[j].Field })
+	return out, nil
+}
+
+// flatten gives the text of each field of a row by its path. List items with a
+// name go by it, so that an inserted item does not change all later ones.
+func flatten(data json.RawMessage) (map[string]string, error) {
+	out := map[string]string{}
+	if len(data) == 0 {
+		return out, nil
+	}
+	var v any
+	if err := json.Unmarshal(data, &v); err != nil {
+		return nil, err
+	}
+	flattenValue(out, "", v)
+	return out, nil
+}
+
+func flattenValue(out map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, item := range v {
+			flattenValue(out, strings.TrimPrefix(path+"."+key, "."), item)
+		}
+	case []any:
+		for i, item := range v {
+			flattenValue(out, fmt.Sprintf("%s[%s]", path, itemName(i, item)), item)
+		}
+	default:
+		text, _ := json.Marshal(v)
+		out[path] = string(text)
+	}
+}
+
+func itemName(i int, item any) string {
+	if m, ok := item.(map[string]any); ok {
+		if name, ok := m["name"].(string); ok && name != "" {
+			return name
+		}
+	}
+	return fmt.Sprint(i)
+}
--- /dev/null
+++ b/internal/ctl/hosts.go
@@ -0,0 +1,127 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// HostsOptions configure the client of the admin ports.
+type HostsOptions struct {
+	Addresses []string // host:port
+	Token     string
+	CA        string // PEM file; set: TLS
+}
+
+// Hosts calls the admin ports of entry hosts.
+type Hosts struct {
+	opts   HostsOptions
+	scheme string
+	client *http.Client
+}
+
+const (
+	hostTimeout    = 5 * time.Second
+	maxAdminAnswer = 64 << 20
+)
+
+// errNoEndpoint: the entry host answers, but does not serve the path.
+var errNoEndpoint = errors.New("this entry host does not serve that admin call; it may run an older build")
+
+// NewHosts returns a client for opts.Addresses.
+func NewHosts(opts HostsOptions) (*Hosts, error) {
+	tr := &http.Transport{Proxy: nil}
+	h := &Hosts{opts: opts, scheme: "http", client: &http.Client{Timeout: hostTimeout, Transport: tr}}
+	if opts.CA == "" {
+		return h, nil
+	}
+	pem, err := os.ReadFile(opts.CA)
+	if err != nil {
+		return nil, fmt.Errorf("--admin-ca: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("--admin-ca: %s holds no certificate", opts.CA)
+	}
+	tr.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	h.scheme = "https"
+	return h, nil
+}
+
+// call sends one admin call to one entry host; in and out may be nil.
+func (h *Hosts) call(ctx context.Context, method, addr, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode call: %w", err)
+		}
+		body = data
+	}
+	req, err := http.NewRequestWithContext(ctx, method, h.scheme+"://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build call: %w", err)
+	}
+	if h.opts.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+h.opts.Token)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminAnswer))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	return decodeAnswer(resp.StatusCode, data, out)
+}
+
+func decodeAnswer(status int, data []byte, out any) error {
+	switch {
+	case status == http.StatusUnauthorized:
+		return errors.New("the admin token is missing or wrong; set --admin-token")
+	case status == http.StatusNotFound && bytes.HasPrefix(data, []byte("404 page not found")):
+		return errNoEndpoint
+	case status >= http.StatusMultipleChoices:
+		return fmt.Errorf("status %d: %s", status, bytes.TrimSpace(data))
+	case out == nil:
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+// answer is what one entry host said.
+type answer[T any] struct {
+	addr  string
+	value T
+	err   error
+}
+
+// each calls every entry host side by side and keeps their order.
+func each[T any](ctx context.Context, h *Hosts, call func(ctx context.Context, addr string) (T, error)) []answer[T] {
+	out := make([]answer[T], len(h.opts.Addresses))
+	var g errgroup.Group
+	for i, addr := range h.opts.Addresses {
+		g.Go(func() error {
+			v, err := call(ctx, addr)
+			out[i] = answer[T]{addr, v, err}
+			return nil // one silent host must not hide the others
+		})
+	}
+	_ = g.Wait()
+	return out
+}
--- /dev/null
+++ b/internal/ctl/releases.go
@@ -0,0 +1,3 @@
+package ctl
+
+func releaseCommands() []*command { return nil }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,58 +1,130 @@
 #!/usr/bin/env bash
 # Runs the main job on this machine: the platform and backend stand-ins of an
-# example, two entry hosts, one request through four stages, then a clean stop.
+# example, entry hosts that know each other, one request through four stages to
+# each of them, then a clean stop. Settings (environment):
+#   EXAMPLE     folder under examples/ (kalahari)
+#   HOSTS       entry hosts, one a region in turn (3)
+#   PORT_BASE   first of the ports for the platform and the entry hosts (18090)
+#   DEMO_PATH, DEMO_BODY, DEMO_ACCOUNT   the request
 set -euo pipefail
 cd "$(dirname "$0")/.."
 example=${EXAMPLE:-kalahari}
-bin=$(mktemp -d)
-pids=()
+count=${HOSTS:-3}
+base=${PORT_BASE:-18090}
+case $example in
+  zagara) path=/v1/proposals account=planners body='{"venue":"Villa Igiea","guests":120}' ;;
+  *) path=/v1/drafts account=boilers body='{"recipe":"tallow 40, lye 5, lavender 1"}' ;;
+esac
+path=${DEMO_PATH:-$path} account=${DEMO_ACCOUNT:-$account} body=${DEMO_BODY:-$body}
+
+tables=examples/$example
+[ -f "$tables/pools.yaml" ] || { echo "demo: there is no example $example; choose one of: $(ls examples | tr '\n' ' ')" >&2; exit 1; }
+command -v curl >/dev/null || { echo "demo: curl is missing" >&2; exit 1; }
+
+tmp=$(mktemp -d)
+log=$tmp/log
+declare -A names=()
 stop() {
+  local pids=("${!names[@]}")
   [ ${#pids[@]} -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
   wait 2>/dev/null || true
-  rm -rf "$bin"
+  rm -rf "$tmp"
 }
 trap stop EXIT
+fail() { echo "demo: $*" >&2; echo "--- end of the log" >&2; tail -20 "$log" >&2 || true; exit 1; }
 
-go build -o "$bin/" ./cmd/...
-start() { "$@" >>"$bin/log" 2>&1 & pids+=($!); }
-wait_for() {
-  for _ in $(seq 100); do curl -fs -o /dev/null "$1" && return 0; sleep 0.1; done
-  echo "demo: $1 did not come up; log:" >&2; tail -20 "$bin/log" >&2; exit 1
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >>"$log" 2>&1 &
+  names[$!]=$name
+}
+check_running() {
+  local pid
+  for pid in "${!names[@]}"; do
+    kill -0 "$pid" 2>/dev/null || fail "${names[$pid]} ended; a port may be taken: set PORT_BASE, or free the ports in $tables/pools.yaml"
+  done
+}
+wait_for() { # NAME URL
+  for _ in $(seq 150); do
+    curl -fs -o /dev/null "$2" && return 0
+    check_running
+    sleep 0.1
+  done
+  fail "$1 did not come up at $2"
 }
+port_free() { # HOST:PORT
+  ! (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null || fail "$1 is taken: set PORT_BASE, or free the ports in $tables/pools.yaml"
+}
+
+: >"$log"
+mkdir "$tmp/bin"
+go build -o "$tmp/bin/" ./cmd/...
+mkdir "$tmp/tables"
+cp "$tables"/*.yaml "$tmp/tables/"
 
-platform=http://127.0.0.1:18090
-start "$bin/standin" platform --listen 127.0.0.1:18090
-kind=
+platform=127.0.0.1:$base
+port_free "$platform"
+start platform "$tmp/bin/standin" platform --listen "$platform"
+regions=()
+kind= pool=
 while read -r line; do
-  case "$line" in
+  case $line in
+    "- name: "*) pool=${line#- name: } ;;
     kind:*) kind=${line#kind: } ;;
     "- {name:"*address:*)
       name=$(sed 's/.*name: \([^,]*\),.*/\1/' <<<"$line")
       addr=$(sed "s/.*address: '\([^']*\)'.*/\1/" <<<"$line")
-      if [ "$kind" = engine ]; then start "$bin/standin" engine --name "$name" --listen "$addr" --fencing
-      else start "$bin/standin" service --name "$name" --listen "$addr"; fi ;;
+      region=$(sed 's/.*region: \([^,}]*\).*/\1/' <<<"$line")
+      case " ${regions[*]-} " in *" $region "*) ;; *) regions+=("$region") ;; esac
+      port_free "$addr"
+      if [ "$kind" = engine ]; then start "$name" "$tmp/bin/standin" engine --name "$name" --listen "$addr" --fencing
+      else start "$name" "$tmp/bin/standin" service --name "$name" --listen "$addr"; fi ;;
   esac
-done <"examples/$example/pools.yaml"
-wait_for "$platform/admin/counts"
+done <"$tables/pools.yaml"
+wait_for platform "http://$platform/admin/counts"
+
+ctl() { "$tmp/bin/bilberryctl" --platform "http://$platform" --author demo "$@"; }
+ctl apply "$tmp/tables"
 
-"$bin/bilberryctl" --platform "$platform" --author demo apply "examples/$example"
+peers= admins=
+for i in $(seq "$count"); do
+  peers+=127.0.0.1:$((base + 200 + i)),
+  admins+=127.0.0.1:$((base + 100 + i)),
+done
 hosts=()
-region=${REGIONS:-khomas erongo}
-n=0
-for r in $region; do
-  n=$((n + 1))
-  "$bin/bilberryd" --name "entry-$n" --domain "$r-1" --region "$r" --platform "$platform" \
-    --listen "127.0.0.1:1810$n" --admin "127.0.0.1:1811$n" --peer "127.0.0.1:1812$n" >>"$bin/log" 2>&1 &
+for i in $(seq "$count"); do
+  region=${regions[$(((i - 1) % ${#regions[@]}))]}
+  others=$(tr ',' '\n' <<<"$peers" | grep -v ":$((base + 200 + i))\$" | paste -sd, -)
+  for offset in 0 100 200; do port_free "127.0.0.1:$((base + offset + i))"; done
+  start "entry-$i" "$tmp/bin/bilberryd" --name "entry-$i" --domain "$region-1" --region "$region" \
+    --platform "http://$platform" --listen "127.0.0.1:$((base + i))" --admin "127.0.0.1:$((base + 100 + i))" \
+    --peer "127.0.0.1:$((base + 200 + i))" --peers "${others%,}"
   hosts+=($!)
-  pids+=($!)
 done
-for i in $(seq $n); do wait_for "http://127.0.0.1:1811$i/ready"; done
-echo "demo: ${#pids[@]} processes run; sending one request to each of $n entry hosts"
-path=${DEMO_PATH:-/v1/drafts}
-for i in $(seq $n); do
-  curl -fsS -H 'X-Client-Account: boilers' -d '{"recipe":"tallow 40, lye 5, lavender 1"}' "http://127.0.0.1:1810$i$path" | cut -c1-200
-  echo
+for i in $(seq "$count"); do wait_for "entry-$i" "http://127.0.0.1:$((base + 100 + i))/ready"; done
+check_running
+echo "demo: ${#names[@]} processes run; one request through the route of $path to each of $count entry hosts"
+for i in $(seq "$count"); do
+  curl -fsS -H "X-Client-Account: $account" -H 'Content-Type: application/json' -d "$body" \
+    "http://127.0.0.1:$((base + i))$path" >"$tmp/answer" || fail "entry-$i did not answer: $(head -c 400 "$tmp/answer")"
+  echo "entry-$i: $(head -c 300 "$tmp/answer")"
 done
+ctl status --hosts "${admins%,}"
+echo "demo: executions by backend server"
+while read -r line; do
+  case $line in
+    "- name: "*) pool=${line#- name: } ;;
+    "- {name:"*address:*)
+      addr=$(sed "s/.*address: '\([^']*\)'.*/\1/" <<<"$line")
+      ran=$(curl -fs "http://$addr/admin/executed" | grep -o '":[0-9]*' | tr -d '":' | paste -sd+ - | sed 's/^$/0/') || ran=0
+      ran=$((${ran:-0}))
+      [ "$ran" = 0 ] || echo "  $pool: $(sed 's/.*name: \([^,]*\),.*/\1/' <<<"$line") ran $ran" ;;
+  esac
+done <"$tables/pools.yaml"
 kill -TERM "${hosts[@]}"
-for h in "${hosts[@]}"; do wait "$h"; done
-echo "demo: entry hosts stopped cleanly"
+for pid in "${hosts[@]}"; do
+  wait "$pid" || fail "${names[$pid]} did not stop cleanly"
+  unset "names[$pid]"
+done
+echo "demo: $count entry hosts stopped cleanly"
