Membership of backend servers: polled by two hosts of the domain, signs shared on heartbeats

Cause: nothing set a backend server to leaving or down. Two hosts of its domain poll each server; a failure on a kept connection counts only when a fresh one fails too. Leaving, from a report, the platform's list or an answer, is believed from anybody; down is a hint that each host verifies. Loads are shared in the domain within a byte rate.

--- a/connection/peerconn/peerconn_test.go
+++ b/connection/peerconn/peerconn_test.go
@@ -19,7 +19,7 @@
 )
 
 func options(self peer.Identity, secret string) Options {
-	return Options{Self: self, Secret: []byte(secret), Ping: 20 * time.Millisecond, Silence: 200 * time.Millisecond}
+	return Options{Self: self, Secret: []byte(secret), Ping: 20 * time.Millisecond}
 }
 
 func echo(_ context.Context, from peer.Identity, m peer.Method, payload []byte) ([]byte, error) {
@@ -118,7 +118,9 @@
 	toServer, err := net.Dial("tcp", address)
 	g.Expect(err).NotTo(HaveOccurred())
 	dead := &swallowing{Conn: toServer, quiet: make(chan struct{})}
-	c, err := open(dead, options(ada, "s").withDefaults(), echo, dialHandshake)
+	opts := options(ada, "s").withDefaults()
+	opts.Silence = 200 * time.Millisecond
+	c, err := open(dead, opts, echo, dialHandshake)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.Call(context.Background(), "echo", nil)).To(BeEquivalentTo("ada:"))
 	close(dead.quiet)
@@ -166,9 +168,10 @@
 // a later call: ids are never used twice and an unknown one is dropped.
 func TestLateAnswerIsDropped(t *testing.T) {
 	g := NewWithT(t)
-	release := make(chan struct{})
+	release, began := make(chan struct{}), make(chan struct{})
 	address, _, _ := listener(t, options(bo, "s"), func(_ context.Context, _ peer.Identity, m peer.Method, _ []byte) ([]byte, error) {
 		if m == "slow" {
+			close(began)
 			<-release
 		}
 		return []byte(m), nil
@@ -176,13 +179,16 @@
 	c, err := Dial(context.Background(), address, options(ada, "s"), echo)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
-	defer cancel()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
 	_, err = c.Call(ctx, "slow", nil)
 	g.Expect(err).To(MatchError(peer.ErrNoAnswer))
 	close(release)
 	g.Expect(c.Call(context.Background(), "quick", nil)).To(BeEquivalentTo("quick"))
-	g.Eventually(c.Dropped).Should(BeEquivalentTo(1))
+	g.Eventually(c.Dropped, 10*time.Second).Should(BeEquivalentTo(1))
 }
 
 // One peer floods another with calls that hang. Handlers are bounded; the
@@ -236,7 +242,7 @@
 	address, _, _ := listener(t, options(bo, "s"), echo)
 	c, err := Dial(context.Background(), address, opts, echo)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(c.Done()).Should(BeClosed())
+	g.Eventually(c.Done(), 10*time.Second).Should(BeClosed())
 	g.Expect(c.Err()).To(MatchError(ErrIdle))
 }
 
--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -9,8 +9,10 @@
 	"strings"
 
 	"bilberrydale/connection/peerconn"
+	"bilberrydale/connection/serverprobe"
 	"bilberrydale/process/member"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/report"
 )
 
 // membersPart knows the other entry hosts and gives orders to engines.
@@ -19,6 +21,7 @@
 	view member.View
 
 	monitor  *member.Monitor
+	servers  *report.Watcher
 	mesh     *peer.Mesh
 	listener net.Listener
 }
@@ -71,11 +74,31 @@
 	seeds := h.opts.seeds()
 	m := member.New(member.Options{
 		Link: mesh, Clock: h.clock, Rand: h.rand, Draining: h.gate.Closed,
-		Seeds: func() []string { return seeds },
+		Seeds: func() []string { return append(h.members.servers.Seeds(), seeds...) },
 	})
 	mesh.OnSeen(m.Seen)
 	h.members.monitor, h.members.view = m, m
+	h.members.servers = report.New(report.Options{
+		Link: mesh, View: m, Monitor: m, Clock: h.clock, Rand: h.rand,
+		Prober: serverprobe.New(serverprobe.Options{}), Targets: h.targets, Hosts: h.store.Hosts,
+	})
 	h.add("membership", m.Run)
+	h.add("backend server reports", h.members.servers.Run)
+}
+
+// targets returns the backend servers of the tables in force.
+func (h *Host) targets() []report.Target {
+	snap := h.inForce.Load()
+	if snap == nil {
+		return nil
+	}
+	var out []report.Target
+	for _, p := range snap.Pools {
+		for _, s := range p.Picker.Servers() {
+			out = append(out, report.Target{State: s.State, Domain: s.Domain})
+		}
+	}
+	return out
 }
 
 func (o *Options) seeds() []string {
--- a/process/member/monitor.go
+++ b/process/member/monitor.go
@@ -90,7 +90,8 @@
 	pull     pullState
 	seedMu   sync.Mutex
 	seedAt   time.Time
-	ctx      context.Context
+	ctx      context.Context // ends with Run; handlers use it before Run too
+	cancel   context.CancelFunc
 }
 
 var _ View = (*Monitor)(nil)
@@ -98,7 +99,8 @@
 // New returns a monitor and registers its handlers on the link.
 func New(opts Options) *Monitor {
 	opts.setDefaults()
-	m := &Monitor{table: newTable(opts.Link.Self(), opts.MaxPeers), opts: opts, kick: make(chan struct{}, 1), ctx: context.Background()}
+	m := &Monitor{table: newTable(opts.Link.Self(), opts.MaxPeers), opts: opts, kick: make(chan struct{}, 1)}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
 	opts.Link.Handle(MethodHeartbeat, m.onHeartbeat)
 	opts.Link.Handle(MethodMembers, m.onMembers)
 	return m
@@ -106,12 +108,12 @@
 
 // Run exchanges heartbeats until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	m.ctx = ctx
 	defer m.work.Wait()
+	defer context.AfterFunc(ctx, m.cancel)()
 	for {
 		m.round()
 		select {
-		case <-ctx.Done():
+		case <-m.ctx.Done():
 			return nil
 		case <-m.kick:
 			// News spread at once, but no faster than ten times an interval.
@@ -163,7 +165,12 @@
 	m.visitSeeds(now)
 }
 
-func (m *Monitor) start(f func()) { m.work.Go(f) }
+// start runs f beside the loop; nothing starts once the loop is to end.
+func (m *Monitor) start(f func()) {
+	if m.ctx.Err() == nil {
+		m.work.Go(f)
+	}
+}
 
 // Hint tells that host may be dead, such as after a failed call. It is checked
 // on a fresh connection before it is judged.
--- /dev/null
+++ b/process/report/report.go
@@ -0,0 +1,260 @@
+// Package report knows how backend servers fare: it polls their load reports,
+// each from two hosts of their domain, shares what it learns, and keeps new
+// work away from servers that leave or are dead.
+package report
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/platform"
+	"bilberrydale/process/server"
+)
+
+// ErrNoReport: the server answered, but not with a load report.
+var ErrNoReport = errors.New("report: the server gives no load report")
+
+// Report is a backend server's own account.
+type Report struct {
+	Running int
+	Queued  int
+	Slots   int
+	Models  []string
+	Role    string
+	Leaving bool
+}
+
+// Prober asks backend servers.
+type Prober interface {
+	// Report polls address, on a fresh connection if fresh is set.
+	Report(ctx context.Context, address string, fresh bool) (Report, error)
+	// Forget drops kept connections.
+	Forget()
+}
+
+// Target is one backend server of the tables in force.
+type Target struct {
+	State  *server.State
+	Domain string
+}
+
+// Options configure a Watcher; zero values get the defaults.
+type Options struct {
+	Link    peer.Link
+	View    member.View
+	Monitor *member.Monitor // carries signs on its heartbeats; may be nil
+	Clock   clock.Clock
+	Rand    clock.Rand
+	Prober  Prober
+	// Targets returns the backend servers of all domains.
+	Targets func() []Target
+	// Hosts reads the platform's list; may be nil.
+	Hosts func(ctx context.Context) ([]platform.Host, error)
+
+	Interval  time.Duration // between polls; default 1 s
+	Owners    int           // hosts of the domain that poll one server; default 2
+	ShareRate int           // bytes a second for sharing load with peers; default 1500
+}
+
+func (o *Options) setDefaults() {
+	if o.Interval <= 0 {
+		o.Interval = time.Second
+	}
+	if o.Owners <= 0 {
+		o.Owners = 2
+	}
+	if o.ShareRate <= 0 {
+		o.ShareRate = 1500
+	}
+}
+
+// silentPolls is how many polls in a row have to go unanswered, the fresh ones
+// included, before a server that refuses no connection is taken for dead: an
+// overloaded server answers late.
+const silentPolls = 3
+
+// Counters count a Watcher's work.
+type Counters struct{ Polls, Lists, Shared, SharedBytes atomic.Int64 }
+
+// Watcher polls, shares and applies reports.
+type Watcher struct {
+	Counters Counters
+
+	opts Options
+	mu   sync.Mutex
+	// known is by server address; servers of older releases are dropped.
+	known   map[string]*known
+	seeds   []string // addresses of listed hosts that are no backend servers
+	shareAt time.Time
+	sends   int
+	work    sync.WaitGroup
+}
+
+// known is what this host holds of one backend server.
+type known struct {
+	target  Target
+	sign    sign
+	spread  int  // heartbeats that still carry the sign
+	down    bool // by this host's own probes
+	checkAt time.Time
+	missed  int
+	busy    bool
+	report  Report
+	polled  bool // by this host since the last share
+	detail  bool // models or role changed since the last share
+}
+
+// New returns a watcher and registers it on the link and the heartbeats.
+func New(opts Options) *Watcher {
+	opts.setDefaults()
+	w := &Watcher{opts: opts, known: map[string]*known{}}
+	opts.Link.Handle(MethodLoads, w.onLoads)
+	if opts.Monitor != nil {
+		opts.Monitor.Attach("signs", w.produceSigns, w.consumeSigns)
+	}
+	return w
+}
+
+// Run polls and shares until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	defer w.work.Wait()
+	for {
+		w.round(ctx)
+		wait := time.Duration((0.9 + 0.2*w.opts.Rand.Float64()) * float64(w.opts.Interval))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.opts.Clock.After(wait):
+		}
+	}
+}
+
+func (w *Watcher) round(ctx context.Context) {
+	w.refresh()
+	self := w.opts.Link.Self()
+	hosts := member.Domain(w.opts.View, self, self.Domain)
+	now := w.opts.Clock.Now()
+	for _, k := range w.due(self, hosts, now) {
+		w.work.Go(func() { w.poll(ctx, k) })
+	}
+	if w.opts.Hosts != nil && member.First(w.opts.View, self, "platform host list", w.opts.Owners) {
+		w.work.Go(func() { w.list(ctx) })
+	}
+	w.work.Go(func() { w.share(ctx, now) })
+}
+
+// refresh takes in the servers of the tables in force.
+func (w *Watcher) refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := make(map[string]*known, len(w.known))
+	for _, t := range w.opts.Targets() {
+		k := w.known[t.State.Address]
+		if k == nil || k.target != t {
+			k = &known{target: t}
+		}
+		next[t.State.Address] = k
+	}
+	w.known = next
+}
+
+// due returns the servers to poll now: those that this host owns, and those
+// that it holds for dead, rarely, in case the owners cannot reach them.
+func (w *Watcher) due(self peer.Identity, hosts []string, now time.Time) []*known {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*known
+	for address, k := range w.known {
+		if k.busy {
+			continue
+		}
+		owned := k.target.Domain == self.Domain && w.rank(address, self.Host, hosts) < w.opts.Owners
+		recheck := k.down && !now.Before(k.checkAt)
+		if owned || recheck {
+			k.busy = true
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func (w *Watcher) rank(address, host string, hosts []string) int {
+	for i, h := range member.Rank(address, append([]string(nil), hosts...)) {
+		if h == host {
+			return i
+		}
+	}
+	return len(hosts)
+}
+
+// recheckIntervals is how often a host that does not own a dead server looks
+// at it by itself.
+const recheckIntervals = 10
+
+// poll asks one server. A failure on a kept connection counts only when a
+// fresh connection fails too: the kept one may have been forgotten by
+// something in between while the server lives.
+func (w *Watcher) poll(ctx context.Context, k *known) {
+	address := k.target.State.Address
+	w.Counters.Polls.Add(1)
+	r, err := w.opts.Prober.Report(ctx, address, false)
+	if err != nil && !errors.Is(err, ErrNoReport) && ctx.Err() == nil {
+		w.opts.Prober.Forget()
+		r, err = w.opts.Prober.Report(ctx, address, true)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	switch {
+	case err == nil:
+		w.reported(k, r)
+	case errors.Is(err, ErrNoReport):
+		w.answered(k)
+	default:
+		w.failed(k, errors.Is(err, syscall.ECONNREFUSED))
+	}
+}
+
+func (w *Watcher) reported(k *known, r Report) {
+	now := w.opts.Clock.Now()
+	w.mu.Lock()
+	k.detail = k.detail || r.Role != k.report.Role || !equal(r.Models, k.report.Models) || r.Slots != k.report.Slots
+	k.report, k.polled = r, true
+	w.mu.Unlock()
+	k.target.State.SetLoad(&server.Load{
+		Running: r.Running, Queued: r.Queued, Slots: r.Slots, Models: r.Models, Role: r.Role, Received: now,
+	})
+	w.observe(k, func(s *sign) { s.Down, s.Reported = false, r.Leaving })
+}
+
+func (w *Watcher) answered(k *known) { w.observe(k, func(s *sign) { s.Down = false }) }
+
+func (w *Watcher) failed(k *known, refused bool) {
+	w.mu.Lock()
+	k.missed++
+	dead := k.missed >= silentPolls || (refused && k.missed >= 2)
+	k.busy = false
+	w.mu.Unlock()
+	if dead {
+		w.observe(k, func(s *sign) { s.Down = true })
+	}
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/process/report/share.go
@@ -0,0 +1,127 @@
+package report
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/server"
+)
+
+// MethodLoads carries a batch of load reports to the peers of the domain.
+const MethodLoads peer.Method = "loads"
+
+// loadRow is one server's load. Server is a hash of its address; models and
+// role change rarely and are sent rarely.
+type loadRow struct {
+	Server  uint32
+	Running uint32
+	Queued  uint32
+	Detail  *detail
+}
+
+type detail struct {
+	Slots  int
+	Models []string
+	Role   string
+}
+
+const (
+	detailEvery = 10 // shares between details, for hosts that missed one
+	maxRows     = 4096
+)
+
+func rowKey(address string) uint32 { return uint32(xxhash.Sum64String(address)) }
+
+// share sends the reports that this host polled as first owner to the peers of
+// its domain. The time to the next share grows with the bytes, so that a large
+// domain gets older reports rather than more traffic.
+func (w *Watcher) share(ctx context.Context, now time.Time) {
+	self := w.opts.Link.Self()
+	hosts := member.Domain(w.opts.View, self, self.Domain)
+	rows := w.rows(self, hosts, now)
+	if len(rows) == 0 || len(hosts) < 2 {
+		return
+	}
+	data, err := peer.Marshal(rows)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.opts.Interval)
+	defer cancel()
+	sent := 0
+	for _, h := range hosts {
+		if h == self.Host {
+			continue
+		}
+		sent += len(data)
+		w.work.Go(func() { _ = w.opts.Link.Call(ctx, h, MethodLoads, rows, nil) })
+	}
+	w.Counters.Shared.Add(int64(len(hosts) - 1))
+	w.Counters.SharedBytes.Add(int64(sent))
+	w.mu.Lock()
+	w.shareAt = now.Add(time.Duration(sent) * time.Second / time.Duration(w.opts.ShareRate))
+	w.mu.Unlock()
+	<-ctx.Done()
+}
+
+func (w *Watcher) rows(self peer.Identity, hosts []string, now time.Time) []loadRow {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Before(w.shareAt) {
+		return nil
+	}
+	w.sends++
+	var out []loadRow
+	for address, k := range w.known {
+		if !k.polled || k.target.Domain != self.Domain || w.rank(address, self.Host, hosts) != 0 {
+			continue
+		}
+		row := loadRow{Server: rowKey(address), Running: uint32(k.report.Running), Queued: uint32(k.report.Queued)}
+		if k.detail || w.sends%detailEvery == 1 {
+			row.Detail = &detail{k.report.Slots, k.report.Models, k.report.Role}
+		}
+		k.polled, k.detail = false, false
+		out = append(out, row)
+	}
+	return out
+}
+
+func (w *Watcher) onLoads(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+	var rows []loadRow
+	if err := peer.Unmarshal(payload, &rows); err != nil {
+		return nil, fmt.Errorf("decode loads: %w", err)
+	}
+	if len(rows) > maxRows {
+		return nil, fmt.Errorf("%d loads in one batch", len(rows))
+	}
+	now := w.opts.Clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	byKey := make(map[uint32]*known, len(w.known))
+	for address, k := range w.known {
+		byKey[rowKey(address)] = k
+	}
+	for _, row := range rows {
+		if k := byKey[row.Server]; k != nil {
+			k.take(row, now)
+		}
+	}
+	return nil, nil
+}
+
+// take stores a shared load; without a detail the earlier one still holds.
+func (k *known) take(row loadRow, now time.Time) {
+	next := server.Load{Received: now, Running: int(row.Running), Queued: int(row.Queued)}
+	if old := k.target.State.Load(); old != nil {
+		next.Slots, next.Models, next.Role = old.Slots, old.Models, old.Role
+	}
+	if d := row.Detail; d != nil {
+		next.Slots, next.Models, next.Role = d.Slots, d.Models, d.Role
+	}
+	k.target.State.SetLoad(&next)
+}
--- /dev/null
+++ b/process/report/signs.go
@@ -0,0 +1,209 @@
+package report
+
+import (
+	"context"
+	"math/bits"
+	"time"
+
+	"bilberrydale/process/peer"
+	"bilberrydale/process/platform"
+)
+
+// sign is what hosts tell each other of one backend server. Version rises with
+// each change, so that older news does not undo newer; no clocks of different
+// hosts are compared.
+type sign struct {
+	Address  string
+	Version  uint64
+	Reported bool // the server itself says that it leaves
+	Listed   bool // the platform's list says that it leaves
+	Down     bool // the teller's probes failed; only a hint to others
+}
+
+func (s *sign) leaving() bool { return s.Reported || s.Listed }
+
+// maxSigns bounds the signs on one heartbeat.
+const maxSigns = 16
+
+// observe applies this host's own evidence and spreads it if it is new.
+func (w *Watcher) observe(k *known, change func(*sign)) {
+	w.mu.Lock()
+	before := k.sign
+	change(&k.sign)
+	k.busy = false
+	if !k.sign.Down {
+		k.missed = 0
+	}
+	k.down = k.sign.Down
+	k.checkAt = w.opts.Clock.Now().Add(recheckIntervals * w.opts.Interval)
+	changed := k.sign != before
+	if changed {
+		k.sign.Version++
+		k.spread = w.rounds()
+	}
+	w.apply(k)
+	w.mu.Unlock()
+	if changed && w.opts.Monitor != nil {
+		w.opts.Monitor.Kick()
+	}
+}
+
+func (w *Watcher) apply(k *known) {
+	k.target.State.SetLeaving(k.sign.leaving())
+	k.target.State.SetDown(k.down)
+}
+
+// Leaving records that an answer of the server said that it leaves.
+func (w *Watcher) Leaving(address string) {
+	w.mu.Lock()
+	k := w.known[address]
+	w.mu.Unlock()
+	if k != nil {
+		w.observe(k, func(s *sign) { s.Reported = true })
+	}
+}
+
+func (w *Watcher) rounds() int { return 6 + 2*bits.Len(uint(len(w.opts.View.Peers()))) }
+
+func (w *Watcher) produceSigns() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []sign
+	for address, k := range w.known {
+		if k.spread > 0 && len(out) < maxSigns {
+			k.spread--
+			s := k.sign
+			s.Address = address
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	data, err := peer.Marshal(out)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// consumeSigns takes what another host saw. Leaving is believed at once, since
+// being wrong costs a little capacity and being late breaks a promise. Down is
+// a hint: another host's broken link must not take a healthy server out here,
+// so this host probes by itself.
+func (w *Watcher) consumeSigns(_ peer.Identity, data []byte) {
+	var list []sign
+	if peer.Unmarshal(data, &list) != nil {
+		return
+	}
+	news := false
+	w.mu.Lock()
+	for _, s := range list {
+		k := w.known[s.Address]
+		if k == nil || !newer(s, k.sign) {
+			continue
+		}
+		s.Address = ""
+		k.sign, k.spread, news = s, w.rounds(), true
+		if s.Down != k.down && !k.busy {
+			k.busy = true
+			w.work.Go(func() { w.verify(k) })
+		}
+		w.apply(k)
+	}
+	w.mu.Unlock()
+	if news && w.opts.Monitor != nil {
+		w.opts.Monitor.Kick()
+	}
+}
+
+// newer orders signs; of two made at once the one that keeps work away wins.
+func newer(s, old sign) bool {
+	if s.Version != old.Version {
+		return s.Version > old.Version
+	}
+	return (s.leaving() && !old.leaving()) || (s.leaving() == old.leaving() && s.Down && !old.Down)
+}
+
+// verify probes a server of which others say that it died or came back.
+func (w *Watcher) verify(k *known) {
+	down := true
+	for try := 0; try < 2 && down; try++ {
+		_, err := w.opts.Prober.Report(context.Background(), k.target.State.Address, true)
+		down = err != nil && err != ErrNoReport
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k.busy, k.down = false, down
+	k.checkAt = w.opts.Clock.Now().Add(recheckIntervals * w.opts.Interval)
+	w.apply(k)
+}
+
+// list takes in the platform's host list. It lags, so it only adds signs: a
+// server that its own report calls leaving stays so whatever the list says.
+func (w *Watcher) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	w.Counters.Lists.Add(1)
+	hosts, err := w.opts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	byKey := make(map[string]platform.Host, 2*len(hosts))
+	for _, h := range hosts {
+		byKey[h.Name], byKey[h.Address] = h, h
+	}
+	w.mu.Lock()
+	all := make([]*known, 0, len(w.known))
+	servers := make(map[string]bool, 2*len(w.known))
+	for _, k := range w.known {
+		all = append(all, k)
+		servers[k.target.State.Name], servers[k.target.State.Address] = true, true
+	}
+	w.seeds = w.seeds[:0:0]
+	for _, h := range hosts {
+		if !servers[h.Name] && !servers[h.Address] && h.State == platform.HostLive {
+			w.seeds = append(w.seeds, h.Address)
+		}
+	}
+	w.mu.Unlock()
+	for _, k := range all {
+		h, ok := byKey[k.target.State.Address]
+		if !ok {
+			h, ok = byKey[k.target.State.Name]
+		}
+		if ok {
+			w.listed(k, h.State == platform.HostLeaving)
+		}
+	}
+}
+
+func (w *Watcher) listed(k *known, leaving bool) {
+	w.mu.Lock()
+	same := k.sign.Listed == leaving
+	w.mu.Unlock()
+	if !same {
+		w.observeListed(k, leaving)
+	}
+}
+
+// observeListed changes the list's part of the sign and leaves a poll that is
+// under way alone.
+func (w *Watcher) observeListed(k *known, leaving bool) {
+	w.mu.Lock()
+	k.sign.Listed = leaving
+	k.sign.Version++
+	k.spread = w.rounds()
+	w.apply(k)
+	w.mu.Unlock()
+	if w.opts.Monitor != nil {
+		w.opts.Monitor.Kick()
+	}
+}
+
+// Seeds returns addresses of the platform's list at which entry hosts may be.
+func (w *Watcher) Seeds() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.seeds...)
+}
