Leases and orders: one holder a failure domain, fencing numbers that only rise

Cause: nobody gave engines orders. process/lease takes the domain's lease by conditional update; the holder counts from before its last renewal was sent and stops a margin early; the next waits a whole TTL and the longest order after its own first sight of the unchanged object. Numbers come from the store's versions, so deletion and restoration do not lower them. process/order gives absolute orders within a rate, asks the lease right before each, and reads back.

Seen red: counting from after the answer, a short wait, acting on one's own word without expiry, a new object taken without waiting (two hosts act); the number from the object alone (one number, two holders, after deletion); lost answers not read back; no rate; no reading back (wrong models stayed on an engine without fencing); the refusal of an old number ignored (never obeyed); the question before the order left out (the wakened holder acted).

--- /dev/null
+++ b/connection/engineorder/engineorder.go
@@ -0,0 +1,83 @@
+// Package engineorder gives orders to model engines over HTTP.
+package engineorder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"bilberrydale/process/order"
+)
+
+// Paths on an engine.
+const (
+	pathOrders = "/orders"
+	pathLoad   = "/load"
+)
+
+const maxAnswer = 64 << 10
+
+// Client implements order.Sender. It keeps no connection: orders are rare, and
+// one on a connection that something in between has forgotten would be lost.
+type Client struct{ http *http.Client }
+
+// New returns a client.
+func New() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Send implements order.Sender.
+func (c *Client) Send(ctx context.Context, address string, o order.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	status, _, err := c.call(ctx, http.MethodPut, address, pathOrders, body)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusPreconditionFailed:
+		return order.ErrOldFence
+	case status >= http.StatusMultipleChoices:
+		return fmt.Errorf("order to %s: status %d", address, status)
+	}
+	return nil
+}
+
+// Read implements order.Sender.
+func (c *Client) Read(ctx context.Context, address string) (order.State, error) {
+	status, data, err := c.call(ctx, http.MethodGet, address, pathLoad, nil)
+	if err != nil {
+		return order.State{}, err
+	}
+	if status != http.StatusOK {
+		return order.State{}, fmt.Errorf("load of %s: status %d", address, status)
+	}
+	var s struct {
+		Models []string `json:"models"`
+		Role   string   `json:"role"`
+		Fence  uint64   `json:"fence"`
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return order.State{}, fmt.Errorf("load of %s: %w", address, err)
+	}
+	return order.State(s), nil
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("order: %w", err)
+	}
+	req.GetBody = nil // no silent repeat
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("engine: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, data, err
+}
--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -10,7 +10,9 @@
 
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/serverprobe"
+	"bilberrydale/process/lease"
 	"bilberrydale/process/member"
+	"bilberrydale/process/order"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/report"
 )
@@ -22,6 +24,8 @@
 
 	monitor  *member.Monitor
 	servers  *report.Watcher
+	lease    *lease.Keeper
+	orders   *order.Manager
 	mesh     *peer.Mesh
 	listener net.Listener
 }
@@ -44,6 +48,9 @@
 		Host: h.opts.Name, Incarnation: h.incarnation, Domain: h.opts.Domain, Region: h.opts.Region,
 		Address: l.Addr().String(),
 	}
+	if h.opts.Members.Advertise != "" {
+		self.Address = h.opts.Members.Advertise
+	}
 	conns := peerconn.Options{Self: self, Secret: []byte(h.opts.PeerSecret)}
 	mesh := peer.NewMesh(peer.MeshOptions{
 		Self: self, Clock: h.clock, Rand: h.rand,
@@ -84,6 +91,7 @@
 	})
 	h.add("membership", m.Run)
 	h.add("backend server reports", h.members.servers.Run)
+	h.giveOrders(m)
 }
 
 // targets returns the backend servers of the tables in force.
