Spread releases between entry hosts: few watches, notices in a tree, rows changed, comparing

Cause: every host watched the platform itself (naive variant): watches grew with the fleet, a domain cut from the platform learned nothing, and a host that restarted meanwhile began with less than it had served.

Two hosts of a domain, chosen by rendezvous hashing over the live ones, watch the platform; a notice goes through a tree of the domain's hosts, each fetches the rows changed since what it has and checks the hash. Every host compares with one random peer each 2 s, now and then in another domain. Hosts that hear no news of the platform try it in turn. A host asks platform and peers once before it is ready. The head carries the rows changed, so a watcher needs one call a change. Numbers only rise; a platform that is behind, one number with two contents and a release not built on the one in force are said in the status, and the floor object stops publishers until Recover.

--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -41,7 +41,9 @@
 	return s
 }
 
-func (h *Host) ready() bool { return h.inForce.Load() != nil && !h.gate.Closed() }
+func (h *Host) ready() bool {
+	return h.inForce.Load() != nil && h.releases.spread.Joined() && !h.gate.Closed()
+}
 
 func (h *Host) adminHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/process/release/commit.go
+++ b/process/release/commit.go
@@ -98,6 +98,9 @@
 	}
 	head := Head{Release: rel, Recent: recent(b.head), Swept: max(b.head.Swept, 1)}
 	head.Rows = nil
+	if d := diffRows(b.rel.Rows, rows); d.size() <= maxHeadDelta {
+		head.Delta = &d
+	}
 	for _, s := range g.accepted {
 		head.Sets = append(head.Sets, s.ID)
 	}
--- /dev/null
+++ b/process/release/delta.go
@@ -0,0 +1,72 @@
+package release
+
+// maxHeadDelta bounds the bytes of changed rows that the head object carries.
+// Watchers get them with the head and need no further read of the platform.
+const maxHeadDelta = 64 << 10
+
+// Delta holds the rows that differ between two releases.
+type Delta struct {
+	Changed []Row    `json:"changed,omitempty"` // by key
+	Gone    []string `json:"gone,omitempty"`
+}
+
+// diffRows returns what leads from rows to want; both are sorted by key.
+func diffRows(rows, want []Row) Delta {
+	var d Delta
+	i := 0
+	for _, w := range want {
+		for i < len(rows) && rows[i].Key < w.Key {
+			d.Gone = append(d.Gone, rows[i].Key)
+			i++
+		}
+		if i < len(rows) && rows[i].Key == w.Key {
+			if rows[i].Version != w.Version || string(rows[i].Data) != string(w.Data) {
+				d.Changed = append(d.Changed, w)
+			}
+			i++
+			continue
+		}
+		d.Changed = append(d.Changed, w)
+	}
+	for ; i < len(rows); i++ {
+		d.Gone = append(d.Gone, rows[i].Key)
+	}
+	return d
+}
+
+// apply returns rows with d's changes; rows is left as it is.
+func (d Delta) apply(rows []Row) []Row {
+	out := make(map[string]Row, len(rows)+len(d.Changed))
+	for _, r := range rows {
+		out[r.Key] = r
+	}
+	for _, key := range d.Gone {
+		delete(out, key)
+	}
+	for _, r := range d.Changed {
+		out[r.Key] = r
+	}
+	return sorted(out)
+}
+
+func (d Delta) size() int {
+	n := 0
+	for _, r := range d.Changed {
+		n += len(r.Key) + len(r.Data)
+	}
+	for _, key := range d.Gone {
+		n += len(key)
+	}
+	return n
+}
+
+// fromDelta builds rel from the release before it, if that is held here. The
+// hash tells whether the result is right; otherwise the whole release is read.
+func (f *Follower) fromDelta(rel Release, d *Delta) (Release, bool) {
+	base := f.held.Load()
+	if d == nil || base == nil || base.Number+1 != rel.Number || base.Hash != rel.Previous {
+		return Release{}, false
+	}
+	rel.Rows = d.apply(base.Rows)
+	return rel, rel.Verify() == nil
+}
--- /dev/null
+++ b/process/release/fleet_test.go
@@ -0,0 +1,224 @@
+package release
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	standin "bilberrydale/internal/standin/platform"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/peer/peertest"
+	"bilberrydale/process/platform"
+)
+
+// fleet is a platform and the followers of several entry hosts in process.
+type fleet struct {
+	g        *WithT
+	objects  *standin.Objects
+	net      *peertest.Network
+	hosts    map[string]*fleetHost
+	mu       sync.Mutex
+	ghosts   []peer.Identity // killed hosts that the membership lists as alive
+	onChange []func()
+	poll     time.Duration
+}
+
+type fleetHost struct {
+	f      *Follower
+	s      *Spread
+	line   *line
+	log    sync.Map // release number -> time of the switch
+	domain string
+	stop   func()
+}
+
+// line is one host's connection to the platform; it can be cut, which also
+// fails calls under way.
+type line struct {
+	platform.Store
+	watches atomic.Int64
+	mu      sync.Mutex
+	ctx     context.Context
+	cut     context.CancelFunc
+}
+
+func newLine(store platform.Store) *line {
+	l := &line{Store: store}
+	l.heal()
+	return l
+}
+
+func (l *line) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ctx, l.cut = context.WithCancel(context.Background())
+}
+
+func (l *line) down() context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ctx
+}
+
+func (l *line) Get(ctx context.Context, key string) (platform.Object, error) {
+	if l.down().Err() != nil {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *line) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, error) {
+	l.watches.Add(1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(l.down(), cancel)()
+	if l.down().Err() != nil {
+		return nil, platform.ErrUnavailable
+	}
+	return l.Store.Watch(ctx, prefix, after, wait)
+}
+
+// fleetView is a host's membership: everybody on the network, and the ghosts.
+type fleetView struct {
+	fl   *fleet
+	link *peertest.Link
+}
+
+func (v fleetView) Peers() []member.Peer {
+	v.fl.mu.Lock()
+	defer v.fl.mu.Unlock()
+	var out []member.Peer
+	for _, p := range v.link.Peers() {
+		out = append(out, member.Peer{Identity: p})
+	}
+	for _, p := range v.fl.ghosts {
+		out = append(out, member.Peer{Identity: p})
+	}
+	return out
+}
+
+func (v fleetView) Lookup(string) (member.Peer, bool) { return member.Peer{}, false }
+func (v fleetView) OnChange(f func()) {
+	v.fl.mu.Lock()
+	defer v.fl.mu.Unlock()
+	v.fl.onChange = append(v.fl.onChange, f)
+}
+
+func (fl *fleet) changed() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, f := range fl.onChange {
+		f()
+	}
+}
+
+// settle waits until all have joined and only the chosen of each domain watch.
+func (fl *fleet) settle(domains int) {
+	fl.g.THelper()
+	fl.g.Eventually(func() int {
+		watching := 0
+		for _, h := range fl.hosts {
+			if h.s.watching.Load() || !h.s.Joined() {
+				watching++
+			}
+		}
+		return watching
+	}, 5*time.Second, time.Millisecond).Should(Equal(domains * defaultWatchers))
+}
+
+func newFleet(g *WithT) *fleet {
+	return &fleet{g: g, objects: standin.New(), net: peertest.NewNetwork(), hosts: map[string]*fleetHost{}, poll: 100 * time.Millisecond}
+}
+
+// start runs n hosts in each domain.
+func (fl *fleet) start(t testing.TB, domains, n int) {
+	for d := range domains {
+		for i := range n {
+			fl.host(t, fmt.Sprintf("d%d-%d", d, i), fmt.Sprintf("d%d", d), newLine(fl.objects))
+		}
+	}
+	fl.settle(domains)
+}
+
+func (fl *fleet) host(t testing.TB, name, domain string, l *line) *fleetHost {
+	h := &fleetHost{line: l, domain: domain}
+	link := fl.net.Join(peer.Identity{Host: name, Domain: domain})
+	rand := clock.NewSeeded(weight(domain, name))
+	h.f = NewFollower(FollowerOptions{
+		Host: name, Store: l, Clock: clock.System{}, Rand: rand,
+		WatchWait: 500 * time.Millisecond, CheckEvery: 200 * time.Millisecond,
+		Compile: func(r Release) (func(), error) {
+			return func() { h.log.Store(r.Number, time.Now()) }, nil
+		},
+	})
+	h.s = NewSpread(SpreadOptions{
+		Follower: h.f, Link: link, View: fleetView{fl, link}, Poll: fl.poll, Silence: 400 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.s.Run(ctx) }()
+	h.stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(h.stop)
+	fl.hosts[name] = h
+	fl.changed()
+	return h
+}
+
+// kill stops a host as by SIGKILL; known says whether the membership learns it.
+func (fl *fleet) kill(name string, known bool) {
+	fl.net.Leave(name)
+	fl.hosts[name].stop()
+	fl.mu.Lock()
+	if !known {
+		fl.ghosts = append(fl.ghosts, peer.Identity{Host: name, Domain: fl.hosts[name].domain})
+	}
+	fl.mu.Unlock()
+	delete(fl.hosts, name)
+	fl.changed()
+}
+
+func (fl *fleet) names() []string {
+	var out []string
+	for name := range fl.hosts {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// publish accepts a release that changes one row.
+func (fl *fleet) publish(key, text string) Release {
+	fl.g.THelper()
+	p := publisher(fl.objects, 1)
+	head := must(fl.g)(objects2head(context.Background(), fl.objects))
+	row, _ := head.Row(key)
+	return must(fl.g)(p.Apply(context.Background(), put("ada", key, text, row.Version)))
+}
+
+// inForce waits until every host has rel in force.
+func (fl *fleet) inForce(rel Release) {
+	fl.g.THelper()
+	for _, name := range fl.names() {
+		h := fl.hosts[name]
+		fl.g.Eventually(func() string { r, _ := h.f.Current(); return fmt.Sprint(r.Number, r.Hash) }, 10*time.Second, time.Millisecond).
+			Should(Equal(fmt.Sprint(rel.Number, rel.Hash)), name)
+	}
+}
+
+func (fl *fleet) domain(d string) []*fleetHost {
+	var out []*fleetHost
+	for _, name := range fl.names() {
+		if fl.hosts[name].domain == d {
+			out = append(out, fl.hosts[name])
+		}
+	}
+	return out
+}
--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -2,44 +2,98 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bilberrydale/process/clock"
 	"bilberrydale/process/platform"
 )
 
-// Install puts a release in force on this entry host. It is called with rising
-// numbers only, by one goroutine at a time. An error leaves the earlier
-// release in force.
-type Install func(Release) error
+// Compile checks and builds a release and returns the function that puts it in
+// force. It is called with rising numbers, by one goroutine at a time. An error
+// leaves the earlier release in force.
+type Compile func(Release) (putInForce func(), err error)
 
-// Follower keeps an entry host on the newest release it has seen from any
+// FollowerOptions configure a Follower; zero values get defaults.
+type FollowerOptions struct {
+	Host    string // name of this entry host
+	Store   platform.Store
+	Clock   clock.Clock
+	Rand    clock.Rand
+	Compile Compile
+
+	// Hold is the time between the first host's receipt of a release and the
+	// switch to it, in which it spreads to the others (prepare-then-switch).
+	// 0: switch on arrival. A host that learns of it later switches at once.
+	Hold time.Duration
+	// Ready reports whether the backend servers are ready for a release, for
+	// instance have its new model version loaded. nil: always.
+	Ready func(Release) bool
+	// ReadyWait bounds the wait for Ready after Hold; default 5 s.
+	ReadyWait time.Duration
+	// WatchWait is how long one watch of the platform waits; default 20 s.
+	WatchWait time.Duration
+	// CheckEvery is the period of the reads that back the watch up; default 5 s.
+	CheckEvery time.Duration
+}
+
+const (
+	defaultReadyWait  = 5 * time.Second
+	defaultWatchWait  = 20 * time.Second
+	defaultCheckEvery = 5 * time.Second
+	readyPoll         = 100 * time.Millisecond
+	// recentReleases is how many releases a host keeps to tell peers the rows
+	// changed since the one they have.
+	recentReleases = 8
+)
+
+// Follower keeps an entry host on the newest release that it has seen from any
 // source. Offer may be called by the platform watch and by peers alike.
 type Follower struct {
-	store   platform.Store
-	clock   clock.Clock
-	install Install
+	opts FollowerOptions
+	kick chan struct{} // a release waits for its switch
+
+	held atomic.Pointer[Held] // newest prepared, read without the lock
 
 	mu      sync.Mutex
 	current Release
-	refused uint64 // newest number that did not install
-	lastErr error
+	next    *Held    // prepared, not yet in force
+	switchF func()   // puts next in force
+	recent  []*Held  // newest last
+	refused Ref      // newest release that did not compile
+	faults  faultSet // what operators have to know
+	watch   watchState
+	changed []func(*Held)
 }
 
-const (
-	watchWait  = 20 * time.Second
-	retryPause = 200 * time.Millisecond
-)
+// Held is a release that is prepared on this host.
+type Held struct {
+	Release
+	// Origin is when the first host received the release, on this host's clock.
+	Origin time.Time
+}
 
-// NewFollower returns a follower that installs releases through install.
-func NewFollower(store platform.Store, c clock.Clock, install Install) *Follower {
-	return &Follower{store: store, clock: c, install: install}
+// NewFollower returns a follower of the platform's head object.
+func NewFollower(opts FollowerOptions) *Follower {
+	if opts.ReadyWait <= 0 {
+		opts.ReadyWait = defaultReadyWait
+	}
+	if opts.WatchWait <= 0 {
+		opts.WatchWait = defaultWatchWait
+	}
+	if opts.CheckEvery <= 0 {
+		opts.CheckEvery = defaultCheckEvery
+	}
+	return &Follower{opts: opts, kick: make(chan struct{}, 1)}
 }
 
+// OnPrepared registers f, which is called after a release was prepared here,
+// outside the follower's lock. It is called before the follower runs.
+func (f *Follower) OnPrepared(fn func(*Held)) { f.changed = append(f.changed, fn) }
+
 // Current returns the release in force and whether there is one.
 func (f *Follower) Current() (Release, bool) {
 	f.mu.Lock()
@@ -47,72 +101,184 @@
 	return f.current, f.current.Number > 0
 }
 
-// LastError returns why the newest offered release is not in force, if so.
-func (f *Follower) LastError() error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastErr
+// Newest returns the newest release prepared here, in force or about to be, or
+// nil. What engines have to load is read from it, before it is in force.
+func (f *Follower) Newest() *Held { return f.held.Load() }
+
+// Summary returns number and hash of the newest release prepared here, for
+// heartbeats. It takes no lock.
+func (f *Follower) Summary() (number uint64, hash string) {
+	if h := f.held.Load(); h != nil {
+		return h.Number, h.Hash
+	}
+	return 0, ""
 }
 
-// Offer installs rel if its number is above the one in force. A stale read of
-// the platform or a late peer offers a lower number: it is ignored, so that an
-// accepted configuration never reverts on this host.
-func (f *Follower) Offer(rel Release) error {
+// Wants reports whether a release with this number and hash should be fetched.
+// A number that is in force here with another hash is a fault that operators
+// are told of: see faultDiverged.
+func (f *Follower) Wants(number uint64, hash, source string) bool {
+	have, haveHash := f.Summary()
+	if number == have && number > 0 && hash != haveHash {
+		f.setFault(faultDiverged, fmt.Errorf("%s has release %d with hash %s, here it is in force with hash %s; accept a new release or recover",
+			source, number, hash, haveHash))
+	}
+	if number <= have {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if rel.Number <= f.current.Number {
+	return number != f.refused.Number || hash != f.refused.Hash
+}
+
+// Offer prepares rel if its number is above all that this host has, and puts it
+// in force when its time has come. A stale read of the platform or a late peer
+// offers a lower number: it is ignored, so that an accepted configuration never
+// reverts on this host. age is the time since the first host received rel.
+func (f *Follower) Offer(rel Release, age time.Duration, source string) error {
+	if !f.Wants(rel.Number, rel.Hash, source) {
 		return nil
 	}
-	if err := rel.Verify(); err != nil {
+	held, err := f.prepare(rel, age)
+	if err != nil || held == nil {
 		return err
 	}
-	if err := f.install(rel); err != nil {
-		f.refused, f.lastErr = rel.Number, fmt.Errorf("install release %d: %w", rel.Number, err)
-		return f.lastErr
+	for _, fn := range f.changed {
+		fn(held)
 	}
-	f.current, f.lastErr = rel, nil
 	return nil
 }
 
-// Run watches the head object until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	var after uint64
-	for ctx.Err() == nil {
-		objs, err := f.store.Watch(ctx, HeadKey, after, watchWait)
-		if err != nil {
-			f.sleep(ctx)
-			continue
-		}
-		for _, o := range objs {
-			if err := f.fetch(ctx, o); err != nil && !errors.Is(err, ErrInvalid) {
-				f.sleep(ctx)
-				break
-			}
-			after = max(after, o.Version)
-		}
+func (f *Follower) prepare(rel Release, age time.Duration) (*Held, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if have, _ := f.Summary(); rel.Number <= have {
+		return nil, nil // another source was faster
 	}
-	return nil
+	if err := rel.Verify(); err != nil {
+		return nil, err
+	}
+	switchF, err := f.opts.Compile(rel)
+	if err != nil {
+		f.refused = rel.Ref()
+		err = fmt.Errorf("prepare release %d: %w", rel.Number, err)
+		f.faults.set(faultRefused, err)
+		return nil, err
+	}
+	for _, k := range []faultKind{faultRefused, faultDiverged, faultReplaced, faultJoin} {
+		f.faults.clear(k)
+	}
+	f.checkLineage(rel)
+	held := &Held{Release: rel, Origin: f.opts.Clock.Now().Add(-age)}
+	f.recent = append(f.recent, held)
+	if len(f.recent) > recentReleases {
+		f.recent = f.recent[1:]
+	}
+	if f.next != nil && f.next.Origin.Before(held.Origin) {
+		// A stream of releases must not put the switch off again and again.
+		held.Origin = f.next.Origin
+	}
+	f.next, f.switchF = held, switchF
+	f.held.Store(held)
+	if f.current.Number == 0 || f.due() {
+		f.switchNow()
+	} else {
+		f.wake()
+	}
+	return held, nil
 }
 
-func (f *Follower) fetch(ctx context.Context, obj platform.Object) error {
-	var head Head
-	if err := json.Unmarshal(obj.Value, &head); err != nil {
-		return fmt.Errorf("decode head: %w", err)
+// checkLineage tells operators when the new release was not built on the one
+// that it replaces, as after the restore of the platform: edits are lost.
+func (f *Follower) checkLineage(rel Release) {
+	have, hash := f.Summary()
+	if have == 0 || rel.Previous == "" || rel.Number != have+1 || rel.Previous == hash {
+		return
 	}
-	cur, _ := f.Current()
-	if head.Number <= cur.Number {
-		return nil
+	f.faults.set(faultReplaced, fmt.Errorf("release %d was not built on release %d (hash %s), which was in force here", rel.Number, have, hash))
+}
+
+func (f *Follower) wake() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
 	}
-	rel, err := Load(ctx, f.store, obj)
-	if err != nil {
-		return err
+}
+
+// due reports whether next may be put in force. Called with the lock held.
+func (f *Follower) due() bool {
+	waited := f.opts.Clock.Now().Sub(f.next.Origin)
+	if waited < f.opts.Hold {
+		return false
+	}
+	if f.opts.Ready == nil || waited >= f.opts.Hold+f.opts.ReadyWait {
+		return true
 	}
-	return f.Offer(rel)
+	return f.opts.Ready(f.next.Release)
 }
 
-func (f *Follower) sleep(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-f.clock.After(retryPause):
+func (f *Follower) switchNow() {
+	f.switchF()
+	f.current, f.next, f.switchF = f.next.Release, nil, nil
+}
+
+// Switch puts prepared releases in force when they are due, until ctx ends.
+func (f *Follower) Switch(ctx context.Context) error {
+	for {
+		var timer <-chan time.Time
+		f.mu.Lock()
+		if f.next != nil && f.due() {
+			f.switchNow()
+		}
+		if f.next != nil {
+			timer = f.opts.Clock.After(f.untilDue())
+		}
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.kick:
+		case <-timer:
+		}
 	}
 }
+
+func (f *Follower) untilDue() time.Duration {
+	left := f.opts.Hold - f.opts.Clock.Now().Sub(f.next.Origin)
+	if left > 0 {
+		return left
+	}
+	return readyPoll
+}
+
+// remembered returns the release if this host held it lately, or nil.
+func (f *Follower) remembered(number uint64, hash string) *Held {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.recent {
+		if h.Number == number && h.Hash == hash {
+			return h
+		}
+	}
+	return nil
+}
+
+// LastError returns what keeps this host from the newest release or what an
+// operator has to mend, or nil.
+func (f *Follower) LastError() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return errors.Join(f.faults.all()...)
+}
+
+func (f *Follower) setFault(k faultKind, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults.set(k, err)
+}
+
+func (f *Follower) clearFault(k faultKind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults.clear(k)
+}
--- /dev/null
+++ b/process/release/notice.go
@@ -0,0 +1,116 @@
+package release
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
+
+	"bilberrydale/process/peer"
+)
+
+const (
+	// fanout is how many hosts each host notifies. A release reaches a domain
+	// of n hosts in log_fanout(n) steps, and no host sends more than this.
+	fanout = 4
+	// rootsKept bounds what is remembered of the roots of notices.
+	rootsKept = 64
+)
+
+// prepared starts a notice in this host's domain for a release that did not
+// come with one: it came from the platform or from another domain.
+func (s *Spread) prepared(h *Held) {
+	s.mu.Lock()
+	withNotice := s.fromPeer[h.Number]
+	delete(s.fromPeer, h.Number)
+	s.mu.Unlock()
+	if withNotice {
+		return
+	}
+	n := notice{Number: h.Number, Hash: h.Hash, Root: s.opts.Link.Self().Host}
+	s.background(func(ctx context.Context) { s.forward(ctx, n) })
+}
+
+// onNotice fetches the release if it is new here and passes the notice on. The
+// notice is passed on also when the release is known: the tree of another root
+// may have lost a host half-way.
+func (s *Spread) onNotice(_ context.Context, from peer.Identity, payload []byte) ([]byte, error) {
+	var n notice
+	if err := msgpack.Unmarshal(payload, &n); err != nil {
+		return nil, fmt.Errorf("decode notice: %w", err)
+	}
+	s.background(func(ctx context.Context) { s.take(ctx, from, n) })
+	number, hash := s.f.Summary()
+	return msgpack.Marshal(&summary{Number: number, Hash: hash, Platform: s.platformAge()})
+}
+
+func (s *Spread) take(ctx context.Context, from peer.Identity, n notice) {
+	if s.f.Wants(n.Number, n.Hash, from.Host) {
+		s.mu.Lock()
+		s.fromPeer[n.Number] = true
+		s.mu.Unlock()
+		err := s.pull(ctx, from.Host, n.Number)
+		s.mu.Lock()
+		delete(s.fromPeer, n.Number)
+		s.mu.Unlock()
+		if err != nil {
+			return // comparing with peers mends it
+		}
+	}
+	s.forward(ctx, n)
+}
+
+// forward notifies this host's children in the tree of the notice's root, once.
+func (s *Spread) forward(ctx context.Context, n notice) {
+	s.mu.Lock()
+	seen := s.sent[n.Root] >= n.Number
+	if !seen {
+		if len(s.sent) >= rootsKept {
+			clear(s.sent)
+		}
+		s.sent[n.Root] = n.Number
+	}
+	s.mu.Unlock()
+	if seen {
+		return
+	}
+	hosts := s.tree(n.Root)
+	for i, host := range hosts {
+		if host == s.opts.Link.Self().Host {
+			s.notify(ctx, hosts, i, n)
+			return
+		}
+	}
+}
+
+// notify tells the children of the host at position i. Those of a child that
+// does not answer are told directly: a host that died must not cut off the
+// hosts behind it.
+func (s *Spread) notify(ctx context.Context, hosts []string, i int, n notice) {
+	var g errgroup.Group
+	for child := fanout*i + 1; child <= fanout*i+fanout && child < len(hosts); child++ {
+		g.Go(func() error {
+			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			var a summary
+			if err := s.opts.Link.Call(callCtx, hosts[child], methodNotice, n, &a); err != nil {
+				s.notify(ctx, hosts, child, n)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// tree lays out the hosts of this domain: root first, the others by rank, so
+// that all hosts with the same view agree on it.
+func (s *Spread) tree(root string) []string {
+	hosts := []string{root}
+	for _, h := range s.ranked() {
+		if h != root {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
--- a/process/release/release.go
+++ b/process/release/release.go
@@ -40,6 +40,8 @@
 	// ErrBehind: entry hosts have a release in force that the platform does
 	// not know, so it was restored to an earlier state. See Publisher.Recover.
 	ErrBehind = errors.New("release: the platform is behind the entry hosts")
+	// ErrNoRelease: a host has started and found no release to serve.
+	ErrNoRelease = errors.New("release: neither the platform nor a peer has given one")
 	// ErrPending: the change set is still queued and may yet be accepted.
 	ErrPending = errors.New("release: outcome not known yet")
 )
@@ -75,6 +77,8 @@
 	Release
 	Parts []string `json:"parts"`          // keys of the objects that hold the rows
 	Sets  []string `json:"sets,omitempty"` // change sets accepted by this release
+	// Delta leads from the release before to this one; nil when it is large.
+	Delta *Delta `json:"delta,omitempty"`
 	// Recent are the releases before this one, newest first, up to recentRefs.
 	Recent []Ref `json:"recent,omitempty"`
 	// Swept is the lowest number whose objects may still exist.
--- /dev/null
+++ b/process/release/spread.go
@@ -0,0 +1,215 @@
+package release
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
+
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
+)
+
+// SpreadOptions configure a Spread; zero values get defaults.
+type SpreadOptions struct {
+	Follower *Follower
+	Link     peer.Link   // nil: the host runs alone
+	View     member.View // nil: every peer of the link counts as live
+	// Watchers is how many hosts of a domain watch the platform; default 2.
+	Watchers int
+	// Poll is the period in which a host compares with one peer; default 2 s.
+	Poll time.Duration
+	// Silence is how old the newest news of the platform may get before hosts
+	// other than the chosen ones try the platform; default 20 s.
+	Silence time.Duration
+	// ExpectPeers says that peers are configured, so that a host which starts
+	// waits a moment for the link to know them.
+	ExpectPeers bool
+}
+
+const (
+	defaultWatchers = 2
+	defaultPoll     = 2 * time.Second
+	defaultSilence  = 20 * time.Second
+	peerTimeout     = 500 * time.Millisecond
+	fetchTimeout    = 5 * time.Second
+	joinTimeout     = time.Second
+)
+
+// Spread passes releases between entry hosts: few hosts of a failure domain
+// watch the platform, the others hear of a release from them and fetch the rows
+// that changed, and every host compares with a peer now and then, which mends
+// whatever was lost on the way.
+type Spread struct {
+	opts     SpreadOptions
+	f        *Follower
+	joined   atomic.Bool
+	watching atomic.Bool                     // this host watches the platform
+	ctx      atomic.Pointer[context.Context] // of Run, for work that notices start
+
+	mu       sync.Mutex
+	sent     map[string]uint64 // root -> number forwarded last
+	pulling  map[uint64]chan struct{}
+	fromPeer map[uint64]bool // releases that came with a notice
+	heardOf  time.Time       // when a watcher of the domain last reached the platform, as told
+}
+
+// NewSpread registers the peer methods; it is called before the link starts.
+func NewSpread(opts SpreadOptions) *Spread {
+	if opts.Watchers <= 0 {
+		opts.Watchers = defaultWatchers
+	}
+	if opts.Poll <= 0 {
+		opts.Poll = defaultPoll
+	}
+	if opts.Silence <= 0 {
+		opts.Silence = defaultSilence
+	}
+	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, fromPeer: map[uint64]bool{}}
+	if opts.Link == nil {
+		return s
+	}
+	opts.Link.Handle(methodSummary, s.onSummary)
+	opts.Link.Handle(methodFetch, s.onFetch)
+	opts.Link.Handle(methodNotice, s.onNotice)
+	s.f.OnPrepared(s.prepared)
+	return s
+}
+
+// Run follows releases until ctx ends.
+func (s *Spread) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	s.ctx.Store(&ctx)
+	s.heardPlatform(0) // the chosen watchers get the time of Silence to be heard of
+	g.Go(func() error { return s.f.Switch(ctx) })
+	if s.opts.Link == nil {
+		s.joined.Store(true)
+		g.Go(func() error { return s.f.Watch(ctx) })
+		return g.Wait()
+	}
+	g.Go(func() error { return s.join(ctx) })
+	g.Go(func() error { return s.keepRole(ctx) })
+	g.Go(func() error { return s.compare(ctx) })
+	return g.Wait()
+}
+
+// Joined reports whether this host asked its peers for their release since it
+// started. Until then it may know less than its callers have seen already: a
+// host that restarts while the platform is down or behind must not serve an
+// earlier release than it did before.
+func (s *Spread) Joined() bool { return s.joined.Load() }
+
+// Summary returns number and hash of the newest release here, for heartbeats.
+func (s *Spread) Summary() (number uint64, hash string) { return s.f.Summary() }
+
+// Heard takes what a peer says it has, from a heartbeat or an answer. It returns
+// at once; a newer release is fetched in the background.
+func (s *Spread) Heard(from peer.Identity, number uint64, hash string) {
+	if !s.f.Wants(number, hash, from.Host) {
+		return
+	}
+	s.background(func(ctx context.Context) { _ = s.pull(ctx, from.Host, number) })
+}
+
+func (s *Spread) background(f func(context.Context)) {
+	if ctx := s.ctx.Load(); ctx != nil && (*ctx).Err() == nil {
+		go f(*ctx)
+	}
+}
+
+// pull fetches the newest release of host. One pull of a number runs at a time.
+func (s *Spread) pull(ctx context.Context, host string, number uint64) error {
+	s.mu.Lock()
+	if other, busy := s.pulling[number]; busy {
+		s.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+		}
+		if have, _ := s.f.Summary(); have >= number {
+			return nil
+		}
+		return s.pull(ctx, host, number)
+	}
+	done := make(chan struct{})
+	s.pulling[number] = done
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.pulling, number)
+		s.mu.Unlock()
+		close(done)
+	}()
+	if have, _ := s.f.Summary(); have >= number {
+		return nil
+	}
+	return s.fetch(ctx, host)
+}
+
+func (s *Spread) fetch(ctx context.Context, host string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	base := s.f.Newest()
+	ask := fetch{}
+	if base != nil {
+		ask.Number, ask.Hash = base.Number, base.Hash
+	}
+	var t transfer
+	if err := s.opts.Link.Call(ctx, host, methodFetch, ask, &t); err != nil {
+		return fmt.Errorf("fetch release from %s: %w", host, err)
+	}
+	rel, err := t.release(base)
+	if err == nil {
+		err = s.f.Offer(rel, time.Duration(t.Age)*time.Millisecond, host)
+	}
+	return err
+}
+
+func (s *Spread) onFetch(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+	var ask fetch
+	if err := msgpack.Unmarshal(payload, &ask); err != nil {
+		return nil, fmt.Errorf("decode fetch: %w", err)
+	}
+	held := s.f.Newest()
+	if held == nil {
+		return nil, ErrNotKept
+	}
+	t, err := newTransfer(held, s.f.remembered(ask.Number, ask.Hash), s.f.opts.Clock.Now().Sub(held.Origin))
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(&t)
+}
+
+func (s *Spread) onSummary(context.Context, peer.Identity, []byte) ([]byte, error) {
+	number, hash := s.f.Summary()
+	return msgpack.Marshal(&summary{Number: number, Hash: hash, Platform: s.platformAge()})
+}
+
+// platformAge is the age of the newest news of the platform in this domain in
+// milliseconds; below 0: none.
+func (s *Spread) platformAge() int64 {
+	s.mu.Lock()
+	at := s.heardOf
+	s.mu.Unlock()
+	if own := s.f.platformAnsweredAt(); own.After(at) {
+		at = own
+	}
+	if at.IsZero() {
+		return -1
+	}
+	return s.f.opts.Clock.Now().Sub(at).Milliseconds()
+}
+
+// cutOff reports whether peers are this host's only source of releases now.
+func (s *Spread) cutOff() bool {
+	if s.watching.Load() && s.f.platformAnsweredAt().IsZero() {
+		return true
+	}
+	age := s.platformAge()
+	return age < 0 || age >= s.opts.Silence.Milliseconds()
+}
