Wire releases into the entry host: readiness, status, model versions held for their pool

A release-wide wait for loaded models was tried first and taken out: other changes of the same release would wait minutes for a weight store, or a bound on the wait would switch to a model that nobody has. Now only the model field of that pool waits until half of its servers (setting) report it loaded; the rest of the release is in force at once.

GET /release shows what is in force, prepared, watched and wrong; expvar releases adds the platform's calls.

--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -39,6 +39,7 @@
 
 	Requests RequestOptions
 	Policy   PolicyOptions
+	Releases ReleaseOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -49,6 +50,7 @@
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
 		Requests: DefaultRequestOptions(),
 		Policy:   defaultPolicyOptions(),
+		Releases: defaultReleaseOptions(),
 	}
 }
 
@@ -73,6 +75,7 @@
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
 	o.Requests.register(set)
 	o.Policy.register(set)
+	o.Releases.register(set)
 }
 
 func address(v string) error {
--- a/entryhost/releases.go
+++ b/entryhost/releases.go
@@ -1,33 +1,82 @@
 package entryhost
 
 import (
+	"expvar"
 	"net/http"
+	"time"
 
+	"bilberrydale/internal/settings"
+	"bilberrydale/process/platform"
 	"bilberrydale/process/release"
 	"bilberrydale/version/snapshot"
 )
 
+// ReleaseOptions are the settings of following releases.
+type ReleaseOptions struct {
+	Hold     time.Duration // from a release's acceptance to the switch
+	Watchers int           // hosts of a failure domain that watch the platform
+	Poll     time.Duration // period of comparing with a peer
+	Loaded   float64       // share of a pool's servers that make a model version usable
+}
+
+func defaultReleaseOptions() ReleaseOptions {
+	return ReleaseOptions{
+		Hold: release.DefaultHold, Watchers: release.DefaultWatchers, Poll: release.DefaultPoll, Loaded: .5,
+	}
+}
+
+func (o *ReleaseOptions) register(set *settings.Set) {
+	set.Duration(&o.Hold, "release-hold", "time in which a release spreads before hosts switch to it", 0, 5*time.Second)
+	set.Int(&o.Watchers, "release-watchers", "entry hosts of a failure domain that watch the platform", 1, 16)
+	set.Duration(&o.Poll, "release-poll", "period in which an entry host compares releases with a peer", 100*time.Millisecond, time.Minute)
+	set.Float(&o.Loaded, "model-loaded", "share of a pool's servers that have to have a new model version loaded before it is used", 0, 1)
+}
+
 // releasesPart keeps this entry host on the newest accepted release.
 type releasesPart struct {
 	follower *release.Follower
 	spread   *release.Spread
+	models   modelGate
 }
 
+// releasesVars shows every entry host of the process by name.
+var releasesVars = expvar.NewMap("releases")
+
 func (h *Host) wireReleases() {
-	p := &h.releases
+	p, opts := &h.releases, h.opts.Releases
+	p.models.share = opts.Loaded
 	p.follower = release.NewFollower(release.FollowerOptions{
-		Host: h.opts.Name, Store: h.store, Clock: h.clock, Rand: h.rand, Compile: h.compile,
+		Host: h.opts.Name, Store: h.store, Clock: h.clock, Rand: h.rand, Compile: h.compile, Hold: opts.Hold,
 	})
 	p.spread = release.NewSpread(release.SpreadOptions{
 		Follower: p.follower, Link: h.members.link, View: h.members.view, ExpectPeers: h.opts.Peers != "",
+		Watchers: opts.Watchers, Poll: opts.Poll,
 	})
 	h.add("releases", p.spread.Run)
+	h.add("model gate", h.openModels)
+	releasesVars.Set(h.opts.Name, expvar.Func(func() any { return h.releaseVars() }))
+}
+
+type releaseVars struct {
+	release.Status
+	Platform *platform.Counts `json:"platform_calls,omitempty"`
+}
+
+func (h *Host) releaseVars() releaseVars {
+	vars := releaseVars{Status: h.releases.spread.Status()}
+	if store, ok := h.store.(*platform.HTTP); ok {
+		counts := store.Counts()
+		vars.Platform = &counts
+	}
+	return vars
 }
 
 // compile builds the snapshot of a release; the function it returns puts the
 // snapshot in force for new requests.
 func (h *Host) compile(rel release.Release) (func(), error) {
-	snap, err := snapshot.Build(rel, snapshot.Options{Registry: h.registry, Now: h.clock.Now(), NewPicker: h.newPicker})
+	snap, err := snapshot.Build(rel, snapshot.Options{
+		Registry: h.registry, Now: h.clock.Now(), NewPicker: h.newPicker, Adjust: h.holdModels(),
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -42,4 +91,7 @@
 		rel, _ := h.releases.follower.Current()
 		writeJSON(w, rel)
 	}))
+	mux.Handle("GET /release", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, h.releases.spread.Status())
+	}))
 }
--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -30,11 +30,6 @@
 	// (prepare-then-switch).
 	// 0: switch on arrival. A host that learns of it later switches at once.
 	Hold time.Duration
-	// Ready reports whether the backend servers are ready for a release, for
-	// instance have its new model version loaded. nil: always.
-	Ready func(Release) bool
-	// ReadyWait bounds the wait for Ready after Hold; default 5 s.
-	ReadyWait time.Duration
 	// WatchWait is how long one watch of the platform waits; default 20 s.
 	WatchWait time.Duration
 	// CheckEvery is the period of the reads that back the watch up; default 5 s.
@@ -45,10 +40,8 @@
 const DefaultHold = 100 * time.Millisecond
 
 const (
-	defaultReadyWait  = 5 * time.Second
 	defaultWatchWait  = 20 * time.Second
 	defaultCheckEvery = 5 * time.Second
-	readyPoll         = 100 * time.Millisecond
 	// recentReleases is how many releases a host keeps to tell peers the rows
 	// changed since the one they have.
 	recentReleases = 8
@@ -83,9 +76,6 @@
 
 // NewFollower returns a follower of the platform's head object.
 func NewFollower(opts FollowerOptions) *Follower {
-	if opts.ReadyWait <= 0 {
-		opts.ReadyWait = defaultReadyWait
-	}
 	if opts.WatchWait <= 0 {
 		opts.WatchWait = defaultWatchWait
 	}
@@ -185,7 +175,7 @@
 	}
 	f.next, f.switchF = held, switchF
 	f.held.Store(held)
-	if f.current.Number == 0 || f.due() {
+	if f.current.Number == 0 || f.untilDue() <= 0 {
 		f.switchNow()
 	} else {
 		f.wake()
@@ -210,16 +200,10 @@
 	}
 }
 
-// due reports whether next may be put in force. Called with the lock held.
-func (f *Follower) due() bool {
-	waited := f.opts.Clock.Now().Sub(f.next.Origin)
-	if waited < f.opts.Hold {
-		return false
-	}
-	if f.opts.Ready == nil || waited >= f.opts.Hold+f.opts.ReadyWait {
-		return true
-	}
-	return f.opts.Ready(f.next.Release)
+// untilDue returns the time until next may be put in force. Called with the
+// lock held.
+func (f *Follower) untilDue() time.Duration {
+	return f.opts.Hold - f.opts.Clock.Now().Sub(f.next.Origin)
 }
 
 func (f *Follower) switchNow() {
@@ -232,7 +216,7 @@
 	for {
 		var timer <-chan time.Time
 		f.mu.Lock()
-		if f.next != nil && f.due() {
+		if f.next != nil && f.untilDue() <= 0 {
 			f.switchNow()
 		}
 		if f.next != nil {
@@ -248,12 +232,20 @@
 	}
 }
 
-func (f *Follower) untilDue() time.Duration {
-	left := f.opts.Hold - f.opts.Clock.Now().Sub(f.next.Origin)
-	if left > 0 {
-		return left
+// Recompile compiles the release in force again and puts the result in force,
+// for what the compiled form takes from outside the release.
+func (f *Follower) Recompile() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current.Number == 0 {
+		return nil
 	}
-	return readyPoll
+	switchF, err := f.opts.Compile(f.current)
+	if err != nil {
+		return fmt.Errorf("compile release %d again: %w", f.current.Number, err)
+	}
+	switchF()
+	return nil
 }
 
 // remembered returns the release if this host held it lately, or nil.
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -31,13 +31,17 @@
 	ExpectPeers bool
 }
 
+// Defaults of SpreadOptions.
 const (
-	defaultWatchers = 2
-	defaultPoll     = 2 * time.Second
-	defaultSilence  = 20 * time.Second
-	peerTimeout     = 500 * time.Millisecond
-	fetchTimeout    = 5 * time.Second
-	joinTimeout     = time.Second
+	DefaultWatchers = 2
+	DefaultPoll     = 2 * time.Second
+)
+
+const (
+	defaultSilence = 20 * time.Second
+	peerTimeout    = 500 * time.Millisecond
+	fetchTimeout   = 5 * time.Second
+	joinTimeout    = time.Second
 )
 
 // Spread passes releases between entry hosts: few hosts of a failure domain
@@ -61,10 +65,10 @@
 // NewSpread registers the peer methods; it is called before the link starts.
 func NewSpread(opts SpreadOptions) *Spread {
 	if opts.Watchers <= 0 {
-		opts.Watchers = defaultWatchers
+		opts.Watchers = DefaultWatchers
 	}
 	if opts.Poll <= 0 {
-		opts.Poll = defaultPoll
+		opts.Poll = DefaultPoll
 	}
 	if opts.Silence <= 0 {
 		opts.Silence = defaultSilence
--- a/version/snapshot/snapshot.go
+++ b/version/snapshot/snapshot.go
@@ -54,6 +54,7 @@
 	Registry  *server.Registry
 	NewPicker func(pool table.Pool, servers []pick.Server) pick.Picker
 	Now       time.Time
+	Adjust    func(*table.Pool) // called for each pool before its picker is made; nil: none
 }
 
 // Build compiles rel. It fails, leaving the earlier snapshot in force, when
@@ -78,6 +79,9 @@
 }
 
 func buildPool(p table.Pool, opts Options) *Pool {
+	if opts.Adjust != nil {
+		opts.Adjust(&p)
+	}
 	servers := make([]pick.Server, len(p.Servers))
 	for i, srv := range p.Servers {
 		servers[i] = pick.Server{Server: srv, State: opts.Registry.Get(srv.Name, srv.Address, opts.Now), Slots: p.Slots}
