Few bytes at rest at the platform, fewer reads in the queue, one root a release in a domain

A read of the whole head every 5 s would cost a watcher about the size of the head each time (rows of one pool and 32 references); it is now asked for changes, and read whole once in about a minute, which still finds a restored platform. Hosts that learn of a release within their domain start no notice of their own.

--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -83,6 +84,28 @@
 	o.hosts = append([]platform.Host(nil), hosts...)
 }
 
+// Backup is the state of the platform at one time.
+type Backup struct {
+	objects  map[string]platform.Object
+	revision uint64
+}
+
+// Backup returns the present state, for Restore.
+func (o *Objects) Backup() Backup {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return Backup{objects: maps.Clone(o.objects), revision: o.revision}
+}
+
+// Restore puts an earlier state back, its revision included, as operators of
+// the platform do after a loss of data.
+func (o *Objects) Restore(b Backup) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.objects, o.revision = maps.Clone(b.objects), b.revision
+	o.wake()
+}
+
 func (o *Objects) wake() {
 	close(o.changed)
 	o.changed = make(chan struct{})
--- a/process/release/chain.go
+++ b/process/release/chain.go
@@ -123,6 +123,13 @@
 	if err != nil {
 		return Release{}, err
 	}
+	return p.at(ctx, head, number)
+}
+
+func (p *Publisher) at(ctx context.Context, head Head, number uint64) (Release, error) {
+	if number == head.Number {
+		return loadParts(ctx, p.Store, head)
+	}
 	ref, err := find(ctx, p.Store, head, number)
 	if err != nil {
 		return Release{}, err
--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -160,7 +160,7 @@
 		f.faults.set(faultRefused, err)
 		return nil, err
 	}
-	for _, k := range []faultKind{faultRefused, faultDiverged, faultReplaced, faultJoin} {
+	for _, k := range []faultKind{faultRefused, faultBehind, faultDiverged, faultReplaced, faultJoin} {
 		f.faults.clear(k)
 	}
 	f.checkLineage(rel)
--- a/process/release/notice.go
+++ b/process/release/notice.go
@@ -18,14 +18,13 @@
 	rootsKept = 64
 )
 
-// prepared starts a notice in this host's domain for a release that did not
-// come with one: it came from the platform or from another domain.
+// prepared starts a notice in this host's domain for a release that came from
+// the platform or from another domain. One from this domain has its root there.
 func (s *Spread) prepared(h *Held) {
 	s.mu.Lock()
-	withNotice := s.fromPeer[h.Number]
-	delete(s.fromPeer, h.Number)
+	near := s.near[h.Number]
 	s.mu.Unlock()
-	if withNotice {
+	if near {
 		return
 	}
 	n := notice{Number: h.Number, Hash: h.Hash, Root: s.opts.Link.Self().Host}
@@ -46,17 +45,8 @@
 }
 
 func (s *Spread) take(ctx context.Context, from peer.Identity, n notice) {
-	if s.f.Wants(n.Number, n.Hash, from.Host) {
-		s.mu.Lock()
-		s.fromPeer[n.Number] = true
-		s.mu.Unlock()
-		err := s.pull(ctx, from.Host, n.Number)
-		s.mu.Lock()
-		delete(s.fromPeer, n.Number)
-		s.mu.Unlock()
-		if err != nil {
-			return // comparing with peers mends it
-		}
+	if s.f.Wants(n.Number, n.Hash, from.Host) && s.pull(ctx, from, n.Number) != nil {
+		return // comparing with peers mends it
 	}
 	s.forward(ctx, n)
 }
--- a/process/release/publish.go
+++ b/process/release/publish.go
@@ -61,6 +61,11 @@
 	if err != nil {
 		return base{}, err
 	}
+	return p.complete(ctx, head, obj)
+}
+
+// complete reads the rows of head and checks it against the floor.
+func (p *Publisher) complete(ctx context.Context, head Head, obj platform.Object) (base, error) {
 	rel, err := loadParts(ctx, p.Store, head)
 	if err != nil {
 		return base{}, err
--- a/process/release/queue.go
+++ b/process/release/queue.go
@@ -83,26 +83,35 @@
 }
 
 // step looks whether the set was accepted and otherwise tries to commit the
-// queue. The head is read before the queue: withdraw depends on that order.
+// queue. The head is read before the queue: withdraw depends on that order. Rows
+// are read only by the few writers that prepare a commit.
 func (q *queued) step(ctx context.Context, try int) (Release, bool, error) {
-	b, err := q.p.read(ctx)
-	if err != nil && !errors.Is(err, ErrBehind) {
+	head, obj, err := readHead(ctx, q.p.Store)
+	if err != nil {
 		return Release{}, false, err
 	}
-	q.version = b.obj.Version
-	if rel, ok, err := q.included(ctx, b); ok || err != nil {
+	q.version = obj.Version
+	if rel, ok, err := q.included(ctx, head); ok || err != nil {
 		return rel, ok, err
 	}
-	if errors.Is(err, ErrBehind) {
-		return q.withdraw(ctx, err)
-	}
-	sets, err := q.pending(ctx, b)
+	sets, err := q.pending(ctx, head)
 	if err != nil {
 		return Release{}, false, err
 	}
 	if q.leaveToOthers(len(sets), try) {
 		return Release{}, false, platform.ErrConflict
 	}
+	b, err := q.p.complete(ctx, head, obj)
+	if errors.Is(err, ErrBehind) {
+		return q.withdraw(ctx, err)
+	}
+	if err != nil {
+		return Release{}, false, err
+	}
+	return q.commit(ctx, b, sets)
+}
+
+func (q *queued) commit(ctx context.Context, b base, sets []ChangeSet) (Release, bool, error) {
 	g := q.p.merge(b.rel, sets)
 	if err := g.refused[q.set.ID]; err != nil {
 		return q.withdraw(ctx, err)
@@ -153,8 +162,8 @@
 }
 
 // included looks for the set in the releases since it was queued.
-func (q *queued) included(ctx context.Context, b base) (Release, bool, error) {
-	done, err := q.p.setsSince(ctx, b.head, q.since)
+func (q *queued) included(ctx context.Context, head Head) (Release, bool, error) {
+	done, err := q.p.setsSince(ctx, head, q.since)
 	if err != nil {
 		return Release{}, false, err
 	}
@@ -163,10 +172,7 @@
 		return Release{}, false, nil
 	}
 	q.remove(ctx)
-	if number == b.rel.Number {
-		return b.rel, true, nil
-	}
-	rel, err := q.p.At(ctx, number)
+	rel, err := q.p.at(ctx, head, number)
 	return rel, true, err
 }
 
@@ -202,7 +208,7 @@
 // Expired ones are removed. A set that was accepted already is left out: its
 // writer may have died before removing it, and accepting it again would bring
 // back a row that somebody has deleted since.
-func (q *queued) pending(ctx context.Context, b base) ([]ChangeSet, error) {
+func (q *queued) pending(ctx context.Context, head Head) ([]ChangeSet, error) {
 	objs, err := q.p.Store.List(ctx, queuePrefix)
 	if err != nil {
 		return nil, fmt.Errorf("read queue: %w", err)
@@ -212,7 +218,7 @@
 	oldest := q.since
 	for _, o := range objs {
 		var e entry
-		if err := json.Unmarshal(o.Value, &e); err != nil || q.expired(e, b) {
+		if err := json.Unmarshal(o.Value, &e); err != nil || q.expired(e, head) {
 			_ = q.p.Store.Delete(ctx, o.Key, o.Version)
 			continue
 		}
@@ -221,7 +227,7 @@
 			oldest = min(oldest, e.Since)
 		}
 	}
-	done, err := q.p.setsSince(ctx, b.head, oldest)
+	done, err := q.p.setsSince(ctx, head, oldest)
 	if err != nil {
 		return nil, err
 	}
@@ -236,8 +242,8 @@
 
 // expired reports whether e is to be dropped: its life is over, or so many
 // releases followed that reading back whether it was accepted costs too much.
-func (q *queued) expired(e entry, b base) bool {
-	return q.p.Clock.Now().After(e.Expires) || e.Since+recentRefs < b.head.Number
+func (q *queued) expired(e entry, head Head) bool {
+	return q.p.Clock.Now().After(e.Expires) || e.Since+recentRefs < head.Number
 }
 
 func (q *queued) remove(ctx context.Context) {
@@ -259,18 +265,17 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return Release{}, false, err
 	}
-	b, err := q.p.read(ctx)
-	if err != nil && !errors.Is(err, ErrBehind) {
-		return Release{}, false, err
+	head, obj, err := readHead(ctx, q.p.Store)
+	if err == nil {
+		err = q.p.fence(ctx, obj)
 	}
-	err = q.p.fence(ctx, b.obj)
 	if errors.Is(err, platform.ErrConflict) {
-		b, err = q.p.read(ctx)
+		head, _, err = readHead(ctx, q.p.Store)
 	}
-	if err != nil && !errors.Is(err, ErrBehind) {
+	if err != nil {
 		return Release{}, false, err
 	}
-	if rel, ok, err := q.included(ctx, b); ok || err != nil {
+	if rel, ok, err := q.included(ctx, head); ok || err != nil {
 		return rel, ok, err
 	}
 	return Release{}, true, refusal
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -178,7 +178,7 @@
 		s.heardPlatform(time.Duration(a.Platform) * time.Millisecond)
 	}
 	if s.f.Wants(a.Number, a.Hash, p.Host) {
-		return s.pull(ctx, p.Host, a.Number)
+		return s.pull(ctx, p, a.Number)
 	}
 	return nil
 }
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -55,11 +55,11 @@
 	watching atomic.Bool                     // this host watches the platform
 	ctx      atomic.Pointer[context.Context] // of Run, for work that notices start
 
-	mu       sync.Mutex
-	sent     map[string]uint64 // root -> number forwarded last
-	pulling  map[uint64]chan struct{}
-	fromPeer map[uint64]bool // releases that came with a notice
-	heardOf  time.Time       // when a watcher of the domain last reached the platform, as told
+	mu      sync.Mutex
+	sent    map[string]uint64 // root -> number forwarded last
+	pulling map[uint64]chan struct{}
+	near    map[uint64]bool // releases being fetched from this domain
+	heardOf time.Time       // when a watcher of the domain last reached the platform, as told
 }
 
 // NewSpread registers the peer methods; it is called before the link starts.
@@ -73,7 +73,7 @@
 	if opts.Silence <= 0 {
 		opts.Silence = defaultSilence
 	}
-	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, fromPeer: map[uint64]bool{}}
+	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, near: map[uint64]bool{}}
 	if opts.Link == nil {
 		return s
 	}
@@ -116,7 +116,7 @@
 	if !s.f.Wants(number, hash, from.Host) {
 		return
 	}
-	s.background(func(ctx context.Context) { _ = s.pull(ctx, from.Host, number) })
+	s.background(func(ctx context.Context) { _ = s.pull(ctx, from, number) })
 }
 
 func (s *Spread) background(f func(context.Context)) {
@@ -125,33 +125,33 @@
 	}
 }
 
-// pull fetches the newest release of host. One pull of a number runs at a time.
-func (s *Spread) pull(ctx context.Context, host string, number uint64) error {
+// pull fetches the newest release of from. One pull of a number runs at a time.
+func (s *Spread) pull(ctx context.Context, from peer.Identity, number uint64) error {
 	s.mu.Lock()
 	if other, busy := s.pulling[number]; busy {
 		s.mu.Unlock()
 		select {
 		case <-other:
 		case <-ctx.Done():
+			return ctx.Err()
 		}
-		if have, _ := s.f.Summary(); have >= number {
-			return nil
-		}
-		return s.pull(ctx, host, number)
+		return s.pull(ctx, from, number)
 	}
 	done := make(chan struct{})
 	s.pulling[number] = done
+	s.near[number] = from.Domain == s.opts.Link.Self().Domain
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		delete(s.pulling, number)
+		delete(s.near, number)
 		s.mu.Unlock()
 		close(done)
 	}()
 	if have, _ := s.f.Summary(); have >= number {
 		return nil
 	}
-	return s.fetch(ctx, host)
+	return s.fetch(ctx, from.Host)
 }
 
 func (s *Spread) fetch(ctx context.Context, host string) error {
--- a/process/release/spread_bench_test.go
+++ b/process/release/spread_bench_test.go
@@ -234,3 +234,45 @@
 		})
 	}
 }
+
+// BenchmarkTransfer measures one changed server in tables of the design size:
+// what a peer sends and what it costs both to make and take it in.
+func BenchmarkTransfer(b *testing.B) {
+	rows := func(serial int, number uint64) Release {
+		rel := Release{Number: number}
+		for _, c := range largeTables(serial) {
+			rel.Rows = append(rel.Rows, Row{Key: c.Key, Data: c.Data, Version: 1, Author: "ada"})
+		}
+		rel.Hash = HashRows(rel.Rows)
+		return rel
+	}
+	base, next := &Held{Release: rows(0, 1)}, &Held{Release: rows(15, 2)}
+	for _, from := range []*Held{nil, base} {
+		name := "whole"
+		if from != nil {
+			name = "changed"
+		}
+		b.Run(name, func(b *testing.B) {
+			var t transfer
+			for range b.N {
+				var err error
+				if t, err = newTransfer(next, from, 0); err != nil {
+					b.Fatal(err)
+				}
+				rel, err := t.release(base)
+				if err != nil || rel.Verify() != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(t.Rows)), "packedB")
+			b.ReportMetric(float64(diffRowsFrom(from, next).size()), "rowsB")
+		})
+	}
+}
+
+func diffRowsFrom(base, next *Held) Delta {
+	if base == nil {
+		return Delta{Changed: next.Rows}
+	}
+	return diffRows(base.Rows, next.Rows)
+}
--- a/process/release/watch.go
+++ b/process/release/watch.go
@@ -43,10 +43,11 @@
 	return f.watch.answered
 }
 
-// Watch follows the head object until ctx ends. Beside the watch it reads the
-// head every CheckEvery: a watch can go silent for good with its connection,
-// and one that starts after a version which a restored platform has not reached
-// again would miss every release until then.
+// Watch follows the head object until ctx ends. Beside the long watch it asks
+// for changes every CheckEvery, because a watch can go silent for good with its
+// connection, and now and then reads the whole head, because a watch that starts
+// after a version which a restored platform has not reached again would miss
+// every release until then.
 func (f *Follower) Watch(ctx context.Context) error {
 	defer f.platformLost(nil)
 	g, ctx := errgroup.WithContext(ctx)
@@ -90,9 +91,17 @@
 	return nil
 }
 
-// checkHead reads the head now and then, as a back-up of the watch.
+const (
+	// fullCheck is how many checks one read of the whole head is worth: it has
+	// some tens of KB, an answer without a change has none.
+	fullCheck = 12
+	checkWait = time.Millisecond
+)
+
+// checkHead asks for changes of the head now and then, as a back-up of the
+// watch, which reports the platform's failures.
 func (f *Follower) checkHead(ctx context.Context, seen *atomic.Uint64) error {
-	for {
+	for n := 1; ; n++ {
 		// Jitter keeps the hosts from reading in step after an outage.
 		wait := time.Duration((0.75 + 0.5*f.opts.Rand.Float64()) * float64(f.opts.CheckEvery))
 		select {
@@ -100,9 +109,15 @@
 			return nil
 		case <-f.opts.Clock.After(wait):
 		}
-		// The watch reports the platform's failures.
-		if version, err := f.readHead(ctx); err == nil {
-			seen.Store(version)
+		if n%fullCheck == 0 {
+			if version, err := f.readHead(ctx); err == nil {
+				seen.Store(version)
+			}
+			continue
+		}
+		if objs, err := f.opts.Store.Watch(ctx, HeadKey, seen.Load(), checkWait); err == nil {
+			f.platformAnswered()
+			_ = f.takeHeads(ctx, objs, seen)
 		}
 	}
 }
--- a/process/release/wire.go
+++ b/process/release/wire.go
@@ -82,7 +82,7 @@
 
 // maxBody bounds the unpacked rows of one transfer, so that a faulty peer
 // cannot fill this host's memory.
-const maxBody = 64 << 20
+const maxBody = 16 << 20
 
 // pack encodes d compressed: rows are JSON that repeats field names.
 func pack(d Delta) ([]byte, error) {
