Nothing in force before peers were asked; a slow platform that loses answers

A host that starts kept what the platform answered first in force until peers had answered, and a stale platform made it serve less than before for that moment.

--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -57,6 +57,7 @@
 
 	mu      sync.Mutex
 	current Release
+	closed  bool     // nothing is put in force yet: see close
 	next    *Held    // prepared, not yet in force
 	switchF func()   // puts next in force
 	recent  []*Held  // newest last
@@ -175,7 +176,7 @@
 	}
 	f.next, f.switchF = held, switchF
 	f.held.Store(held)
-	if f.current.Number == 0 || f.untilDue() <= 0 {
+	if f.due() {
 		f.switchNow()
 	} else {
 		f.wake()
@@ -200,6 +201,31 @@
 	}
 }
 
+// close keeps releases from being put in force until open. A host that starts
+// would otherwise serve what a stale platform answers first, and its callers may
+// have seen a later release from the host before it.
+func (f *Follower) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+}
+
+// open ends close: the newest release seen so far is put in force at once.
+func (f *Follower) open() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = false
+	if f.next != nil && f.due() {
+		f.switchNow()
+	}
+}
+
+// due reports whether next may be put in force; the first release of a host has
+// nothing to wait for. Called with the lock held.
+func (f *Follower) due() bool {
+	return !f.closed && (f.current.Number == 0 || f.untilDue() <= 0)
+}
+
 // untilDue returns the time until next may be put in force. Called with the
 // lock held.
 func (f *Follower) untilDue() time.Duration {
@@ -216,10 +242,10 @@
 	for {
 		var timer <-chan time.Time
 		f.mu.Lock()
-		if f.next != nil && f.untilDue() <= 0 {
+		if f.next != nil && f.due() {
 			f.switchNow()
 		}
-		if f.next != nil {
+		if f.next != nil && !f.closed {
 			timer = f.opts.Clock.After(f.untilDue())
 		}
 		f.mu.Unlock()
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -195,6 +195,7 @@
 // release they have.
 func (s *Spread) join(ctx context.Context) error {
 	defer s.joined.Store(true)
+	defer s.f.open()
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var g errgroup.Group
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -81,6 +81,7 @@
 	opts.Link.Handle(methodFetch, s.onFetch)
 	opts.Link.Handle(methodNotice, s.onNotice)
 	s.f.OnPrepared(s.prepared)
+	s.f.close()
 	return s
 }
 
--- a/process/release/spread_test.go
+++ b/process/release/spread_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// The platform takes long for every call and loses the answers of writes. The
+// operator waits longer, and every host still follows each release, in order.
+func TestSlowPlatformThatLosesAnswers(t *testing.T) {
+	g := NewWithT(t)
+	fl := newFleet(g)
+	fl.start(t, 2, 3)
+	fl.inForce(fl.publish("pools/a", "0"))
+	for i := range 3 {
+		fl.objects.SetFaults(standin.Faults{Delay: 20 * time.Millisecond, LoseWrites: 4 + i})
+		fl.inForce(fl.publish("pools/a", fmt.Sprint("slow ", i)))
+	}
+	for name, h := range fl.hosts {
+		for n := uint64(1); n <= 4; n++ {
+			_, served := h.log.Load(n)
+			g.Expect(served).To(BeTrue(), "%s release %d", name, n)
+		}
+	}
+}
+
 // Both watchers of a domain lose the platform and every peer outside, but stay
 // alive for the membership. Nobody is told to take over; the others notice that
 // no news of the platform comes any more, and one of them watches it.
@@ -131,6 +150,9 @@
 		fl := newFleet(g)
 		fl.start(t, 1, 3)
 		fl.inForce(fl.publish("pools/a", "0"))
+		fl.delay = func(_, to string) time.Duration { // peers answer after the platform
+			return time.Duration(len(to)) * time.Millisecond
+		}
 		old := standin.New()
 		_, err := publisher(old, 1).Apply(context.Background(), put("ada", "pools/a", "0", 0))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -141,6 +163,8 @@
 		g.Eventually(h.s.Joined, 5*time.Second, time.Millisecond).Should(BeTrue())
 		cur, _ := h.f.Current()
 		g.Expect(cur.Number).To(Equal(second.Number))
+		_, served := h.log.Load(uint64(1))
+		g.Expect(served).To(BeFalse(), "not even for a moment")
 	}
 	g := NewWithT(t)
 	alone := newFleet(g)
