--- a/process/release/fleet_test.go
+++ b/process/release/fleet_test.go
@@ -86,7 +86,8 @@
 func (l *line) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, error) {
 	l.watches.Add(1)
 	l.calls.Add(1)
-	defer pass(l.delay) // the way of the answer
+	pass(l.delay)
+	defer pass(l.delay)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(l.down(), cancel)()
--- a/process/release/watch.go
+++ b/process/release/watch.go
@@ -27,7 +27,10 @@
 // one; a lower one counts at once, because only queueing makes it higher.
 const roundTripShare = 16
 
-func (w *watchState) measured(d time.Duration) {
+func (f *Follower) measured(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &f.watch
 	if w.roundTrip == 0 || d < w.roundTrip {
 		w.roundTrip = d
 		return
@@ -115,10 +118,14 @@
 			}
 			continue
 		}
-		if objs, err := f.opts.Store.Watch(ctx, HeadKey, seen.Load(), checkWait); err == nil {
-			f.platformAnswered()
-			_ = f.takeHeads(ctx, objs, seen)
+		asked := f.opts.Clock.Now()
+		objs, err := f.opts.Store.Watch(ctx, HeadKey, seen.Load(), checkWait)
+		if err != nil {
+			continue
 		}
+		f.platformAnswered()
+		f.measured(max(0, f.opts.Clock.Now().Sub(asked)-checkWait))
+		_ = f.takeHeads(ctx, objs, seen)
 	}
 }
 
@@ -131,9 +138,7 @@
 		return 0, err
 	}
 	f.platformAnswered()
-	f.mu.Lock()
-	f.watch.measured(f.opts.Clock.Now().Sub(asked))
-	f.mu.Unlock()
+	f.measured(f.opts.Clock.Now().Sub(asked))
 	return obj.Version, f.takeHead(ctx, head)
 }
 
