--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fmt demo bench
+.PHONY: build test fmt demo bench faults
 
 build:
 	go build ./...
@@ -19,3 +19,13 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+# A long fault run: RUNS runs of N operations, each with the next seed after
+# SEED; the reports go to OUT as JSON. Fails if a promise is broken.
+SEED ?= 1
+N ?= 2000
+RUNS ?= 1
+OUT ?=
+faults:
+	go test -race -count=1 -timeout 4h -run 'TestFaultRun$$' -v ./internal/faultrun \
+		-faults.seed=$(SEED) -faults.n=$(N) -faults.runs=$(RUNS) -faults.out=$(OUT)
--- a/process/kind/kind.go
+++ b/process/kind/kind.go
@@ -75,7 +75,7 @@
 	NotReady:         {http.StatusServiceUnavailable, RanNo, true, time.Second, "This entry host has no release in force yet"},
 	Draining:         {http.StatusServiceUnavailable, RanNo, true, time.Second, "This entry host is shutting down"},
 	NoBackend:        {http.StatusServiceUnavailable, RanNo, true, 2 * time.Second, "No backend server can take the stage"},
-	Quarantined:      {http.StatusForbidden, RanNo, true, time.Minute, "The request is in quarantine: it crashed backend servers"},
+	Quarantined:      {http.StatusForbidden, RanUnknown, true, time.Minute, "The request is in quarantine: it crashed backend servers"},
 	ClaimUnavailable: {http.StatusServiceUnavailable, RanUnknown, true, 2 * time.Second, "The claim store cannot be reached; an earlier attempt may have run"},
 	UnknownTicket:    {http.StatusConflict, RanUnknown, false, 0, "The ticket belongs to an entry host that is gone"},
 	InProgress:       {http.StatusConflict, RanUnknown, true, time.Second, "An earlier attempt with this key is still running"},
