--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fmt demo bench faults
+.PHONY: build test fmt demo bench replay faults
 
 build:
 	go build ./...
@@ -29,3 +29,7 @@
 faults:
 	go test -race -count=1 -timeout 4h -run 'TestFaultRun$$' -v ./internal/faultrun \
 		-faults.seed=$(SEED) -faults.n=$(N) -faults.runs=$(RUNS) -faults.out=$(OUT)
+
+# Replays the stated traces on the decision code: make replay SEED=7 OUT=f.json
+replay:
+	go run ./cmd/replay --seed=$(SEED) $(if $(OUT),--out=$(OUT))
