--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -62,21 +62,9 @@
 	return nil
 }
 
-func (h *Host) adminRequests(mux *http.ServeMux) {
-	mux.Handle("GET /quarantine", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, h.requests.guard.List())
-	}))
-	mux.Handle("DELETE /quarantine/{fingerprint}", h.authorized(func(w http.ResponseWriter, r *http.Request) {
-		var fp quarantine.Fingerprint
-		if err := fp.UnmarshalText([]byte(r.PathValue("fingerprint"))); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		if !h.requests.guard.Lift(fp) {
-			http.Error(w, "no such request in quarantine", http.StatusNotFound)
-		}
-	}))
-}
+// adminRequests adds nothing: the quarantine has its own file, and counters
+// are shown by expvar.
+func (h *Host) adminRequests(*http.ServeMux) {}
 
 // RequestOptions are the settings of the request path.
 type RequestOptions struct {
