--- a/process/claim/claim.go
+++ b/process/claim/claim.go
@@ -48,6 +48,9 @@
 type Result struct {
 	State  State
 	Answer *Answer
+	// Part, with Granted: an earlier send of the key ran stages that may be
+	// repeated, and no other.
+	Part bool
 	// Wait, if not nil and State is Running, is closed when the local attempt
 	// finishes; the caller then calls Begin again.
 	Wait <-chan struct{}
@@ -71,6 +74,13 @@
 	Mint(ctx context.Context, account string) (string, error)
 }
 
+// Parts is what a Claims may offer beside: to give a key up after stages ran
+// that may be repeated. The next send may run it, but may not be told that it
+// did not run.
+type Parts interface {
+	ReleasePart(ctx context.Context, key Key)
+}
+
 // Memory holds claims in this process only. It is the naive variant that the
 // failure tests compare against: two entry hosts with it both run a key.
 type Memory struct {
--- a/process/claim/commit.go
+++ b/process/claim/commit.go
@@ -28,7 +28,8 @@
 
 const (
 	add    action = iota // make the claim
-	remove               // give it up
+	remove               // give it up; nothing ran
+	part                 // give it up; stages that may be repeated ran
 	mark                 // record its outcome; never causes a write by itself
 )
 
@@ -53,7 +54,7 @@
 
 type opResult struct {
 	verdict verdict
-	other   Record // for taken
+	other   Record // that stands, for taken and granted
 }
 
 // CommitCounters count the committer's platform calls and conflicts.
@@ -312,15 +313,22 @@
 		r := op.record
 		cur, ok := next[r.ID]
 		switch {
-		case op.action == add && (!ok || op.replaces(&cur)):
-			next[r.ID] = r
+		case op.action == add && (!ok || op.replaces(&cur) || cur.reopened(&r)):
+			r.Part = r.Part || cur.Part || cur.Outcome == OutcomePart
+			next[r.ID], results[i].other = r, r
 			changed = true
 		case op.action == add && !cur.same(&r):
 			results[i] = opResult{taken, cur}
 			stale = true
-		case op.action == remove && ok && op.replaces(&cur):
+		case op.action == add:
+			results[i].other = cur
+		case op.action == remove && ok && op.replaces(&cur) && !cur.Part:
 			delete(next, r.ID)
 			changed = true
+		case (op.action == remove || op.action == part) && ok && op.replaces(&cur) && cur.Outcome != OutcomePart:
+			cur.Outcome = OutcomePart
+			next[r.ID] = cur
+			changed = true
 		case op.action == mark && ok && cur.same(&r) && cur.Outcome != r.Outcome:
 			cur.Outcome = r.Outcome
 			next[r.ID] = cur
@@ -336,5 +344,5 @@
 	if cur.Owner != op.record.Owner || cur.Seq < op.first {
 		return false
 	}
-	return cur.Seq < op.record.Seq || (op.action == remove && cur.Seq == op.record.Seq)
+	return cur.Seq < op.record.Seq || (op.action != add && cur.Seq == op.record.Seq)
 }
--- a/process/claim/manager.go
+++ b/process/claim/manager.go
@@ -51,7 +51,10 @@
 	return m
 }
 
-var _ Claims = (*Manager)(nil)
+var (
+	_ Claims = (*Manager)(nil)
+	_ Parts  = (*Manager)(nil)
+)
 
 // Mint implements Claims.
 func (m *Manager) Mint(_ context.Context, account string) (string, error) {
@@ -88,7 +91,7 @@
 		return m.claim(ctx, id, key, h)
 	case ticket.Minter == m.self:
 		m.table.set(id, running, func(h *holding) { h.ticket = ticket })
-		return Result{State: Granted}
+		return Result{State: Granted, Part: h.part}
 	default:
 		return m.borrow(ctx, id, key, ticket, h)
 	}
@@ -125,12 +128,12 @@
 // claim makes the claim on the platform.
 func (m *Manager) claim(ctx context.Context, id ID, key Key, h holding) Result {
 	m.Counters.Claims.Add(1)
-	r := Record{ID: id, Body: key.Body, Owner: m.self, Seq: h.seq, At: m.clock.Now()}
+	r := Record{ID: id, Body: key.Body, Owner: m.self, Seq: h.seq, At: m.clock.Now(), Part: h.part}
 	res := m.commit.run(ctx, add, r, h.first)
 	switch res.verdict {
 	case granted:
-		m.table.set(id, running, nil)
-		return Result{State: Granted}
+		m.table.set(id, running, func(h *holding) { h.part = res.other.Part })
+		return Result{State: Granted, Part: res.other.Part}
 	case taken:
 		m.table.drop(id)
 		return m.ask(ctx, key, res.other)
@@ -173,17 +176,23 @@
 
 // Release implements Claims. The claim is given back so that a resend to any
 // host may run the key.
-func (m *Manager) Release(ctx context.Context, key Key) { m.release(ctx, key.ID()) }
+func (m *Manager) Release(ctx context.Context, key Key) { m.release(ctx, key.ID(), false) }
+
+// ReleasePart implements Parts.
+func (m *Manager) ReleasePart(ctx context.Context, key Key) { m.release(ctx, key.ID(), true) }
 
-func (m *Manager) release(ctx context.Context, id ID) {
+func (m *Manager) release(ctx context.Context, id ID, ranPart bool) {
 	h, ok := m.table.peek(id)
 	if !ok || h.phase != running {
 		return
 	}
+	h.part = h.part || ranPart
 	switch {
 	case h.ticket == nil:
-		m.table.set(id, releasing, nil)
+		m.table.set(id, releasing, func(held *holding) { held.part = h.part })
 		go m.giveBack(id, h)
+	case h.lender == "" && h.part:
+		m.table.set(id, doubtful, func(held *holding) { held.part = true })
 	case h.lender == "":
 		m.table.drop(id)
 	default:
@@ -194,14 +203,18 @@
 	}
 }
 
-// giveBack removes the claim from the platform. If that fails the record may
+// giveBack gives the claim up on the platform. If that fails the record may
 // stand; the next Begin here replaces it with a new one. The new number keeps
 // a delayed removal from taking away a claim under which something runs.
 func (m *Manager) giveBack(id ID, h holding) {
 	ctx, cancel := context.WithTimeout(context.Background(), m.opts.CommitTimeout)
 	defer cancel()
 	r := Record{ID: id, Body: h.body, Owner: m.self, Seq: h.seq}
-	if m.commit.run(ctx, remove, r, h.first).verdict == granted {
+	act := remove
+	if h.part {
+		act = part
+	}
+	if m.commit.run(ctx, act, r, h.first).verdict == granted {
 		m.table.drop(id)
 		return
 	}
--- a/process/claim/peers.go
+++ b/process/claim/peers.go
@@ -32,8 +32,9 @@
 }
 
 type returnRequest struct {
-	ID  []byte
-	Seq uint64
+	ID   []byte
+	Seq  uint64
+	Part bool // stages that may be repeated ran
 }
 
 // standing is an owner's answer about a key.
@@ -45,6 +46,8 @@
 	Known bool
 	// Free: nothing ran under the claim, and it is being given back.
 	Free bool
+	// Part, with a loan: an earlier send ran stages that may be repeated.
+	Part bool
 	// LentTo and LentSeq name the borrower of a ticket.
 	LentTo  Owner
 	LentSeq uint64
@@ -118,7 +121,7 @@
 		s.Free = true
 		if _, created, _ := m.table.open(id, h.body, m.seq.Add(1)); created {
 			m.table.set(id, running, nil)
-			m.release(ctx, id)
+			m.release(ctx, id, false)
 		}
 	case releasing:
 		s.Free = true
@@ -147,8 +150,8 @@
 		m.table.drop(id)
 		return Result{State: Foreign}
 	case s.State == Granted:
-		m.table.set(id, running, func(h *holding) { h.ticket, h.lender = t, t.Minter.Host })
-		return Result{State: Granted}
+		m.table.set(id, running, func(h *holding) { h.ticket, h.lender, h.part = t, t.Minter.Host, s.Part })
+		return Result{State: Granted, Part: s.Part}
 	}
 	m.table.drop(id)
 	switch {
@@ -186,9 +189,9 @@
 	}
 	if created {
 		m.table.set(id, lent, func(h *holding) { h.ticket, h.lentTo = t, borrower })
-		return msgpack.Marshal(&standing{Known: true, State: Granted})
+		return msgpack.Marshal(&standing{Known: true, State: Granted, Part: h.part})
 	}
-	s := standing{Known: true, State: Running}
+	s := standing{Known: true, State: Running, Part: h.part}
 	switch {
 	case h.body != in.Body:
 		s.State = Mismatch
@@ -206,7 +209,7 @@
 
 // returnTicket gives a loan back after nothing was dispatched.
 func (m *Manager) returnTicket(ctx context.Context, id ID, h holding) {
-	in := returnRequest{ID: id[:], Seq: h.seq}
+	in := returnRequest{ID: id[:], Seq: h.seq, Part: h.part}
 	// Without an answer the ticket stays lent, and is never run again.
 	_ = m.call(ctx, h.lender, methodReturn, &in, nil)
 }
@@ -219,7 +222,11 @@
 	id := ID(in.ID)
 	h, ok := m.table.peek(id)
 	borrower := Record{Owner: Owner{Host: from.Host, Incarnation: from.Incarnation}, Seq: in.Seq}
-	if ok && h.phase == lent && h.lentTo.same(&borrower) {
+	switch {
+	case !ok || h.phase != lent || !h.lentTo.same(&borrower):
+	case h.part || in.Part:
+		m.table.set(id, doubtful, func(h *holding) { h.part = true })
+	default:
 		m.table.drop(id)
 	}
 	return msgpack.Marshal(&standing{Known: true})
--- a/process/claim/record.go
+++ b/process/claim/record.go
@@ -37,6 +37,9 @@
 	OutcomeOpen Outcome = iota // not recorded: it may have run
 	OutcomeDone                // it ran to its end
 	OutcomeLost                // it may have run; the owner lost the answer
+	// OutcomePart: stages that may be repeated ran, the others did not. The
+	// key may be claimed again, but nobody may say that it did not run.
+	OutcomePart
 )
 
 // Record is one claim as the platform keeps it.
@@ -49,8 +52,12 @@
 	Seq     uint64
 	At      time.Time
 	Outcome Outcome
+	Part    bool // an earlier claim of the key ended as OutcomePart
 }
 
+// reopened reports whether the claim was given up so that o may follow it.
+func (r *Record) reopened(o *Record) bool { return r.Outcome == OutcomePart && r.Body == o.Body }
+
 func (r *Record) same(o *Record) bool { return r.Owner == o.Owner && r.Seq == o.Seq }
 
 // storedShard is the encoding of a shard object: owners stand once.
@@ -66,6 +73,7 @@
 	Seq     uint64
 	At      int64 // unix milliseconds
 	Outcome Outcome
+	Part    bool
 }
 
 // image is a shard's claims in memory.
@@ -81,7 +89,7 @@
 			index[r.Owner] = i
 			s.Owners = append(s.Owners, r.Owner)
 		}
-		s.Records = append(s.Records, storedRecord{ID: r.ID[:], Body: r.Body, Owner: i, Seq: r.Seq, At: r.At.UnixMilli(), Outcome: r.Outcome})
+		s.Records = append(s.Records, storedRecord{ID: r.ID[:], Body: r.Body, Owner: i, Seq: r.Seq, At: r.At.UnixMilli(), Outcome: r.Outcome, Part: r.Part})
 	}
 	return encode(&s)
 }
@@ -108,7 +116,7 @@
 			return nil, fmt.Errorf("decode claims: malformed record")
 		}
 		id := ID(r.ID)
-		im[id] = Record{ID: id, Body: r.Body, Owner: s.Owners[r.Owner], Seq: r.Seq, At: time.UnixMilli(r.At), Outcome: r.Outcome}
+		im[id] = Record{ID: id, Body: r.Body, Owner: s.Owners[r.Owner], Seq: r.Seq, At: time.UnixMilli(r.At), Outcome: r.Outcome, Part: r.Part}
 	}
 	return im, nil
 }
--- a/process/claim/table.go
+++ b/process/claim/table.go
@@ -27,6 +27,7 @@
 	phase   phase
 	seq     uint64 // of the claim's record or of the loan
 	first   uint64 // lowest seq under which this process tried to claim the key
+	part    bool   // an earlier send ran stages that may be repeated
 	answer  *Answer
 	done    chan struct{}
 	ticket  *Ticket // nil: claimed on the platform
--- a/request/entry/claim.go
+++ b/request/entry/claim.go
@@ -20,7 +20,7 @@
 		res := c.Claims.Begin(ctx, c.claimKey)
 		switch res.State {
 		case claim.Granted:
-			c.claimed, c.fresh = true, true
+			c.claimed, c.fresh = true, !res.Part
 			return false, nil
 		case claim.Done:
 			if res.Answer != nil {
@@ -86,14 +86,22 @@
 	switch {
 	case err == nil:
 		c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: res.Body})
-	case res == nil || !res.Started:
-		// Stages before may have run: they may be repeated.
-		c.Claims.Release(ctx, c.claimKey)
+	case !res.Started:
+		c.release(ctx, err.Dispatched)
 	default:
 		c.Claims.Lose(ctx, c.claimKey)
 	}
 }
 
+// release gives the key up. Stages that may be repeated may have run.
+func (c *call) release(ctx context.Context, ranPart bool) {
+	if parts, ok := c.Claims.(claim.Parts); ok && ranPart {
+		parts.ReleasePart(ctx, c.claimKey)
+		return
+	}
+	c.Claims.Release(ctx, c.claimKey)
+}
+
 // settleLate records the outcome of a stage that must not be repeated when it
 // comes after the caller got its answer, so that a resend learns it. The gate
 // counts it as work in flight.
@@ -108,7 +116,7 @@
 		switch {
 		case !claimed:
 		case late.NotStarted:
-			c.Claims.Release(ctx, c.claimKey)
+			c.release(ctx, true)
 		case late.Whole:
 			c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: late.Body})
 		default:
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,41 +103,57 @@
 	a.server.State.Begin()
 	defer a.server.State.End()
 	x.Quarantine.Begin(x.req.Fingerprint, a.server.Name)
+	start := x.Clock.Now()
 	err := send(ctx)
-	x.ended(a, err)
+	x.ended(ctx, a, err, start)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 	}
 	return err
 }
 
-// ended reports the attempt's end. A connection that broke is no proof that
-// the server died: only a fresh connection that fails as well is.
-func (x *run) ended(a *attempt, err error) {
+// ended reports the attempt's end to the quarantine and to the server's state.
+// A connection that broke is no proof that the server died: only a fresh
+// connection that fails as well is.
+func (x *run) ended(ctx context.Context, a *attempt, err error, start time.Time) {
 	var be *backend.Error
-	died := errors.As(err, &be) && be.Reset && be.Sent != backend.NotSent && !x.alive(a)
+	died := errors.As(err, &be) && be.Reset && be.Sent == backend.MaySent && !x.alive(a)
 	x.Quarantine.End(x.req.Fingerprint, a.server.Name, died)
 	if a.alone {
 		x.Apart.Leave(a.server.Name)
 	}
+	now := x.Clock.Now()
+	switch {
+	case err == nil:
+		a.server.State.Record(now, server.Succeeded, now.Sub(start))
+	case be == nil || ctx.Err() != nil:
+	case be.Sent == backend.NotSent:
+		a.server.State.Record(now, server.Unreachable, 0)
+	case be.Refused:
+		a.server.State.Record(now, server.Overloaded, 0)
+	case be.Status >= http.StatusInternalServerError:
+		a.server.State.Record(now, server.Failed, 0)
+	}
 }
 
 // alive asks the server on a fresh connection, whatever became of the request.
 func (x *run) alive(a *attempt) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), x.Options.ProbeTime)
 	defer cancel()
-	err := x.Backend.Probe(ctx, a.server.State)
-	if err != nil {
+	if err := x.Backend.Probe(ctx, a.server.State); err != nil {
 		x.Counters.ProbesFailed.Add(1)
-	} else {
-		// The server lives: connections that lost their way to it would
-		// each cost a later request its wait.
-		x.Backend.Forget(a.server.State)
-	}
-	if x.Evidence != nil {
-		x.Evidence(a.server.State, err == nil)
+		// No answer in time may be load; a refused connection is not.
+		proof := server.Unreachable
+		if ctx.Err() != nil {
+			proof = server.Failed
+		}
+		a.server.State.Record(x.Clock.Now(), proof, 0)
+		return false
 	}
-	return err == nil
+	// The server lives: connections that lost their way to it would each cost
+	// a later request its wait, but they are no mark against the server.
+	x.Backend.Forget(a.server.State)
+	return true
 }
 
 func (x *run) call(st *snapshot.Stage, a *attempt, in []byte) *backend.Call {
@@ -188,7 +205,7 @@
 
 func (x *run) mayRetry(st *snapshot.Stage) bool {
 	p := x.pool(st)
-	if x.left() < time.Duration(p.firstByte.mean.Load()) || !p.budget.spend() {
+	if x.left() < time.Duration(p.firstByte.mean.Load()) || !p.budget.Allow() {
 		x.Counters.RetriesDenied.Add(1)
 		return false
 	}
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -32,9 +32,7 @@
 	Host        string // this entry host's name and incarnation, sent on each hop
 	Incarnation uint64
 	Options     Options
-	// Evidence, if set, is told what a probe on a fresh connection found.
-	Evidence func(s *server.State, alive bool)
-	Counters Counters
+	Counters    Counters
 
 	pools pools
 }
@@ -110,7 +108,7 @@
 	start := x.Clock.Now()
 	x.Admission.StageStart(start, x.req.Admitted, st.Index)
 	x.tried = nil
-	x.pool(st).budget.earn()
+	x.pool(st).budget.First()
 	var out []byte
 	var err *kind.Error
 	switch {
--- a/request/pipeline/pools.go
+++ b/request/pipeline/pools.go
@@ -1,11 +1,11 @@
 package pipeline
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"bilberrydale/process/limit"
 	"bilberrydale/version/snapshot"
 )
 
@@ -13,7 +13,7 @@
 type pools struct{ byName sync.Map }
 
 type poolState struct {
-	budget    retryBudget
+	budget    *limit.Budget // of retries
 	firstByte progress
 	gap       progress // between chunks
 }
@@ -22,36 +22,11 @@
 	if p, ok := r.pools.byName.Load(st.Pool.Name); ok {
 		return p.(*poolState)
 	}
-	fresh := &poolState{}
-	fresh.budget.share, fresh.budget.burst = r.Options.RetryShare, r.Options.RetryBurst
-	fresh.budget.tokens.Store(math.Float64bits(fresh.budget.burst))
+	fresh := &poolState{budget: limit.NewBudget(limit.BudgetOptions{Ratio: r.Options.RetryShare, Most: r.Options.RetryBurst})}
 	p, _ := r.pools.byName.LoadOrStore(st.Pool.Name, fresh)
 	return p.(*poolState)
 }
 
-// retryBudget bounds retries to a share of first attempts. When every request
-// of a slow pool fails, retries add at most that share to its load.
-type retryBudget struct {
-	share, burst float64
-	tokens       atomic.Uint64 // float64 bits
-}
-
-func (b *retryBudget) change(by float64) bool {
-	for {
-		old := b.tokens.Load()
-		v := math.Float64frombits(old) + by
-		if v < 0 {
-			return false
-		}
-		if b.tokens.CompareAndSwap(old, math.Float64bits(min(v, b.burst))) {
-			return true
-		}
-	}
-}
-
-func (b *retryBudget) earn()       { b.change(b.share) }
-func (b *retryBudget) spend() bool { return b.change(-1) }
-
 // progress estimates how long the next byte may take: the mean and the mean
 // deviation of what was measured, as TCP does for its retransmission timer.
 type progress struct{ mean, deviation atomic.Int64 } // nanoseconds; 0: not measured
