--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -42,6 +42,7 @@
 
 // refuse gives the request's final answer at once.
 func (c *call) refuse(e *kind.Error) {
+	e.Earlier = c.mayHaveRunEarlier(e)
 	ran := e.Ran()
 	if ran == kind.RanNo {
 		c.Counters.Refused.Add(1)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -95,7 +95,7 @@
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.Tracer.Start(ctx, "entry "+r.Method, trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	c := &call{Handler: h, w: w, r: r.WithContext(ctx), id: r.Header.Get(h.Headers.RequestID)}
+	c := &call{Handler: h, w: w, r: r.WithContext(ctx), id: r.Header.Get(h.Headers.RequestID), key: r.Header.Get(h.Headers.Key)}
 	// Two callers may send the same id, or one caller the same id twice. The
 	// id of the hops has to tell them apart, or a crossed answer would pass
 	// for the right one; it also names this incarnation.
@@ -117,7 +117,6 @@
 		return
 	}
 	if err := c.serve(); err != nil {
-		err.Earlier = c.mayHaveRunEarlier(err)
 		c.refuse(err)
 	}
 }
@@ -194,7 +193,6 @@
 func (c *call) read() *kind.Error {
 	h := c.r.Header
 	c.account = h.Get(c.Headers.Account)
-	c.key = h.Get(c.Headers.Key)
 	if len(c.account) > c.Limits.Account {
 		return kind.New(kind.BadRequest, "header %s is over %d bytes", c.Headers.Account, c.Limits.Account)
 	}
--- /dev/null
+++ b/request/entry/headers_test.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/process/admission"
+	"bilberrydale/process/claim"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/drain"
+	"bilberrydale/process/inforce"
+	"bilberrydale/process/kind"
+	"bilberrydale/process/quarantine"
+	"bilberrydale/process/server"
+	"bilberrydale/request/pipeline"
+	"bilberrydale/version/pick"
+	"bilberrydale/version/snapshot"
+	"bilberrydale/version/table"
+)
+
+// counting is a backend that answers everything and counts.
+type counting struct{ calls atomic.Int64 }
+
+func (c *counting) Do(context.Context, *backend.Call) (*backend.Reply, error) {
+	c.calls.Add(1)
+	return &backend.Reply{Status: http.StatusOK, Body: []byte(`"done"`)}, nil
+}
+
+func (c *counting) Stream(_ context.Context, _ *backend.Call, sink func(backend.Chunk) error) error {
+	c.calls.Add(1)
+	if err := sink(backend.Chunk{Data: `"done"`}); err != nil {
+		return err
+	}
+	return sink(backend.Chunk{Offset: 6, Final: true})
+}
+
+func (c *counting) Probe(context.Context, *server.State) error { return nil }
+func (c *counting) Forget(*server.State)                       {}
+
+// handler serves a booking that must not be repeated, followed by a streamed
+// note of it.
+func handler(b backend.Caller) *Handler {
+	state := server.NewRegistry().Get("s", "127.0.0.1:1", time.Unix(0, 0))
+	p := &snapshot.Pool{Pool: table.Pool{Name: "p"}, Picker: pick.NewRandom([]pick.Server{{State: state}})}
+	book := table.Stage{Name: "book", Pool: "p", Budget: table.Duration(time.Second)}
+	note := table.Stage{Name: "note", Pool: "p", Budget: table.Duration(time.Second), Repeatable: true, Stream: true}
+	route := &snapshot.Route{
+		Route:   table.Route{Name: "r", Match: table.Match{Path: "/r"}, Deadline: table.Duration(time.Second)},
+		Stages:  []snapshot.Stage{{Stage: book, Pool: p}, {Stage: note, Pool: p, Index: 1}},
+		Profile: &admission.Profile{},
+	}
+	h := &Handler{
+		InForce: &inforce.Cell[snapshot.Snapshot]{}, Admission: admission.Always{}, Claims: claim.NewMemory(), Quarantine: quarantine.Open{},
+		Gate: &drain.Gate{}, Clock: clock.System{}, Log: log.New(io.Discard), Tracer: noop.NewTracerProvider().Tracer(""),
+		Headers: DefaultHeaders(), Limits: DefaultLimits(), Counters: &Counters{},
+		Runner: &pipeline.Runner{
+			Backend: b, Admission: admission.Always{}, Quarantine: quarantine.Open{}, Clock: clock.System{}, Rand: clock.SystemRand{},
+			Tracer: noop.NewTracerProvider().Tracer(""), Options: pipeline.DefaultOptions(),
+		},
+	}
+	h.InForce.Store(&snapshot.Snapshot{Number: 1, Routes: []*snapshot.Route{route}})
+	return h
+}
+
+func send(h http.Handler, headers map[string]string, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/r", strings.NewReader(body))
+	for k, v := range headers {
+		r.Header[http.CanonicalHeaderKey(k)] = []string{v}
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// A keyed request is streamed to its caller and its connection is lost at the
+// end. The resend asks for a whole answer, then for a stream: both are the kept
+// answer. Kept from the stream alone it would be an empty one.
+func TestResendOfAStreamedRequestGetsTheWholeAnswer(t *testing.T) {
+	g := NewWithT(t)
+	b := &counting{}
+	h := handler(b)
+	stream := map[string]string{"Idempotency-Key": "k", "Accept": StreamType}
+	first := send(h, stream, "{}").Body.String()
+	g.Expect(first).To(ContainSubstring(`"final":true`))
+	g.Expect(send(h, map[string]string{"Idempotency-Key": "k"}, "{}").Body.String()).To(Equal(`"done"`))
+	g.Expect(send(h, stream, "{}").Body.String()).To(Equal(first))
+	g.Expect(b.calls.Load()).To(BeEquivalentTo(2), "two stages, once")
+	g.Expect(send(h, stream, "other").Code).To(Equal(http.StatusUnprocessableEntity))
+}
+
+// A host that knows nothing of a key refuses a resend: it is draining, or the
+// body does not fit. The first send may have run elsewhere, so "not run" would
+// be a guess; without a key there is no first send.
+func TestRefusalOfAnUnknownKeyDoesNotSayNotRun(t *testing.T) {
+	g := NewWithT(t)
+	h := handler(&counting{})
+	h.Gate.Close()
+	for key, want := range map[string]kind.Ran{"k": kind.RanUnknown, "": kind.RanNo} {
+		var p Problem
+		w := send(h, map[string]string{"Idempotency-Key": key}, "{}")
+		g.Expect(json.Unmarshal(w.Body.Bytes(), &p)).To(Succeed())
+		g.Expect(p.Kind).To(Equal(kind.Draining))
+		g.Expect(p.Ran).To(Equal(want), "key %q", key)
+		g.Expect(w.Header().Get("Retry-After")).To(Equal("1"))
+	}
+}
+
+// Every kind has its row of the table, and none that can follow an execution
+// is "not run" there.
+func TestEveryKindHasItsAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for _, k := range kind.All() {
+		a := kind.Lookup(k)
+		g.Expect(a.Status).To(BeNumerically(">=", 400), string(k))
+		g.Expect(a.Title).NotTo(BeEmpty(), string(k))
+		e := kind.New(k, "x")
+		e.Dispatched = true
+		g.Expect(e.Ran()).NotTo(Equal(kind.RanNo), string(k))
+		g.Expect(e.Wait() > 0).To(Equal(a.Retry), string(k))
+	}
+}
+
+// FuzzHeaders sends arbitrary headers. Each request gets one answer, a whole
+// one or a problem of the closed list, and a malformed one executes nothing.
+func FuzzHeaders(f *testing.F) {
+	f.Add("depot", "k1", "2s", "id", StreamType, "{}")
+	f.Add(strings.Repeat("a", 200), "", "-1s", "", "", "")
+	f.Add("", strings.Repeat("k", 300), "1e9h", "\x00", "application/json, "+StreamType, "\xff")
+	f.Add("", "bt1.AAAA", "0", strings.Repeat("i", 9000), "*/*", "{")
+	f.Fuzz(func(t *testing.T, account, key, timeout, id, accept, body string) {
+		b := &counting{}
+		w := send(handler(b), map[string]string{
+			"X-Client-Account": account, "Idempotency-Key": key, "X-Request-Timeout": timeout, "X-Request-Id": id, "Accept": accept,
+		}, body)
+		if w.Code == http.StatusOK {
+			return
+		}
+		var p Problem
+		if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil || kind.Lookup(p.Kind).Status != w.Code {
+			t.Fatalf("status %d with %q", w.Code, w.Body)
+		}
+		if p.Ran == kind.RanNo && b.calls.Load() > 0 {
+			t.Fatalf("%s says not run after %d calls", p.Kind, b.calls.Load())
+		}
+	})
+}
