Quarantine: an attempt that began on a dead server did not kill it

Two servers had died and their addresses still took connections and dropped them; each request that tried both was counted two deaths and quarantined.

A server that died is taken for dead until it answers, at most 1 s; attempts that begin meanwhile are not blamed, on any host that heard of the death.

--- a/internal/faultrun/relay_test.go
+++ b/internal/faultrun/relay_test.go
@@ -146,6 +146,13 @@
 	})
 }
 
+// refuse ends new connections; those that are open live on.
+func (r *relay) refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+}
+
 func (r *relay) setDown(down bool) {
 	r.mu.Lock()
 	r.down = down
--- a/process/quarantine/crashing_request_test.go
+++ b/process/quarantine/crashing_request_test.go
@@ -163,3 +163,27 @@
 	v, _ = guard.Check(poison)
 	g.Expect(v).To(Equal(Clear))
 }
+
+// A server is dead, and its address still takes connections and drops them.
+// Requests that begin then fail like those that it died under; they are not to
+// blame, here or on a host that was told of the death.
+func TestAttemptOnADeadServerIsNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.guards[0].End(poison, "s1", true)
+	f.guards[0].End(poison, "s2", true)
+	for fp := Fingerprint(1); fp < 5; fp++ {
+		for _, server := range []string{"s1", "s2"} {
+			guard := f.guards[fp%2]
+			guard.Begin(fp, server)
+			guard.End(fp, server, true)
+			v, _ := guard.Check(fp)
+			g.Expect(v).To(Equal(Clear))
+		}
+	}
+	f.guards[0].Alive("s1")
+	f.guards[0].Begin(9, "s1")
+	f.guards[0].End(9, "s1", true)
+	v, _ := f.guards[0].Check(9)
+	g.Expect(v).To(Equal(Alone))
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -67,6 +67,8 @@
 	Leave(server string)
 	// Freed returns a channel that is closed at the next Leave.
 	Freed() <-chan struct{}
+	// Alive tells that server answered.
+	Alive(server string)
 	// Clear tells that the whole request ran to its end without harm.
 	Clear(fp Fingerprint)
 }
--- a/process/quarantine/shared.go
+++ b/process/quarantine/shared.go
@@ -17,6 +17,9 @@
 	Term      time.Duration // of a quarantine
 	// SameDeath: reports this close about one server are one death.
 	SameDeath time.Duration
+	// DeadFor: a server that died is taken for dead until it answers, at most
+	// this long; an attempt that begins meanwhile cannot have killed it.
+	DeadFor time.Duration
 	// Burst: a death this close to that of a server on which the request did
 	// not run may have the same, other cause.
 	Burst     time.Duration
@@ -28,7 +31,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		Deaths: 2, Suspicion: 2 * time.Minute, Term: 10 * time.Minute, SameDeath: 2 * time.Second,
+		Deaths: 2, Suspicion: 2 * time.Minute, Term: 10 * time.Minute, SameDeath: 2 * time.Second, DeadFor: time.Second,
 		Burst: 2 * time.Second, ShareTime: 200 * time.Millisecond, SyncEvery: 10 * time.Second, MaxRows: 10_000,
 	}
 }
@@ -65,6 +68,15 @@
 	recent []Death                // all servers' deaths of late
 	alone  map[string]Fingerprint // suspects by the server they run on
 	freed  chan struct{}
+	dead   map[string]time.Time // servers, by the time of death
+	onDead map[attempt]int      // attempts that began on a dead server
+
+	deadCount atomic.Int64 // of dead; spares the lock while all live
+}
+
+type attempt struct {
+	fp     Fingerprint
+	server string
 }
 
 // NewShared returns a Guard. link may be nil; otherwise it must not have been
@@ -73,6 +85,7 @@
 	s := &Shared{
 		clock: clk, rand: rnd, opts: opts, link: link,
 		rows: map[Fingerprint]row{}, alone: map[string]Fingerprint{}, freed: make(chan struct{}),
+		dead: map[string]time.Time{}, onDead: map[attempt]int{},
 	}
 	s.publish()
 	if link != nil {
@@ -128,13 +141,57 @@
 }
 
 // Begin implements Guard.
-func (s *Shared) Begin(Fingerprint, string) {}
+func (s *Shared) Begin(fp Fingerprint, server string) {
+	if s.deadCount.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.dead[server]; ok && s.clock.Now().Sub(at) < s.opts.DeadFor {
+		s.onDead[attempt{fp, server}]++
+	}
+}
+
+// Alive implements Apart.
+func (s *Shared) Alive(server string) {
+	if s.deadCount.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.dead, server)
+	if len(s.dead) == 0 {
+		clear(s.onDead)
+	}
+	s.deadCount.Store(int64(len(s.dead)))
+}
+
+// beganOnDead takes note that an attempt has ended, and reports whether the
+// server was dead when it began.
+func (s *Shared) beganOnDead(fp Fingerprint, server string) bool {
+	if s.deadCount.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := attempt{fp, server}
+	n := s.onDead[a]
+	switch n {
+	case 0:
+		return false
+	case 1:
+		delete(s.onDead, a)
+	default:
+		s.onDead[a] = n - 1
+	}
+	return true
+}
 
 // End implements Guard. After a death it returns when the reachable peers know
 // of it or ShareTime has passed: the caller's resend to another host must not
 // meet one that has not heard.
 func (s *Shared) End(fp Fingerprint, server string, died bool) {
-	if !died {
+	if s.beganOnDead(fp, server) || !died {
 		return
 	}
 	if r, changed := s.blame(fp, Death{server, s.clock.Now()}); changed {
@@ -164,6 +221,13 @@
 		}
 	}
 	s.recent = append(kept, d)
+	for name, at := range s.dead {
+		if d.At.Sub(at) >= s.opts.DeadFor {
+			delete(s.dead, name)
+		}
+	}
+	s.dead[d.Server] = d.At
+	s.deadCount.Store(int64(len(s.dead)))
 }
 
 // merge adds what in tells to the row of its request; s.mu is held.
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -126,6 +126,9 @@
 	switch {
 	case err == nil:
 		a.server.State.Record(now, server.Succeeded, now.Sub(start))
+		if x.Apart != nil {
+			x.Apart.Alive(a.server.Name)
+		}
 	case be == nil || ctx.Err() != nil:
 	case be.Sent == backend.NotSent:
 		a.server.State.Record(now, server.Unreachable, 0)
