Admission: load without lag, service time without waiting, weighted accounts

Accounts now weigh by contract, in proportion to ordinary demand; equal-1.5x is a new trace that keeps them equal.

--- a/cmd/replay/main.go
+++ b/cmd/replay/main.go
@@ -27,6 +27,7 @@
 	trace      string
 	policies   string
 	out        string
+	against    string
 	parallel   int
 }
 
@@ -41,6 +42,7 @@
 	set.String(&o.trace, "trace", "one trace by name; empty: all", nil)
 	set.String(&o.policies, "policies", "policies to compare, separated by commas", settings.Required)
 	set.String(&o.out, "out", "file for the measures as JSON", nil)
+	set.String(&o.against, "against", "file of an earlier --out to show beside", nil)
 	set.Int(&o.parallel, "parallel", "replays at once", 1, 64)
 	if err := p.ParseArgs(args); err != nil {
 		return err
@@ -69,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	if err := replay.WriteTable(os.Stdout, results); err != nil {
+	if err := o.show(results); err != nil {
 		return err
 	}
 	if o.out == "" {
@@ -82,3 +84,19 @@
 	defer f.Close()
 	return replay.WriteJSON(f, results)
 }
+
+func (o *options) show(results []*replay.Result) error {
+	if o.against == "" {
+		return replay.WriteTable(os.Stdout, results)
+	}
+	f, err := os.Open(o.against)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	previous, err := replay.ReadPrevious(f)
+	if err != nil {
+		return err
+	}
+	return replay.WriteTable(os.Stdout, replay.Interleave(results, previous))
+}
--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bilberrydale/version/table"
@@ -25,7 +26,7 @@
 type Account struct {
 	Name   string
 	Demand float64 // part of all requests
-	Weight float64 // of its fair share
+	Weight float64 // of its fair share; contracted in proportion to the ordinary demand
 }
 
 // Mix is how often a route is asked for and what it takes.
@@ -82,7 +83,7 @@
 	rerank := stage("rerankers", 300*ms, 2)
 	d := &Deployment{
 		Name: "kalahari", Regions: r, Hosts: 2, Engines: "recipe-model", Reranker: "rerankers",
-		Accounts: []Account{{"boilers", .35, 1}, {"blenders", .3, 1}, {"depots", .2, 1}, {"buyers", .1, 1}, {"office", .05, 1}},
+		Accounts: []Account{{"boilers", .35, .35}, {"blenders", .3, .3}, {"depots", .2, .2}, {"buyers", .1, .1}, {"office", .05, .05}},
 	}
 	d.Tables.Pools = []table.Pool{
 		pool("encoders", table.Encoder, 32, 3, r), pool("retrievers", table.Encoder, 32, 3, r),
@@ -113,7 +114,7 @@
 	encode, retrieve := stage("encoders", 200*ms, 1), stage("retrievers", 300*ms, 1)
 	d := &Deployment{
 		Name: "zagara", Regions: r, Hosts: 2, Engines: "bilberry-pool", Reranker: "rerankers",
-		Accounts: []Account{{"ville", .4, 1}, {"borghi", .25, 1}, {"lidi", .2, 1}, {"ricevimenti", .1, 1}, {"sposi", .05, 1}},
+		Accounts: []Account{{"ville", .4, .4}, {"borghi", .25, .25}, {"lidi", .2, .2}, {"ricevimenti", .1, .1}, {"sposi", .05, .05}},
 	}
 	d.Tables.Pools = []table.Pool{
 		pool("encoders", table.Encoder, 32, 3, r), pool("retrievers", table.Encoder, 32, 3, r),
@@ -172,3 +173,21 @@
 	}
 	return float64(p.Slots*len(p.Servers)) / seconds
 }
+
+// equalShares returns the deployment with accounts that all weigh the same.
+func (d *Deployment) equalShares() *Deployment {
+	out := *d
+	out.Accounts = slices.Clone(d.Accounts)
+	for i := range out.Accounts {
+		out.Accounts[i].Weight = 1
+	}
+	return &out
+}
+
+func (d *Deployment) shares() map[string]float64 {
+	out := map[string]float64{}
+	for _, a := range d.Accounts {
+		out[a.Name] = a.Weight
+	}
+	return out
+}
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -47,7 +47,7 @@
 		slots[p.Name] = p.Slots * len(servers)
 	}
 	for _, rt := range h.tables.Routes {
-		p := &admission.Profile{Route: rt.Name, Class: classes[rt.Class], Worth: rt.Worth}
+		p := &admission.Profile{Route: rt.Name, Class: classes[rt.Class], Worth: rt.Worth, Shares: h.deployment.shares()}
 		for _, st := range rt.Stages {
 			p.Stages = append(p.Stages, admission.Stage{Pool: st.Pool, Budget: st.Budget.Std(), Cost: st.Cost, Slots: slots[st.Pool]})
 		}
@@ -125,6 +125,7 @@
 }
 
 func (f *flow) send(st *table.Stage, srv *pick.Server) {
+	f.req.Waited = !srv.Free(f.time())
 	srv.State.Begin()
 	a := &attempt{on: f.servers[srv.Address], srv: srv, at: f.now}
 	f.current = a
@@ -173,6 +174,10 @@
 		f.Record(f.time(), a.srv.State, recorded(r), f.now-a.at)
 	}
 	if r == succeeded {
+		f.req.Running = 0
+		if a.on.engine {
+			f.req.Running = a.job.end - a.job.started // engines stream
+		}
 		f.bytes(a.srv, f.rec.Bytes[f.stage+1])
 		f.next()
 		return
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -30,7 +30,11 @@
 	for _, d := range j.Deployments {
 		for _, s := range Scenarios(d) {
 			if j.Only == "" || j.Only == s.Name {
-				units = append(units, unit{d: d, s: s})
+				u := unit{d: d, s: s}
+				if s.EqualShares {
+					u.d = d.equalShares()
+				}
+				units = append(units, u)
 			}
 		}
 	}
@@ -75,3 +79,35 @@
 	enc.SetIndent("", " ")
 	return enc.Encode(results)
 }
+
+// ReadPrevious reads results that an earlier commit wrote as JSON and names
+// their newest policy "previous"; the baselines in them are left out.
+func ReadPrevious(r io.Reader) ([]*Result, error) {
+	var all, out []*Result
+	if err := json.NewDecoder(r).Decode(&all); err != nil {
+		return nil, fmt.Errorf("read results: %w", err)
+	}
+	for _, x := range all {
+		if x.Policy == Current().Name {
+			x.Policy = "previous"
+			out = append(out, x)
+		}
+	}
+	return out, nil
+}
+
+// Interleave puts each earlier result before the present one of its trace.
+func Interleave(results, previous []*Result) []*Result {
+	var out []*Result
+	for _, r := range results {
+		if r.Policy == Current().Name {
+			for _, p := range previous {
+				if p.Deployment == r.Deployment && p.Scenario == r.Scenario && p.Seed == r.Seed {
+					out = append(out, p)
+				}
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -14,7 +14,9 @@
 	Length time.Duration
 	Bursts []Burst
 	Faults []Fault
-	Poison time.Duration // a crashing request is sent again this often; 0: never
+	// EqualShares makes every account weigh the same, whatever its size.
+	EqualShares bool
+	Poison      time.Duration // a crashing request is sent again this often; 0: never
 }
 
 // Burst is additional demand of one account.
@@ -71,6 +73,7 @@
 		{Name: "pool-down", Load: .6, Faults: []Fault{{Kind: Dead, Pool: d.Engines, Every: 1, From: faultFrom, Until: faultUntil}}},
 		{Name: "load-1x", Load: 1},
 		{Name: "load-1.5x", Load: 1.5},
+		{Name: "equal-1.5x", Load: 1.5, EqualShares: true},
 		{Name: "load-2x", Load: 2},
 		{Name: "load-3x", Load: 3},
 	}
--- a/process/admission/account.go
+++ b/process/admission/account.go
@@ -78,15 +78,15 @@
 
 const (
 	forgotten  = 1e-4 // seconds of demand below which a place is freed
-	repay      = .5   // how fast a difference from the due is worked off
-	mostRepaid = .5
+	repay      = .1   // how fast a difference from the due is worked off
+	mostRepaid = .3
 )
 
 // divide shares the admitted part of the demand by weighted max-min: an account
 // that asks for less than its share gets all it asks for, and what it leaves is
 // lent to the others. Dues and what was got are compared over the memory of
 // the demand, so that an account whose requests are worth little is not starved.
-func (a *accounts) divide(part, dt float64, _ func(string) float64) {
+func (a *accounts) divide(part, dt float64) {
 	var total float64
 	a.each(func(x *account) { total += x.demand.Load() })
 	if total <= 0 {
@@ -107,7 +107,7 @@
 // settle sets the threshold of an account from its due.
 func (x *account) settle(lv float64) {
 	asked := x.demand.Load()
-	due := lv
+	due := lv * x.weight.Load()
 	if asked <= due || asked <= 0 {
 		x.threshold.Store(1)
 		x.surplus.Store(0)
@@ -119,17 +119,17 @@
 	x.threshold.Store(min(1, max(leastPart, due/asked+off)))
 }
 
-// level returns the demand up to which accounts are served in full when
-// capacity is shared out.
+// level returns the demand, for a weight of 1, up to which accounts are served
+// in full when capacity is shared out.
 func (a *accounts) level(capacity float64) float64 {
 	lv := 0.0
 	for range fillRounds {
 		var below, over float64
 		a.each(func(x *account) {
-			if d := x.demand.Load(); d <= lv {
+			if d, w := x.demand.Load(), x.weight.Load(); d <= lv*w {
 				below += d
 			} else {
-				over++
+				over += w
 			}
 		})
 		if over == 0 {
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -16,6 +16,16 @@
 	Class  Class
 	Worth  float64
 	Stages []Stage
+	// Shares are the weights of client accounts in fair shares; others weigh 1.
+	Shares map[string]float64
+}
+
+// share returns the weight of an account.
+func (p *Profile) share(account string) float64 {
+	if w := p.Shares[account]; w > 0 {
+		return w
+	}
+	return 1
 }
 
 // Class orders competing requests; a lower value is more urgent.
@@ -45,6 +55,12 @@
 	// Identity is the same when the caller sends the request again, on
 	// whichever entry host, such as a hash of its body; 0: unknown.
 	Identity uint64
+	// Waited is set before StageDone unless the backend server surely had a free
+	// slot as the stage was sent to it.
+	Waited bool
+	// Running is set before StageDone of a streamed stage: the time from the
+	// first byte of the answer to its end; 0: unknown.
+	Running time.Duration
 
 	reached int // stages started
 }
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -29,8 +29,6 @@
 	UpAfter   time.Duration
 	// Probe is how often a down pool is tried with a real request.
 	Probe time.Duration
-	// Weight gives the weight of a client account; nil: all weigh 1.
-	Weight func(account string) float64
 }
 
 // DefaultOptions returns the defaults.
@@ -50,7 +48,7 @@
 	rand      clock.Rand
 	pools     sync.Map // name -> *pool
 	profiles  sync.Map // *Profile -> *plan
-	estimates sync.Map // stageKey -> *estimate.Latency
+	estimates sync.Map // stageKey -> *times
 	refusals  [len(reasons)]atomic.Int64
 
 	mu    sync.Mutex // guards order; not taken for a request once its pools are known
@@ -76,18 +74,28 @@
 }
 
 type step struct {
-	pool    *pool
-	latency *estimate.Latency
-	prior   float64 // seconds, before the first sample
-	level   atomic.Int32
+	pool *pool
+	*times
+	prior float64 // seconds, before the first sample
+	level atomic.Int32
 }
 
-// seconds returns the expected time of the stage.
+// times are the estimates of one stage of one route.
+type times struct {
+	latency estimate.Latency // as it is, waiting included
+	// service is the slot time: of streams from their first byte, of others when
+	// they found a slot free. Waiting must not count: urgent requests wait
+	// less, would look cheaper than they are, and would outweigh others of more
+	// worth.
+	service estimate.Latency
+}
+
+// seconds returns the slot time that the stage is expected to take.
 func (s *step) seconds() float64 {
-	if s.latency.Samples() == 0 {
+	if s.service.Samples() < minSamples {
 		return s.prior
 	}
-	return s.latency.Mean()
+	return s.service.Mean()
 }
 
 // priorShare is the part of its budget that a stage takes until it is known.
@@ -101,8 +109,8 @@
 	for i, st := range p.Stages {
 		s := &out.stages[i]
 		s.pool, s.prior = c.pool(st.Pool), priorShare*st.Budget.Seconds()
-		l, _ := c.estimates.LoadOrStore(stageKey{p.Route, st.Pool, i}, &estimate.Latency{})
-		s.latency = l.(*estimate.Latency)
+		l, _ := c.estimates.LoadOrStore(stageKey{p.Route, st.Pool, i}, &times{})
+		s.times = l.(*times)
 		s.level.Store(int32(level(p.Worth, s.seconds())))
 	}
 	out.used.Store(now.UnixNano())
@@ -150,6 +158,12 @@
 	}
 	s := &c.plan(r.Profile, now).stages[stage]
 	s.latency.Observe(now, took)
+	switch {
+	case r.Running > 0:
+		s.service.Observe(now, r.Running)
+	case !r.Waited:
+		s.service.Observe(now, took)
+	}
 	s.pool.succeeded.Store(now.UnixNano())
 }
 
--- a/process/admission/pool.go
+++ b/process/admission/pool.go
@@ -8,11 +8,11 @@
 	"bilberrydale/process/estimate"
 )
 
-// levels divide requests by worth a second of a pool's time: four to an octave,
+// levels divide requests by worth a second of a pool's time: eight to an octave,
 // level 0 the highest.
 const (
-	levels     = 64
-	perOctave  = 4
+	levels     = 128
+	perOctave  = 8
 	zeroOctave = 8 // log2 of the worth a second at level 0
 )
 
@@ -35,6 +35,8 @@
 	probed    atomic.Int64 // unix nanoseconds
 	downSince atomic.Int64 // unix nanoseconds
 	unusable  time.Time    // since when no server is usable; used by Tick alone
+	then      float64      // load by reports, summed over the memory; used by Tick alone
+	ownThen   float64      // of that, this host's
 	ticked    time.Time
 	shared    time.Time
 	demand    [levels]estimate.Float // seconds asked for lately
@@ -95,7 +97,9 @@
 		sec := s.seconds()
 		s.pool.demand[s.level.Load()].Add(sec)
 		if a := s.pool.accounts.Load(); a != nil {
-			a.find(accountHash(r.Account)).demand.Add(sec)
+			x := a.find(accountHash(r.Account))
+			x.demand.Add(sec)
+			x.weight.Store(r.Profile.share(r.Account))
 		}
 	}
 }
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -10,6 +10,10 @@
 	Pool  string
 	Slots float64 // of usable servers, with what other regions can spare
 	Busy  float64 // requests on them, queued ones included
+	Own   float64 // of those, this host's
+	// Then and OwnThen are Busy and Own as of the servers' last reports.
+	Then    float64
+	OwnThen float64
 }
 
 // Control of the admitted part of the demand. Each request compares the load of
@@ -18,12 +22,15 @@
 // by more than the others' part. The band moves slowly until the load is held
 // at the target.
 const (
-	bandWidth = 1.0 // requests for a slot
+	bandWidth = 1.5 // requests for a slot
 	bandFirst = 1.1 // where the band starts
-	bandLeast = .6
+	bandLeast = .3
 	bandMost  = 1.8
 	bandSpeed = .15 // a second, for each unit of load off the target
 	partSpeed = 1.0 // a second; smooths the admitted part for the shares
+	ownMemory = 5 * time.Second
+	ownLeast  = 1.0 // requests times seconds below which the part is not known
+	ownTrust  = .7
 	leastPart = .02
 	warmAt    = .6
 	memory    = 3 * time.Second // of the demand
@@ -42,14 +49,12 @@
 		dt := now.Sub(p.ticked).Seconds()
 		p.ticked = now
 		p.slots.Store(l.Slots)
-		if l.Slots > 0 {
-			p.load.Store(l.Busy / l.Slots)
-		}
+		p.measure(l, dt)
 		c.outage(p, now, l.Slots > 0)
 		c.control(p, dt)
 		p.order(dt)
 		if a := p.accounts.Load(); a != nil && now.Sub(p.shared) >= shareEach {
-			a.divide(p.share.Load(), now.Sub(p.shared).Seconds(), c.opts.Weight)
+			a.divide(p.share.Load(), now.Sub(p.shared).Seconds())
 			p.shared = now
 		}
 	}
@@ -59,6 +64,25 @@
 	})
 }
 
+// measure estimates the load of the moment. What others have in flight is known
+// by reports that lag, and to follow a lagging load is to swing around it. The
+// hosts of a region serve the same demand, so this host's part of the load
+// changes slowly, and its own requests in flight, over that part, give the load
+// without the lag.
+func (p *pool) measure(l PoolLoad, dt float64) {
+	keep := math.Exp(-dt / ownMemory.Seconds())
+	p.then = p.then*keep + l.Then*dt
+	p.ownThen = p.ownThen*keep + l.OwnThen*dt
+	if l.Slots <= 0 {
+		return
+	}
+	busy := l.Busy
+	if p.ownThen > ownLeast {
+		busy += ownTrust * (l.Own*p.then/p.ownThen - busy)
+	}
+	p.load.Store(busy / l.Slots)
+}
+
 // outage applies the hysteresis of a pool without usable servers. Running the
 // stages before it would only spend them: dependents wait until an attempt has
 // succeeded, and then come back little by little.
--- a/process/server/load.go
+++ b/process/server/load.go
@@ -10,6 +10,7 @@
 type reported struct {
 	load     atomic.Pointer[Load]
 	others   atomic.Int64 // requests on the server that other hosts sent
+	own      atomic.Int64 // requests that this host had on it then
 	received atomic.Int64 // unix nanoseconds
 }
 
@@ -21,7 +22,9 @@
 // SetLoad stores a report. What this host has in flight is taken out of it: it
 // is known exactly at any time and needs no report.
 func (s *State) SetLoad(l *Load) {
-	s.reported.others.Store(max(0, int64(l.Running+l.Queued)-s.Inflight()))
+	own := s.Inflight()
+	s.reported.own.Store(own)
+	s.reported.others.Store(max(0, int64(l.Running+l.Queued)-own))
 	s.reported.received.Store(l.Received.UnixNano())
 	s.reported.load.Store(l)
 }
@@ -40,3 +43,10 @@
 	age := float64(now.UnixNano() - s.reported.received.Load())
 	return own + float64(others)/(1+max(0, age)/float64(reportHalfLife))
 }
+
+// Reported returns the requests on the server at its last report, and how many
+// of them this host had sent.
+func (s *State) Reported() (all, own float64) {
+	o := s.reported.own.Load()
+	return float64(o + s.reported.others.Load()), float64(o)
+}
--- a/version/pick/load.go
+++ b/version/pick/load.go
@@ -10,6 +10,10 @@
 type Load struct {
 	Slots float64 // of usable servers near by, with what others can spare
 	Busy  float64 // requests on the servers near by
+	Own   float64 // of those, this host's
+	// Then and OwnThen are Busy and Own as of the servers' last reports.
+	Then    float64
+	OwnThen float64
 }
 
 // spareShare is the part of other regions' free slots that this host's region
@@ -24,8 +28,7 @@
 	for _, t := range []tier{p.near, p.region} {
 		for _, s := range t {
 			if s.serves(now) {
-				out.Slots += s.capacity()
-				out.Busy += s.State.Busy(now)
+				out.add(s, now)
 			}
 		}
 	}
@@ -39,11 +42,27 @@
 	return out
 }
 
+func (l *Load) add(s *Server, now time.Time) {
+	l.Slots += s.capacity()
+	l.Busy += s.State.Busy(now)
+	l.Own += float64(s.State.Inflight())
+	all, own := s.State.Reported()
+	l.Then += all
+	l.OwnThen += own
+}
+
 // serves reports whether the server can be counted on.
 func (s *Server) serves(now time.Time) bool {
 	return s.State.Usable() && s.State.Health(now) == server.Healthy
 }
 
+// freeShare of the slots are taken at most on a server that counts as free:
+// reports lag, so a server that looks just free may be full.
+const freeShare = .75
+
+// Free reports whether work sent to the server now surely finds a slot.
+func (s *Server) Free(now time.Time) bool { return s.State.Busy(now) <= freeShare*s.capacity() }
+
 // capacity returns the slots of the server by its weight.
 func (s *Server) capacity() float64 {
 	slots := float64(max(1, s.Slots))
