--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -37,7 +37,8 @@
 	SpansTo      string
 	SpansShare   float64
 
-	Policy PolicyOptions
+	Requests RequestOptions
+	Policy   PolicyOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -46,7 +47,8 @@
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peer: "127.0.0.1:8082",
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
-		Policy: defaultPolicyOptions(),
+		Requests: DefaultRequestOptions(),
+		Policy:   defaultPolicyOptions(),
 	}
 }
 
@@ -69,6 +71,7 @@
 	set.String(&o.Spans, "spans", "span exporter: none, stdout or otlp", nil)
 	set.String(&o.SpansTo, "spans-to", "OTLP collector, host:port", nil)
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
+	o.Requests.register(set)
 	o.Policy.register(set)
 }
 
@@ -84,7 +87,7 @@
 	if o.AdminToken == "" && !loopback(o.Admin) {
 		return errors.New("--admin: an address other than loopback needs --admin-token")
 	}
-	return nil
+	return o.checkPeer()
 }
 
 func loopback(addr string) bool {
