Pipeline: evidence about servers, slot time and identity for the decisions

Cause: the decisions need to know how attempts end, whether one waited for a slot, how long a stream ran from its first byte, and which refused request comes again.

--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -233,6 +233,7 @@
 	}
 	c.admitted = admission.Request{Profile: c.route.Profile, Account: c.account, Arrived: now, Deadline: now.Add(limit)}
 	c.claimKey = claim.Key{Account: c.account, Key: c.key, Body: c.bodyHash()}
+	c.admitted.Identity = c.claimKey.Body
 	return nil
 }
 
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -50,6 +50,7 @@
 	}
 	x.tried = append(x.tried, srv.State)
 	x.number++
+	x.req.Admitted.Waited = !srv.Free(info.Now)
 	return &attempt{server: srv, number: x.number, alone: alone}, nil
 }
 
@@ -102,7 +103,9 @@
 	a.server.State.Begin()
 	defer a.server.State.End()
 	x.Quarantine.Begin(x.req.Fingerprint, a.server.Name)
+	began := x.Clock.Now()
 	err := send(ctx)
+	x.record(ctx, a, began, err)
 	x.ended(a, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
--- /dev/null
+++ b/request/pipeline/evidence.go
@@ -0,0 +1,42 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/process/server"
+)
+
+// record tells the server's state how an attempt ended, so that pickers pass
+// over servers on which attempts fail. An attempt that was cancelled, or that
+// the server answered with a fault of the request, says nothing of the server.
+func (x *run) record(ctx context.Context, a *attempt, began time.Time, err error) {
+	if err != nil && ctx.Err() != nil {
+		return
+	}
+	now := x.Clock.Now()
+	if o, ok := evidence(err); ok {
+		a.server.State.Record(now, o, now.Sub(began))
+	}
+}
+
+func evidence(err error) (server.Outcome, bool) {
+	var be *backend.Error
+	switch {
+	case err == nil:
+		return server.Succeeded, true
+	case !errors.As(err, &be):
+		return 0, false
+	case be.Refused:
+		return server.Overloaded, true
+	case be.Sent == backend.NotSent:
+		return server.Unreachable, true
+	case be.Reset, be.Sent == backend.Answered && be.Status >= http.StatusInternalServerError:
+		return server.Failed, true
+	default:
+		return 0, false
+	}
+}
--- /dev/null
+++ b/request/pipeline/evidence_test.go
@@ -0,0 +1,37 @@
+package pipeline
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/process/server"
+)
+
+// An attempt counts against its server only when the server is at fault: a full
+// queue or a faulty request must not take a healthy server out of use.
+func TestEvidenceOfAnAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want server.Outcome
+		says bool
+	}{
+		"whole answer":   {nil, server.Succeeded, true},
+		"no connection":  {&backend.Error{Sent: backend.NotSent}, server.Unreachable, true},
+		"queue full":     {&backend.Error{Sent: backend.Answered, Status: 503, Refused: true}, server.Overloaded, true},
+		"reset":          {&backend.Error{Sent: backend.MaySent, Reset: true}, server.Failed, true},
+		"server error":   {&backend.Error{Sent: backend.Answered, Status: 500}, server.Failed, true},
+		"faulty request": {&backend.Error{Sent: backend.Answered, Status: 400}, 0, false},
+		"silence":        {&backend.Error{Sent: backend.MaySent, Silent: true}, 0, false},
+		"other":          {errors.New("x"), 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			got, says := evidence(c.err)
+			g.Expect(says).To(Equal(c.says))
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+}
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -110,6 +110,7 @@
 	start := x.Clock.Now()
 	x.Admission.StageStart(start, x.req.Admitted, st.Index)
 	x.tried = nil
+	x.req.Admitted.Running = 0
 	x.pool(st).budget.earn()
 	var out []byte
 	var err *kind.Error
--- a/request/pipeline/stream.go
+++ b/request/pipeline/stream.go
@@ -30,6 +30,7 @@
 	whole   []byte
 	resumes int
 	at      time.Time // of the last progress
+	first   time.Time // of the first byte
 }
 
 // stream runs a streamed stage. After a cut it resumes on the same server from
@@ -49,6 +50,7 @@
 		err := s.attempt(ctx, a)
 		x.sent(err)
 		if err == nil {
+			x.req.Admitted.Running = s.at.Sub(s.first)
 			return s.whole, nil
 		}
 		if !s.goesOn(ctx, a, err) {
@@ -112,6 +114,7 @@
 	now := s.Clock.Now()
 	p := s.pool(s.st)
 	if s.offset == 0 {
+		s.first = now
 		p.firstByte.observe(now.Sub(s.at))
 	} else {
 		p.gap.observe(now.Sub(s.at))
