--- a/version/table/table.go
+++ b/version/table/table.go
@@ -43,6 +43,8 @@
 	Worth  float64 `json:"worth" yaml:"worth"`
 	Class  Class   `json:"class" yaml:"class"`
 	Stages []Stage `json:"stages" yaml:"stages"`
+
+	Policy RoutePolicy `json:"policy,omitzero" yaml:"policy,omitempty"`
 }
 
 // Match selects requests. Every set field must match; the longest path prefix
--- a/version/table/validate_routes.go
+++ b/version/table/validate_routes.go
@@ -27,6 +27,7 @@
 			c.add("worth", fmt.Sprintf("%g is not positive", r.Worth), "give the worth of one completed request, such as 1")
 		}
 		c.stages(r, pools)
+		c.policy(r.Policy)
 	}
 }
 
