Down pools: dependents refused early, servers back by their own reports

A load report received after the failure now brings a server back, so trials cost fewer upstream stages.

--- a/entryhost/policy.go
+++ b/entryhost/policy.go
@@ -108,7 +108,7 @@
 	var out []admission.PoolLoad
 	h.placed(func(pool string, p *pick.Placed) {
 		l := p.Load(now)
-		out = append(out, admission.PoolLoad{Pool: pool, Slots: l.Slots, Busy: l.Busy, Own: l.Own, Then: l.Then, OwnThen: l.OwnThen})
+		out = append(out, admission.PoolLoad{Pool: pool, Slots: l.Slots, Busy: l.Busy, Own: l.Own, Then: l.Then, OwnThen: l.OwnThen, Trials: l.Trials})
 	})
 	return out
 }
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -83,7 +83,7 @@
 	var out []admission.PoolLoad
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
 		l := pools[name].(*pick.Placed).Load(now)
-		out = append(out, admission.PoolLoad{Pool: name, Slots: l.Slots, Busy: l.Busy, Own: l.Own, Then: l.Then, OwnThen: l.OwnThen})
+		out = append(out, admission.PoolLoad{Pool: name, Slots: l.Slots, Busy: l.Busy, Own: l.Own, Then: l.Then, OwnThen: l.OwnThen, Trials: l.Trials})
 	}
 	return out
 }
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -23,8 +23,8 @@
 	// refused in part gets its turn to be admitted.
 	Rotation time.Duration
 	// DownAfter and UpAfter are the hysteresis of a pool without any usable
-	// server: dependents are refused after the first, and come back over the
-	// second once an attempt has succeeded.
+	// server: dependents are refused after the first, and come back once a
+	// server has been usable for the second.
 	DownAfter time.Duration
 	UpAfter   time.Duration
 	// Probe is how often a down pool is tried with a real request.
@@ -35,7 +35,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Target: 1.5, BackgroundBelow: .85, Margin: .5, Rotation: 8 * time.Second,
-		DownAfter: 500 * time.Millisecond, UpAfter: 2 * time.Second, Probe: 500 * time.Millisecond,
+		DownAfter: 200 * time.Millisecond, UpAfter: 100 * time.Millisecond, Probe: 500 * time.Millisecond,
 	}
 }
 
@@ -164,7 +164,6 @@
 	case !r.Waited:
 		s.service.Observe(now, took)
 	}
-	s.pool.succeeded.Store(now.UnixNano())
 }
 
 // Done implements Admitter.
--- a/process/admission/pool.go
+++ b/process/admission/pool.go
@@ -31,11 +31,12 @@
 	warm      atomic.Bool    // loaded enough for accounts to be counted
 	down      atomic.Bool
 	heading   atomic.Int64 // admitted here and not yet at this stage
-	succeeded atomic.Int64 // unix nanoseconds of the last whole stage
+	trials    atomic.Int64 // servers that a probe would try
 	probed    atomic.Int64 // unix nanoseconds
 	downSince atomic.Int64 // unix nanoseconds
-	unusable  time.Time    // since when no server is usable; used by Tick alone
-	then      float64      // load by reports, summed over the memory; used by Tick alone
+	usable    bool         // some server is; used by Tick alone, as all below
+	since     time.Time    // of the last change of usable
+	then      float64      // load by reports, summed over the memory
 	ownThen   float64      // of that, this host's
 	ticked    time.Time
 	shared    time.Time
@@ -66,8 +67,13 @@
 	return min(1, max(leastPart, 1-(p.now()-p.base.Load())/bandWidth))
 }
 
-// probe lets one request through to a down pool for each interval.
+// probe lets one request through to a down pool for each interval, if a server
+// is due for a trial: only a request that runs can show that the pool is back,
+// and each costs the stages before it.
 func (p *pool) probe(now time.Time, every time.Duration) bool {
+	if p.trials.Load() == 0 {
+		return false
+	}
 	last := p.probed.Load()
 	return now.UnixNano()-last >= int64(every) && p.probed.CompareAndSwap(last, now.UnixNano())
 }
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -14,6 +14,7 @@
 	// Then and OwnThen are Busy and Own as of the servers' last reports.
 	Then    float64
 	OwnThen float64
+	Trials  int // servers that one request would be let try now
 }
 
 // Control of the admitted part of the demand. Each request compares the load of
@@ -50,6 +51,7 @@
 		p.ticked = now
 		p.slots.Store(l.Slots)
 		p.measure(l, dt)
+		p.trials.Store(int64(l.Trials))
 		c.outage(p, now, l.Slots > 0)
 		c.control(p, dt)
 		p.order(dt)
@@ -84,23 +86,22 @@
 }
 
 // outage applies the hysteresis of a pool without usable servers. Running the
-// stages before it would only spend them: dependents wait until an attempt has
-// succeeded, and then come back little by little.
+// stages before it would only spend them: dependents wait until a server has
+// been usable again for a while, by a trial or by its own report.
 func (c *Controller) outage(p *pool, now time.Time, usable bool) {
-	if usable {
-		p.unusable = time.Time{}
-	} else if p.unusable.IsZero() {
-		p.unusable = now
+	if usable != p.usable {
+		p.usable, p.since = usable, now
 	}
+	stable := now.Sub(p.since)
 	switch {
-	case !p.down.Load():
-		if !p.unusable.IsZero() && now.Sub(p.unusable) >= c.opts.DownAfter {
-			p.downSince.Store(now.UnixNano())
-			p.probed.Store(now.UnixNano())
-			p.down.Store(true)
+	case p.down.Load():
+		if usable && stable >= c.opts.UpAfter {
+			p.down.Store(false)
 		}
-	case usable && p.succeeded.Load() > p.downSince.Load():
-		p.down.Store(false)
+	case !usable && stable >= c.opts.DownAfter:
+		p.downSince.Store(now.UnixNano())
+		p.probed.Store(now.UnixNano())
+		p.down.Store(true)
 	}
 }
 
--- a/process/server/health.go
+++ b/process/server/health.go
@@ -24,6 +24,9 @@
 	ejectAfter = 3
 	ejectFirst = time.Second
 	maxDoubles = 2
+	// A lost server's own load report tells when it is back; trials, which cost
+	// the stages before them, are left for servers without reports.
+	maxDoublesLost = 5
 )
 
 // health is the evidence of attempts about a server.
@@ -32,6 +35,7 @@
 	unreachable atomic.Bool  // the last failure was that of the connection
 	periods     atomic.Int64 // of ejection, without a success between
 	until       atomic.Int64 // unix nanoseconds of the next trial
+	failedAt    atomic.Int64 // unix nanoseconds of the last failure
 	latency     estimate.Latency
 }
 
@@ -62,6 +66,7 @@
 }
 
 func (h *health) failed(now time.Time, weight int64) {
+	h.failedAt.Store(now.UnixNano())
 	if h.streak.Add(weight) >= ejectAfter {
 		h.extend(now, h.until.Load())
 	}
@@ -72,7 +77,11 @@
 	if now.UnixNano() < old {
 		return false
 	}
-	doubles := min(h.periods.Load(), maxDoubles)
+	most := int64(maxDoubles)
+	if h.unreachable.Load() {
+		most = maxDoublesLost
+	}
+	doubles := min(h.periods.Load(), most)
 	if !h.until.CompareAndSwap(old, now.Add(ejectFirst<<doubles).UnixNano()) {
 		return false
 	}
@@ -109,6 +118,16 @@
 	}
 }
 
+// reachable notes that the server answered something else than a request. A
+// server that was lost is back; one more failure ejects it again.
+func (h *health) reachable(at time.Time) {
+	if h.unreachable.Load() && at.UnixNano() > h.failedAt.Load() {
+		h.unreachable.Store(false)
+		h.streak.Store(ejectAfter - 1)
+		h.until.Store(0)
+	}
+}
+
 // Trial claims the one trial of a server whose period of ejection is over. One
 // request finds out whether the server is back; the others are kept from being
 // lost on it at the same time.
--- a/process/server/load.go
+++ b/process/server/load.go
@@ -27,6 +27,7 @@
 	s.reported.others.Store(max(0, int64(l.Running+l.Queued)-own))
 	s.reported.received.Store(l.Received.UnixNano())
 	s.reported.load.Store(l)
+	s.health.reachable(l.Received)
 }
 
 // Load returns the last report, or nil.
--- a/version/pick/load.go
+++ b/version/pick/load.go
@@ -14,6 +14,7 @@
 	// Then and OwnThen are Busy and Own as of the servers' last reports.
 	Then    float64
 	OwnThen float64
+	Trials  int // servers that would be tried now
 }
 
 // spareShare is the part of other regions' free slots that this host's region
@@ -27,9 +28,7 @@
 	var out Load
 	for _, t := range []tier{p.near, p.region} {
 		for _, s := range t {
-			if s.serves(now) {
-				out.add(s, now)
-			}
+			out.add(s, now)
 		}
 	}
 	for _, s := range p.remote {
@@ -43,6 +42,12 @@
 }
 
 func (l *Load) add(s *Server, now time.Time) {
+	if !s.serves(now) {
+		if s.State.Usable() && s.State.Health(now) == server.OnTrial {
+			l.Trials++
+		}
+		return
+	}
 	l.Slots += s.capacity()
 	l.Busy += s.State.Busy(now)
 	l.Own += float64(s.State.Inflight())
