--- a/process/admission/account.go
+++ b/process/admission/account.go
@@ -15,8 +15,12 @@
 type accounts struct {
 	sets   [accountSets][accountWays]account
 	shared account
+	asked  []claimed // scratch of divide
 }
 
+// claimed is what one account asked for, by its weight.
+type claimed struct{ demand, weight float64 }
+
 const (
 	accountSets = 4096 // with 12,000 accounts 3 in each set on average
 	accountWays = 8
@@ -88,7 +92,12 @@
 // the demand, so that an account whose requests are worth little is not starved.
 func (a *accounts) divide(part, dt float64) {
 	var total float64
-	a.each(func(x *account) { total += x.demand.Load() })
+	a.asked = a.asked[:0]
+	a.each(func(x *account) {
+		c := claimed{x.demand.Load(), x.weight.Load()}
+		total += c.demand
+		a.asked = append(a.asked, c)
+	})
 	if total <= 0 {
 		return
 	}
@@ -125,13 +134,13 @@
 	lv := 0.0
 	for range fillRounds {
 		var below, over float64
-		a.each(func(x *account) {
-			if d, w := x.demand.Load(), x.weight.Load(); d <= lv*w {
-				below += d
+		for _, x := range a.asked {
+			if x.demand <= lv*x.weight {
+				below += x.demand
 			} else {
-				over += w
+				over += x.weight
 			}
-		})
+		}
 		if over == 0 {
 			return lv
 		}
--- a/process/admission/judge.go
+++ b/process/admission/judge.go
@@ -49,6 +49,13 @@
 	Position   float64       `json:"position"` // part of the demand that comes before it
 	Threshold  float64       `json:"threshold"`
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	detail     string
+}
+
+// by blames a pool for a refusal.
+func (v *Verdict) by(r Reason, p *pool, wait time.Duration) {
+	v.Reason, v.Pool, v.RetryAfter = r, p.name, wait
+	v.detail = p.details[r.index()]
 }
 
 func (v *Verdict) refusal() *kind.Error {
@@ -59,9 +66,7 @@
 	case PoolDown:
 		k = kind.NoBackend
 	}
-	e := kind.New(k, "%s: pool %q, expected %s of %s", v.Reason, v.Pool, v.Expected.Round(time.Millisecond), v.Left.Round(time.Millisecond))
-	e.RetryAfter = v.RetryAfter
-	return e
+	return &kind.Error{Kind: k, Detail: v.detail, RetryAfter: v.RetryAfter}
 }
 
 // Waits told with refusals, besides those worked out from the load.
@@ -81,12 +86,12 @@
 	}
 	for i := range p.stages {
 		if pl := p.stages[i].pool; pl.down.Load() && !(count && pl.probe(now, c.opts.Probe)) {
-			v.Reason, v.Pool, v.RetryAfter = PoolDown, pl.name, pl.outageWait(now)
+			v.by(PoolDown, pl, pl.outageWait(now))
 			return v
 		}
 	}
 	if v.Expected > v.Left {
-		v.Reason, v.RetryAfter = TooLate, waitTooLate
+		v.Reason, v.RetryAfter, v.detail = TooLate, waitTooLate, string(TooLate)
 		return v
 	}
 	if r.Profile.Class == Background {
@@ -128,7 +133,7 @@
 	for i := range p.stages {
 		pl := p.stages[i].pool
 		if l := pl.now(); l >= c.opts.BackgroundBelow {
-			v.Reason, v.Pool, v.RetryAfter = Waits, pl.name, waitBackground
+			v.by(Waits, pl, waitBackground)
 			v.Position, v.Threshold = l, c.opts.BackgroundBelow
 			return
 		}
@@ -163,8 +168,7 @@
 	if v.Position < threshold {
 		return true
 	}
-	v.Reason, v.Pool = reason, pl.name
-	v.RetryAfter = c.turn(phase, (threshold-above)/max(mass, 1e-9))
+	v.by(reason, pl, c.turn(phase, (threshold-above)/max(mass, 1e-9)))
 	return false
 }
 
--- a/process/admission/pool.go
+++ b/process/admission/pool.go
@@ -24,11 +24,12 @@
 // pool is what admission knows of one pool. Requests read and add; Tick writes.
 type pool struct {
 	name      string
-	base      estimate.Float // load at which the band starts
-	share     estimate.Float // part of the demand that is admitted, smoothed
-	load      estimate.Float // requests for a slot at the last tick, less heading
-	slots     estimate.Float // usable slots within reach
-	warm      atomic.Bool    // loaded enough for accounts to be counted
+	details   [len(reasons)]string // of refusals, made once
+	base      estimate.Float       // load at which the band starts
+	share     estimate.Float       // part of the demand that is admitted, smoothed
+	load      estimate.Float       // requests for a slot at the last tick, less heading
+	slots     estimate.Float       // usable slots within reach
+	warm      atomic.Bool          // loaded enough for accounts to be counted
 	down      atomic.Bool
 	heading   atomic.Int64 // admitted here and not yet at this stage
 	trials    atomic.Int64 // servers that a probe would try
@@ -48,6 +49,9 @@
 
 func newPool(name string) *pool {
 	p := &pool{name: name}
+	for i, r := range reasons {
+		p.details[i] = string(r) + ": pool " + name
+	}
 	p.share.Store(1)
 	p.base.Store(bandFirst)
 	return p
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -35,7 +35,7 @@
 	leastPart = .02
 	warmAt    = .6
 	memory    = 3 * time.Second // of the demand
-	shareEach = 500 * time.Millisecond
+	shareEach = time.Second
 	planLife  = 10 * time.Minute
 )
 
@@ -128,8 +128,10 @@
 	var sum float64
 	keep := math.Exp(-dt / memory.Seconds())
 	for i := range p.demand {
-		p.demand[i].Scale(keep)
-		sum += p.demand[i].Load()
+		if p.demand[i].Load() > 0 {
+			p.demand[i].Scale(keep)
+			sum += p.demand[i].Load()
+		}
 	}
 	if sum <= 0 {
 		return
--- a/process/server/load.go
+++ b/process/server/load.go
@@ -35,13 +35,16 @@
 
 // Busy estimates the requests on the server now: those of this host, and those
 // of others by the last report, weighted by its age.
-func (s *State) Busy(now time.Time) float64 {
+func (s *State) Busy(now time.Time) float64 { return s.BusyAt(now.UnixNano()) }
+
+// BusyAt is Busy for a time in unix nanoseconds.
+func (s *State) BusyAt(now int64) float64 {
 	own := float64(max(0, s.Inflight()))
 	others := s.reported.others.Load()
 	if others == 0 {
 		return own
 	}
-	age := float64(now.UnixNano() - s.reported.received.Load())
+	age := float64(now - s.reported.received.Load())
 	return own + float64(others)/(1+max(0, age)/float64(reportHalfLife))
 }
 
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -65,6 +65,9 @@
 // FirstSeen returns when this entry host first heard of the server.
 func (s *State) FirstSeen() time.Time { return time.Unix(0, s.since.Load()) }
 
+// Age returns how long this host has known the server.
+func (s *State) Age(now int64) time.Duration { return time.Duration(now - s.since.Load()) }
+
 // Registry holds the states by server name and address.
 type Registry struct {
 	mu     sync.Mutex
--- a/version/pick/affinity.go
+++ b/version/pick/affinity.go
@@ -18,15 +18,8 @@
 func (p *Placed) cached(t tier, info *Info) (*Server, float64) {
 	var best *Server
 	var rank uint64
-	var sum float64
-	n := 0
 	for _, s := range t {
-		if !p.usable(t, s, info) {
-			continue
-		}
-		sum += p.load(s, info.Now)
-		n++
-		if r := mix(info.Affinity, s.State.Hash()); best == nil || r > rank {
+		if r := mix(info.Affinity, s.State.Hash()); (best == nil || r > rank) && p.usable(t, s, info) {
 			best, rank = s, r
 		}
 	}
@@ -34,9 +27,20 @@
 		return nil, 0
 	}
 	load := p.load(best, info.Now)
-	bound := p.opts.AffinityBound*sum/float64(n) + 1/float64(max(1, best.Slots))
-	if load >= p.opts.SpillAt || load > bound {
+	if load >= p.opts.SpillAt || load > p.bound(t, best, info) {
 		return nil, 0
 	}
 	return best, load
 }
+
+// bound returns the load up to which best may take requests for its prefixes.
+func (p *Placed) bound(t tier, best *Server, info *Info) float64 {
+	var sum, n float64
+	for _, s := range t {
+		if p.usable(t, s, info) {
+			sum += p.load(s, info.Now)
+			n++
+		}
+	}
+	return p.opts.AffinityBound*sum/n + 1/best.capacity()
+}
--- a/version/pick/placed.go
+++ b/version/pick/placed.go
@@ -224,13 +224,16 @@
 
 // load returns requests for a slot, raised while the server is new.
 func (p *Placed) load(s *Server, now time.Time) float64 {
-	slots := s.capacity()
-	l := s.State.Busy(now) / slots
-	if age := now.Sub(s.State.FirstSeen()); age < p.opts.SlowStart {
-		ramp := max(.1, float64(age)/float64(p.opts.SlowStart))
-		l = (l + 1/slots) / ramp
+	nano := now.UnixNano()
+	l := s.State.BusyAt(nano) / s.capacity()
+	if age := s.State.Age(nano); age < p.opts.SlowStart {
+		ramp := max(leastRamp, float64(age)/float64(p.opts.SlowStart))
+		l = (l + 1/s.capacity()) / ramp
 	}
 	return l
 }
 
+// leastRamp bounds how much higher the load of a new server counts.
+const leastRamp = .1
+
 var _ Picker = (*Placed)(nil)
