--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -268,14 +269,16 @@
 	})
 }
 
-// BenchmarkLoadReport fetches one report over loopback.
+// BenchmarkLoadReport fetches one report over loopback and counts its bytes on
+// the wire, both ways.
 func BenchmarkLoadReport(b *testing.B) {
-	var in atomic.Int64
 	const answer = `{"running":12,"queued":3,"slots":16,"models":["model-01@1"],"role":"decode","fence":17}`
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		in.Add(1)
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(answer))
 	}))
+	l := &countingListener{Listener: srv.Listener}
+	srv.Listener = l
+	srv.Start()
 	defer srv.Close()
 	s := server.NewRegistry().Get("a", strings.TrimPrefix(srv.URL, "http://"), start)
 	f := loadreport.New(loadreport.DefaultOptions(), clock.System{}, nil)
@@ -286,6 +289,37 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(l.bytes.Load())/float64(b.N), "wire-B/op")
+}
+
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConn{c, &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 func TestFullSizeDecisionsNeedNoAllocation(t *testing.T) {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -54,11 +54,10 @@
 }
 
 const (
-	reportEvery = time.Second
-	reportLag   = 300 * time.Millisecond
-	tickEvery   = 100 * time.Millisecond
-	comeBack    = 10 // one refused client of so many comes back when told
-	spread      = .1 // it adds up to this part to the time told
+	reportLag = 300 * time.Millisecond
+	tickEvery = 100 * time.Millisecond
+	comeBack  = 10 // one refused client of so many comes back when told
+	spread    = .1 // it adds up to this part to the time told
 )
 
 var epoch = time.Unix(1_000_000_000, 0)
@@ -80,7 +79,7 @@
 		r.addServers(pl)
 	}
 	for _, region := range d.Regions {
-		for i := range d.Hosts {
+		for i := range r.perRegion() {
 			at := Place{hostName(region, i), Domain(region), region}
 			r.hosts = append(r.hosts, r.newHost(at, seed+uint64(len(r.hosts))+2))
 		}
@@ -119,7 +118,7 @@
 		r.at(t, r.tick)
 	}
 	for i, s := range r.order {
-		r.reports(s, time.Duration(i)*reportEvery/time.Duration(len(r.order)), end)
+		r.reports(s, time.Duration(i)*r.reportEvery()/time.Duration(len(r.order)), end)
 	}
 }
 
@@ -143,7 +142,21 @@
 
 func (r *run) hostIn(region string) *host {
 	i := slices.Index(r.deployment.Regions, region)
-	return r.hosts[i*r.deployment.Hosts+r.rand.IntN(r.deployment.Hosts)]
+	return r.hosts[i*r.perRegion()+r.rand.IntN(r.perRegion())]
+}
+
+func (r *run) perRegion() int {
+	if r.scenario.Hosts > 0 {
+		return r.scenario.Hosts
+	}
+	return r.deployment.Hosts
+}
+
+func (r *run) reportEvery() time.Duration {
+	if r.scenario.ReportEvery > 0 {
+		return r.scenario.ReportEvery
+	}
+	return time.Second
 }
 
 func (r *run) tick() {
@@ -157,7 +170,7 @@
 // reports schedules the load reports of a server: taken, and seen later by the
 // hosts that can reach it.
 func (r *run) reports(s *fakeServer, first, end time.Duration) {
-	for t := first; t < end; t += reportEvery {
+	for t := first; t < end; t += r.reportEvery() {
 		r.at(t, func() {
 			if s.dead {
 				return
--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -16,6 +16,10 @@
 	Faults []Fault
 	// EqualShares makes every account weigh the same, whatever its size.
 	EqualShares bool
+	// Hosts is how many entry hosts a region has; 0: as the deployment.
+	Hosts int
+	// ReportEvery is how often servers report their load; 0: each second.
+	ReportEvery time.Duration
 	Poison      time.Duration // a crashing request is sent again this often; 0: never
 }
 
@@ -74,6 +78,8 @@
 		{Name: "load-1x", Load: 1},
 		{Name: "load-1.5x", Load: 1.5},
 		{Name: "equal-1.5x", Load: 1.5, EqualShares: true},
+		{Name: "stale-1.5x", Load: 1.5, ReportEvery: 10 * time.Second},
+		{Name: "hosts-1.5x", Load: 1.5, Hosts: 12},
 		{Name: "load-2x", Load: 2},
 		{Name: "load-3x", Load: 3},
 	}
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -31,7 +31,7 @@
 	partSpeed = 1.0 // a second; smooths the admitted part for the shares
 	ownMemory = 5 * time.Second
 	ownLeast  = 1.0 // requests times seconds below which the part is not known
-	ownTrust  = .7
+	ownNoise  = 8.0 // own requests at which the own part and the reports count alike
 	leastPart = .02
 	warmAt    = .6
 	memory    = 3 * time.Second // of the demand
@@ -80,7 +80,8 @@
 	}
 	busy := l.Busy
 	if p.ownThen > ownLeast {
-		busy += ownTrust * (l.Own*p.then/p.ownThen - busy)
+		usual := p.ownThen / ownMemory.Seconds()
+		busy += usual / (usual + ownNoise) * (l.Own*p.then/p.ownThen - busy)
 	}
 	p.load.Store(busy / l.Slots)
 }
