Refusals: the wait until a request's turn, from the usual part of the demand

Cause: the wait was taken from the part admitted at that moment, which swings. Now the deepest second within the usual part; where none is safe, as long as the pool has been full.

--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bilberrydale/version/table"
 )
 
 // Result holds the measures of one replay.
@@ -27,8 +29,11 @@
 	WastedIn    string  `json:"wasted_in"`
 	CrossBytes  int64   `json:"cross_bytes"`
 	WorstShare  float64 `json:"worst_share"` // worst account's part of its fair due
-	Returned    int     `json:"returned"`    // came back when told to
-	Served      float64 `json:"served"`      // part of those that completed then
+	// Returned came back when told to, and Served of them completed then;
+	// background requests, which are refused as long as others wait, apart.
+	Returned         int     `json:"returned"`
+	Served           float64 `json:"served"`
+	ServedBackground float64 `json:"served_background"`
 }
 
 // Spend is what one stage's slot time went into.
@@ -46,18 +51,26 @@
 	m.Interactive, m.Standard, m.Background = r.attained("interactive"), r.attained("standard"), r.attained("background")
 	m.spending(slices.Concat(r.outcomes, r.returned), r.deployment)
 	m.WorstShare = r.worstShare()
-	m.Returned = len(r.returned)
-	served := 0
+	r.comeBacks(m)
+	return m
+}
+
+func (r *run) comeBacks(m *Result) {
+	var back, served [2]int
 	for _, o := range r.returned {
 		m.CrossBytes += o.crossed
+		i := 0
+		if r.deployment.route(o.rec.Route).Class == table.Background {
+			i = 1
+		}
+		back[i]++
 		if o.completed {
-			served++
+			served[i]++
 		}
 	}
-	if m.Returned > 0 {
-		m.Served = float64(served) / float64(m.Returned)
-	}
-	return m
+	m.Returned = back[0] + back[1]
+	m.Served = float64(served[0]) / float64(max(1, back[0]))
+	m.ServedBackground = float64(served[1]) / float64(max(1, back[1]))
 }
 
 func (m *Result) count(o *outcome, worth float64) {
@@ -150,7 +163,7 @@
 
 func (r *run) engineSeconds(rec *Record) float64 {
 	rt := r.deployment.route(rec.Route)
-	if rt.Class == "background" {
+	if rt.Class == table.Background {
 		return 0
 	}
 	for i, st := range rt.Stages {
--- a/process/admission/judge.go
+++ b/process/admission/judge.go
@@ -69,12 +69,9 @@
 	return &kind.Error{Kind: k, Detail: v.detail, RetryAfter: v.RetryAfter}
 }
 
-// Waits told with refusals, besides those worked out from the load.
-const (
-	waitBackground = 5 * time.Second
-	waitTooLate    = 2 * time.Second
-	waitOutweighed = 10 * time.Second
-)
+// waitTooLate is told when the estimated finish is past the deadline; the
+// estimate is forgotten after estimateLife.
+const waitTooLate = estimateLife
 
 // judge decides. With count set the request is counted as demand, and as
 // admitted if it is.
@@ -95,7 +92,7 @@
 		return v
 	}
 	if r.Profile.Class == Background {
-		c.background(p, &v)
+		c.background(now, p, &v)
 		return v
 	}
 	for i := range p.stages {
@@ -129,11 +126,11 @@
 	estimateLife = 3 * time.Second
 )
 
-func (c *Controller) background(p *plan, v *Verdict) {
+func (c *Controller) background(now time.Time, p *plan, v *Verdict) {
 	for i := range p.stages {
 		pl := p.stages[i].pool
 		if l := pl.now(); l >= c.opts.BackgroundBelow {
-			v.by(Waits, pl, waitBackground)
+			v.by(Waits, pl, pl.fullWait(now))
 			v.Position, v.Threshold = l, c.opts.BackgroundBelow
 			return
 		}
@@ -148,18 +145,18 @@
 	if threshold >= 1 {
 		return true
 	}
-	reason := Outweighed
+	usual, reason := pl.share.Load(), Outweighed
 	if a := pl.accounts.Load(); a != nil {
 		t := a.find(accountHash(r.Account)).threshold.Load()
 		if t >= 1 {
 			// The account asks for less than its share: nothing is refused.
 			return true
 		}
-		usual := pl.share.Load()
 		if t < usual {
 			reason = OverShare
 		}
 		threshold = min(1, threshold*t/max(leastPart, usual))
+		usual = t
 	}
 	lv := int(s.level.Load())
 	above, mass := pl.above[lv].Load(), pl.mass[lv].Load()
@@ -168,7 +165,11 @@
 	if v.Position < threshold {
 		return true
 	}
-	v.by(reason, pl, c.turn(phase, (threshold-above)/max(mass, 1e-9)))
+	wait := c.turn(phase, (usual-above)/max(mass, 1e-9))
+	if wait == 0 {
+		wait = pl.fullWait(now)
+	}
+	v.by(reason, pl, wait)
 	return false
 }
 
@@ -184,19 +185,19 @@
 	return f
 }
 
-// turn returns after how many whole seconds a request at phase is within the
-// admitted part of its level, also if it comes a tenth of the wait late.
+// turn returns after how many whole seconds a request at phase stands deepest
+// within the admitted part of its level, also if it comes a tenth of the wait
+// late; 0: so little of the level is admitted that no second is safe.
 func (c *Controller) turn(phase, part float64) time.Duration {
 	rotation := c.opts.Rotation.Seconds()
-	if part > 1/rotation {
-		for wait := 1.0; wait <= rotation+1; wait++ {
-			_, at := math.Modf(phase + wait/rotation)
-			if at+wait*lateness/rotation < part*turnMargin {
-				return time.Duration(wait) * time.Second
-			}
+	best, deepest := 0.0, part*turnMargin
+	for wait := 1.0; wait <= rotation; wait++ {
+		_, at := math.Modf(phase + wait/rotation)
+		if last := at + wait*lateness/rotation; last < deepest {
+			best, deepest = wait, last
 		}
 	}
-	return waitOutweighed
+	return time.Duration(best) * time.Second
 }
 
 const (
--- a/process/admission/pool.go
+++ b/process/admission/pool.go
@@ -35,6 +35,7 @@
 	trials    atomic.Int64 // servers that a probe would try
 	probed    atomic.Int64 // unix nanoseconds
 	downSince atomic.Int64 // unix nanoseconds
+	fullSince atomic.Int64 // unix nanoseconds since which background work waits
 	usable    bool         // some server is; used by Tick alone, as all below
 	since     time.Time    // of the last change of usable
 	then      float64      // load by reports, summed over the memory
@@ -82,17 +83,22 @@
 	return now.UnixNano()-last >= int64(every) && p.probed.CompareAndSwap(last, now.UnixNano())
 }
 
-// An outage that has lasted for a while will likely last about as long again.
+// What has lasted for a while will likely last about as long again.
 const (
-	leastOutage = 2 * time.Second
-	mostOutage  = 30 * time.Second
+	leastWait = 2 * time.Second
+	mostWait  = 30 * time.Second
 )
 
-func (p *pool) outageWait(now time.Time) time.Duration {
-	age := time.Duration(now.UnixNano() - p.downSince.Load())
-	return min(mostOutage, max(leastOutage, age)).Round(time.Second)
+func likely(now time.Time, since int64) time.Duration {
+	return min(mostWait, max(leastWait, time.Duration(now.UnixNano()-since))).Round(time.Second)
 }
 
+// outageWait returns when a down pool may be back.
+func (p *pool) outageWait(now time.Time) time.Duration { return likely(now, p.downSince.Load()) }
+
+// fullWait returns when a pool may have room for what is worth least.
+func (p *pool) fullWait(now time.Time) time.Duration { return likely(now, p.fullSince.Load()) }
+
 // demand counts what the request asks of each pool, whether or not it is
 // admitted. Background work has no claim on a full pool and is left out.
 func (c *Controller) demand(r *Request, p *plan) {
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -54,6 +54,9 @@
 		p.trials.Store(int64(l.Trials))
 		c.outage(p, now, l.Slots > 0)
 		c.control(p, dt)
+		if p.now() < c.opts.BackgroundBelow {
+			p.fullSince.Store(now.UnixNano())
+		}
 		p.order(dt)
 		if a := p.accounts.Load(); a != nil && now.Sub(p.shared) >= shareEach {
 			a.divide(p.share.Load(), now.Sub(p.shared).Seconds())
