Entry host: settings checked together, TLS, drain delay, spans, variables

Cause: settings stopped at the first fault; shutdown refused at the moment that readiness went false and stopped the parts (claims, peers, leases) while requests in flight still needed them. Seen red: parts ended with the signal; refusing at once. A failing spec left a held call and hung the suite once; the stand-in now lets go at the end of each spec. Certificates of both ports reload on SIGHUP or file change and keep the earlier pair when a renewal does not fit. cmdline is left out of the variables: flags may hold secrets.

--- a/cmd/bilberryd/main.go
+++ b/cmd/bilberryd/main.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -21,15 +23,23 @@
 	}
 }
 
+// drainDelay is the daemon's default: time for a balancer to see that the host
+// is no longer ready.
+const drainDelay = 2 * time.Second
+
 func run(args []string) error {
 	opts := entryhost.DefaultOptions()
+	opts.DrainDelay = drainDelay
 	p := flaggy.NewParser("bilberryd")
 	p.Description = "Serves callers' requests through the stages of their routes."
 	set := settings.New(p, "BILBERRYD")
 	opts.Register(set)
-	if err := settings.Parse(p, args, set); err != nil {
+	if err := errors.Join(settings.Parse(p, args, set), opts.Check()); err != nil {
 		return err
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	opts.Reload = reload
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	host, err := entryhost.New(ctx, opts)
--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"expvar"
 	"net/http"
 	"strings"
 )
@@ -31,7 +30,7 @@
 	rel, _ := h.releases.follower.Current()
 	s := Status{
 		Name: h.opts.Name, Domain: h.opts.Domain, Region: h.opts.Region, Incarnation: h.incarnation,
-		Ready: h.ready(), Draining: h.gate.Closed(), Active: h.gate.Active(),
+		Ready: h.ready(), Draining: h.draining(), Active: h.gate.Active(),
 		Release: rel.Number, Hash: rel.Hash,
 		Completed: h.requests.counters.Completed.Load(), Refused: h.requests.counters.Refused.Load(), Failed: h.requests.counters.Failed.Load(),
 	}
@@ -41,21 +40,15 @@
 	return s
 }
 
-func (h *Host) ready() bool { return h.inForce.Load() != nil && !h.gate.Closed() }
-
 func (h *Host) adminHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !h.ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc("GET /ready", h.health)
 	mux.Handle("GET /status", h.authorized(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status()) }))
 	mux.Handle("POST /drain", h.authorized(func(w http.ResponseWriter, _ *http.Request) {
 		h.Drain()
 		w.WriteHeader(http.StatusAccepted)
 	}))
-	mux.Handle("GET /debug/vars", h.authorized(expvar.Handler().ServeHTTP))
+	mux.Handle("GET /debug/vars", h.authorized(h.serveVars))
 	h.adminReleases(mux)
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -40,7 +44,11 @@
 	policy   policyPart
 	requests requestsPart
 
+	leaving atomic.Bool // readiness is false; requests are still taken
+	vars    expvar.Map  // of this host; served under "bilberry"
+
 	actors     []actor
+	reloads    []chan os.Signal
 	flushSpans func(context.Context) error
 	callers    *http.Server
 	admin      *http.Server
@@ -66,7 +74,7 @@
 	}
 	tel := telemetry.Options{
 		Service: "bilberryd", Host: opts.Name, LogLevel: opts.LogLevel, LogJSON: opts.LogJSON,
-		Export: opts.Spans, Endpoint: opts.SpansTo, Sample: opts.SpansShare,
+		Export: opts.Spans, Endpoint: opts.SpansTo, Sample: opts.SpansShare, Exporter: opts.SpanExporter,
 	}
 	logger, err := telemetry.NewLog(tel)
 	if err != nil {
@@ -87,36 +95,64 @@
 	h.wireReleases()
 	h.wirePolicy()
 	h.wireRequests()
+	h.publishVars()
 	h.callers = &http.Server{
-		Handler: h.requests.handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second,
-		IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10,
+		Handler: h.callersHandler(), ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.ReadTimeout,
+		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeader, ErrorLog: h.serverLog("callers"),
+	}
+	h.admin = &http.Server{
+		Handler: h.adminHandler(), ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.ReadTimeout,
+		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeader, ErrorLog: h.serverLog("admin"),
 	}
-	h.admin = &http.Server{Handler: h.adminHandler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 32 << 10}
 	return h, h.listen()
 }
 
+// serverLog passes on what net/http reports of broken connections.
+func (h *Host) serverLog(port string) *stdlog.Logger {
+	return h.log.With("port", port).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
+}
+
 func (h *Host) listen() error {
-	for i, addr := range []string{h.opts.Listen, h.opts.Admin} {
-		l, err := net.Listen("tcp", addr)
+	ports := []struct{ name, addr, cert, key string }{
+		{"callers", h.opts.Listen, h.opts.CertFile, h.opts.KeyFile},
+		{"admin", h.opts.Admin, h.opts.AdminCertFile, h.opts.AdminKeyFile},
+	}
+	for i, p := range ports {
+		l, err := net.Listen("tcp", p.addr)
+		if err == nil {
+			h.listeners[i], err = h.secure(l, p.name, p.cert, p.key)
+		}
 		if err != nil {
-			return fmt.Errorf("listen: %w", err)
+			h.closeListeners()
+			return fmt.Errorf("listen for %s: %w", p.name, err)
 		}
-		h.listeners[i] = l
 	}
+	h.add("certificate reloads", h.forwardReloads)
 	return nil
 }
 
+func (h *Host) closeListeners() {
+	for _, l := range h.listeners {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
 // Addresses returns the callers' and the operators' address.
 func (h *Host) Addresses() (callers, admin string) {
 	return h.listeners[0].Addr().String(), h.listeners[1].Addr().String()
 }
 
 // Run serves until ctx ends, then drains: readiness goes false, new requests
-// are refused, and those in flight finish.
+// are refused, and those in flight finish. The actors run to the end of the
+// drain: a request in flight may still need a claim, a lease or a peer.
 func (h *Host) Run(ctx context.Context) error {
 	callers, admin := h.Addresses()
 	h.log.Info("entry host started", "callers", callers, "admin", admin, "incarnation", h.incarnation)
-	g, gctx := errgroup.WithContext(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, gctx := errgroup.WithContext(running)
 	g.Go(func() error { return serve(h.callers, h.listeners[0]) })
 	g.Go(func() error { return serve(h.admin, h.listeners[1]) })
 	for _, a := range h.actors {
@@ -128,7 +164,11 @@
 		})
 	}
 	g.Go(func() error {
-		<-gctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-gctx.Done(): // a part failed
+		}
+		defer stop()
 		return h.shutdown()
 	})
 	return g.Wait()
@@ -140,20 +180,3 @@
 	}
 	return nil
 }
-
-func (h *Host) shutdown() error {
-	h.log.Info("draining", "active", h.gate.Active())
-	h.gate.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), h.opts.DrainTimeout)
-	defer cancel()
-	err := h.gate.Wait(ctx)
-	if err != nil {
-		err = fmt.Errorf("drain: %d requests still in flight: %w", h.gate.Active(), err)
-	}
-	err = errors.Join(err, h.callers.Shutdown(ctx), h.admin.Shutdown(ctx), h.flushSpans(ctx))
-	h.log.Info("stopped", "err", err)
-	return err
-}
-
-// Drain closes the gate on an operator's order; the process keeps running.
-func (h *Host) Drain() { h.gate.Close() }
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -7,8 +7,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
+	"strings"
 	"time"
 
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/telemetry"
 )
@@ -30,12 +34,20 @@
 	AdminToken    string
 	PeerSecret    string
 
+	// DrainDelay is the time between readiness going false and the first
+	// refusal, in which the balancer takes this host out of service.
+	DrainDelay   time.Duration
 	DrainTimeout time.Duration
 	LogLevel     string
 	LogJSON      bool
 	Spans        string
 	SpansTo      string
 	SpansShare   float64
+	// SpanExporter gets the spans in place of Spans, if set.
+	SpanExporter sdktrace.SpanExporter
+
+	callerOptions
+	tlsOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -44,6 +56,7 @@
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peer: "127.0.0.1:8082",
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
+		callerOptions: defaultCallerOptions(),
 	}
 }
 
@@ -55,17 +68,20 @@
 	set.String(&o.Listen, "listen", "callers' address, host:port", address)
 	set.String(&o.Admin, "admin", "operators' address, host:port; without a token loopback only", address)
 	set.String(&o.Peer, "peer", "address for other entry hosts, host:port", address)
-	set.String(&o.Peers, "peers", "peer addresses of other entry hosts, separated by commas", nil)
-	set.String(&o.Platform, "platform", "base URL of the platform's object API", settings.Required)
+	set.String(&o.Peers, "peers", "peer addresses of other entry hosts, separated by commas", addresses)
+	set.String(&o.Platform, "platform", "base URL of the platform's object API", baseURL)
 	set.Secret(&o.PlatformToken, "platform-token", "bearer token for the platform")
 	set.Secret(&o.AdminToken, "admin-token", "bearer token that admin calls need")
 	set.Secret(&o.PeerSecret, "peer-secret", "secret that entry hosts prove to each other")
+	set.Duration(&o.DrainDelay, "drain-delay", "time from readiness going false to the first refusal, for the balancer to notice", 0, time.Minute)
 	set.Duration(&o.DrainTimeout, "drain-timeout", "longest wait for requests in flight at shutdown", time.Second, 10*time.Minute)
-	set.String(&o.LogLevel, "log-level", "debug, info, warn or error", nil)
+	set.String(&o.LogLevel, "log-level", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error"))
 	set.Bool(&o.LogJSON, "log-json", "write logs as JSON")
-	set.String(&o.Spans, "spans", "span exporter: none, stdout or otlp", nil)
+	set.String(&o.Spans, "spans", "span exporter: none, stdout or otlp", settings.OneOf(telemetry.ExportNone, telemetry.ExportStdout, telemetry.ExportOTLP))
 	set.String(&o.SpansTo, "spans-to", "OTLP collector, host:port", nil)
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
+	o.callerOptions.register(set)
+	o.tlsOptions.register(set)
 }
 
 func address(v string) error {
@@ -75,12 +91,50 @@
 	return nil
 }
 
-// Check reports faults between settings.
+func addresses(list string) error {
+	if list == "" {
+		return nil
+	}
+	var faults []error
+	for _, v := range strings.Split(list, ",") {
+		faults = append(faults, address(strings.TrimSpace(v)))
+	}
+	return errors.Join(faults...)
+}
+
+func baseURL(v string) error {
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return fmt.Errorf("%q is not a base URL such as http://10.0.0.1:8090", v)
+	}
+	return nil
+}
+
+// Check reports every fault between settings.
 func (o *Options) Check() error {
+	faults := []error{o.tlsOptions.check(), o.callerOptions.check(), o.distinctPorts()}
 	if o.AdminToken == "" && !loopback(o.Admin) {
-		return errors.New("--admin: an address other than loopback needs --admin-token")
+		faults = append(faults, errors.New("--admin: an address other than loopback needs --admin-token"))
 	}
-	return nil
+	if o.Spans == telemetry.ExportOTLP {
+		if err := address(o.SpansTo); err != nil {
+			faults = append(faults, fmt.Errorf("--spans-to: %w; the exporter otlp needs its collector", err))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// distinctPorts finds two ports of one address; port 0 is any free one.
+func (o *Options) distinctPorts() error {
+	seen := map[string]string{}
+	var faults []error
+	for _, p := range []struct{ name, addr string }{{"listen", o.Listen}, {"admin", o.Admin}, {"peer", o.Peer}} {
+		if other, dup := seen[p.addr]; dup && !strings.HasSuffix(p.addr, ":0") {
+			faults = append(faults, fmt.Errorf("--%s: %s is also --%s", p.name, p.addr, other))
+		}
+		seen[p.addr] = p.name
+	}
+	return errors.Join(faults...)
 }
 
 func loopback(addr string) bool {
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -71,19 +71,36 @@
 }
 
 func (w *world) host(name string) *Host {
+	h := w.newHost(name, func(*Options) {})
+	runHost(h)
+	return h
+}
+
+// newHost makes a host that does not run yet.
+func (w *world) newHost(name string, change func(*Options)) *Host {
 	opts := DefaultOptions()
 	opts.Name, opts.Domain, opts.Region, opts.Platform = name, "d1", "r1", w.store.URL
 	opts.Listen, opts.Admin, opts.Peer, opts.LogLevel = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "error"
-	ctx, cancel := context.WithCancel(context.Background())
-	h, err := New(ctx, opts)
+	change(&opts)
+	h, err := New(context.Background(), opts)
 	Expect(err).NotTo(HaveOccurred())
-	done := make(chan error, 1)
-	go func() { done <- h.Run(ctx) }()
+	return h
+}
+
+// runHost runs h to the end of the spec, or until stop is called; done then
+// gets Run's result.
+func runHost(h *Host) (stop context.CancelFunc, done chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done = make(chan error, 1)
+	go func() {
+		done <- h.Run(ctx)
+		close(done)
+	}()
 	DeferCleanup(func() {
 		cancel()
-		Eventually(done, 10*time.Second).Should(Receive(BeNil()))
+		Eventually(done, 10*time.Second).Should(BeClosed())
 	})
-	return h
+	return cancel, done
 }
 
 func send(h *Host, path, accept, body string) (*http.Response, []byte) {
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -28,7 +28,7 @@
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
 		Gate: &h.gate, Clock: h.clock, Log: h.log, Tracer: h.tracer,
-		Headers: entry.DefaultHeaders(), Limits: entry.DefaultLimits(), Counters: &p.counters,
+		Headers: h.opts.Headers, Limits: h.opts.limits(), Counters: &p.counters,
 	}
 }
 
--- a/process/telemetry/telemetry.go
+++ b/process/telemetry/telemetry.go
@@ -37,6 +37,8 @@
 	Endpoint string  // OTLP: host:port
 	Sample   float64 // share of requests traced, 0 to 1
 	Out      io.Writer
+	// Exporter gets each span at once, in place of Export.
+	Exporter sdktrace.SpanExporter
 }
 
 // NewLog returns the process's logger.
@@ -60,6 +62,9 @@
 // NewTracer returns the process's tracer and a function that flushes it.
 func NewTracer(ctx context.Context, o Options) (trace.Tracer, func(context.Context) error, error) {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if o.Exporter != nil {
+		return provider(o, sdktrace.WithSyncer(o.Exporter))
+	}
 	var exp sdktrace.SpanExporter
 	var err error
 	switch o.Export {
@@ -75,8 +80,21 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("span exporter: %w", err)
 	}
+	return provider(o, sdktrace.WithBatcher(exp))
+}
+
+func provider(o Options, export sdktrace.TracerProviderOption) (trace.Tracer, func(context.Context) error, error) {
 	res := resource.NewSchemaless(attribute.String("service.name", o.Service), attribute.String("host.name", o.Host))
-	tp := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exp), sdktrace.WithResource(res),
+	tp := sdktrace.NewTracerProvider(export, sdktrace.WithResource(res),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.Sample))))
 	return tp.Tracer(o.Service), tp.Shutdown, nil
 }
+
+// TraceID returns the trace id of the span in ctx as text; empty: none.
+func TraceID(ctx context.Context) string {
+	sc := trace.SpanContextFromContext(ctx)
+	if !sc.HasTraceID() {
+		return ""
+	}
+	return sc.TraceID().String()
+}
--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -10,6 +10,7 @@
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/kind"
+	"bilberrydale/process/telemetry"
 )
 
 // Counters count answers for expvar.
@@ -48,7 +49,7 @@
 	} else {
 		c.Counters.Failed.Add(1)
 	}
-	c.Log.Info("request refused", "request", c.id, "kind", e.Kind, "ran", ran, "detail", e.Detail)
+	c.Log.Info("request refused", "request", c.id, "trace", telemetry.TraceID(c.r.Context()), "kind", e.Kind, "ran", ran, "detail", e.Detail)
 	p := c.problem(e, ran)
 	if c.stream != nil && c.stream.started {
 		c.stream.abort(p)
