--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -53,7 +53,6 @@
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
 	h.adminRequests(mux)
-	h.adminQuarantine(mux)
 	return mux
 }
 
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -48,6 +48,9 @@
 
 	callerOptions
 	tlsOptions
+
+	Requests RequestOptions
+	Policy   PolicyOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -57,6 +60,8 @@
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
 		callerOptions: defaultCallerOptions(),
+		Requests: DefaultRequestOptions(),
+		Policy:   defaultPolicyOptions(),
 	}
 }
 
@@ -82,6 +87,8 @@
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
 	o.callerOptions.register(set)
 	o.tlsOptions.register(set)
+	o.Requests.register(set)
+	o.Policy.register(set)
 }
 
 func address(v string) error {
@@ -112,7 +119,7 @@
 
 // Check reports every fault between settings.
 func (o *Options) Check() error {
-	faults := []error{o.tlsOptions.check(), o.callerOptions.check(), o.distinctPorts()}
+	faults := []error{o.tlsOptions.check(), o.callerOptions.check(), o.distinctPorts(), o.checkPeer()}
 	if o.AdminToken == "" && !loopback(o.Admin) {
 		faults = append(faults, errors.New("--admin: an address other than loopback needs --admin-token"))
 	}
