--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -60,8 +60,8 @@
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
 		callerOptions: defaultCallerOptions(),
-		Requests: DefaultRequestOptions(),
-		Policy:   defaultPolicyOptions(),
+		Requests:      DefaultRequestOptions(),
+		Policy:        defaultPolicyOptions(),
 	}
 }
 
