--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"bilberrydale/internal/standin/engine"
 	"bilberrydale/internal/standin/platform"
 	"bilberrydale/internal/standin/service"
+	"bilberrydale/internal/standin/weights"
 )
 
 func main() {
@@ -30,13 +31,17 @@
 func run(args []string) error {
 	p := flaggy.NewParser("standin")
 	listen := "127.0.0.1:0"
-	eng := engine.Options{Name: "engine", Slots: 8, Tokens: 16, Prefill: 20 * time.Millisecond, PerToken: 2 * time.Millisecond, ReportLag: time.Second, Crash: crash}
+	eng := engine.Options{Name: "engine", Slots: 8, Tokens: 16, Prefill: 20 * time.Millisecond, PerToken: 2 * time.Millisecond, ReportLag: time.Second, Cache: 256, Crash: crash}
 	svc := service.Options{Name: "service", Slots: 64, Time: 5 * time.Millisecond, Crash: crash}
 
+	store := weights.Options{Size: 64 << 20, Rate: 16 << 20}
+
 	pc, ec, sc := flaggy.NewSubcommand("platform"), flaggy.NewSubcommand("engine"), flaggy.NewSubcommand("service")
+	wc := flaggy.NewSubcommand("weights")
 	pc.Description, ec.Description, sc.Description = "object API with versions and watches", "model engine", "plain service, encoder, retriever or reranker"
+	wc.Description = "weight store with a rate"
 	var sets []*settings.Set
-	for _, c := range []*flaggy.Subcommand{pc, ec, sc} {
+	for _, c := range []*flaggy.Subcommand{pc, ec, sc, wc} {
 		p.AttachSubcommand(c, 1)
 		set := settings.New(c, "STANDIN")
 		set.String(&listen, "listen", "address, host:port", settings.Required)
@@ -46,6 +51,8 @@
 	sets[2].String(&svc.Name, "name", "name of the backend server", settings.Required)
 	sets[2].Int(&svc.Slots, "slots", "requests run at once", 1, 10000)
 	sets[2].Duration(&svc.Time, "time", "time of one execution", 0, time.Minute)
+	sets[3].Int(&store.Size, "size", "bytes of a model", 1, 1<<40)
+	sets[3].Int(&store.Rate, "rate", "bytes a second for all readers together", 1, 1<<40)
 	if err := settings.Parse(p, args, sets...); err != nil {
 		return err
 	}
@@ -56,8 +63,10 @@
 		return serve(listen, engine.New(eng).Handler())
 	case sc.Used:
 		return serve(listen, service.New(svc).Handler())
+	case wc.Used:
+		return serve(listen, weights.New(store).Handler())
 	}
-	return fmt.Errorf("name one of platform, engine, service; see --help")
+	return fmt.Errorf("name one of platform, engine, service, weights; see --help")
 }
 
 func registerEngine(set *settings.Set, o *engine.Options) {
@@ -68,6 +77,11 @@
 	set.Duration(&o.Prefill, "prefill", "time to the first token without a cached prefix", 0, time.Minute)
 	set.Duration(&o.PerToken, "per-token", "time between tokens", 0, time.Minute)
 	set.Duration(&o.ReportLag, "report-lag", "age of the load report", 0, time.Minute)
+	set.Int(&o.Cache, "cache", "prompt prefixes kept", 1, 1000000)
+	set.Duration(&o.EventLag, "event-lag", "age at which a cache event is published", 0, time.Hour)
+	set.Int(&o.EventGap, "event-gap", "every so many cache events one is lost; 0 for none", 0, 1000000)
+	set.Duration(&o.OrderTime, "order-time", "time to carry out an order", 0, time.Hour)
+	set.String(&o.Weights, "weights", "base URL of the weight store; empty for none", nil)
 	set.Bool(&o.Fencing, "fencing", "refuse orders with an old fencing number")
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,6 +30,10 @@
 	Cache     int           // prompt prefixes kept
 	Fencing   bool          // refuse orders with an old fencing number
 	Model     string        // loaded at the start
+	OrderTime time.Duration // until an accepted order is carried out
+	EventLag  time.Duration // age at which a cache event is published
+	EventGap  int           // every so many cache events one is lost; 0: none
+	Weights   string        // base URL of the weight store; empty: models load at once
 	Crash     func()
 }
 
@@ -39,8 +44,9 @@
 	batch *batch
 
 	mu      sync.Mutex
-	streams map[string]string // whole text by request and stage, for resumption
-	cached  []string          // prefixes, oldest first
+	streams map[string]string  // whole text by request and stage, for resumption
+	active  map[string]*stream // running streams by request
+	cache   cache
 	report  Load
 	orders  orders
 }
@@ -53,11 +59,10 @@
 	Models  []string `json:"models"`
 	Role    string   `json:"role"`
 	Fence   uint64   `json:"fence"`
+	Leaving bool     `json:"leaving,omitempty"`
 	taken   time.Time
 }
 
-const prefixBytes = 64
-
 // New returns an engine.
 func New(opts Options) *Engine {
 	if opts.Slots <= 0 {
@@ -75,6 +80,8 @@
 	e := &Engine{
 		Server: hop.New(opts.Name, opts.Crash), opts: opts,
 		batch: newBatch(opts.Slots, opts.Queue), streams: map[string]string{},
+		active: map[string]*stream{},
+		cache:  cache{limit: opts.Cache, lag: opts.EventLag, gap: opts.EventGap},
 	}
 	e.orders.models = []string{opts.Model}
 	return e
@@ -86,6 +93,10 @@
 	e.Admin(mux)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(e.Load()) })
 	mux.HandleFunc("PUT /orders", e.order)
+	mux.HandleFunc("GET /events", e.events)
+	mux.HandleFunc("GET /kv/{prefix}", e.exportKV)
+	mux.HandleFunc("PUT /kv/{prefix}", e.importKV)
+	mux.HandleFunc("DELETE /streams/{request}", e.cancelStream)
 	mux.HandleFunc("POST /", e.generate)
 	return mux
 }
@@ -99,6 +110,7 @@
 		e.report = Load{
 			Running: running, Queued: queued, Slots: e.opts.Slots,
 			Models: append([]string(nil), e.orders.models...), Role: e.orders.role, Fence: e.orders.fence, taken: now,
+			Leaving: e.Faults().Leaving,
 		}
 	}
 	return e.report
@@ -118,6 +130,8 @@
 		return
 	}
 	defer e.batch.leave()
+	r, running := e.begin(r)
+	defer e.end(r, running)
 	resume, _ := strconv.ParseInt(r.Header.Get(backend.HeaderResume), 10, 64)
 	if resume == 0 {
 		e.Count(r)
@@ -184,19 +198,47 @@
 
 // hit reports whether the prompt's prefix is cached, and caches it.
 func (e *Engine) hit(prompt string) bool {
-	prefix := prompt[:min(prefixBytes, len(prompt))]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range e.cached {
-		if p == prefix {
-			return true
-		}
+	return e.cache.use(prefixOf(prompt), time.Now())
+}
+
+// stream is one running answer, to be found by its request's id.
+type stream struct{ cancel context.CancelFunc }
+
+// begin makes the answer one that DELETE /streams can cancel.
+func (e *Engine) begin(r *http.Request) (*http.Request, *stream) {
+	ctx, cancel := context.WithCancel(r.Context())
+	s := &stream{cancel}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active[r.Header.Get(backend.HeaderRequestID)] = s
+	return r.WithContext(ctx), s
+}
+
+// end forgets s. A resumption of the same request may have taken its place
+// while s was ending; it stays.
+func (e *Engine) end(r *http.Request, s *stream) {
+	s.cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := r.Header.Get(backend.HeaderRequestID)
+	if e.active[id] == s {
+		delete(e.active, id)
 	}
-	e.cached = append(e.cached, prefix)
-	if len(e.cached) > e.opts.Cache {
-		e.cached = e.cached[1:]
+}
+
+// cancelStream ends a running stream without its final mark and frees its slot.
+func (e *Engine) cancelStream(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running, ok := e.active[r.PathValue("request")]
+	if !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
 	}
-	return false
+	running.cancel()
+	w.WriteHeader(http.StatusNoContent)
 }
 
 func sleep(r *http.Request, d time.Duration) bool {
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/internal/standin/hop"
+	"bilberrydale/internal/standin/weights"
+)
+
+func start(t *testing.T, o Options) (*Engine, string) {
+	t.Helper()
+	o.Name, o.Crash = "engine-1", func() {}
+	e := New(o)
+	srv := httptest.NewServer(e.Handler())
+	t.Cleanup(srv.Close)
+	return e, srv.URL
+}
+
+func call(t *testing.T, method, url, body string, header map[string]string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func text(t *testing.T, resp *http.Response) (whole string, final bool) {
+	t.Helper()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var c backend.Chunk
+		if dec.Decode(&c) != nil {
+			return whole, final
+		}
+		whole, final = whole+c.Data, c.Final
+	}
+}
+
+func TestAResumedStreamGivesTheRestAndCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	e, url := start(t, Options{Tokens: 20})
+	e.SetFaults(hop.Faults{Cut: 1})
+	ids := map[string]string{backend.HeaderRequestID: "r", backend.HeaderStage: "s"}
+	part, final := text(t, call(t, http.MethodPost, url, "prompt", ids))
+	g.Expect(final).To(BeFalse())
+	ids[backend.HeaderResume] = strconv.Itoa(len(part))
+	rest, final := text(t, call(t, http.MethodPost, url, "prompt", ids))
+	g.Expect(final).To(BeTrue())
+	delete(ids, backend.HeaderResume)
+	g.Expect(e.Total()).To(BeEquivalentTo(1))
+	whole, _ := text(t, call(t, http.MethodPost, url, "prompt", ids))
+	g.Expect(part + rest).To(Equal(whole))
+}
+
+func TestACancelledStreamEndsWithoutItsFinalMark(t *testing.T) {
+	g := NewWithT(t)
+	e, url := start(t, Options{Tokens: 10000, PerToken: time.Millisecond})
+	resp := call(t, http.MethodPost, url, "prompt", map[string]string{backend.HeaderRequestID: "r"})
+	_, err := bufio.NewReader(resp.Body).ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(call(t, http.MethodDelete, url+"/streams/r", "", nil).StatusCode).To(Equal(http.StatusNoContent))
+	rest, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(rest)).NotTo(ContainSubstring(`"final":true`))
+	g.Eventually(func() int { running, _ := e.batch.counts(); return running }).Should(BeZero())
+	g.Expect(call(t, http.MethodDelete, url+"/streams/r", "", nil).StatusCode).To(Equal(http.StatusNotFound))
+}
+
+func TestMoreUrgentSequencesStartFirst(t *testing.T) {
+	g := NewWithT(t)
+	b := newBatch(1, 8)
+	g.Expect(b.enter(t.Context(), 0)).To(BeTrue())
+	order := make(chan int, 2)
+	for i, priority := range []int{2, 0} {
+		go func() { b.enter(t.Context(), priority); order <- priority; b.leave() }()
+		g.Eventually(func() int { _, queued := b.counts(); return queued }).Should(Equal(i + 1))
+	}
+	b.leave()
+	g.Expect([]int{<-order, <-order}).To(Equal([]int{0, 2}))
+}
+
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	g := NewWithT(t)
+	c := cache{limit: 2, lag: time.Second, gap: 3}
+	t0 := time.Unix(0, 0)
+	for _, p := range []string{"a", "b", "c", "b"} {
+		c.use(p, t0)
+	}
+	g.Expect(c.after(0, t0)).To(BeEmpty())
+	var seen []string
+	for _, e := range c.after(0, t0.Add(time.Second)) {
+		seen = append(seen, strconv.Itoa(int(e.Seq))+e.Kind)
+	}
+	g.Expect(seen).To(Equal([]string{"1stored", "2stored", "4evicted"}))
+	g.Expect(c.use("a", t0)).To(BeFalse())
+}
+
+func TestKVMovesToAnotherEngine(t *testing.T) {
+	g := NewWithT(t)
+	_, from := start(t, Options{})
+	to, dest := start(t, Options{})
+	text(t, call(t, http.MethodPost, from, "a prompt", nil))
+	id := prefixID("a prompt")
+	data, err := io.ReadAll(call(t, http.MethodGet, from+"/kv/"+id, "", nil).Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(call(t, http.MethodPut, dest+"/kv/"+id, string(data), nil).StatusCode).To(Equal(http.StatusNoContent))
+	g.Expect(to.hit("a prompt")).To(BeTrue())
+	g.Expect(call(t, http.MethodPut, dest+"/kv/"+id, "other", nil).StatusCode).To(Equal(http.StatusBadRequest))
+}
+
+func TestOrdersLoadWeightsAndHonourFencing(t *testing.T) {
+	g := NewWithT(t)
+	store := weights.New(weights.Options{Size: 128 << 10, Rate: 1 << 30})
+	srv := httptest.NewServer(store.Handler())
+	t.Cleanup(srv.Close)
+	for _, fencing := range []bool{true, false} {
+		e, url := start(t, Options{Fencing: fencing, Model: "m@1", Weights: srv.URL, OrderTime: time.Millisecond})
+		before := store.Reads()
+		g.Expect(call(t, http.MethodPut, url+"/orders", `{"fence":2,"models":["m@1","m@2"],"role":"decode"}`, nil).StatusCode).To(Equal(http.StatusNoContent))
+		g.Expect(store.Reads() - before).To(BeEquivalentTo(1))
+		g.Expect(e.Load().Models).To(Equal([]string{"m@1", "m@2"}))
+		old := call(t, http.MethodPut, url+"/orders", `{"fence":1,"models":["m@1"]}`, nil)
+		if fencing {
+			g.Expect(old.StatusCode).To(Equal(http.StatusPreconditionFailed))
+			g.Expect(e.Applied()).To(Equal([]uint64{2}))
+		} else {
+			g.Expect(e.Applied()).To(Equal([]uint64{2, 1}))
+		}
+	}
+}
+
+func TestLoadReportLagsAndTellsOfLeaving(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := start(t, Options{ReportLag: time.Hour})
+	g.Expect(e.Load().Leaving).To(BeFalse())
+	e.SetFaults(hop.Faults{Leaving: true})
+	g.Expect(e.Load().Leaving).To(BeFalse())
+	e.opts.ReportLag = 0
+	g.Expect(e.Load().Leaving).To(BeTrue())
+}
--- a/internal/standin/hop/hop.go
+++ b/internal/standin/hop/hop.go
@@ -21,6 +21,8 @@
 	Cut    int           `json:"cut"`    // end the next N answers before they are whole
 	Cross  int           `json:"cross"`  // put another request's id on the next N answers
 	Poison string        `json:"poison"` // a body that contains this kills the server
+	// Leaving is told in the load report; the server goes on serving.
+	Leaving bool `json:"leaving"`
 }
 
 // Server is the shared part. Execute is called once for each execution.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -51,7 +51,7 @@
 	mux := http.NewServeMux()
 	s.Admin(mux)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]int{"running": len(s.slots), "queued": 0, "slots": cap(s.slots)})
+		_ = json.NewEncoder(w).Encode(map[string]any{"running": len(s.slots), "queued": 0, "slots": cap(s.slots), "leaving": s.Faults().Leaving})
 	})
 	mux.HandleFunc("POST /", s.execute)
 	return mux
