--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/request/entry"
+)
+
+func options(target string) Options {
+	return Options{
+		Targets: []string{target}, Rate: 400, Duration: 250 * time.Millisecond, Seed: 7, Timeout: time.Second, InFlight: 64,
+		Mix: []Request{{Path: "/a", Weight: 3}, {Path: "/s", Weight: 1, Stream: true}},
+	}
+}
+
+func TestTheSeedFixesWhatIsSent(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Header.Get("Accept") == entry.StreamType {
+			w.Header().Set("Content-Type", entry.StreamType)
+			_, _ = w.Write([]byte("{\"offset\":0,\"data\":\"x\"}\n{\"offset\":1,\"final\":true}\n"))
+		}
+	}))
+	t.Cleanup(srv.Close)
+	first, err := Run(t.Context(), options(srv.Listener.Addr().String()))
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := Run(t.Context(), options(srv.Listener.Addr().String()))
+	g.Expect(err).NotTo(HaveOccurred())
+	for i, l := range first {
+		g.Expect(l.Sent + l.Unsent).To(Equal(second[i].Sent + second[i].Unsent))
+		g.Expect(l.Whole).To(Equal(l.Sent), l.Path)
+	}
+	g.Expect(first[0].Sent).To(BeNumerically(">", first[1].Sent))
+}
+
+// Each answer is cut, refused or held past the limit of requests in flight;
+// none may count as whole.
+func TestFailuresAreCountedByKind(t *testing.T) {
+	g := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/s" {
+			w.Header().Set("Content-Type", entry.StreamType)
+			_, _ = w.Write([]byte("{\"offset\":0,\"data\":\"x\"}\n"))
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"kind":"overloaded"}`))
+	}))
+	t.Cleanup(srv.Close)
+	lines, err := Run(t.Context(), options(srv.Listener.Addr().String()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(lines[0].Refused).To(HaveKeyWithValue("overloaded", lines[0].Sent))
+	g.Expect(lines[1].Refused).To(HaveKeyWithValue("cut", lines[1].Sent))
+}
+
+func TestOnlyLoopbackIsLoaded(t *testing.T) {
+	_, err := Run(t.Context(), options("10.0.0.1:80"))
+	NewWithT(t).Expect(err).To(MatchError(ErrNotLoopback))
+}
