--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -85,7 +86,13 @@
 	set.Bool(&o.Fencing, "fencing", "refuse orders with an old fencing number")
 }
 
+// serve listens on addr and tells the address it got, for port 0.
 func serve(addr string, h http.Handler) error {
-	s := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	return s.ListenAndServe()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	fmt.Fprintf(os.Stderr, "listening callers=%s\n", l.Addr())
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	return s.Serve(l)
 }
