--- a/internal/ctl/releases.go
+++ b/internal/ctl/releases.go
@@ -1,3 +1,52 @@
 package ctl
 
-func releaseCommands() []*command { return nil }
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"bilberrydale/internal/settings"
+)
+
+func releaseCommands() []*command {
+	h := &historyCommand{count: 20}
+	return []*command{
+		{name: "history", help: "show the accepted releases, the newest first", flags: h.flags, run: h.run},
+		{name: "rollback", help: "make the content of an earlier release the next release", arg: "release", run: rollback},
+	}
+}
+
+type historyCommand struct{ count int }
+
+func (c *historyCommand) flags(set *settings.Set) {
+	set.Int(&c.count, "count", "releases to show", 1, 10000)
+}
+
+func (c *historyCommand) run(ctx context.Context, env *Env, _ string) error {
+	refs, err := env.publisher().History(ctx, c.count)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, r := range refs {
+		rows = append(rows, []string{strconv.FormatUint(r.Number, 10), r.Time.UTC().Format(time.RFC3339), r.Author, r.Hash, r.Note})
+	}
+	return env.print(refs, []string{"RELEASE", "TIME", "AUTHOR", "HASH", "NOTE"}, rows)
+}
+
+func rollback(ctx context.Context, env *Env, text string) error {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || number == 0 {
+		return fmt.Errorf("%q is not a release number; take one from history", text)
+	}
+	rel, err := env.publisher().Rollback(ctx, number, env.Author)
+	if err != nil {
+		return fmt.Errorf("nothing was changed: %w", err)
+	}
+	env.say("release %d accepted with the rows of release %d, hash %s", rel.Number, number, rel.Hash)
+	if env.JSON {
+		return env.print(rel.Ref(), nil, nil)
+	}
+	return nil
+}
--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -10,6 +10,7 @@
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/kind"
+	"bilberrydale/process/telemetry"
 )
 
 // Counters count answers for expvar.
@@ -42,13 +43,14 @@
 
 // refuse gives the request's final answer at once.
 func (c *call) refuse(e *kind.Error) {
+	e.Earlier = c.mayHaveRunEarlier(e)
 	ran := e.Ran()
 	if ran == kind.RanNo {
 		c.Counters.Refused.Add(1)
 	} else {
 		c.Counters.Failed.Add(1)
 	}
-	c.Log.Info("request refused", "request", c.id, "kind", e.Kind, "ran", ran, "detail", e.Detail)
+	c.Log.Info("request refused", "request", c.id, "trace", telemetry.TraceID(c.r.Context()), "kind", e.Kind, "ran", ran, "detail", e.Detail)
 	p := c.problem(e, ran)
 	if c.stream != nil && c.stream.started {
 		c.stream.abort(p)
