Orders load a model version that waits for its switch

Cause: the model gate keeps a pool on its earlier model until engines have the new one, and orders followed the models in force, so nobody would have loaded it. Both are wanted until the switch.

--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/serverprobe"
@@ -26,6 +27,7 @@
 	servers  *report.Watcher
 	lease    *lease.Keeper
 	orders   *order.Manager
+	accepted atomic.Pointer[modelTable]
 	mesh     *peer.Mesh
 	listener net.Listener
 }
--- a/entryhost/members_test.go
+++ b/entryhost/members_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"bilberrydale/internal/standin/engine"
 	"bilberrydale/process/member"
+	"bilberrydale/version/table"
 )
 
 // peered starts an entry host that knows the peer addresses given.
@@ -17,6 +19,7 @@
 	opts.Name, opts.Domain, opts.Region, opts.Platform = name, "d1", "r1", w.store.URL
 	opts.Listen, opts.Admin, opts.Peer, opts.LogLevel = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "error"
 	opts.PeerSecret, opts.Peers = "secret", peers
+	opts.Members.LeaseTTL, opts.Members.OrderRate = 1500*time.Millisecond, 100
 	ctx, cancel := context.WithCancel(context.Background())
 	h, err := New(ctx, opts)
 	Expect(err).NotTo(HaveOccurred())
@@ -58,4 +61,29 @@
 		Eventually(state(e1, "e3"), 10*time.Second).Should(Equal(member.Gone))
 		Eventually(state(e2, "e3"), 10*time.Second).Should(Equal(member.Gone))
 	})
+
+	// A release names a new model version. Pools switch to it only when enough
+	// engines have it, so somebody has to order the load before the switch; a
+	// holder that ordered only what is in force would wait for ever.
+	It("have one holder that makes engines load a new model version before the switch", func() {
+		w := newWorld()
+		e := engine.New(engine.Options{Name: "model-1", Tokens: 20, Model: "m", Fencing: true, Crash: func() {}})
+		w.pool(table.Pool{Name: "model", Kind: table.Engine, Slots: 8, Model: table.Model{Name: "m"}, Fencing: true}, e.Handler())
+		route := fourStages()
+		route.Stages = route.Stages[3:]
+		w.tables.Routes = []table.Route{route}
+		w.apply("ada")
+		e1, _ := w.peered("e1", "")
+		e2, _ := w.peered("e2", e1.members.listener.Addr().String())
+		held := func(h *Host) bool { _, ok := h.members.lease.Held(time.Now()); return ok }
+		Eventually(func() bool { return held(e1) || held(e2) }, 15*time.Second).Should(BeTrue())
+		Expect(e.Applied()).To(BeEmpty(), "the engine has what it should")
+		w.tables.Pools[0].Model.Version = "2"
+		w.apply("bo")
+		Eventually(func() []string { return e.Load().Models }, 15*time.Second).Should(ConsistOf("m", "m@2"))
+		for _, h := range []*Host{e1, e2} {
+			Eventually(func() string { return h.inForce.Load().Pools["model"].Model.String() }, 15*time.Second).Should(Equal("m@2"))
+		}
+		Eventually(func() []string { return e.Load().Models }, 15*time.Second).Should(ConsistOf("m@2"))
+	})
 })
--- a/entryhost/models.go
+++ b/entryhost/models.go
@@ -60,7 +60,7 @@
 			return nil
 		case <-h.clock.After(gatePeriod):
 		}
-		if !h.releases.models.pending.Load() {
+		if !h.releases.models.pending.Load() && !h.modelHeld() {
 			continue
 		}
 		if err := h.releases.follower.Recompile(); err != nil {
--- a/entryhost/orders.go
+++ b/entryhost/orders.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"maps"
 	"slices"
+	"time"
 
 	"bilberrydale/connection/engineorder"
 	"bilberrydale/internal/settings"
@@ -18,13 +19,27 @@
 type MembersOptions struct {
 	Advertise string  // address that peers dial; empty: the listening one
 	OrderRate float64 // orders a second in a failure domain
+	// LeaseTTL is how long one renewal of the lease to give orders lasts. The
+	// next holder waits a fifth more.
+	LeaseTTL time.Duration
 }
 
-func defaultMembersOptions() MembersOptions { return MembersOptions{OrderRate: 1} }
+func defaultMembersOptions() MembersOptions {
+	return MembersOptions{OrderRate: 1, LeaseTTL: 15 * time.Second}
+}
+
+// Parts of the lease's TTL. An order and its reading back end within the
+// longest order, which is below the margin that the holder leaves.
+const (
+	marginPart       = 3
+	longestOrderPart = 5
+	orderTimeoutPart = 11
+)
 
 func (o *MembersOptions) register(set *settings.Set) {
 	set.String(&o.Advertise, "peer-advertise", "peer address that other entry hosts dial, host:port; default the one listened on", nil)
 	set.Float(&o.OrderRate, "order-rate", "orders a second to the engines of the failure domain, within the weight store's rate", 0.01, 1000)
+	set.Duration(&o.LeaseTTL, "lease-ttl", "duration of one renewal of the lease to give orders", 5*time.Second, 10*time.Minute)
 }
 
 // leaseCandidates is how many hosts of a domain try for its lease. The others
@@ -37,30 +52,39 @@
 // giveOrders lets one host of the failure domain order its engines.
 func (h *Host) giveOrders(m *member.Monitor) {
 	self := h.members.link.Self()
-	p := &h.members
+	p, ttl := &h.members, h.opts.Members.LeaseTTL
 	p.lease = lease.NewKeeper(lease.Options{
 		Store: h.store, Clock: h.clock, Rand: h.rand, Key: lease.Prefix + h.opts.Domain, Host: h.opts.Name,
 		Candidate: func() bool { return !h.gate.Closed() && member.First(m, self, "lease", leaseCandidates) },
+		TTL:       ttl, Margin: ttl / marginPart, LongestOrder: ttl / longestOrderPart,
 	})
 	p.orders = order.New(order.Options{
 		Lease: p.lease, Clock: h.clock, Sender: engineorder.New(), Rate: h.opts.Members.OrderRate,
-		Targets: h.engineTargets,
+		Targets: h.engineTargets, Timeout: ttl / orderTimeoutPart,
 	})
 	h.add("lease", p.lease.Run)
 	h.add("orders", p.orders.Run)
 	membersVars.Set(h.opts.Name, expvar.Func(h.membersStatus))
 }
 
-// engineTargets returns what the tables in force want of the engines of this
-// failure domain. An engine in several pools gets the models of all.
+// engineTargets returns what the tables want of the engines of this failure
+// domain. A pool stays on its earlier model version until enough servers have
+// the accepted one, so both are wanted until then; without the second, the
+// switch would wait for a load that nobody ordered. An engine in several pools
+// gets the models of all.
 func (h *Host) engineTargets() []order.Target {
 	snap := h.inForce.Load()
 	if snap == nil {
 		return nil
 	}
+	accepted := h.acceptedModels()
 	byAddress := map[string]*order.Target{}
 	for _, name := range slices.Sorted(maps.Keys(snap.Pools)) {
-		h.addEngines(byAddress, snap.Pools[name])
+		models := []string{snap.Pools[name].Model.String()}
+		if next, ok := accepted[name]; ok {
+			models = append(models, next)
+		}
+		h.addEngines(byAddress, snap.Pools[name], models)
 	}
 	var out []order.Target
 	for _, address := range slices.Sorted(maps.Keys(byAddress)) {
@@ -72,7 +96,51 @@
 	return out
 }
 
-func (h *Host) addEngines(byAddress map[string]*order.Target, p *snapshot.Pool) {
+// modelTable is the model of each engine pool of one release.
+type modelTable struct {
+	hash   string
+	models map[string]string
+}
+
+// acceptedModels returns the models of the newest release by pool. Rows are
+// decoded once a release.
+func (h *Host) acceptedModels() map[string]string {
+	rel, _ := h.releases.follower.Current()
+	if t := h.members.accepted.Load(); t != nil && t.hash == rel.Hash {
+		return t.models
+	}
+	tables, err := table.FromRows(rel.Rows)
+	if err != nil {
+		return nil // the release is not in force here either
+	}
+	t := &modelTable{hash: rel.Hash, models: map[string]string{}}
+	for _, p := range tables.Pools {
+		if p.Kind == table.Engine {
+			t.models[p.Name] = p.Model.String()
+		}
+	}
+	h.members.accepted.Store(t)
+	return t.models
+}
+
+// modelHeld reports whether a pool in force still has an earlier model than the
+// release says. The gate's own flag does not tell: compiling the release in
+// force while the next one waits for its switch clears what the next one set,
+// and the pool would stay on the earlier model for good.
+func (h *Host) modelHeld() bool {
+	snap := h.inForce.Load()
+	if snap == nil {
+		return false
+	}
+	for name, model := range h.acceptedModels() {
+		if p := snap.Pools[name]; p != nil && p.Model.String() != model {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) addEngines(byAddress map[string]*order.Target, p *snapshot.Pool, models []string) {
 	if p.Kind != table.Engine {
 		return
 	}
@@ -88,7 +156,7 @@
 			}
 			byAddress[s.Address] = t
 		}
-		t.Models = append(t.Models, p.Model.String())
+		t.Models = append(t.Models, models...)
 		if t.Role == "" {
 			t.Role = p.Role
 		}
