--- a/process/member/monitor.go
+++ b/process/member/monitor.go
@@ -52,7 +52,7 @@
 	firstProbeIntervals = 2  // of a gone host, then doubling
 	maxProbeIntervals   = 30 // bounds the time to notice a heal
 	probesATick         = 3
-	newsAHeartbeat      = 16
+	newsAHeartbeat      = 8
 	checkTries          = 2 // fresh connections before a host is judged gone
 )
 
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -61,7 +61,7 @@
 
 	Interval  time.Duration // between polls; default 1 s
 	Owners    int           // hosts of the domain that poll one server; default 2
-	ShareRate int           // bytes a second for sharing load with peers; default 1500
+	ShareRate int           // bytes a second for sharing load with peers; default 750
 }
 
 func (o *Options) setDefaults() {
@@ -72,7 +72,7 @@
 		o.Owners = 2
 	}
 	if o.ShareRate <= 0 {
-		o.ShareRate = 1500
+		o.ShareRate = 750
 	}
 }
 
@@ -96,6 +96,7 @@
 	seeds   []string          // addresses of listed hosts that are no backend servers
 	shareAt time.Time
 	sends   int
+	rounds  int
 	work    sync.WaitGroup
 }
 
@@ -179,13 +180,15 @@
 func (w *Watcher) due(self peer.Identity, hosts []string, now time.Time) []*known {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.rounds++
 	var out []*known
 	for address, k := range w.known {
 		owned := false
 		k.first = false
 		if k.target.Domain == self.Domain {
 			place := member.Place(address, self.Host, hosts)
-			owned, k.first = place < w.opts.Owners, place == 0
+			k.first = place == 0
+			owned = k.first || (place < w.opts.Owners && w.rounds%standbyEvery == 0)
 		}
 		if k.busy {
 			continue
@@ -199,6 +202,11 @@
 	return out
 }
 
+// standbyEvery is how often owners after the first poll, in intervals. They
+// matter only while the first is stopped or cut off, and what is left of the
+// three seconds has to do for spreading the sign.
+const standbyEvery = 2
+
 // recheckIntervals is how often a host that does not own a dead server looks
 // at it by itself.
 const recheckIntervals = 10
--- a/process/report/signs.go
+++ b/process/report/signs.go
@@ -39,7 +39,7 @@
 	changed := k.sign != before
 	if changed {
 		k.sign.Version++
-		k.spread = w.rounds()
+		k.spread = w.spreads()
 	}
 	w.apply(k)
 	w.mu.Unlock()
@@ -63,7 +63,8 @@
 	}
 }
 
-func (w *Watcher) rounds() int { return 6 + 2*bits.Len(uint(len(w.opts.View.Peers()))) }
+// spreads is how many heartbeats carry a sign.
+func (w *Watcher) spreads() int { return 6 + 2*bits.Len(uint(len(w.opts.View.Peers()))) }
 
 func (w *Watcher) produceSigns() []byte {
 	w.mu.Lock()
@@ -104,7 +105,7 @@
 			continue
 		}
 		s.Address = ""
-		k.sign, k.spread, news = s, w.rounds(), true
+		k.sign, k.spread, news = s, w.spreads(), true
 		if s.Down != k.down && !k.busy {
 			k.busy = true
 			w.work.Go(func() { w.verify(k) })
@@ -193,7 +194,7 @@
 	w.mu.Lock()
 	k.sign.Listed = leaving
 	k.sign.Version++
-	k.spread = w.rounds()
+	k.spread = w.spreads()
 	w.apply(k)
 	w.mu.Unlock()
 	if w.opts.Monitor != nil {
