The lease is released only when no order is left

Cause: orders were cut with the daemon's context and the lease released at once; a cut order may still reach its engine below the next holder's. Seen red: cut orders (the engine kept no model); release in spite of a lost answer (the next holder began at once).

--- a/process/order/order.go
+++ b/process/order/order.go
@@ -74,7 +74,7 @@
 	// Timeout bounds one order and its reading back each; it is below half of
 	// the lease's longest order. Default 1.4 s.
 	Timeout  time.Duration
-	Retry    time.Duration // between orders to one engine; default 5 s
+	Retry    time.Duration // between orders to one engine, above the longest order; default 5 s
 	Rate     float64       // orders a second that make engines load weights; default 1
 	Parallel int           // orders at once; default 4
 }
@@ -106,6 +106,7 @@
 	limiter *rate.Limiter
 	mu      sync.Mutex
 	next    map[string]time.Time // earliest next order by address
+	unsure  time.Time            // until when an order without an answer may still arrive
 }
 
 // New returns a manager.
@@ -118,14 +119,13 @@
 const releaseTimeout = 2 * time.Second
 
 // Run gives orders until ctx ends, and then, with no order left, releases the
-// lease.
+// lease. If the fate of a late order is open, the lease is left to run out: a
+// next holder that began at once could see its own order undone by that one.
 func (m *Manager) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
-			end, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-			defer cancel()
-			m.opts.Lease.Release(end)
+			m.release(ctx)
 			return nil
 		case <-m.opts.Clock.After(m.opts.Interval):
 			m.Round(ctx)
@@ -133,8 +133,22 @@
 	}
 }
 
-// Round gives the orders that are due and returns when all have ended.
+func (m *Manager) release(ctx context.Context) {
+	m.mu.Lock()
+	unsure := m.opts.Clock.Now().Before(m.unsure)
+	m.mu.Unlock()
+	if unsure {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	m.opts.Lease.Release(ctx)
+}
+
+// Round gives the orders that are due and returns when all have ended. Orders
+// under way are not cut when ctx ends: they would be on the wire all the same.
 func (m *Manager) Round(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
 	if _, ok := m.opts.Lease.Held(m.opts.Clock.Now()); !ok {
 		return
 	}
@@ -219,6 +233,9 @@
 	}
 	if err != nil {
 		m.Counters.Failed.Add(1)
+		m.mu.Lock()
+		m.unsure = m.opts.Clock.Now().Add(m.opts.Retry)
+		m.mu.Unlock()
 		return false
 	}
 	return true
--- a/process/order/order_test.go
+++ b/process/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"sync"
@@ -62,6 +63,7 @@
 	order.Sender
 	mu     sync.Mutex
 	before func()
+	lose   bool // the answer of every order
 }
 
 func (h *hooked) Send(ctx context.Context, address string, o order.Order) error {
@@ -72,7 +74,11 @@
 	if before != nil {
 		before()
 	}
-	return h.Sender.Send(ctx, address, o)
+	err := h.Sender.Send(ctx, address, o)
+	if h.lose && err == nil {
+		return errors.New("answer lost")
+	}
+	return err
 }
 
 func (d *domain) host(name string, models ...string) *orderer {
@@ -212,3 +218,29 @@
 	h.Round(ctx)
 	d.g.Expect(d.engines[0].Load().Models).To(Equal([]string{"m@1"}))
 }
+
+// The daemon is told to stop while an order is on its way. Cutting the order
+// would not take it back from the wire; if the lease were released then, the
+// next holder could begin at once and the late order undo what it did. The
+// order ends first; and when its answer was lost, the lease is not released.
+func TestLeaseIsReleasedOnlyWhenNoOrderIsLeft(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "answer lost": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDomain(t, 1, true)
+			old, next := d.host("old", "m@1"), d.host("next", "m@2")
+			d.acquire(old)
+			ctx, cancel := context.WithCancel(context.Background())
+			old.sender.before = cancel
+			old.sender.lose = !answered
+			done := make(chan error, 1)
+			go func() { done <- old.Manager.Run(ctx) }()
+			d.g.Eventually(d.clock.Waiters).Should(Equal(1))
+			d.clock.Advance(time.Second)
+			d.g.Eventually(done, 10*time.Second).Should(Receive(BeNil()))
+			d.g.Expect(d.engines[0].Load().Models).To(Equal([]string{"m@1"}), "the order was not cut")
+			next.Step(context.Background())
+			_, held := next.Held(d.clock.Now())
+			d.g.Expect(held).To(Equal(answered))
+		})
+	}
+}
