Heartbeat targets at powers of the ring's size

Cause: with three neighbours news passed along the ring; in a domain of 38 hosts and 110 servers (go test -run ^$ -bench Membership/hosts=38 ./internal/memberbench) the last host knew of a kill after 5.09 s and of a leaving server after 1.84 s. Ruled out: the probes themselves (the first host knew after 0.35 s).

--- a/internal/memberbench/bench_test.go
+++ b/internal/memberbench/bench_test.go
@@ -21,6 +21,8 @@
 // those of the platform, which are for the whole fleet and for one domain.
 type figures struct {
 	Hosts             int     `json:"hosts"`
+	Domains           int     `json:"domains"`
+	Servers           int     `json:"servers_per_domain"`
 	Heartbeats        float64 `json:"heartbeats_sent"`
 	PeerBytes         float64 `json:"peer_bytes_sent"`
 	LoadBytes         float64 `json:"load_bytes_sent"`
@@ -35,8 +37,10 @@
 }
 
 func BenchmarkMembership(b *testing.B) {
-	for _, size := range []int{6, 12, 24, 48} {
-		b.Run(fmt.Sprint("hosts=", size), func(b *testing.B) {
+	// The last is one whole failure domain of the size to design for.
+	sizes := []shape{{6, 3, 10}, {12, 3, 10}, {24, 3, 10}, {48, 3, 10}, {38, 1, 110}}
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d,domains=%d,servers=%d", size.hosts, size.domains, size.servers), func(b *testing.B) {
 			f := newFleet(b, size)
 			time.Sleep(settle)
 			fig := f.atRest()
@@ -63,7 +67,7 @@
 	t := totals{bytes: f.bytes.Load(), cpu: cpuTime()}
 	c := f.store.Counts()
 	t.calls = c.Reads + c.Writes + c.Watches
-	for _, h := range f.hosts {
+	for _, h := range f.all {
 		t.sent += h.monitor.Counters.Sent.Load()
 		t.busy += h.monitor.Counters.Busy.Load()
 		t.loads += h.watcher.Counters.SharedBytes.Load()
@@ -76,14 +80,14 @@
 	before, began := f.totals(), time.Now()
 	time.Sleep(window)
 	after, seconds := f.totals(), time.Since(began).Seconds()
-	per := func(n int64) float64 { return float64(n) / seconds / float64(len(f.hosts)) }
+	per := func(n int64) float64 { return float64(n) / seconds / float64(len(f.all)) }
 	calls := float64(after.calls-before.calls) / seconds
 	return figures{
-		Hosts: len(f.hosts), Heartbeats: per(after.sent - before.sent), PeerBytes: per(after.bytes - before.bytes),
+		Hosts: len(f.all), Domains: f.domains, Servers: f.servers, Heartbeats: per(after.sent - before.sent), PeerBytes: per(after.bytes - before.bytes),
 		LoadBytes: per(after.loads - before.loads), Polls: per(after.polls - before.polls),
 		CPUMicros:       per(int64((after.cpu - before.cpu) / time.Microsecond)),
 		HeartbeatMicros: float64(after.busy-before.busy) / 1e3 / float64(4*max(1, after.sent-before.sent)),
-		PlatformCalls:   calls, PlatformPerDomain: calls / domains,
+		PlatformCalls:   calls, PlatformPerDomain: calls / float64(f.domains),
 	}
 }
 
@@ -99,10 +103,10 @@
 // leaving lets a backend server report that it leaves and returns the time
 // until the last host of all domains gives it no new work.
 func (f *fleet) leaving() time.Duration {
-	s := f.servers[0]
+	s := f.backend[0]
 	s.leaving.Store(true)
 	return f.wait("leaving server", func() bool {
-		for _, h := range f.hosts {
+		for _, h := range f.all {
 			if h.registry.Get(s.name, s.address, time.Unix(1, 0)).Usable() {
 				return false
 			}
@@ -114,12 +118,12 @@
 // killed ends one host without a word and returns the times until the first
 // and the last other host hold it for gone.
 func (f *fleet) killed() (first, last time.Duration) {
-	dead := f.hosts[0]
+	dead := f.all[0]
 	began := time.Now()
 	go dead.kill()
 	f.wait("killed host", func() bool {
 		gone := 0
-		for _, h := range f.hosts[1:] {
+		for _, h := range f.all[1:] {
 			if p, _ := h.monitor.Lookup(dead.mesh.Self().Host); p.State == member.Gone {
 				gone++
 			}
@@ -127,7 +131,7 @@
 		if gone > 0 && first == 0 {
 			first = time.Since(began)
 		}
-		return gone == len(f.hosts)-1
+		return gone == len(f.all)-1
 	})
 	return first, time.Since(began)
 }
--- a/internal/memberbench/fleet_test.go
+++ b/internal/memberbench/fleet_test.go
@@ -22,20 +22,23 @@
 	"bilberrydale/process/server"
 )
 
-const (
-	domains          = 3
-	serversPerDomain = 10
-	patience         = time.Minute
-)
+const patience = time.Minute
+
+// shape is the size of a fleet.
+type shape struct {
+	hosts, domains int
+	servers        int // of each domain
+}
 
 // fleet is entry hosts with their real connections, polls and leases in one
 // process, with the daemon's default periods.
 type fleet struct {
+	shape
 	b       *testing.B
 	bytes   atomic.Int64 // both ways, all connections between hosts
 	store   *objects.Objects
-	servers []*backendServer
-	hosts   []*host
+	backend []*backendServer
+	all     []*host
 }
 
 type backendServer struct {
@@ -84,21 +87,21 @@
 	return n, err
 }
 
-func newFleet(b *testing.B, size int) *fleet {
-	f := &fleet{b: b, store: objects.New()}
-	for d := range domains {
-		for i := range serversPerDomain {
+func newFleet(b *testing.B, size shape) *fleet {
+	f := &fleet{shape: size, b: b, store: objects.New()}
+	for d := range size.domains {
+		for i := range size.servers {
 			f.addServer(fmt.Sprintf("s%d-%d", d, i), domainName(d))
 		}
 	}
 	var seeds []string
-	for i := range size {
-		h := f.start(fmt.Sprint("h", i), domainName(i%domains), append([]string(nil), seeds...))
-		if i < domains {
+	for i := range size.hosts {
+		h := f.start(fmt.Sprint("h", i), domainName(i%size.domains), append([]string(nil), seeds...))
+		if i < size.domains {
 			seeds = append(seeds, h.mesh.Self().Address)
 		}
 	}
-	for _, h := range f.hosts {
+	for _, h := range f.all {
 		f.wait("all hosts known", func() bool {
 			alive := 0
 			for _, p := range h.monitor.Peers() {
@@ -106,7 +109,7 @@
 					alive++
 				}
 			}
-			return alive == size-1
+			return alive == size.hosts-1
 		})
 	}
 	return f
@@ -121,7 +124,7 @@
 	}))
 	f.b.Cleanup(srv.Close)
 	s.address = srv.Listener.Addr().String()
-	f.servers = append(f.servers, s)
+	f.backend = append(f.backend, s)
 }
 
 func (f *fleet) start(name, domain string, seeds []string) *host {
@@ -165,13 +168,13 @@
 		running.Wait()
 	})
 	f.b.Cleanup(h.kill)
-	f.hosts = append(f.hosts, h)
+	f.all = append(f.all, h)
 	return h
 }
 
 func (f *fleet) targets(h *host) []report.Target {
-	out := make([]report.Target, 0, len(f.servers))
-	for _, s := range f.servers {
+	out := make([]report.Target, 0, len(f.backend))
+	for _, s := range f.backend {
 		out = append(out, report.Target{State: h.registry.Get(s.name, s.address, time.Unix(1, 0)), Domain: s.domain})
 	}
 	return out
--- a/process/member/links.go
+++ b/process/member/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,8 +65,8 @@
 	return Place(key, self.Host, Domain(v, self, self.Domain)) < n
 }
 
-// targets returns whom self sends heartbeats to: its successors on the hashed
-// ring of its domain, and a few links to each other domain. The number does
+// targets returns whom self sends heartbeats to: a few hosts at fixed distances
+// on the hashed ring of its domain, and a few links to each other domain. The number does
 // not grow with the hosts of a domain, and every host of a domain with at
 // least two is watched by its predecessors.
 func targets(self peer.Identity, peers []Peer, successors, links int) []string {
@@ -94,8 +95,25 @@
 		}
 	}
 	var out []string
-	for i := 1; i <= n && i < len(hosts); i++ {
-		out = append(out, hosts[(at+i)%len(hosts)])
+	for _, step := range steps(len(hosts), n) {
+		out = append(out, hosts[(at+step)%len(hosts)])
+	}
+	return out
+}
+
+// steps returns the n distances on a ring of size hosts at which a host's
+// targets stand: 1 and roughly equal powers up to size. Neighbours alone would
+// pass news on along the ring, in rounds that grow with its size; with powers
+// they grow with its logarithm.
+func steps(size, n int) []int {
+	var out []int
+	last := 0
+	for i := range n {
+		step := max(last+1, int(math.Round(math.Pow(float64(size), float64(i)/float64(n)))))
+		if step >= size {
+			break
+		}
+		out, last = append(out, step), step
 	}
 	return out
 }
