--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fmt demo bench replay
+.PHONY: build test fmt demo bench replay faults
 
 build:
 	go build ./...
@@ -20,7 +20,16 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
-# Replays the stated traces on the decision code: make replay SEED=7 OUT=f.json
+# A long fault run: RUNS runs of N operations, each with the next seed after
+# SEED; the reports go to OUT as JSON. Fails if a promise is broken.
 SEED ?= 1
+N ?= 2000
+RUNS ?= 1
+OUT ?=
+faults:
+	go test -race -count=1 -timeout 4h -run 'TestFaultRun$$' -v ./internal/faultrun \
+		-faults.seed=$(SEED) -faults.n=$(N) -faults.runs=$(RUNS) -faults.out=$(OUT)
+
+# Replays the stated traces on the decision code: make replay SEED=7 OUT=f.json
 replay:
 	go run ./cmd/replay --seed=$(SEED) $(if $(OUT),--out=$(OUT))
