--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -206,6 +206,10 @@
 	_, err = ada.run("quarantine", "lift", "xyz")
 	g.Expect(err).To(MatchError(ContainSubstring("not a fingerprint")))
 
+	g.Expect(ada.must("explain", "/v1/drafts")).To(And(ContainSubstring("route draft"), ContainSubstring("recipe-12")))
+	_, err = ada.run("explain", "/nowhere")
+	g.Expect(err).To(MatchError(ContainSubstring("has no route for POST /nowhere")))
+
 	_, err = ada.run("drain")
 	g.Expect(err).To(MatchError(ContainSubstring("name one")))
 	one := *ada
@@ -226,6 +230,21 @@
 	g.Expect(disagreement([]HostStatus{{Release: 1, Hash: "a"}, {Release: 1, Hash: "b"}})).To(HaveOccurred())
 }
 
+func TestHistoryAndRollback(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir, "--note", "first")
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	ada.as("bo").must("apply", dir)
+	g.Expect(ada.must("rollback", "1")).To(ContainSubstring("release 3 accepted with the rows of release 1"))
+	g.Expect(ada.must("history")).To(MatchRegexp(`(?s)3 .*ada.*rollback to release 1.*2 .*bo.*1 .*ada.*first`))
+	_, err := ada.run("rollback", "7")
+	g.Expect(err).To(MatchError(ContainSubstring("nothing was changed")))
+	_, err = ada.run("rollback", "one")
+	g.Expect(err).To(MatchError(ContainSubstring("not a release number")))
+}
+
 func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
 	g := NewWithT(t)
 	ada := newOperator(t)
--- a/process/admission/pool.go
+++ b/process/admission/pool.go
@@ -8,11 +8,11 @@
 	"bilberrydale/process/estimate"
 )
 
-// levels divide requests by worth a second of a pool's time: four to an octave,
+// levels divide requests by worth a second of a pool's time: eight to an octave,
 // level 0 the highest.
 const (
-	levels     = 64
-	perOctave  = 4
+	levels     = 128
+	perOctave  = 8
 	zeroOctave = 8 // log2 of the worth a second at level 0
 )
 
@@ -24,17 +24,22 @@
 // pool is what admission knows of one pool. Requests read and add; Tick writes.
 type pool struct {
 	name      string
-	base      estimate.Float // load at which the band starts
-	share     estimate.Float // part of the demand that is admitted, smoothed
-	load      estimate.Float // requests for a slot at the last tick, less heading
-	slots     estimate.Float // usable slots within reach
-	warm      atomic.Bool    // loaded enough for accounts to be counted
+	details   [len(reasons)]string // of refusals, made once
+	base      estimate.Float       // load at which the band starts
+	share     estimate.Float       // part of the demand that is admitted, smoothed
+	load      estimate.Float       // requests for a slot at the last tick, less heading
+	slots     estimate.Float       // usable slots within reach
+	warm      atomic.Bool          // loaded enough for accounts to be counted
 	down      atomic.Bool
 	heading   atomic.Int64 // admitted here and not yet at this stage
-	succeeded atomic.Int64 // unix nanoseconds of the last whole stage
+	trials    atomic.Int64 // servers that a probe would try
 	probed    atomic.Int64 // unix nanoseconds
 	downSince atomic.Int64 // unix nanoseconds
-	unusable  time.Time    // since when no server is usable; used by Tick alone
+	fullSince atomic.Int64 // unix nanoseconds since which background work waits
+	usable    bool         // some server is; used by Tick alone, as all below
+	since     time.Time    // of the last change of usable
+	then      float64      // load by reports, summed over the memory
+	ownThen   float64      // of that, this host's
 	ticked    time.Time
 	shared    time.Time
 	demand    [levels]estimate.Float // seconds asked for lately
@@ -45,6 +50,9 @@
 
 func newPool(name string) *pool {
 	p := &pool{name: name}
+	for i, r := range reasons {
+		p.details[i] = string(r) + ": pool " + name
+	}
 	p.share.Store(1)
 	p.base.Store(bandFirst)
 	return p
@@ -64,23 +72,33 @@
 	return min(1, max(leastPart, 1-(p.now()-p.base.Load())/bandWidth))
 }
 
-// probe lets one request through to a down pool for each interval.
+// probe lets one request through to a down pool for each interval, if a server
+// is due for a trial: only a request that runs can show that the pool is back,
+// and each costs the stages before it.
 func (p *pool) probe(now time.Time, every time.Duration) bool {
+	if p.trials.Load() == 0 {
+		return false
+	}
 	last := p.probed.Load()
 	return now.UnixNano()-last >= int64(every) && p.probed.CompareAndSwap(last, now.UnixNano())
 }
 
-// An outage that has lasted for a while will likely last about as long again.
+// What has lasted for a while will likely last about as long again.
 const (
-	leastOutage = 2 * time.Second
-	mostOutage  = 30 * time.Second
+	leastWait = 2 * time.Second
+	mostWait  = 30 * time.Second
 )
 
-func (p *pool) outageWait(now time.Time) time.Duration {
-	age := time.Duration(now.UnixNano() - p.downSince.Load())
-	return min(mostOutage, max(leastOutage, age)).Round(time.Second)
+func likely(now time.Time, since int64) time.Duration {
+	return min(mostWait, max(leastWait, time.Duration(now.UnixNano()-since))).Round(time.Second)
 }
 
+// outageWait returns when a down pool may be back.
+func (p *pool) outageWait(now time.Time) time.Duration { return likely(now, p.downSince.Load()) }
+
+// fullWait returns when a pool may have room for what is worth least.
+func (p *pool) fullWait(now time.Time) time.Duration { return likely(now, p.fullSince.Load()) }
+
 // demand counts what the request asks of each pool, whether or not it is
 // admitted. Background work has no claim on a full pool and is left out.
 func (c *Controller) demand(r *Request, p *plan) {
@@ -95,7 +113,9 @@
 		sec := s.seconds()
 		s.pool.demand[s.level.Load()].Add(sec)
 		if a := s.pool.accounts.Load(); a != nil {
-			a.find(accountHash(r.Account)).demand.Add(sec)
+			x := a.find(accountHash(r.Account))
+			x.demand.Add(sec)
+			x.weight.Store(r.Profile.share(r.Account))
 		}
 	}
 }
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -10,6 +10,11 @@
 	Pool  string
 	Slots float64 // of usable servers, with what other regions can spare
 	Busy  float64 // requests on them, queued ones included
+	Own   float64 // of those, this host's
+	// Then and OwnThen are Busy and Own as of the servers' last reports.
+	Then    float64
+	OwnThen float64
+	Trials  int // servers that one request would be let try now
 }
 
 // Control of the admitted part of the demand. Each request compares the load of
@@ -18,16 +23,19 @@
 // by more than the others' part. The band moves slowly until the load is held
 // at the target.
 const (
-	bandWidth = 1.0 // requests for a slot
+	bandWidth = 1.5 // requests for a slot
 	bandFirst = 1.1 // where the band starts
-	bandLeast = .6
+	bandLeast = .3
 	bandMost  = 1.8
 	bandSpeed = .15 // a second, for each unit of load off the target
 	partSpeed = 1.0 // a second; smooths the admitted part for the shares
+	ownMemory = 5 * time.Second
+	ownLeast  = 1.0 // requests times seconds below which the part is not known
+	ownNoise  = 8.0 // own requests at which the own part and the reports count alike
 	leastPart = .02
 	warmAt    = .6
 	memory    = 3 * time.Second // of the demand
-	shareEach = 500 * time.Millisecond
+	shareEach = time.Second
 	planLife  = 10 * time.Minute
 )
 
@@ -42,14 +50,16 @@
 		dt := now.Sub(p.ticked).Seconds()
 		p.ticked = now
 		p.slots.Store(l.Slots)
-		if l.Slots > 0 {
-			p.load.Store(l.Busy / l.Slots)
-		}
+		p.measure(l, dt)
+		p.trials.Store(int64(l.Trials))
 		c.outage(p, now, l.Slots > 0)
 		c.control(p, dt)
+		if p.now() < c.opts.BackgroundBelow {
+			p.fullSince.Store(now.UnixNano())
+		}
 		p.order(dt)
 		if a := p.accounts.Load(); a != nil && now.Sub(p.shared) >= shareEach {
-			a.divide(p.share.Load(), now.Sub(p.shared).Seconds(), c.opts.Weight)
+			a.divide(p.share.Load(), now.Sub(p.shared).Seconds())
 			p.shared = now
 		}
 	}
@@ -59,24 +69,43 @@
 	})
 }
 
+// measure estimates the load of the moment. What others have in flight is known
+// by reports that lag, and to follow a lagging load is to swing around it. The
+// hosts of a region serve the same demand, so this host's part of the load
+// changes slowly, and its own requests in flight, over that part, give the load
+// without the lag.
+func (p *pool) measure(l PoolLoad, dt float64) {
+	keep := math.Exp(-dt / ownMemory.Seconds())
+	p.then = p.then*keep + l.Then*dt
+	p.ownThen = p.ownThen*keep + l.OwnThen*dt
+	if l.Slots <= 0 {
+		return
+	}
+	busy := l.Busy
+	if p.ownThen > ownLeast {
+		usual := p.ownThen / ownMemory.Seconds()
+		busy += usual / (usual + ownNoise) * (l.Own*p.then/p.ownThen - busy)
+	}
+	p.load.Store(busy / l.Slots)
+}
+
 // outage applies the hysteresis of a pool without usable servers. Running the
-// stages before it would only spend them: dependents wait until an attempt has
-// succeeded, and then come back little by little.
+// stages before it would only spend them: dependents wait until a server has
+// been usable again for a while, by a trial or by its own report.
 func (c *Controller) outage(p *pool, now time.Time, usable bool) {
-	if usable {
-		p.unusable = time.Time{}
-	} else if p.unusable.IsZero() {
-		p.unusable = now
+	if usable != p.usable {
+		p.usable, p.since = usable, now
 	}
+	stable := now.Sub(p.since)
 	switch {
-	case !p.down.Load():
-		if !p.unusable.IsZero() && now.Sub(p.unusable) >= c.opts.DownAfter {
-			p.downSince.Store(now.UnixNano())
-			p.probed.Store(now.UnixNano())
-			p.down.Store(true)
+	case p.down.Load():
+		if usable && stable >= c.opts.UpAfter {
+			p.down.Store(false)
 		}
-	case usable && p.succeeded.Load() > p.downSince.Load():
-		p.down.Store(false)
+	case !usable && stable >= c.opts.DownAfter:
+		p.downSince.Store(now.UnixNano())
+		p.probed.Store(now.UnixNano())
+		p.down.Store(true)
 	}
 }
 
@@ -103,8 +132,10 @@
 	var sum float64
 	keep := math.Exp(-dt / memory.Seconds())
 	for i := range p.demand {
-		p.demand[i].Scale(keep)
-		sum += p.demand[i].Load()
+		if p.demand[i].Load() > 0 {
+			p.demand[i].Scale(keep)
+			sum += p.demand[i].Load()
+		}
 	}
 	if sum <= 0 {
 		return
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +50,7 @@
 	}
 	x.tried = append(x.tried, srv.State)
 	x.number++
+	x.req.Admitted.Waited = !srv.Free(info.Now)
 	return &attempt{server: srv, number: x.number, alone: alone}, nil
 }
 
@@ -103,39 +103,30 @@
 	a.server.State.Begin()
 	defer a.server.State.End()
 	x.Quarantine.Begin(x.req.Fingerprint, a.server.Name)
-	start := x.Clock.Now()
+	began := x.Clock.Now()
 	err := send(ctx)
-	x.ended(ctx, a, err, start)
+	x.record(ctx, a, began, err)
+	x.ended(a, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 	}
 	return err
 }
 
-// ended reports the attempt's end to the quarantine and to the server's state.
-// A connection that broke is no proof that the server died: only a fresh
-// connection that fails as well is.
-func (x *run) ended(ctx context.Context, a *attempt, err error, start time.Time) {
+// ended reports the attempt's end to the quarantine. A connection that broke is
+// no proof that the server died: only a fresh connection that fails as well is.
+func (x *run) ended(a *attempt, err error) {
 	var be *backend.Error
 	died := errors.As(err, &be) && be.Reset && be.Sent == backend.MaySent && !x.alive(a)
 	x.Quarantine.End(x.req.Fingerprint, a.server.Name, died)
+	if x.Apart == nil {
+		return
+	}
 	if a.alone {
 		x.Apart.Leave(a.server.Name)
 	}
-	now := x.Clock.Now()
-	switch {
-	case err == nil:
-		a.server.State.Record(now, server.Succeeded, now.Sub(start))
-		if x.Apart != nil {
-			x.Apart.Alive(a.server.Name)
-		}
-	case be == nil || ctx.Err() != nil:
-	case be.Sent == backend.NotSent:
-		a.server.State.Record(now, server.Unreachable, 0)
-	case be.Refused:
-		a.server.State.Record(now, server.Overloaded, 0)
-	case be.Status >= http.StatusInternalServerError:
-		a.server.State.Record(now, server.Failed, 0)
+	if err == nil {
+		x.Apart.Alive(a.server.Name)
 	}
 }
 
