A noticed release is asked of others when its sender does not answer

A host that could not fetch at a notice gave up, and the hosts behind it in the tree found out by comparing; suspected hosts, merely slow on the loaded machine, were not in the tree at all. Now the sender, the root and others are asked in turn, and suspected hosts are told too. The estimate of a message's way leaves out the time the answerer spent and is bounded.

Seen red: giving up after one host; the tests of lost hosts now switch off the fall-back as well, which had hidden the former.

--- /dev/null
+++ b/entryhost/releases_bench_test.go
@@ -0,0 +1,175 @@
+package entryhost
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	standin "bilberrydale/internal/standin/platform"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/release"
+	"bilberrydale/version/table"
+)
+
+// releaseBench is entry hosts of three domains with their real links over
+// loopback, before a platform that can be switched off for them alone.
+type releaseBench struct {
+	objects *standin.Objects
+	down    atomic.Bool
+	srv     *httptest.Server
+	hosts   []*Host
+	tables  table.Tables
+}
+
+func newReleaseBench(b *testing.B, n int) *releaseBench {
+	RegisterTestingT(b)
+	r := &releaseBench{objects: standin.New()}
+	handler := r.objects.Handler()
+	r.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, req)
+	}))
+	b.Cleanup(r.srv.Close)
+	for p := range 14 {
+		pool := table.Pool{Name: fmt.Sprintf("pool-%02d", p), Kind: table.Service, Slots: 8}
+		for i := range 79 {
+			pool.Servers = append(pool.Servers, table.Server{
+				Name: fmt.Sprintf("s-%02d-%03d", p, i), Address: fmt.Sprintf("127.1.%d.%d:9", p, 1+i), Domain: fmt.Sprint("d", i%3), Region: fmt.Sprint("r", i%3),
+			})
+		}
+		r.tables.Pools = append(r.tables.Pools, pool)
+		route := fourStages()
+		route.Name, route.Match.Path = fmt.Sprintf("route-%02d", p), fmt.Sprintf("/v1/%02d", p)
+		route.Stages = route.Stages[:1]
+		route.Stages[0].Pool = pool.Name
+		r.tables.Routes = append(r.tables.Routes, route)
+	}
+	r.change(0)
+	var seeds []string
+	for i := range n {
+		h := r.host(b, i, strings.Join(seeds, ","))
+		r.hosts = append(r.hosts, h)
+		seeds = append(seeds, h.members.listener.Addr().String())
+	}
+	for _, h := range r.hosts {
+		Eventually(h.ready, 10*time.Second).Should(BeTrue())
+		Eventually(func() int { return len(h.members.view.Peers()) }, 20*time.Second).Should(Equal(n - 1))
+	}
+	return r
+}
+
+func (r *releaseBench) host(b *testing.B, i int, seeds string) *Host {
+	opts := DefaultOptions()
+	opts.Name, opts.Domain, opts.Region = fmt.Sprintf("e%02d", i), fmt.Sprint("d", i%3), fmt.Sprint("r", i%3)
+	opts.Platform, opts.Peers, opts.LogLevel = r.srv.URL, seeds, "error"
+	opts.Listen, opts.Admin, opts.Peer = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	ctx, cancel := context.WithCancel(context.Background())
+	h, err := New(ctx, opts)
+	Expect(err).NotTo(HaveOccurred())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.Run(ctx) }()
+	b.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
+// change accepts another worth of one route.
+func (r *releaseBench) change(serial int) uint64 {
+	r.tables.Routes[serial%len(r.tables.Routes)].Worth = float64(1 + serial)
+	rows, err := table.Encode(r.tables)
+	Expect(err).NotTo(HaveOccurred())
+	p := &release.Publisher{Store: r.objects, Validate: table.Check, Clock: clock.System{}, Rand: clock.NewSeeded(1)}
+	head, _, err := p.Head(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	set := release.ChangeSet{Author: "ada"}
+	for key, data := range rows {
+		old, _ := head.Row(key)
+		set.Changes = append(set.Changes, release.Change{Key: key, Data: data, Base: old.Version})
+	}
+	rel, err := p.Apply(context.Background(), set)
+	Expect(err).NotTo(HaveOccurred())
+	return rel.Number
+}
+
+// since returns for each host the time from at until number is in force, sorted,
+// to half a millisecond.
+func (r *releaseBench) since(at time.Time, number uint64) []time.Duration {
+	out := make([]time.Duration, 0, len(r.hosts))
+	waiting := append([]*Host(nil), r.hosts...)
+	for len(waiting) > 0 {
+		left := waiting[:0]
+		for _, h := range waiting {
+			if snap := h.inForce.Load(); snap != nil && snap.Number >= number {
+				out = append(out, time.Since(at))
+				continue
+			}
+			left = append(left, h)
+		}
+		waiting = left
+		<-time.After(500 * time.Microsecond)
+	}
+	return out
+}
+
+func reportDelays(b *testing.B, all [][]time.Duration) {
+	for name, pick := range map[string]func([]time.Duration) time.Duration{
+		"first":  func(d []time.Duration) time.Duration { return d[0] },
+		"median": func(d []time.Duration) time.Duration { return d[len(d)/2] },
+		"last":   func(d []time.Duration) time.Duration { return d[len(d)-1] },
+		"apart":  func(d []time.Duration) time.Duration { return d[len(d)-1] - d[0] },
+	} {
+		var ms []float64
+		for _, d := range all {
+			ms = append(ms, float64(pick(d).Microseconds())/1000)
+		}
+		sort.Float64s(ms)
+		b.ReportMetric(ms[len(ms)/2], name+"-ms")
+		b.ReportMetric(ms[len(ms)-1], name+"-worst-ms")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkReleaseInForce measures from the answer of the accepting update.
+func BenchmarkReleaseInForce(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			r := newReleaseBench(b, n)
+			var all [][]time.Duration
+			for i := range b.N {
+				number := r.change(i + 1)
+				all = append(all, r.since(time.Now(), number))
+			}
+			reportDelays(b, all)
+		})
+	}
+}
+
+// BenchmarkReleaseAfterHeal measures from the end of an outage of three seconds
+// in which a release was accepted that no host could see.
+func BenchmarkReleaseAfterHeal(b *testing.B) {
+	for _, n := range []int{6, 24} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			r := newReleaseBench(b, n)
+			var all [][]time.Duration
+			for i := range b.N {
+				r.down.Store(true)
+				r.srv.CloseClientConnections()
+				number := r.change(i + 1)
+				<-time.After(3 * time.Second)
+				r.down.Store(false)
+				all = append(all, r.since(time.Now(), number))
+			}
+			reportDelays(b, all)
+		})
+	}
+}
--- a/process/release/notice.go
+++ b/process/release/notice.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrydale/process/member"
 	"bilberrydale/process/peer"
 )
 
@@ -14,6 +15,8 @@
 	// fanout is how many hosts each host notifies. A release reaches a domain
 	// of n hosts in log_fanout(n) steps, and no host sends more than this.
 	fanout = 4
+	// pullTries is how many hosts are asked for a release that was noticed.
+	pullTries = 6
 	// rootsKept bounds what is remembered of the roots of notices.
 	rootsKept = 64
 )
@@ -22,7 +25,7 @@
 // the platform or from another domain. One from this domain has its root there.
 func (s *Spread) prepared(h *Held) {
 	s.mu.Lock()
-	near := s.near[h.Number]
+	near := s.pullingNear[h.Number]
 	s.mu.Unlock()
 	if near {
 		return
@@ -45,12 +48,48 @@
 }
 
 func (s *Spread) take(ctx context.Context, from peer.Identity, n notice) {
-	if s.f.Wants(n.Number, n.Hash, from.Host) && s.pull(ctx, from, n.Number) != nil {
+	if s.f.Wants(n.Number, n.Hash, from.Host) && s.pullFromAny(ctx, from, n) != nil {
 		return // comparing with peers mends it
 	}
 	s.forward(ctx, n)
 }
 
+// pullFromAny tries the sender, the root and then random hosts of the domain. A
+// host that gave up at the first lost connection would leave all hosts behind it
+// in the tree to find out by comparing, which takes seconds.
+func (s *Spread) pullFromAny(ctx context.Context, from peer.Identity, n notice) error {
+	root := from
+	root.Host = n.Root
+	sources := []peer.Identity{from, root}
+	var err error
+	failures := 0
+	for range pullTries {
+		if failures > 0 {
+			s.f.backoff(ctx, &failures)
+		}
+		if len(sources) == 0 {
+			sources = s.near(member.Suspect)
+			s.shuffle(sources)
+		}
+		if len(sources) == 0 {
+			return err
+		}
+		err = s.pull(ctx, sources[0], n.Number)
+		if err == nil || !s.f.Wants(n.Number, n.Hash, from.Host) {
+			return err
+		}
+		sources, failures = sources[1:], failures+1
+	}
+	return err
+}
+
+func (s *Spread) shuffle(peers []peer.Identity) {
+	for i := len(peers) - 1; i > 0; i-- {
+		j := s.f.opts.Rand.IntN(i + 1)
+		peers[i], peers[j] = peers[j], peers[i]
+	}
+}
+
 // forward notifies this host's children in the tree of the notice's root, once.
 func (s *Spread) forward(ctx context.Context, n notice) {
 	s.mu.Lock()
@@ -94,10 +133,11 @@
 }
 
 // tree lays out the hosts of this domain: root first, the others by rank, so
-// that all hosts with the same view agree on it.
+// that all hosts with the same view agree on it. Suspected hosts are in it: most
+// are merely slow, and one that is dead is passed over.
 func (s *Spread) tree(root string) []string {
 	hosts := []string{root}
-	for _, h := range s.ranked() {
+	for _, h := range s.ranked(member.Suspect) {
 		if h != root {
 			hosts = append(hosts, h)
 		}
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -22,30 +22,39 @@
 	otherDomainShare = 0.25
 )
 
-// live returns the other entry hosts that are believed alive.
-func (s *Spread) live() []peer.Identity {
+// live returns the other entry hosts whose state is not beyond worst.
+func (s *Spread) live(worst member.State) []peer.Identity {
 	if s.opts.View == nil {
 		return s.opts.Link.Peers()
 	}
 	var out []peer.Identity
 	for _, p := range s.opts.View.Peers() {
-		if p.State == member.Alive {
+		if p.State <= worst {
 			out = append(out, p.Identity)
 		}
 	}
 	return out
 }
 
+// near returns the live hosts of this domain without this one.
+func (s *Spread) near(worst member.State) []peer.Identity {
+	var out []peer.Identity
+	for _, p := range s.live(worst) {
+		if p.Domain == s.opts.Link.Self().Domain {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // ranked returns the live hosts of this domain, this one included, by
 // rendezvous hashing: all hosts agree on the order without asking each other,
 // and a host that comes or goes moves no other.
-func (s *Spread) ranked() []string {
+func (s *Spread) ranked(worst member.State) []string {
 	self := s.opts.Link.Self()
 	hosts := []string{self.Host}
-	for _, p := range s.live() {
-		if p.Domain == self.Domain {
-			hosts = append(hosts, p.Host)
-		}
+	for _, p := range s.near(worst) {
+		hosts = append(hosts, p.Host)
 	}
 	sort.Slice(hosts, func(i, j int) bool {
 		a, b := weight(self.Domain, hosts[i]), weight(self.Domain, hosts[j])
@@ -97,7 +106,7 @@
 
 // shouldWatch reports whether this host is to watch the platform.
 func (s *Spread) shouldWatch(ctx context.Context, watching bool) bool {
-	hosts := s.ranked()
+	hosts := s.ranked(member.Alive)
 	for i, h := range hosts {
 		if h == s.opts.Link.Self().Host && i < s.opts.Watchers {
 			return true
@@ -145,7 +154,7 @@
 // then one of another, and every second time when the platform is out of reach.
 func (s *Spread) partner() (peer.Identity, bool) {
 	var near, far []peer.Identity
-	for _, p := range s.live() {
+	for _, p := range s.live(member.Alive) {
 		if p.Domain == s.opts.Link.Self().Domain {
 			near = append(near, p)
 		} else {
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -42,6 +42,9 @@
 	peerTimeout    = 500 * time.Millisecond
 	fetchTimeout   = 5 * time.Second
 	joinTimeout    = time.Second
+	// maxOneWay bounds the estimate of a message's way: a longer time is a
+	// process that got no processor, and would make this host switch early.
+	maxOneWay = 50 * time.Millisecond
 )
 
 // Spread passes releases between entry hosts: few hosts of a failure domain
@@ -55,11 +58,11 @@
 	watching atomic.Bool                     // this host watches the platform
 	ctx      atomic.Pointer[context.Context] // of Run, for work that notices start
 
-	mu      sync.Mutex
-	sent    map[string]uint64 // root -> number forwarded last
-	pulling map[uint64]chan struct{}
-	near    map[uint64]bool // releases being fetched from this domain
-	heardOf time.Time       // when a watcher of the domain last reached the platform, as told
+	mu          sync.Mutex
+	sent        map[string]uint64 // root -> number forwarded last
+	pulling     map[uint64]chan struct{}
+	pullingNear map[uint64]bool // those of pulling that come from this domain
+	heardOf     time.Time       // when a watcher of the domain last reached the platform, as told
 }
 
 // NewSpread registers the peer methods; it is called before the link starts.
@@ -73,7 +76,7 @@
 	if opts.Silence <= 0 {
 		opts.Silence = defaultSilence
 	}
-	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, near: map[uint64]bool{}}
+	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, pullingNear: map[uint64]bool{}}
 	if opts.Link == nil {
 		return s
 	}
@@ -140,19 +143,25 @@
 	}
 	done := make(chan struct{})
 	s.pulling[number] = done
-	s.near[number] = from.Domain == s.opts.Link.Self().Domain
+	s.pullingNear[number] = from.Domain == s.opts.Link.Self().Domain
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		delete(s.pulling, number)
-		delete(s.near, number)
+		delete(s.pullingNear, number)
 		s.mu.Unlock()
 		close(done)
 	}()
 	if have, _ := s.f.Summary(); have >= number {
 		return nil
 	}
-	return s.fetch(ctx, from.Host)
+	if err := s.fetch(ctx, from.Host); err != nil {
+		return err
+	}
+	if have, _ := s.f.Summary(); have < number {
+		return fmt.Errorf("%w: %s does not have release %d", ErrNotKept, from.Host, number)
+	}
+	return nil
 }
 
 func (s *Spread) fetch(ctx context.Context, host string) error {
@@ -169,9 +178,10 @@
 		return fmt.Errorf("fetch release from %s: %w", host, err)
 	}
 	now := s.f.opts.Clock.Now()
-	// The answer was half the round trip under way. Without it each step would
-	// put the switch off by that much.
-	origin := now.Add(-time.Duration(t.Age)*time.Microsecond - now.Sub(asked)/2)
+	// The answer was half of the time on the wire under way. Without it each
+	// step would put the switch off by that much.
+	wire := now.Sub(asked) - time.Duration(t.Spent)*time.Microsecond
+	origin := now.Add(-time.Duration(t.Age)*time.Microsecond - min(max(wire, 0)/2, maxOneWay))
 	rel, err := t.release(base)
 	if err == nil {
 		err = s.f.Offer(rel, s.f.opts.Clock.Now().Sub(origin), host)
@@ -188,10 +198,13 @@
 	if held == nil {
 		return nil, ErrNotKept
 	}
-	t, err := newTransfer(held, s.f.remembered(ask.Number, ask.Hash), s.f.opts.Clock.Now().Sub(held.Origin))
+	asked := s.f.opts.Clock.Now()
+	t, err := newTransfer(held, s.f.remembered(ask.Number, ask.Hash))
 	if err != nil {
 		return nil, err
 	}
+	now := s.f.opts.Clock.Now()
+	t.Age, t.Spent = now.Sub(held.Origin).Microseconds(), now.Sub(asked).Microseconds()
 	return msgpack.Marshal(&t)
 }
 
--- a/process/release/spread_bench_test.go
+++ b/process/release/spread_bench_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"bilberrydale/process/clock"
+	"bilberrydale/process/member"
 	"bilberrydale/process/platform"
 )
 
@@ -198,7 +199,7 @@
 			fl := benchFleet(b, n, DefaultHold)
 			var all [][]time.Duration
 			for i := range b.N {
-				name := fl.domain("d0")[0].s.ranked()[0]
+				name := fl.domain("d0")[0].s.ranked(member.Alive)[0]
 				fl.kill(name, false)
 				rel, at := fl.change(i + 1)
 				fl.inForce(rel)
@@ -256,7 +257,7 @@
 			var t transfer
 			for range b.N {
 				var err error
-				if t, err = newTransfer(next, from, 0); err != nil {
+				if t, err = newTransfer(next, from); err != nil {
 					b.Fatal(err)
 				}
 				rel, err := t.release(base)
--- a/process/release/spread_test.go
+++ b/process/release/spread_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	standin "bilberrydale/internal/standin/platform"
+	"bilberrydale/process/member"
 	"bilberrydale/process/peer"
 )
 
@@ -104,7 +105,7 @@
 	fl := newFleet(g)
 	fl.start(t, 1, 6)
 	fl.inForce(fl.publish("pools/a", "0"))
-	for _, name := range fl.hosts["d0-0"].s.ranked()[:DefaultWatchers] {
+	for _, name := range fl.hosts["d0-0"].s.ranked(member.Alive)[:DefaultWatchers] {
 		fl.hosts[name].line.cut()
 	}
 	fl.inForce(fl.publish("pools/a", "1"))
@@ -116,15 +117,31 @@
 func TestKilledHostsCutNobodyOff(t *testing.T) {
 	g := NewWithT(t)
 	fl := newFleet(g)
-	fl.poll = time.Hour
+	fl.poll, fl.silence = time.Hour, time.Hour
 	fl.start(t, 1, 16)
 	fl.inForce(fl.publish("pools/a", "0"))
-	ranked := fl.hosts["d0-0"].s.ranked()
+	ranked := fl.hosts["d0-0"].s.ranked(member.Alive)
 	fl.kill(ranked[0], false)
 	fl.kill(ranked[2], false)
 	fl.inForce(fl.publish("pools/a", "1"))
 }
 
+// A host hears of a release, and the answers of both hosts that told it are
+// lost, as on a connection that went silent. It asks others at once; waiting to
+// find out by comparing, which is switched off here, would take seconds, and for
+// the hosts behind it too.
+func TestLostFetchIsAskedOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	fl := newFleet(g)
+	fl.poll, fl.silence = time.Hour, time.Hour
+	fl.start(t, 1, 16)
+	fl.inForce(fl.publish("pools/a", "0"))
+	ranked := fl.hosts["d0-0"].s.ranked(member.Alive)
+	fl.net.LoseAnswers(ranked[2], ranked[0])
+	fl.net.LoseAnswers(ranked[2], ranked[1])
+	fl.inForce(fl.publish("pools/a", "1"))
+}
+
 // Every host is replaced while releases are accepted, one after the other, each
 // new one knowing nothing. All end on the newest release.
 func TestAllHostsReplacedDuringReleases(t *testing.T) {
@@ -188,7 +205,7 @@
 	fl.inForce(newest)
 	fl.objects.Restore(early)
 
-	watcher := fl.hosts[fl.hosts["d0-0"].s.ranked()[0]]
+	watcher := fl.hosts[fl.hosts["d0-0"].s.ranked(member.Alive)[0]]
 	g.Eventually(watcher.f.LastError, 5*time.Second).Should(MatchError(ErrBehind))
 	p := publisher(fl.objects, 1)
 	g.Eventually(func() error {
@@ -228,9 +245,9 @@
 	next := Release{Number: 2, Rows: append([]Row(nil), base.Rows...)}
 	next.Rows[7].Data, next.Rows[7].Version = []byte(`"changed"`), 2
 	next.Hash = HashRows(next.Rows)
-	delta, err := newTransfer(&Held{Release: next}, &Held{Release: base}, 0)
+	delta, err := newTransfer(&Held{Release: next}, &Held{Release: base})
 	g.Expect(err).NotTo(HaveOccurred())
-	whole, err := newTransfer(&Held{Release: next}, nil, 0)
+	whole, err := newTransfer(&Held{Release: next}, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(delta.Rows)).To(BeNumerically("<", len(whole.Rows)/20))
 	for _, tr := range []transfer{delta, whole} {
--- a/process/release/watch.go
+++ b/process/release/watch.go
@@ -149,7 +149,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	received := f.opts.Clock.Now().Add(-f.watch.roundTrip / 2)
+	received := f.opts.Clock.Now().Add(-min(f.watch.roundTrip/2, maxOneWay))
 	f.mu.Unlock()
 	rel, ok := f.fromDelta(head.Release, head.Delta)
 	if !ok {
--- a/process/release/wire.go
+++ b/process/release/wire.go
@@ -55,7 +55,8 @@
 	Author   string
 	Note     string
 	Time     int64  // unix milliseconds
-	Age      int64  // microseconds since it was accepted
+	Age      int64  // microseconds since it was accepted, when this was sent
+	Spent    int64  // microseconds between the question and this answer
 	Base     uint64 // release that Rows is the difference from
 	Rows     []byte // a packed rowsBody
 }
@@ -119,10 +120,10 @@
 }
 
 // newTransfer makes the answer to a peer that has base (nil: nothing known).
-func newTransfer(rel *Held, base *Held, age time.Duration) (transfer, error) {
+func newTransfer(rel *Held, base *Held) (transfer, error) {
 	t := transfer{
 		Number: rel.Number, ID: rel.ID, Hash: rel.Hash, Previous: rel.Previous, Author: rel.Author, Note: rel.Note,
-		Time: rel.Time.UnixMilli(), Age: age.Microseconds(),
+		Time: rel.Time.UnixMilli(),
 	}
 	d := Delta{Changed: rel.Rows}
 	if base != nil {
