--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -51,6 +51,7 @@
 
 	Requests RequestOptions
 	Policy   PolicyOptions
+	Members  MembersOptions
 	Releases ReleaseOptions
 }
 
@@ -60,9 +61,10 @@
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peer: "127.0.0.1:8082",
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
 		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
-		callerOptions: defaultCallerOptions(),
 		Requests:      DefaultRequestOptions(),
 		Policy:        defaultPolicyOptions(),
+		Members:       defaultMembersOptions(),
+		callerOptions: defaultCallerOptions(),
 		Releases:      defaultReleaseOptions(),
 	}
 }
@@ -91,6 +93,7 @@
 	o.tlsOptions.register(set)
 	o.Requests.register(set)
 	o.Policy.register(set)
+	o.Members.register(set)
 	o.Releases.register(set)
 }
 
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -60,7 +61,7 @@
 
 	Interval  time.Duration // between polls; default 1 s
 	Owners    int           // hosts of the domain that poll one server; default 2
-	ShareRate int           // bytes a second for sharing load with peers; default 1500
+	ShareRate int           // bytes a second for sharing load with peers; default 750
 }
 
 func (o *Options) setDefaults() {
@@ -71,7 +72,7 @@
 		o.Owners = 2
 	}
 	if o.ShareRate <= 0 {
-		o.ShareRate = 1500
+		o.ShareRate = 750
 	}
 }
 
@@ -91,9 +92,11 @@
 	mu   sync.Mutex
 	// known is by server address; servers of older releases are dropped.
 	known   map[string]*known
-	seeds   []string // addresses of listed hosts that are no backend servers
+	byRow   map[uint32]*known // by the key of shared loads
+	seeds   []string          // addresses of listed hosts that are no backend servers
 	shareAt time.Time
 	sends   int
+	rounds  int
 	work    sync.WaitGroup
 }
 
@@ -107,6 +110,7 @@
 	missed  int
 	busy    bool
 	report  Report
+	first   bool // this host is the first owner and shares the load
 	polled  bool // by this host since the last share
 	detail  bool // models or role changed since the last share
 }
@@ -147,7 +151,7 @@
 	if w.opts.Hosts != nil && member.First(w.opts.View, self, "platform host list", w.opts.Owners) {
 		w.work.Go(func() { w.list(ctx) })
 	}
-	w.work.Go(func() { w.share(ctx, now) })
+	w.work.Go(func() { w.share(ctx, hosts, now) })
 }
 
 // refresh takes in the servers of the tables in force.
@@ -162,7 +166,13 @@
 		}
 		next[t.State.Address] = k
 	}
-	w.known = next
+	if w.known != nil && maps.Equal(next, w.known) {
+		return
+	}
+	w.known, w.byRow = next, make(map[uint32]*known, len(next))
+	for address, k := range next {
+		w.byRow[rowKey(address)] = k
+	}
 }
 
 // due returns the servers to poll now: those that this host owns, and those
@@ -170,12 +180,19 @@
 func (w *Watcher) due(self peer.Identity, hosts []string, now time.Time) []*known {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.rounds++
 	var out []*known
 	for address, k := range w.known {
+		owned := false
+		k.first = false
+		if k.target.Domain == self.Domain {
+			place := member.Place(address, self.Host, hosts)
+			k.first = place == 0
+			owned = k.first || (place < w.opts.Owners && w.rounds%standbyEvery == 0)
+		}
 		if k.busy {
 			continue
 		}
-		owned := k.target.Domain == self.Domain && w.rank(address, self.Host, hosts) < w.opts.Owners
 		recheck := k.down && !now.Before(k.checkAt)
 		if owned || recheck {
 			k.busy = true
@@ -185,14 +202,10 @@
 	return out
 }
 
-func (w *Watcher) rank(address, host string, hosts []string) int {
-	for i, h := range member.Rank(address, append([]string(nil), hosts...)) {
-		if h == host {
-			return i
-		}
-	}
-	return len(hosts)
-}
+// standbyEvery is how often owners after the first poll, in intervals. They
+// matter only while the first is stopped or cut off, and what is left of the
+// three seconds has to do for spreading the sign.
+const standbyEvery = 2
 
 // recheckIntervals is how often a host that does not own a dead server looks
 // at it by itself.
