--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -62,10 +62,6 @@
 	return nil
 }
 
-// adminRequests adds nothing: the quarantine has its own file, and counters
-// are shown by expvar.
-func (h *Host) adminRequests(*http.ServeMux) {}
-
 // RequestOptions are the settings of the request path.
 type RequestOptions struct {
 	Claims     claim.Options
