Claims: each shard has a home host that writes for all, with updates kept apart

Cause, measured (go test -bench BenchmarkClaim ./process/claim, six hosts, platform 3 ms a call, 3 s a rate): hosts that each write for themselves disturb each other.

Each shard has a home by rendezvous hashing; others hand it their operations. The conditional update alone keeps claims exclusive, so hosts may disagree about the home or write themselves when it does not answer. Updates of a shard are 25 ms apart, which bounds all hosts to 160 writes a second with 4 shards.

--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -77,7 +77,8 @@
 func (o *RequestOptions) register(set *settings.Set) {
 	set.Int(&o.Claims.Shards, "claim-shards", "objects that hold the claims; the same on every entry host", 1, 4096)
 	set.Duration(&o.Claims.Window, "claim-window", "time for which a key is remembered on the platform", time.Minute, 24*time.Hour)
-	set.Float(&o.Claims.WritesPerSecond, "claim-writes", "writes a second on the platform for claims", 0.1, 1000)
+	set.Duration(&o.Claims.Spacing, "claim-spacing", "time between writes of one such object", 0, time.Minute)
+	set.Float(&o.Claims.WritesPerSecond, "claim-writes", "writes a second of this host on the platform for claims", 0.1, 1000)
 	set.Duration(&o.Claims.TicketLife, "ticket-life", "time from minting a ticket to its last first use", time.Second, 24*time.Hour)
 	set.Duration(&o.Claims.AnswerTime, "answer-time", "time for which an answer is kept for resends", time.Second, 24*time.Hour)
 	set.Int(&o.Quarantine.Deaths, "quarantine-deaths", "backend servers lost to a request before it is refused", 1, 100)
--- a/process/claim/commit.go
+++ b/process/claim/commit.go
@@ -48,8 +48,11 @@
 	record Record
 	// first is the lowest Seq whose record an add may replace: this owner
 	// made it for the same key and dispatched nothing under it.
-	first  uint64
-	result chan opResult // buffered: the committer never waits for a reader
+	first uint64
+	// here: another host asked this one to write it. sent: another host was
+	// asked, and may have written it or may yet.
+	here, sent bool
+	result     chan opResult // buffered: the committer never waits for a reader
 }
 
 type opResult struct {
@@ -71,6 +74,7 @@
 	opts     Options
 	limiter  *rate.Limiter
 	counters *CommitCounters
+	homes    *homes // nil: this host writes for itself
 	shards   []*shardQueue
 	// downUntil (unix ns) lets requests be refused at once during an outage
 	// instead of each waiting for its own call to fail.
@@ -88,6 +92,7 @@
 	// set busy touches them.
 	image   image
 	version uint64
+	written time.Time // start of the last update
 }
 
 func newCommitter(store platform.Store, clk clock.Clock, opts Options, counters *CommitCounters) *committer {
@@ -113,8 +118,11 @@
 	if _, down := c.down(); down {
 		return opResult{verdict: failed}
 	}
-	op := &operation{action: a, record: r, first: first, result: make(chan opResult, 1)}
-	c.submit(c.index(r.ID), op)
+	return c.do(ctx, &operation{action: a, record: r, first: first, result: make(chan opResult, 1)})
+}
+
+func (c *committer) do(ctx context.Context, op *operation) opResult {
+	c.submit(c.index(op.record.ID), op)
 	select {
 	case res := <-op.result:
 		return res
@@ -176,21 +184,57 @@
 
 func (c *committer) drain(index int, q *shardQueue) {
 	for {
-		q.mu.Lock()
-		batch := q.waiting
-		q.waiting = nil
+		home := c.homes.of(index)
+		if home == "" {
+			c.space(q)
+		}
+		batch := q.take()
 		if len(batch) == 0 {
-			q.busy = false
-			q.mu.Unlock()
 			return
 		}
-		batch = append(batch, q.marks...)
-		q.marks = nil
-		q.mu.Unlock()
+		if home != "" && !isHere(batch) && c.homes.forward(home, batch) {
+			continue
+		}
 		c.commit(index, q, batch)
 	}
 }
 
+// space keeps updates of one shard apart, so that claims gather: the writes a
+// second on the platform are bounded by the number of shards, whatever the
+// number of requests and hosts. After a pause the next update goes out at once.
+func (c *committer) space(q *shardQueue) {
+	now := c.clock.Now()
+	if wait := q.written.Add(c.opts.Spacing).Sub(now); wait > 0 {
+		<-c.clock.After(wait)
+		now = now.Add(wait)
+	}
+	q.written = now
+}
+
+// take returns what waits, or ends the queue's turn.
+func (q *shardQueue) take() []*operation {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch := q.waiting
+	q.waiting = nil
+	if len(batch) == 0 {
+		q.busy = false
+		return nil
+	}
+	batch = append(batch, q.marks...)
+	q.marks = nil
+	return batch
+}
+
+func isHere(batch []*operation) bool {
+	for _, op := range batch {
+		if op.here {
+			return true
+		}
+	}
+	return false
+}
+
 func reply(batch []*operation, results []opResult) {
 	for i, op := range batch {
 		op.result <- results[i]
@@ -210,12 +254,14 @@
 func (c *committer) commit(index int, q *shardQueue, batch []*operation) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.opts.CommitTimeout)
 	defer cancel()
-	if err := c.limiter.Wait(ctx); err != nil {
-		replyAll(batch, failed)
-		return
-	}
 	sent := false // an update of this batch may have taken effect
+	for _, op := range batch {
+		sent = sent || op.sent
+	}
 	for range maxTries {
+		if c.limiter.Wait(ctx) != nil {
+			break
+		}
 		fresh := q.image == nil
 		if fresh {
 			if err := c.read(ctx, index, q); err != nil {
--- a/process/claim/manager.go
+++ b/process/claim/manager.go
@@ -46,6 +46,7 @@
 	}
 	m.commit = newCommitter(cfg.Store, cfg.Clock, cfg.Options, &m.Counters)
 	if m.link != nil {
+		m.commit.homes = newHomes(m.link, cfg.Clock, cfg.Options)
 		m.handle()
 	}
 	return m
--- a/process/claim/peers.go
+++ b/process/claim/peers.go
@@ -57,6 +57,7 @@
 	m.link.Handle(methodAsk, m.onAsk)
 	m.link.Handle(methodBorrow, m.onBorrow)
 	m.link.Handle(methodReturn, m.onReturn)
+	m.link.Handle(methodCommit, m.commit.onCommit)
 }
 
 // ask resolves a key that other claimed: its owner alone knows how it stands.
