--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 
+	"bilberrydale/entryhost"
 	"bilberrydale/internal/settings"
+	"bilberrydale/process/admission"
 )
 
 func explainCommands() []*command {
@@ -24,7 +26,7 @@
 func (c *explainCommand) flags(set *settings.Set) {
 	set.String(&c.method, "method", "method of the request", settings.Required)
 	set.String(&c.account, "account", "client account of the request", nil)
-	set.String(&c.headers, "headers", "headers of the request, Name=value separated by commas", nil)
+	set.String(&c.headers, "headers", "headers of the request, Name:value separated by commas", nil)
 }
 
 // run asks the first entry host alone: each answers from its own view.
@@ -40,11 +42,41 @@
 		q.Add("header", h)
 	}
 	addr := env.Hosts.opts.Addresses[0]
-	var doc json.RawMessage
+	var doc entryhost.Explanation
 	if err := env.Hosts.call(ctx, http.MethodGet, addr, "/explain?"+q.Encode(), nil, &doc); err != nil {
 		return fmt.Errorf("%s: %w", addr, err)
 	}
-	enc := json.NewEncoder(env.Out)
-	enc.SetIndent("", "  ")
-	return enc.Encode(doc)
+	if doc.Route == "" {
+		return fmt.Errorf("%s: release %d has no route for %s %s", addr, doc.Release, c.method, path)
+	}
+	env.say("release %d, route %s (%s): %s", doc.Release, doc.Route, doc.Class, verdictText(doc.Verdict))
+	return env.print(doc, []string{"STAGE", "POOL", "SERVER", "TIER", "LOAD", "STATE", "CHOICE"}, planRows(doc.Stages))
+}
+
+func verdictText(v admission.Verdict) string {
+	text := fmt.Sprintf("%v, expected %s of %s left", v.Reason, v.Expected, v.Left)
+	if v.Pool != "" {
+		text += ", decided by pool " + v.Pool
+	}
+	if v.RetryAfter > 0 {
+		text += ", come back in " + v.RetryAfter.String()
+	}
+	return text
+}
+
+func planRows(stages []entryhost.StagePlan) [][]string {
+	var rows [][]string
+	for _, st := range stages {
+		if st.Error != "" {
+			rows = append(rows, []string{st.Stage, st.Pool, "", "", "", st.Error, ""})
+		}
+		for _, c := range st.Candidates {
+			choice := ""
+			if c.Name == st.Server {
+				choice = "now"
+			}
+			rows = append(rows, []string{st.Stage, st.Pool, c.Name, c.Tier, strconv.FormatFloat(c.Load, 'f', 2, 64), c.State, choice})
+		}
+	}
+	return rows
 }
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -6,16 +6,20 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
+
+	"bilberrydale/process/quarantine"
 )
 
 // QuarantineEntry is one suspect or quarantined request, as an entry host
 // lists it.
 type QuarantineEntry struct {
-	Address     string `json:"address"`
-	Fingerprint string `json:"fingerprint"` // 16 hexadecimal digits
-	Crashes     int    `json:"crashes"`
-	Verdict     string `json:"verdict"`
-	Expires     string `json:"expires"`
+	Address string `json:"address"`
+	quarantine.Entry
+}
+
+var verdictNames = map[quarantine.Verdict]string{
+	quarantine.Clear: "clear", quarantine.Alone: "alone", quarantine.Refused: "refused",
 }
 
 func quarantineCommands() []*command {
@@ -29,17 +33,20 @@
 	list := []QuarantineEntry{}
 	var rows [][]string
 	var faults []error
-	for _, a := range each(ctx, env.Hosts, func(ctx context.Context, addr string) ([]QuarantineEntry, error) {
-		var out []QuarantineEntry
-		return out, env.Hosts.call(ctx, http.MethodGet, addr, "/quarantine", nil, &out)
+	for _, a := range each(ctx, env.Hosts, func(ctx context.Context, addr string) ([]quarantine.Entry, error) {
+		var out []quarantine.Entry
+		err := env.Hosts.call(ctx, http.MethodGet, addr, "/quarantine", nil, &out)
+		return out, err
 	}) {
 		if a.err != nil {
 			faults = append(faults, fmt.Errorf("%s: %w", a.addr, a.err))
 		}
 		for _, q := range a.value {
-			q.Address = a.addr
-			list = append(list, q)
-			rows = append(rows, []string{q.Address, q.Fingerprint, strconv.Itoa(q.Crashes), q.Verdict, q.Expires})
+			list = append(list, QuarantineEntry{a.addr, q})
+			rows = append(rows, []string{
+				a.addr, fmt.Sprintf("%016x", uint64(q.Fingerprint)), strconv.Itoa(q.Crashes),
+				verdictNames[q.Verdict], q.Expires.Format(time.RFC3339),
+			})
 		}
 	}
 	if err := env.print(list, []string{"ADDRESS", "FINGERPRINT", "CRASHES", "VERDICT", "EXPIRES"}, rows); err != nil {
@@ -48,25 +55,23 @@
 	return errors.Join(faults...)
 }
 
-type liftAnswer struct {
-	Lifted bool `json:"lifted"`
-}
-
 func quarantineLift(ctx context.Context, env *Env, fingerprint string) error {
 	if _, err := strconv.ParseUint(fingerprint, 16, 64); err != nil {
-		return fmt.Errorf("%q is not a fingerprint; take the 16 hexadecimal digits from quarantine list", fingerprint)
+		return fmt.Errorf("%q is not a fingerprint; take the hexadecimal digits from quarantine list", fingerprint)
 	}
 	lifted := 0
 	var faults []error
-	for _, a := range each(ctx, env.Hosts, func(ctx context.Context, addr string) (liftAnswer, error) {
-		var out liftAnswer
-		return out, env.Hosts.call(ctx, http.MethodPost, addr, "/quarantine/lift?fingerprint="+fingerprint, nil, &out)
+	for _, a := range each(ctx, env.Hosts, func(ctx context.Context, addr string) (struct{}, error) {
+		return struct{}{}, env.Hosts.call(ctx, http.MethodDelete, addr, "/quarantine/"+fingerprint, nil, nil)
 	}) {
-		if a.err != nil {
-			faults = append(faults, fmt.Errorf("%s: %w", a.addr, a.err))
-		}
-		if a.value.Lifted {
+		var refused *statusError
+		switch {
+		case a.err == nil:
 			lifted++
+		case errors.As(a.err, &refused) && refused.status == http.StatusNotFound:
+			// Not on this host's list; another may have it.
+		default:
+			faults = append(faults, fmt.Errorf("%s: %w", a.addr, a.err))
 		}
 	}
 	if lifted == 0 && len(faults) == 0 {
--- a/internal/faultrun/relay_test.go
+++ b/internal/faultrun/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -16,12 +17,14 @@
 	down     bool
 	thaw     chan struct{} // not nil: frozen
 	conns    map[*relayed]bool
+	lost     atomic.Int64 // forgotten connections on which something was sent after
 }
 
 type relayed struct {
 	client, server   net.Conn
 	mute             sync.Mutex // guards the two below
 	muteUp, muteDown bool
+	swallowed        sync.Once
 }
 
 func newRelay(t testing.TB, target string) *relay {
@@ -80,6 +83,9 @@
 		silent := *muted
 		c.mute.Unlock()
 		if silent && err == nil {
+			if muted == &c.muteUp {
+				c.swallowed.Do(func() { r.lost.Add(1) })
+			}
 			continue
 		}
 		if n > 0 {
