--- a/internal/faultrun/process_test.go
+++ b/internal/faultrun/process_test.go
@@ -71,10 +71,10 @@
 
 // deployment starts the platform, a ledger that books in 300 ms, an engine that
 // streams for about a second, and two entry hosts.
-func (p *processes) deployment() (hosts []*daemon, ledger string) {
+func (p *processes) deployment() (hosts []*daemon, ledger string, platform *exec.Cmd) {
 	store, engine := freeAddress(p.g), freeAddress(p.g)
 	ledger = freeAddress(p.g)
-	p.start("standin", "platform", "--listen", store)
+	platform = p.start("standin", "platform", "--listen", store)
 	p.start("standin", "service", "--name", "ledger-1", "--listen", ledger, "--time", "300ms")
 	p.start("standin", "engine", "--name", "engine-1", "--listen", engine, "--tokens", "100", "--per-token", "10ms")
 	p.up("http://" + store + "/admin/counts")
@@ -94,18 +94,19 @@
 	p.g.Expect(os.WriteFile(filepath.Join(tables, "t.yaml"), []byte(text), 0o644)).To(Succeed())
 	out, err := exec.Command(filepath.Join(p.dir, "bilberryctl"), "--platform", "http://"+store, "--author", "test", "apply", tables).CombinedOutput()
 	p.g.Expect(err).NotTo(HaveOccurred(), string(out))
-	for _, name := range []string{"e1", "e2"} {
+	peers := []string{freeAddress(p.g), freeAddress(p.g)}
+	for i, name := range []string{"e1", "e2"} {
 		d := &daemon{}
 		listen, admin := freeAddress(p.g), freeAddress(p.g)
 		d.url, d.admin = "http://"+listen, "http://"+admin
 		d.cmd = p.start("bilberryd", "--name", name, "--domain", "d", "--region", "r", "--platform", "http://"+store,
-			"--listen", listen, "--admin", admin, "--peer", "127.0.0.1:0")
+			"--listen", listen, "--admin", admin, "--peer", peers[i], "--peers", peers[1-i])
 		hosts = append(hosts, d)
 	}
 	for _, d := range hosts {
 		p.up(d.admin + "/ready")
 	}
-	return hosts, ledger
+	return hosts, ledger, platform
 }
 
 func (d *daemon) post(path, key, accept, body string) (*http.Response, error) {
@@ -130,7 +131,7 @@
 // then the process ends without an error.
 func TestShutdownCutsNothingInFlight(t *testing.T) {
 	p := build(t)
-	hosts, _ := p.deployment()
+	hosts, _, _ := p.deployment()
 	d := hosts[0]
 	stream, err := d.post("/chat", "", entry.StreamType, "{}")
 	p.g.Expect(err).NotTo(HaveOccurred())
@@ -159,7 +160,7 @@
 // host; the ledger, asked afterwards, ran each booking once.
 func TestKilledAndPausedDaemonsBookOnce(t *testing.T) {
 	p := build(t)
-	hosts, ledger := p.deployment()
+	hosts, ledger, _ := p.deployment()
 	first := func(d *daemon, key string) chan int {
 		done := make(chan int, 1)
 		go func() {
@@ -195,3 +196,29 @@
 	p.g.Expect(resend(hosts[1], "killed").Ran).To(BeEquivalentTo(RanUnknown))
 	p.g.Expect(executed(p.g, ledger)).To(Equal(map[string]int{"paused/book": 1, "killed/book": 1}))
 }
+
+// The platform is killed. A ticket from one daemon is sent to the other, and
+// again to both: over the peer port the minter lends it once, and every later
+// send gets the one answer.
+func TestTicketAcrossDaemonsWithoutThePlatform(t *testing.T) {
+	p := build(t)
+	hosts, ledger, platform := p.deployment()
+	p.g.Expect(platform.Process.Kill()).To(Succeed())
+	resp, err := hosts[0].post(entry.TicketPath, "", "", "")
+	p.g.Expect(err).NotTo(HaveOccurred())
+	var ticket entry.Ticket
+	p.g.Expect(json.NewDecoder(resp.Body).Decode(&ticket)).To(Succeed())
+	resp.Body.Close()
+	answers := map[string]int{}
+	for _, i := range []int{1, 0, 1, 0} {
+		resp, err := hosts[i].post("/transfer", ticket.Ticket, "", "{}")
+		p.g.Expect(err).NotTo(HaveOccurred())
+		data, err := io.ReadAll(resp.Body)
+		p.g.Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		p.g.Expect(resp.StatusCode).To(Equal(http.StatusOK), string(data))
+		answers[string(data)]++
+	}
+	p.g.Expect(answers).To(HaveLen(1))
+	p.g.Expect(executed(p.g, ledger)).To(Equal(map[string]int{ticket.Ticket + "/book": 1}))
+}
