--- a/process/admission/main_test.go
+++ b/process/admission/main_test.go
@@ -11,5 +11,6 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
