--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -41,7 +41,9 @@
 	return s
 }
 
-func (h *Host) ready() bool { return h.inForce.Load() != nil && !h.gate.Closed() }
+func (h *Host) ready() bool {
+	return h.inForce.Load() != nil && h.releases.spread.Joined() && !h.gate.Closed()
+}
 
 func (h *Host) adminHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -59,7 +61,6 @@
 	h.adminReleases(mux)
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
-	h.adminRequests(mux)
 	h.adminQuarantine(mux)
 	return mux
 }
--- a/request/pipeline/evidence.go
+++ b/request/pipeline/evidence.go
@@ -13,6 +13,7 @@
 // record tells the server's state how an attempt ended, so that pickers pass
 // over servers on which attempts fail. An attempt that was cancelled, or that
 // the server answered with a fault of the request, says nothing of the server.
+// Nor does a connection that broke: alive asks on a fresh one and records that.
 func (x *run) record(ctx context.Context, a *attempt, began time.Time, err error) {
 	if err != nil && ctx.Err() != nil {
 		return
@@ -34,7 +35,7 @@
 		return server.Overloaded, true
 	case be.Sent == backend.NotSent:
 		return server.Unreachable, true
-	case be.Reset, be.Sent == backend.Answered && be.Status >= http.StatusInternalServerError:
+	case be.Sent == backend.Answered && be.Status >= http.StatusInternalServerError:
 		return server.Failed, true
 	default:
 		return 0, false
