Loads of other domains at a bounded rate; an unknown load is not an idle server

Cause: since reports of the own domain come through its peers (process/report), servers elsewhere had none and looked idle to every host. The fetcher of this part is gone; four reports a second are asked of the subset outside the own domain, and an old report counts as a load of 0.9. Seen red: unknown load taken as none; no bound on the rate.

--- /dev/null
+++ b/entryhost/loads_test.go
@@ -0,0 +1,53 @@
+package entryhost
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/report"
+	"bilberrydale/process/server"
+)
+
+type countingProber struct{ asked chan string }
+
+// Report implements report.Prober.
+func (p *countingProber) Report(_ context.Context, address string, _ bool) (report.Report, error) {
+	p.asked <- address
+	return report.Report{Running: 5, Queued: 2, Slots: 8}, nil
+}
+
+// Forget implements report.Prober.
+func (*countingProber) Forget() {}
+
+// Without the bound on the rate, reports would cost as much as there are
+// servers: hosts times servers in all.
+func TestOutsideLoadsKeepToTheirRate(t *testing.T) {
+	g := NewWithT(t)
+	c := clock.NewManual(time.Unix(1000, 0))
+	reg := server.NewRegistry()
+	a, b := reg.Get("a", "10.0.0.1:80", c.Now()), reg.Get("b", "10.0.0.2:80", c.Now())
+	p := &countingProber{make(chan string, 10)}
+	o := &outsideLoads{prober: p, clock: c, perSecond: 4, servers: func() []*server.State { return []*server.State{a, b} }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- o.Run(ctx) }()
+	step := func() {
+		g.Eventually(c.Waiters).Should(Equal(1))
+		c.Advance(250 * time.Millisecond)
+	}
+	step() // takes the round
+	for _, want := range []string{a.Address, b.Address} {
+		g.Eventually(c.Waiters).Should(Equal(1))
+		g.Expect(p.asked).To(BeEmpty())
+		step()
+		g.Eventually(p.asked).Should(Receive(Equal(want)))
+	}
+	g.Eventually(c.Waiters).Should(Equal(1))
+	g.Expect(b.Busy(c.Now())).To(BeNumerically("~", 7, .5))
+	cancel()
+	g.Eventually(done).Should(Receive(BeNil()))
+}
--- a/entryhost/policy.go
+++ b/entryhost/policy.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"bilberrydale/connection/loadreport"
+	"bilberrydale/connection/serverprobe"
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/admission"
 	"bilberrydale/process/server"
@@ -31,7 +31,7 @@
 	a, p := admission.DefaultOptions(), pick.DefaultOptions("", "", "")
 	return PolicyOptions{
 		LoadTarget: a.Target, BackgroundBelow: a.BackgroundBelow, RemoteAt: p.RemoteAt, RemotePerMB: p.RemotePerMB,
-		SubsetRegion: p.SubsetRegion, SubsetRemote: p.SubsetRemote, LoadReports: loadreport.DefaultOptions().PerSecond,
+		SubsetRegion: p.SubsetRegion, SubsetRemote: p.SubsetRemote, LoadReports: 4,
 	}
 }
 
@@ -42,7 +42,7 @@
 	set.Float(&o.RemotePerMB, "remote-per-mb", "load by which another region has to be better for each billed megabyte", 0, 1000)
 	set.Int(&o.SubsetRegion, "subset-region", "servers of a pool used in other domains of the own region", 1, 1000)
 	set.Int(&o.SubsetRemote, "subset-remote", "servers of a pool used in each other region", 1, 1000)
-	set.Int(&o.LoadReports, "load-reports", "load reports fetched a second", 1, 1000)
+	set.Int(&o.LoadReports, "load-reports", "load reports fetched a second from servers in other domains", 1, 1000)
 }
 
 // policyPart decides what to admit and where to run it.
@@ -63,9 +63,10 @@
 	h.policy.control = admission.NewController(opts, h.rand)
 	h.policy.admit = h.policy.control
 	h.add("admission", h.tick)
-	reports := loadreport.DefaultOptions()
-	reports.PerSecond = h.opts.Policy.LoadReports
-	h.add("load reports", loadreport.New(reports, h.clock, h.reach).Run)
+	loads := &outsideLoads{
+		prober: serverprobe.New(serverprobe.Options{}), clock: h.clock, servers: h.outside, perSecond: h.opts.Policy.LoadReports,
+	}
+	h.add("loads outside", loads.Run)
 	policyVars.Set(h.opts.Name, expvar.Func(func() any {
 		return map[string]any{"pools": h.policy.control.States(), "refusals": h.policy.control.Refusals()}
 	}))
@@ -113,10 +114,10 @@
 	return out
 }
 
-// reach returns the servers whose load reports matter here.
-func (h *Host) reach() []*server.State {
+// outside returns the servers of other domains that this host may use.
+func (h *Host) outside() []*server.State {
 	var out []*server.State
-	h.placed(func(_ string, p *pick.Placed) { out = append(out, p.Reach()...) })
+	h.placed(func(_ string, p *pick.Placed) { out = append(out, p.Outside()...) })
 	return out
 }
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -16,7 +16,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"bilberrydale/connection/loadreport"
+	"bilberrydale/connection/serverprobe"
 	"bilberrydale/process/admission"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/release"
@@ -280,12 +280,12 @@
 	srv.Listener = l
 	srv.Start()
 	defer srv.Close()
-	s := server.NewRegistry().Get("a", strings.TrimPrefix(srv.URL, "http://"), start)
-	f := loadreport.New(loadreport.DefaultOptions(), clock.System{}, nil)
+	address := strings.TrimPrefix(srv.URL, "http://")
+	client := serverprobe.New(serverprobe.Options{})
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
-		if err := f.Fetch(b.Context(), s); err != nil {
+		if _, err := client.Report(b.Context(), address, false); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/process/server/load.go
+++ b/process/server/load.go
@@ -54,3 +54,8 @@
 	o := s.reported.own.Load()
 	return float64(o + s.reported.others.Load()), float64(o)
 }
+
+// ReportAge returns the age of the last report; without one it is very old.
+func (s *State) ReportAge(now int64) time.Duration {
+	return time.Duration(now - s.reported.received.Load())
+}
--- a/version/pick/explain.go
+++ b/version/pick/explain.go
@@ -59,11 +59,18 @@
 
 // Reach returns the servers that this host may use, near ones first.
 func (p *Placed) Reach() []*server.State {
-	var out []*server.State
-	for _, t := range []tier{p.near, p.region, p.remote} {
-		for _, s := range t {
-			out = append(out, s.State)
-		}
+	return append(p.near.states(), p.Outside()...)
+}
+
+// Outside returns the servers in other domains that this host may use.
+func (p *Placed) Outside() []*server.State {
+	return append(p.region.states(), p.remote.states()...)
+}
+
+func (t tier) states() []*server.State {
+	out := make([]*server.State, len(t))
+	for i, s := range t {
+		out[i] = s.State
 	}
 	return out
 }
--- a/version/pick/load.go
+++ b/version/pick/load.go
@@ -35,7 +35,7 @@
 		if !s.serves(now) {
 			continue
 		}
-		spare := p.opts.RemoteBelow*s.capacity() - s.State.Busy(now)
+		spare := (p.opts.RemoteBelow - p.load(s, now)) * s.capacity()
 		out.Slots += spareShare * max(0, spare)
 	}
 	return out
--- a/version/pick/pick.go
+++ b/version/pick/pick.go
@@ -19,6 +19,8 @@
 	table.Server
 	State *server.State
 	Slots int
+
+	outside bool // in another failure domain than the picker's host
 }
 
 // Info describes the attempt to place.
--- a/version/pick/placed.go
+++ b/version/pick/placed.go
@@ -32,6 +32,9 @@
 	AffinityBound float64
 	// SlowStart is how long a new server's load counts as higher than it is.
 	SlowStart time.Duration
+	// ReportLife is the age up to which the report of a server in another
+	// domain is believed.
+	ReportLife time.Duration
 	// EjectShare bounds the part of a tier that ejections may take out.
 	EjectShare float64
 }
@@ -41,7 +44,7 @@
 	return Options{
 		Host: host, Domain: domain, Region: region, SubsetRegion: 8, SubsetRemote: 4,
 		SpillAt: 1, RemoteAt: 1.2, RemoteBelow: .8, RemotePerMB: 1,
-		AffinityBound: 1.25, SlowStart: 5 * time.Second, EjectShare: .5,
+		AffinityBound: 1.25, SlowStart: 5 * time.Second, ReportLife: 15 * time.Second, EjectShare: .5,
 	}
 }
 
@@ -68,6 +71,7 @@
 	var rest tier
 	for i := range servers {
 		s := &servers[i]
+		s.outside = s.Domain != opts.Domain || s.Region != opts.Region
 		switch {
 		case s.Domain == opts.Domain && s.Region == opts.Region:
 			p.near = append(p.near, s)
@@ -226,6 +230,9 @@
 func (p *Placed) load(s *Server, now time.Time) float64 {
 	nano := now.UnixNano()
 	l := s.State.BusyAt(nano) / s.capacity()
+	if s.outside && s.State.ReportAge(nano) > p.opts.ReportLife {
+		l += unknownLoad
+	}
 	if age := s.State.Age(nano); age < p.opts.SlowStart {
 		ramp := max(leastRamp, float64(age)/float64(p.opts.SlowStart))
 		l = (l + 1/s.capacity()) / ramp
@@ -233,6 +240,12 @@
 	return l
 }
 
+// unknownLoad stands for what other hosts have on a server of another domain
+// whose last report is old or missing. Without it such a server looks idle, and
+// every full region would spill to it; with it, it is used when the own region
+// has no usable server or is fuller still.
+const unknownLoad = .9
+
 // leastRamp bounds how much higher the load of a new server counts.
 const leastRamp = .1
 
--- a/version/pick/placed_test.go
+++ b/version/pick/placed_test.go
@@ -40,6 +40,9 @@
 	all := servers(3, func(i int) (string, string) {
 		return []string{"a1", "a2", "b1"}[i], []string{"a", "a", "b"}[i]
 	})
+	for i := range all {
+		all[i].State.SetLoad(&server.Load{Received: start})
+	}
 	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
 	want := func(name string, in *Info) {
 		t.Helper()
@@ -192,3 +195,22 @@
 	}
 	g.Expect(sent["s7"]).To(BeNumerically("<", 3*hosts*each/n))
 }
+
+// Two regions are full. No report of the other comes through, so its servers
+// look idle to a host that has sent them nothing; without the safeguard each
+// region sends its overload to the other, at the price of the billed bytes.
+func TestUnknownLoadElsewhereDrawsNoSpill(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(2, func(i int) (string, string) {
+		return []string{"a1", "b1"}[i], []string{"a", "b"}[i]
+	})
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	fill(&all[0], 6)
+	s, err := p.Pick(info())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Name).To(Equal("s0"))
+	all[0].State.SetDown(true)
+	s, err = p.Pick(info())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Name).To(Equal("s1"), "better an unknown server than none")
+}
