--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -34,6 +34,7 @@
 	ownNoise  = 8.0 // own requests at which the own part and the reports count alike
 	leastPart = .02
 	warmAt    = .6
+	orderMemory = 10 * time.Second // of the mix of worth, which changes slowly
 	memory    = 3 * time.Second // of the demand
 	shareEach = time.Second
 	planLife  = 10 * time.Minute
@@ -130,7 +131,7 @@
 // lets old demand fade.
 func (p *pool) order(dt float64) {
 	var sum float64
-	keep := math.Exp(-dt / memory.Seconds())
+	keep := math.Exp(-dt / orderMemory.Seconds())
 	for i := range p.demand {
 		if p.demand[i].Load() > 0 {
 			p.demand[i].Scale(keep)
