--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -23,21 +23,21 @@
 // by more than the others' part. The band moves slowly until the load is held
 // at the target.
 const (
-	bandWidth = 1.5 // requests for a slot
-	bandFirst = 1.1 // where the band starts
-	bandLeast = .3
-	bandMost  = 1.8
-	bandSpeed = .15 // a second, for each unit of load off the target
-	partSpeed = 1.0 // a second; smooths the admitted part for the shares
-	ownMemory = 5 * time.Second
-	ownLeast  = 1.0 // requests times seconds below which the part is not known
-	ownNoise  = 8.0 // own requests at which the own part and the reports count alike
-	leastPart = .02
-	warmAt    = .6
+	bandWidth   = 1.5 // requests for a slot
+	bandFirst   = 1.1 // where the band starts
+	bandLeast   = .3
+	bandMost    = 1.8
+	bandSpeed   = .15 // a second, for each unit of load off the target
+	partSpeed   = 1.0 // a second; smooths the admitted part for the shares
+	ownMemory   = 5 * time.Second
+	ownLeast    = 1.0 // requests times seconds below which the part is not known
+	ownNoise    = 8.0 // own requests at which the own part and the reports count alike
+	leastPart   = .02
+	warmAt      = .6
 	orderMemory = 10 * time.Second // of the mix of worth, which changes slowly
-	memory    = 3 * time.Second // of the demand
-	shareEach = time.Second
-	planLife  = 10 * time.Minute
+	memory      = 3 * time.Second  // of the demand
+	shareEach   = time.Second
+	planLife    = 10 * time.Minute
 )
 
 // Tick takes in the present loads. It is called every 100 ms or so, by one
