--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -34,7 +34,7 @@
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{
-		Target: 1.65, BackgroundBelow: .85, Margin: .5, Rotation: 8 * time.Second,
+		Target: 1.65, BackgroundBelow: 1, Margin: .5, Rotation: 8 * time.Second,
 		DownAfter: 200 * time.Millisecond, UpAfter: 100 * time.Millisecond, Probe: 500 * time.Millisecond,
 	}
 }
