--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -85,7 +85,7 @@
 	f.t.Helper()
 	p, a := start(
 		f.t, "bilberryd", "--name", name, "--domain", "d1", "--region", "r1", "--platform", f.platform,
-		"--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--drain-delay", "1s",
+		"--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--drain-delay", "2s",
 	)
 	NewWithT(f.t).Eventually(func() bool { return ready(a["callers"]) }, 20*time.Second).Should(BeTrue(), p.String())
 	return p, a["callers"]
@@ -100,15 +100,11 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// checkPeriod is the time between two looks of the balancer at a host; until
-// the next one it goes on sending to a host that leaves.
-const checkPeriod = 200 * time.Millisecond
-
-// balancer sends requests to the entry hosts that say they are ready, as the
-// platform's balancer does.
+// balancer spreads requests over the entry hosts that it has not left. When it
+// leaves one is the test's choice: a real one learns late.
 type balancer struct {
 	hosts []string
-	ready []atomic.Bool
+	left  []atomic.Bool
 	whole atomic.Int64
 
 	mu     sync.Mutex
@@ -117,20 +113,10 @@
 
 func (b *balancer) run(ctx context.Context, clients int) {
 	var wg sync.WaitGroup
-	for i := range b.hosts {
-		wg.Go(func() {
-			period := time.NewTicker(checkPeriod)
-			defer period.Stop()
-			for ctx.Err() == nil {
-				b.ready[i].Store(ready(b.hosts[i]))
-				<-period.C
-			}
-		})
-	}
 	for n := range clients {
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				if i := n % len(b.hosts); b.ready[i].Load() {
+				if i := n % len(b.hosts); !b.left[i].Load() {
 					b.send(b.hosts[i])
 				}
 				n++
@@ -163,14 +149,14 @@
 
 // Callers send four-stage requests through two entry hosts. Then one of them
 // is ended with SIGTERM under that load. It first says that it is not ready and
-// still serves; the balancer moves on; what is in flight finishes. Every caller
-// gets its whole answer, and the process ends without an error.
+// still serves; only then the balancer moves on; what is in flight finishes.
+// Every caller gets its whole answer, and the process ends without an error.
 func TestSIGTERMUnderLoadCutsNothing(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t)
 	first, a := f.entryHost("entry-1")
 	_, c := f.entryHost("entry-2")
-	b := &balancer{hosts: []string{a, c}, ready: make([]atomic.Bool, 2)}
+	b := &balancer{hosts: []string{a, c}, left: make([]atomic.Bool, 2)}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -179,6 +165,13 @@
 	}()
 	g.Eventually(b.whole.Load, 20*time.Second).Should(BeNumerically(">", 50))
 	first.signal(syscall.SIGTERM)
+	g.Eventually(func() bool { return ready(a) }, 10*time.Second).Should(BeFalse())
+	var late sync.WaitGroup
+	for range 8 {
+		late.Go(func() { b.send(a) })
+	}
+	late.Wait()
+	b.left[0].Store(true)
 	g.Eventually(first.done, 20*time.Second).Should(Receive(BeNil()), first.String())
 	after := b.whole.Load()
 	g.Eventually(b.whole.Load, 20*time.Second).Should(BeNumerically(">", after+20))
