--- a/entryhost/health.go
+++ b/entryhost/health.go
@@ -10,7 +10,9 @@
 func (h *Host) draining() bool { return h.leaving.Load() || h.gate.Closed() }
 
 // ready reports whether the balancer may send requests here.
-func (h *Host) ready() bool { return h.inForce.Load() != nil && !h.draining() }
+func (h *Host) ready() bool {
+	return h.inForce.Load() != nil && h.releases.spread.Joined() && !h.draining()
+}
 
 func (h *Host) health(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Cache-Control", "no-store")
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -51,6 +51,7 @@
 
 	Requests RequestOptions
 	Policy   PolicyOptions
+	Releases ReleaseOptions
 }
 
 // DefaultOptions returns the defaults.
@@ -62,6 +63,7 @@
 		callerOptions: defaultCallerOptions(),
 		Requests:      DefaultRequestOptions(),
 		Policy:        defaultPolicyOptions(),
+		Releases:      defaultReleaseOptions(),
 	}
 }
 
@@ -89,6 +91,7 @@
 	o.tlsOptions.register(set)
 	o.Requests.register(set)
 	o.Policy.register(set)
+	o.Releases.register(set)
 }
 
 func address(v string) error {
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -71,7 +71,11 @@
 }
 
 func (w *world) host(name string) *Host {
-	h := w.newHost(name, func(*Options) {})
+	return w.hostWith(func(o *Options) { o.Name = name })
+}
+
+func (w *world) hostWith(set func(*Options)) *Host {
+	h := w.newHost("", set)
 	runHost(h)
 	return h
 }
@@ -92,13 +96,17 @@
 func runHost(h *Host) (stop context.CancelFunc, done chan error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
+	ended := make(chan struct{})
+	var result error
 	go func() {
-		done <- h.Run(ctx)
-		close(done)
+		defer close(ended)
+		result = h.Run(ctx)
+		done <- result
 	}()
 	DeferCleanup(func() {
 		cancel()
-		Eventually(done, 10*time.Second).Should(BeClosed())
+		Eventually(ended, 10*time.Second).Should(BeClosed())
+		Expect(result).NotTo(HaveOccurred())
 	})
 	return cancel, done
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -245,6 +245,32 @@
 	g.Expect(err).To(MatchError(ContainSubstring("not a release number")))
 }
 
+// The platform was restored to a state before the newest release, while an
+// entry host still has that release in force. The operator takes its tables;
+// they are accepted under a number above all, with the content unchanged.
+func TestRecoverTakesTheTablesOfAHost(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir)
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	ada.must("apply", dir)
+	host := ada.host("e1")
+	ada.hosts = host
+	g.Eventually(func() error { _, err := ada.run("status"); return err }, 5*time.Second).Should(Succeed())
+
+	restored := newOperator(t)
+	restored.must("apply", example(t))
+	_, err := restored.run("recover", host)
+	g.Expect(err).To(MatchError(ContainSubstring("nothing was changed")))
+	g.Expect(restored.must("recover", host, "--confirm")).To(ContainSubstring("release 3 accepted"))
+	out := t.TempDir()
+	restored.must("export", out)
+	data, err := os.ReadFile(filepath.Join(out, "routes.yaml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(ContainSubstring("worth: 9"))
+}
+
 func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
 	g := NewWithT(t)
 	ada := newOperator(t)
--- /dev/null
+++ b/internal/ctl/recover.go
@@ -0,0 +1,43 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"bilberrydale/internal/settings"
+	"bilberrydale/process/release"
+)
+
+// recoverCommand makes the tables that an entry host has in force the
+// platform's newest release, after the platform was restored to an earlier
+// state. Which content is right is the operator's choice, so the host is named.
+type recoverCommand struct{ confirm bool }
+
+func (c *recoverCommand) flags(set *settings.Set) {
+	set.Bool(&c.confirm, "confirm", "accept the release; without it the command only shows what it would accept")
+}
+
+func (c *recoverCommand) run(ctx context.Context, env *Env, addr string) error {
+	var rel release.Release
+	if err := env.Hosts.call(ctx, http.MethodGet, addr, "/tables", nil, &rel); err != nil {
+		return fmt.Errorf("%s: %w", addr, err)
+	}
+	if rel.Number == 0 {
+		return fmt.Errorf("%s has no release in force", addr)
+	}
+	env.say("%s has release %d by %s, hash %s, %d rows", addr, rel.Number, rel.Author, rel.Hash, len(rel.Rows))
+	if !c.confirm {
+		return errors.New("nothing was changed; add --confirm to accept these rows under a number above all")
+	}
+	next, err := env.publisher().Recover(ctx, rel, env.Author)
+	if err != nil {
+		return err
+	}
+	env.say("release %d accepted, hash %s", next.Number, next.Hash)
+	if env.JSON {
+		return env.print(next.Ref(), nil, nil)
+	}
+	return nil
+}
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -50,6 +50,7 @@
 	}
 	x.tried = append(x.tried, srv.State)
 	x.number++
+	x.req.Admitted.Waited = !srv.Free(info.Now)
 	return &attempt{server: srv, number: x.number, alone: alone}, nil
 }
 
@@ -102,7 +103,9 @@
 	a.server.State.Begin()
 	defer a.server.State.End()
 	x.Quarantine.Begin(x.req.Fingerprint, a.server.Name)
+	began := x.Clock.Now()
 	err := send(ctx)
+	x.record(ctx, a, began, err)
 	x.ended(a, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
@@ -110,33 +113,41 @@
 	return err
 }
 
-// ended reports the attempt's end. A connection that broke is no proof that
-// the server died: only a fresh connection that fails as well is.
+// ended reports the attempt's end to the quarantine. A connection that broke is
+// no proof that the server died: only a fresh connection that fails as well is.
 func (x *run) ended(a *attempt, err error) {
 	var be *backend.Error
-	died := errors.As(err, &be) && be.Reset && be.Sent != backend.NotSent && !x.alive(a)
+	died := errors.As(err, &be) && be.Reset && be.Sent == backend.MaySent && !x.alive(a)
 	x.Quarantine.End(x.req.Fingerprint, a.server.Name, died)
+	if x.Apart == nil {
+		return
+	}
 	if a.alone {
 		x.Apart.Leave(a.server.Name)
 	}
+	if err == nil {
+		x.Apart.Alive(a.server.Name)
+	}
 }
 
 // alive asks the server on a fresh connection, whatever became of the request.
 func (x *run) alive(a *attempt) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), x.Options.ProbeTime)
 	defer cancel()
-	err := x.Backend.Probe(ctx, a.server.State)
-	if err != nil {
+	if err := x.Backend.Probe(ctx, a.server.State); err != nil {
 		x.Counters.ProbesFailed.Add(1)
-	} else {
-		// The server lives: connections that lost their way to it would
-		// each cost a later request its wait.
-		x.Backend.Forget(a.server.State)
-	}
-	if x.Evidence != nil {
-		x.Evidence(a.server.State, err == nil)
+		// No answer in time may be load; a refused connection is not.
+		proof := server.Unreachable
+		if ctx.Err() != nil {
+			proof = server.Failed
+		}
+		a.server.State.Record(x.Clock.Now(), proof, 0)
+		return false
 	}
-	return err == nil
+	// The server lives: connections that lost their way to it would each cost
+	// a later request its wait, but they are no mark against the server.
+	x.Backend.Forget(a.server.State)
+	return true
 }
 
 func (x *run) call(st *snapshot.Stage, a *attempt, in []byte) *backend.Call {
@@ -188,7 +199,7 @@
 
 func (x *run) mayRetry(st *snapshot.Stage) bool {
 	p := x.pool(st)
-	if x.left() < time.Duration(p.firstByte.mean.Load()) || !p.budget.spend() {
+	if x.left() < time.Duration(p.firstByte.mean.Load()) || !p.budget.Allow() {
 		x.Counters.RetriesDenied.Add(1)
 		return false
 	}
