--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -52,7 +52,7 @@
 	h.adminReleases(mux)
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
-	h.adminQuarantine(mux)
+	h.adminRequests(mux)
 	return mux
 }
 
--- a/entryhost/members_test.go
+++ b/entryhost/members_test.go
@@ -24,7 +24,7 @@
 	go func() { done <- h.Run(ctx) }()
 	stop := sync.OnceFunc(func() {
 		cancel()
-		<-done
+		Expect(<-done).To(Succeed())
 	})
 	DeferCleanup(stop)
 	return h, stop
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -74,8 +74,8 @@
 	return w.hostWith(func(o *Options) { o.Name = name })
 }
 
-func (w *world) hostWith(set func(*Options)) *Host {
-	h := w.newHost("", set)
+func (w *world) hostWith(change func(*Options)) *Host {
+	h := w.newHost("", change)
 	runHost(h)
 	return h
 }
@@ -96,8 +96,8 @@
 func runHost(h *Host) (stop context.CancelFunc, done chan error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
-	ended := make(chan struct{})
 	var result error
+	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		result = h.Run(ctx)
