--- a/internal/ctl/changes.go
+++ b/internal/ctl/changes.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"sort"
 
+	"bilberrydale/internal/settings"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/release"
 	"bilberrydale/version/table"
@@ -24,9 +27,37 @@
 	return &release.Publisher{Store: e.Store, Validate: table.Check, Clock: clock.System{}, Rand: clock.SystemRand{}}
 }
 
+// baseFlags say which release an edit was made from when the folder has no
+// base file.
+type baseFlags struct {
+	number int
+	rebase bool
+}
+
+func (f *baseFlags) register(set *settings.Set) {
+	set.Int(&f.number, "base", "release that the tables were edited from; 0: the folder's base file tells", 0, math.MaxInt32)
+	set.Bool(&f.rebase, "force-rebase", "without a base file, take the newest release as the base, whoever changed it")
+}
+
+// find returns the base of an edit in dir.
+func (f *baseFlags) find(ctx context.Context, pub *release.Publisher, dir string, head release.Release) (*Base, error) {
+	if f.number > 0 {
+		rel, err := pub.At(ctx, uint64(f.number))
+		if err != nil {
+			return nil, fmt.Errorf("--base: %w", err)
+		}
+		return newBase(rel), nil
+	}
+	base, err := readBase(dir)
+	if errors.Is(err, errNoBase) && (f.rebase || head.Number == 0) {
+		return newBase(head), nil
+	}
+	return base, err
+}
+
 // readEdit compares the tables of dir with the versions that they were made
-// from. rebase takes the newest release as the base if there is no other.
-func (e *Env) readEdit(ctx context.Context, dir string, rebase bool) (*edit, error) {
+// from.
+func (e *Env) readEdit(ctx context.Context, dir string, from baseFlags) (*edit, error) {
 	tables, err := table.ReadDir(dir)
 	if err != nil {
 		return nil, err
@@ -39,11 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	base, err := readBase(dir)
-	switch {
-	case errors.Is(err, errNoBase) && (rebase || head.Number == 0):
-		base = newBase(head)
-	case err != nil:
+	base, err := from.find(ctx, e.publisher(), dir, head)
+	if err != nil {
 		return nil, err
 	}
 	if err := base.check(head); err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -127,6 +127,26 @@
 	g.Expect(ada.must("apply", dir, "--force-rebase")).To(ContainSubstring("1 rows changed"))
 }
 
+// Tables kept under version control have no base file; the operator names the
+// release they were made from, and a row changed since then conflicts.
+func TestApplyFromANamedRelease(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	kept, other := example(t), example(t)
+	ada.must("apply", other)
+	replace(t, other, "routes.yaml", "worth: 8", "worth: 9")
+	ada.must("apply", other)
+
+	replace(t, kept, "pools.yaml", "slots: 16", "slots: 17")
+	replace(t, kept, "routes.yaml", "worth: 8", "worth: 7")
+	_, err := ada.run("apply", kept, "--base", "1")
+	g.Expect(err).To(MatchError(And(ContainSubstring("nothing was changed"), ContainSubstring("routes/draft"))))
+	replace(t, kept, "routes.yaml", "worth: 7", "worth: 8")
+	g.Expect(ada.must("apply", kept, "--base", "1")).To(ContainSubstring("release 3 accepted: 1 rows changed"))
+	_, err = ada.run("diff", kept, "--base", "9")
+	g.Expect(err).To(MatchError(ContainSubstring("--base")))
+}
+
 func TestBaseOfAnotherPlatformIsRefused(t *testing.T) {
 	dir := example(t)
 	newOperator(t).must("apply", dir)
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -23,16 +23,16 @@
 	Conflict string `json:"conflict,omitempty"`
 }
 
-type diffCommand struct{ rebase bool }
+type diffCommand struct{ from baseFlags }
 
 func (c *diffCommand) flags(set *settings.Set) {
-	set.Bool(&c.rebase, "force-rebase", "without a base file, compare with the newest release")
+	c.from.register(set)
 }
 
 func (c *diffCommand) run(ctx context.Context, env *Env, dir string) error {
-	x, err := env.readEdit(ctx, dir, c.rebase)
+	x, err := env.readEdit(ctx, dir, c.from)
 	if errors.Is(err, errNoBase) {
-		return fmt.Errorf("%s: %w; export into a folder and edit there, or use --force-rebase to compare with the newest release", dir, err)
+		return fmt.Errorf("%s: %w; export into a folder and edit there, name the release with --base, or use --force-rebase to compare with the newest release", dir, err)
 	}
 	if err != nil {
 		return err
--- a/internal/ctl/tables.go
+++ b/internal/ctl/tables.go
@@ -88,16 +88,16 @@
 	return nil
 }
 
-type applyCommand struct{ rebase bool }
+type applyCommand struct{ from baseFlags }
 
 func (c *applyCommand) flags(set *settings.Set) {
-	set.Bool(&c.rebase, "force-rebase", "without a base file, replace whatever the newest release holds")
+	c.from.register(set)
 }
 
 func (c *applyCommand) run(ctx context.Context, env *Env, dir string) error {
-	x, err := env.readEdit(ctx, dir, c.rebase)
+	x, err := env.readEdit(ctx, dir, c.from)
 	if errors.Is(err, errNoBase) {
-		return fmt.Errorf("%s: %w: it is not known which rows you edited; export into a new folder and edit there, or use --force-rebase to replace all rows", dir, err)
+		return fmt.Errorf("%s: %w: it is not known which rows you edited; export into a new folder and edit there, name the release with --base, or use --force-rebase to replace all rows", dir, err)
 	}
 	if err != nil {
 		return err
