--- a/cmd/bilberryd/main.go
+++ b/cmd/bilberryd/main.go
@@ -42,6 +42,8 @@
 	opts.Reload = reload
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends the process at once, cutting what is in flight.
+	context.AfterFunc(ctx, stop)
 	host, err := entryhost.New(ctx, opts)
 	if err != nil {
 		return err
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -218,8 +218,8 @@
 	ada.must("apply", example(t))
 	a, b := ada.host("e1"), ada.host("e2")
 	ada.hosts = a + "," + b
-	g.Eventually(func() error { _, err := ada.run("status"); return err }, 5*time.Second).Should(Succeed())
-	g.Expect(ada.must("status")).To(ContainSubstring("e2"))
+	g.Expect(ada.must("status", "--wait", "10s")).To(ContainSubstring("e2"))
+	g.Expect(ada.must("status", "--json")).To(ContainSubstring(`"in_force"`))
 	g.Expect(ada.must("quarantine", "list", "--json")).To(Equal("[]\n"))
 	_, err := ada.run("quarantine", "lift", "00000000000000ff")
 	g.Expect(err).To(MatchError(ContainSubstring("no entry host has")))
@@ -277,7 +277,7 @@
 	ada.must("apply", dir)
 	host := ada.host("e1")
 	ada.hosts = host
-	g.Eventually(func() error { _, err := ada.run("status"); return err }, 5*time.Second).Should(Succeed())
+	ada.must("status", "--wait", "10s")
 
 	restored := newOperator(t)
 	restored.must("apply", example(t))
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,9 +5,13 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
+	"time"
 
 	"bilberrydale/internal/settings"
+	"bilberrydale/process/release"
 )
 
 // HostStatus is one entry host's answer to status. It reads the fields that
@@ -23,13 +27,33 @@
 	Release   uint64 `json:"release"`
 	Hash      string `json:"hash"`
 	LastError string `json:"last_error,omitempty"`
-	Fault     string `json:"fault,omitempty"` // why there is no answer
+	// Releases is how releases reach this host.
+	Releases *release.Status `json:"releases,omitempty"`
+	Fault    string          `json:"fault,omitempty"` // why there is no answer
+}
+
+// faults lists what is wrong with the host, each thing once.
+func (s *HostStatus) faults() string {
+	var list []string
+	add := func(text string) {
+		if text != "" && !slices.Contains(list, text) {
+			list = append(list, text)
+		}
+	}
+	add(s.Fault)
+	add(s.LastError)
+	if s.Releases != nil {
+		for _, f := range s.Releases.Faults {
+			add(f)
+		}
+	}
+	return strings.Join(list, "; ")
 }
 
 func hostCommands() []*command {
-	drain := &drainCommand{}
+	drain, status := &drainCommand{}, &statusCommand{}
 	return []*command{
-		{name: "status", help: "show which entry host has which release in force; fails when they differ", run: status},
+		{name: "status", help: "show which entry host has which release in force; fails when they differ", flags: status.flags, run: status.run},
 		{name: "drain", help: "take entry hosts out of service: no new requests, those in flight finish", flags: drain.flags, run: drain.run},
 	}
 }
@@ -41,7 +65,10 @@
 	var out []HostStatus
 	for _, a := range each(ctx, e.Hosts, func(ctx context.Context, addr string) (HostStatus, error) {
 		var s HostStatus
-		err := e.Hosts.call(ctx, http.MethodGet, addr, "/status", nil, &s)
+		if err := e.Hosts.call(ctx, http.MethodGet, addr, "/status", nil, &s); err != nil {
+			return s, err
+		}
+		err := e.Hosts.call(ctx, http.MethodGet, addr, "/release", nil, &s.Releases)
 		return s, err
 	}) {
 		a.value.Address = a.addr
@@ -53,23 +80,44 @@
 	return out, nil
 }
 
-func status(ctx context.Context, env *Env, _ string) error {
-	list, err := env.statuses(ctx)
-	if err != nil {
-		return err
+type statusCommand struct{ wait time.Duration }
+
+func (c *statusCommand) flags(set *settings.Set) {
+	set.Duration(&c.wait, "wait", "longest wait for the hosts to agree on one release", 0, 10*time.Minute)
+}
+
+// pollEvery is the pause between two looks at hosts that do not agree yet.
+const pollEvery = 200 * time.Millisecond
+
+func (c *statusCommand) run(ctx context.Context, env *Env, _ string) error {
+	giveUp := time.Now().Add(c.wait)
+	for {
+		list, err := env.statuses(ctx)
+		if err != nil {
+			return err
+		}
+		differ := disagreement(list)
+		if differ == nil || !time.Now().Before(giveUp) {
+			return errors.Join(printStatus(env, list), differ)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(printStatus(env, list), differ)
+		case <-time.After(pollEvery):
+		}
 	}
+}
+
+func printStatus(env *Env, list []HostStatus) error {
 	var rows [][]string
 	for _, s := range list {
 		rows = append(rows, []string{
 			s.Address, s.Name, s.Domain, strconv.FormatUint(s.Release, 10), s.Hash,
-			strconv.FormatBool(s.Ready), strconv.FormatBool(s.Draining), strconv.FormatInt(s.Active, 10), s.LastError + s.Fault,
+			strconv.FormatBool(s.Ready), strconv.FormatBool(s.Draining), strconv.FormatInt(s.Active, 10), s.faults(),
 		})
 	}
-	header := []string{"ADDRESS", "NAME", "DOMAIN", "RELEASE", "HASH", "READY", "DRAINING", "ACTIVE", "FAULT"}
-	if err := env.print(list, header, rows); err != nil {
-		return err
-	}
-	return disagreement(list)
+	header := []string{"ADDRESS", "NAME", "DOMAIN", "RELEASE", "HASH", "READY", "DRAINING", "ACTIVE", "FAULTS"}
+	return env.print(list, header, rows)
 }
 
 // disagreement tells whether a release is not in force everywhere.
