--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 fmt:
 	go tool gofumpt -w .
 
-# Runs an example: make demo EXAMPLE=zagara HOSTS=2 PORT_BASE=19000
+# Runs an example: make demo EXAMPLE=zagara HOSTS=2 PORT_BASE=19000 LOAD_RATE=50
 demo:
 	bash scripts/demo.sh
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -106,7 +106,11 @@
 		Handler: h.adminHandler(), ReadHeaderTimeout: opts.HeaderTimeout, ReadTimeout: opts.ReadTimeout,
 		IdleTimeout: opts.IdleTimeout, MaxHeaderBytes: opts.MaxHeader, ErrorLog: h.serverLog("admin"),
 	}
-	return h, h.listen()
+	if err := h.listen(); err != nil {
+		_ = h.members.listener.Close()
+		return nil, err
+	}
+	return h, nil
 }
 
 // serverLog passes on what net/http reports of broken connections.
--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -210,6 +211,24 @@
 		Expect(logged.String()).NotTo(ContainSubstring("hush"))
 	})
 
+	It("gives every port back when one is taken", func() {
+		w, _ := heldWorld()
+		running := w.newHost("e1", func(*Options) {})
+		runHost(running)
+		callers, _ := running.Addresses()
+		o := running.opts
+		o.Listen, o.Admin = "127.0.0.1:0", callers
+		free, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		o.Peer = free.Addr().String()
+		Expect(free.Close()).To(Succeed())
+		_, err = New(context.Background(), o)
+		Expect(err).To(MatchError(ContainSubstring("listen for admin")))
+		again, err := net.Listen("tcp", o.Peer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Close()).To(Succeed())
+	})
+
 	It("reports every fault of its settings together", func() {
 		o := DefaultOptions()
 		o.Admin, o.Listen, o.Peer = "10.0.0.1:1", "127.0.0.1:9", "127.0.0.1:9"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,6 +5,8 @@
 #   EXAMPLE     folder under examples/ (kalahari)
 #   HOSTS       entry hosts, one a region in turn (3)
 #   PORT_BASE   first of the ports for the platform and the entry hosts (18090)
+#   LOAD_RATE   requests a second of open-loop traffic before the stop (none);
+#               LOAD_DURATION, LOAD_REQUESTS, SEED and OUT go to cmd/load
 #   DEMO_PATH, DEMO_BODY, DEMO_ACCOUNT   the request
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,8 +14,10 @@
 count=${HOSTS:-3}
 base=${PORT_BASE:-18090}
 case $example in
-  zagara) path=/v1/proposals account=planners body='{"venue":"Villa Igiea","guests":120}' ;;
-  *) path=/v1/drafts account=boilers body='{"recipe":"tallow 40, lye 5, lavender 1"}' ;;
+  zagara) mix=/v1/chats:4:stream,/v1/proposals:2:stream,/v1/planners:2,/v1/lead-scores:1
+    path=/v1/proposals account=planners body='{"venue":"Villa Igiea","guests":120}' ;;
+  *) mix=/v1/drafts:2:stream,/v1/substitutions:4:stream,/v1/notes:1,/v1/orders:3
+    path=/v1/drafts account=boilers body='{"recipe":"tallow 40, lye 5, lavender 1"}' ;;
 esac
 path=${DEMO_PATH:-$path} account=${DEMO_ACCOUNT:-$account} body=${DEMO_BODY:-$body}
 
@@ -111,6 +115,11 @@
   echo "entry-$i: $(head -c 300 "$tmp/answer")"
 done
 ctl status --hosts "${admins%,}"
+if [ -n "${LOAD_RATE:-}" ]; then
+  targets=$(for i in $(seq "$count"); do echo "127.0.0.1:$((base + i))"; done | paste -sd, -)
+  "$tmp/bin/load" traffic --targets "$targets" --rate "$LOAD_RATE" --duration "${LOAD_DURATION:-10s}" --seed "${SEED:-1}" \
+    --requests "${LOAD_REQUESTS:-$mix}" --account "$account" ${OUT:+--out "$OUT"} || fail "the load failed"
+fi
 echo "demo: executions by backend server"
 while read -r line; do
   case $line in
