--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -229,6 +229,7 @@
 		}
 		limit = min(limit, d)
 	}
+	c.boundWrites(limit)
 	c.admitted = admission.Request{Profile: c.route.Profile, Account: c.account, Arrived: now, Deadline: now.Add(limit)}
 	c.claimKey = claim.Key{Account: c.account, Key: c.key, Body: c.bodyHash()}
 	c.admitted.Identity = c.claimKey.Body
