--- a/cmd/bilberryd/main.go
+++ b/cmd/bilberryd/main.go
@@ -31,6 +31,7 @@
 	opts := entryhost.DefaultOptions()
 	opts.DrainDelay = drainDelay
 	p := flaggy.NewParser("bilberryd")
+	p.Version = settings.Version()
 	p.Description = "Serves callers' requests through the stages of their routes."
 	set := settings.New(p, "BILBERRYD")
 	opts.Register(set)
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -43,6 +43,7 @@
 
 func run(ctx context.Context, args []string) error {
 	p := flaggy.NewParser("load")
+	p.Version = settings.Version()
 	p.Description = "Measures entry hosts on this machine."
 	o := &options{
 		targets: "127.0.0.1:18091", mix: "/v1/drafts", account: "load", body: `{}`, seed: 1, maxFailed: 1,
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,7 @@
 
 func run(args []string) error {
 	p := flaggy.NewParser("standin")
+	p.Version = settings.Version()
 	listen := "127.0.0.1:0"
 	eng := engine.Options{Name: "engine", Slots: 8, Tokens: 16, Prefill: 20 * time.Millisecond, PerToken: 2 * time.Millisecond, ReportLag: time.Second, Cache: 256, Crash: crash}
 	svc := service.Options{Name: "service", Slots: 64, Time: 5 * time.Millisecond, Crash: crash}
--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+
+	"bilberrydale/internal/settings"
 )
 
 // Status is what an entry host says of itself to operators.
 type Status struct {
+	Build       string `json:"build"`
 	Name        string `json:"name"`
 	Domain      string `json:"domain"`
 	Region      string `json:"region"`
@@ -29,7 +32,8 @@
 func (h *Host) Status() Status {
 	rel, _ := h.releases.follower.Current()
 	s := Status{
-		Name: h.opts.Name, Domain: h.opts.Domain, Region: h.opts.Region, Incarnation: h.incarnation,
+		Build: settings.Version(),
+		Name:  h.opts.Name, Domain: h.opts.Domain, Region: h.opts.Region, Incarnation: h.incarnation,
 		Ready: h.ready(), Draining: h.draining(), Active: h.gate.Active(),
 		Release: rel.Number, Hash: rel.Hash,
 		Completed: h.requests.counters.Completed.Load(), Refused: h.requests.counters.Refused.Load(), Failed: h.requests.counters.Failed.Load(),
--- a/entryhost/health.go
+++ b/entryhost/health.go
@@ -23,25 +23,6 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-// callersHandler puts the balancer's health path before the routes. While the
-// host leaves, each answer asks the caller to open its next connection
-// elsewhere; idle connections are not closed yet, because a caller may be
-// sending on one at this moment and would lose its request.
-func (h *Host) callersHandler() http.Handler {
-	requests := h.requests.handler
-	path := h.opts.HealthPath
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if path != "" && r.URL.Path == path {
-			h.health(w, r)
-			return
-		}
-		if h.draining() {
-			w.Header().Set("Connection", "close")
-		}
-		requests.ServeHTTP(w, r)
-	})
-}
-
 // Drain takes the host out of service on an operator's order; the process
 // keeps running. It returns at once.
 func (h *Host) Drain() {
--- a/entryhost/options_callers.go
+++ b/entryhost/options_callers.go
@@ -21,6 +21,7 @@
 	MaxBody   int // bytes
 	MaxHeader int // bytes of all headers of a request
 	MaxKey    int // bytes of the idempotency key
+	MaxActive int // requests in the host at once
 
 	HeaderTimeout time.Duration // for a request's headers
 	ReadTimeout   time.Duration // for a whole request
@@ -31,7 +32,7 @@
 	limits := entry.DefaultLimits()
 	return callerOptions{
 		HealthPath: "/healthz", Headers: entry.DefaultHeaders(),
-		MaxBody: int(limits.Body), MaxKey: limits.Key, MaxHeader: 32 << 10,
+		MaxBody: int(limits.Body), MaxKey: limits.Key, MaxHeader: 32 << 10, MaxActive: 4096,
 		HeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute,
 	}
 }
@@ -45,6 +46,7 @@
 	set.Int(&o.MaxBody, "max-body", "bytes of a request's body", 1, 1<<30)
 	set.Int(&o.MaxHeader, "max-header", "bytes of a request's headers", 1<<10, 1<<20)
 	set.Int(&o.MaxKey, "max-key", "bytes of an idempotency key", 1, 4096)
+	set.Int(&o.MaxActive, "max-active", "requests in the host at once; more are refused unread", 1, 1000000)
 	set.Duration(&o.HeaderTimeout, "header-read-timeout", "longest time to read a request's headers", 100*time.Millisecond, time.Minute)
 	set.Duration(&o.ReadTimeout, "read-timeout", "longest time to read a whole request", 100*time.Millisecond, 10*time.Minute)
 	set.Duration(&o.IdleTimeout, "idle-timeout", "longest idle time of a caller's connection", time.Second, 10*time.Minute)
--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -210,6 +210,26 @@
 		Expect(logged.String()).NotTo(ContainSubstring("hush"))
 	})
 
+	// Callers send more at once than the host is to hold. What is over the bound
+	// gets its final answer before its body is read; what is within goes on.
+	It("bounds the requests in the host", func() {
+		w, s := heldWorld()
+		h := w.newHost("e1", func(o *Options) { o.MaxActive = 2 })
+		runHost(h)
+		Eventually(h.ready, 5*time.Second).Should(BeTrue())
+		held := []chan sent{sendInBackground(h), sendInBackground(h)}
+		Eventually(h.gate.Active).Should(BeEquivalentTo(2))
+		over := <-sendInBackground(h)
+		Expect(over.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(over.body).To(And(ContainSubstring(`"kind":"overloaded"`), ContainSubstring(`"ran":"no"`)))
+		Expect(over.header.Get("Retry-After")).To(Equal("1"))
+		Expect(over.header.Get("X-Request-Id")).NotTo(BeEmpty())
+		s.letGo()
+		for _, ch := range held {
+			Expect((<-ch).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("says which port is taken before anything runs", func() {
 		w, _ := heldWorld()
 		running := w.newHost("e1", func(*Options) {})
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -117,6 +117,7 @@
 
 func parse(o *options, args []string) (*command, string, error) {
 	p := flaggy.NewParser("bilberryctl")
+	p.Version = settings.Version()
 	p.Description = "Edits the tables and looks after entry hosts."
 	set := settings.New(p, "BILBERRYCTL")
 	o.register(set)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -18,6 +18,7 @@
 // operators need from the entry host's own status document.
 type HostStatus struct {
 	Address   string `json:"address"`
+	Build     string `json:"build"`
 	Name      string `json:"name"`
 	Domain    string `json:"domain"`
 	Region    string `json:"region"`
@@ -112,11 +113,11 @@
 	var rows [][]string
 	for _, s := range list {
 		rows = append(rows, []string{
-			s.Address, s.Name, s.Domain, strconv.FormatUint(s.Release, 10), s.Hash,
+			s.Address, s.Name, s.Build, s.Domain, strconv.FormatUint(s.Release, 10), s.Hash,
 			strconv.FormatBool(s.Ready), strconv.FormatBool(s.Draining), strconv.FormatInt(s.Active, 10), s.faults(),
 		})
 	}
-	header := []string{"ADDRESS", "NAME", "DOMAIN", "RELEASE", "HASH", "READY", "DRAINING", "ACTIVE", "FAULTS"}
+	header := []string{"ADDRESS", "NAME", "BUILD", "DOMAIN", "RELEASE", "HASH", "READY", "DRAINING", "ACTIVE", "FAULTS"}
 	return env.print(list, header, rows)
 }
 
