--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -40,6 +40,7 @@
 	DrainTimeout time.Duration
 	LogLevel     string
 	LogJSON      bool
+	LogRefusals  int // lines a second about error answers
 	Spans        string
 	SpansTo      string
 	SpansShare   float64
@@ -59,7 +60,7 @@
 	return Options{
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Peer: "127.0.0.1:8082",
 		Platform: "http://127.0.0.1:8090", DrainTimeout: 30 * time.Second,
-		LogLevel: "info", Spans: telemetry.ExportNone, SpansShare: 1,
+		LogLevel: "info", LogRefusals: 50, Spans: telemetry.ExportNone, SpansShare: 1,
 		callerOptions: defaultCallerOptions(),
 		Requests:      DefaultRequestOptions(),
 		Policy:        defaultPolicyOptions(),
@@ -84,6 +85,7 @@
 	set.Duration(&o.DrainTimeout, "drain-timeout", "longest wait for requests in flight at shutdown", time.Second, 10*time.Minute)
 	set.String(&o.LogLevel, "log-level", "debug, info, warn or error", settings.OneOf("debug", "info", "warn", "error"))
 	set.Bool(&o.LogJSON, "log-json", "write logs as JSON")
+	set.Int(&o.LogRefusals, "log-refusals", "log lines a second about error answers", 0, 100000)
 	set.String(&o.Spans, "spans", "span exporter: none, stdout or otlp", settings.OneOf(telemetry.ExportNone, telemetry.ExportStdout, telemetry.ExportOTLP))
 	set.String(&o.SpansTo, "spans-to", "OTLP collector, host:port", nil)
 	set.Float(&o.SpansShare, "spans-share", "share of requests traced", 0, 1)
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bilberrydale/connection/backend"
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/claim"
@@ -37,7 +39,7 @@
 	}
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
-		Gate: &h.gate, Clock: h.clock, Log: h.log, Tracer: h.tracer,
+		Gate: &h.gate, Clock: h.clock, Log: h.log, LogLimit: rate.NewLimiter(rate.Limit(h.opts.LogRefusals), h.opts.LogRefusals), Tracer: h.tracer,
 		Headers: h.opts.Headers, Limits: h.opts.limits(), Counters: &p.counters,
 	}
 }
--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -12,10 +12,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/clock"
+	"bilberrydale/request/entry"
 	"bilberrydale/version/snapshot"
 	"bilberrydale/version/table"
 )
@@ -156,6 +158,7 @@
 		Eventually(spans.GetSpans).Should(HaveLen(2))
 		stage, top := spans.GetSpans()[0], spans.GetSpans()[1]
 		Expect(top.Name).To(Equal("entry POST"))
+		Expect(top.Attributes).To(ContainElement(attribute.String("route", "draft")))
 		Expect(stage.Name).To(Equal("stage encode"))
 		Expect(stage.Parent.SpanID()).To(Equal(top.SpanContext.SpanID()))
 		Expect(hop.Get("Traceparent")).To(ContainSubstring(stage.SpanContext.TraceID().String() + "-" + stage.SpanContext.SpanID().String()))
@@ -230,6 +233,27 @@
 		}
 	})
 
+	// A burst of refusals must not cost a log line each; their number stays known.
+	It("bounds the log lines about refusals", func() {
+		w, _ := heldWorld()
+		h := w.newHost("e1", func(o *Options) { o.LogRefusals, o.LogLevel = 1, "info" })
+		var logged bytes.Buffer
+		h.log.SetOutput(&logged)
+		stop, done := runHost(h)
+		Eventually(h.ready, 5*time.Second).Should(BeTrue())
+		limit := h.requests.handler.(*entry.Handler).LogLimit
+		limit.SetLimit(0) // the burst alone
+		for range 5 {
+			resp, _ := send(h, "/nowhere", "", "{}")
+			Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+		}
+		_, vars := get(h, "/debug/vars")
+		Expect(vars).To(ContainSubstring(`"refusals_unlogged": 4`))
+		stop()
+		Eventually(done, 10*time.Second).Should(Receive())
+		Expect(strings.Count(logged.String(), "request refused")).To(Equal(1))
+	})
+
 	It("says which port is taken before anything runs", func() {
 		w, _ := heldWorld()
 		running := w.newHost("e1", func(*Options) {})
--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -10,7 +10,6 @@
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/kind"
-	"bilberrydale/process/telemetry"
 )
 
 // Counters count answers for expvar.
@@ -18,6 +17,7 @@
 	Completed atomic.Int64
 	Refused   atomic.Int64 // answered "ran: no"
 	Failed    atomic.Int64 // any other error
+	Unlogged  atomic.Int64 // error answers over Handler.LogLimit
 }
 
 // StreamType is the media type of a streamed answer: one JSON chunk a line,
@@ -50,7 +50,7 @@
 	} else {
 		c.Counters.Failed.Add(1)
 	}
-	c.Log.Info("request refused", "request", c.id, "trace", telemetry.TraceID(c.r.Context()), "kind", e.Kind, "ran", ran, "detail", e.Detail)
+	c.recordRefusal(e, ran)
 	p := c.problem(e, ran)
 	if c.stream != nil && c.stream.started {
 		c.stream.abort(p)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
 
 	"bilberrydale/process/admission"
 	"bilberrydale/process/claim"
@@ -64,6 +65,7 @@
 	Gate       *drain.Gate
 	Clock      clock.Clock
 	Log        *log.Logger
+	LogLimit   *rate.Limiter // of lines about error answers; nil: none
 	Tracer     trace.Tracer
 	Headers    Headers
 	Limits     Limits
@@ -267,6 +269,7 @@
 		c.answer(http.StatusOK, res.Body)
 	}
 	c.Counters.Completed.Add(1)
+	c.recordWhole()
 	return nil
 }
 
