--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -127,6 +127,26 @@
 	g.Expect(ada.must("apply", dir, "--force-rebase")).To(ContainSubstring("1 rows changed"))
 }
 
+// Tables kept under version control have no base file; the operator names the
+// release they were made from, and a row changed since then conflicts.
+func TestApplyFromANamedRelease(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	kept, other := example(t), example(t)
+	ada.must("apply", other)
+	replace(t, other, "routes.yaml", "worth: 8", "worth: 9")
+	ada.must("apply", other)
+
+	replace(t, kept, "pools.yaml", "slots: 16", "slots: 17")
+	replace(t, kept, "routes.yaml", "worth: 8", "worth: 7")
+	_, err := ada.run("apply", kept, "--base", "1")
+	g.Expect(err).To(MatchError(And(ContainSubstring("nothing was changed"), ContainSubstring("routes/draft"))))
+	replace(t, kept, "routes.yaml", "worth: 7", "worth: 8")
+	g.Expect(ada.must("apply", kept, "--base", "1")).To(ContainSubstring("release 3 accepted: 1 rows changed"))
+	_, err = ada.run("diff", kept, "--base", "9")
+	g.Expect(err).To(MatchError(ContainSubstring("--base")))
+}
+
 func TestBaseOfAnotherPlatformIsRefused(t *testing.T) {
 	dir := example(t)
 	newOperator(t).must("apply", dir)
@@ -198,8 +218,8 @@
 	ada.must("apply", example(t))
 	a, b := ada.host("e1"), ada.host("e2")
 	ada.hosts = a + "," + b
-	g.Eventually(func() error { _, err := ada.run("status"); return err }, 5*time.Second).Should(Succeed())
-	g.Expect(ada.must("status")).To(ContainSubstring("e2"))
+	g.Expect(ada.must("status", "--wait", "10s")).To(ContainSubstring("e2"))
+	g.Expect(ada.must("status", "--json")).To(ContainSubstring(`"in_force"`))
 	g.Expect(ada.must("quarantine", "list", "--json")).To(Equal("[]\n"))
 	_, err := ada.run("quarantine", "lift", "00000000000000ff")
 	g.Expect(err).To(MatchError(ContainSubstring("no entry host has")))
@@ -245,6 +265,32 @@
 	g.Expect(err).To(MatchError(ContainSubstring("not a release number")))
 }
 
+// The platform was restored to a state before the newest release, while an
+// entry host still has that release in force. The operator takes its tables;
+// they are accepted under a number above all, with the content unchanged.
+func TestRecoverTakesTheTablesOfAHost(t *testing.T) {
+	g := NewWithT(t)
+	ada := newOperator(t)
+	dir := example(t)
+	ada.must("apply", dir)
+	replace(t, dir, "routes.yaml", "worth: 8", "worth: 9")
+	ada.must("apply", dir)
+	host := ada.host("e1")
+	ada.hosts = host
+	ada.must("status", "--wait", "10s")
+
+	restored := newOperator(t)
+	restored.must("apply", example(t))
+	_, err := restored.run("recover", host)
+	g.Expect(err).To(MatchError(ContainSubstring("nothing was changed")))
+	g.Expect(restored.must("recover", host, "--confirm")).To(ContainSubstring("release 3 accepted"))
+	out := t.TempDir()
+	restored.must("export", out)
+	data, err := os.ReadFile(filepath.Join(out, "routes.yaml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(ContainSubstring("worth: 9"))
+}
+
 func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
 	g := NewWithT(t)
 	ada := newOperator(t)
