--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bilberrydale/connection/backend"
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/claim"
@@ -37,7 +39,7 @@
 	}
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
-		Gate: &h.gate, Clock: h.clock, Log: h.log, Tracer: h.tracer,
+		Gate: &h.gate, Clock: h.clock, Log: h.log, LogLimit: rate.NewLimiter(rate.Limit(h.opts.LogRefusals), h.opts.LogRefusals), Tracer: h.tracer,
 		Headers: h.opts.Headers, Limits: h.opts.limits(), Counters: &p.counters,
 	}
 }
@@ -93,7 +95,8 @@
 func (o *RequestOptions) register(set *settings.Set) {
 	set.Int(&o.Claims.Shards, "claim-shards", "objects that hold the claims; the same on every entry host", 1, 4096)
 	set.Duration(&o.Claims.Window, "claim-window", "time for which a key is remembered on the platform", time.Minute, 24*time.Hour)
-	set.Float(&o.Claims.WritesPerSecond, "claim-writes", "writes a second on the platform for claims", 0.1, 1000)
+	set.Duration(&o.Claims.Spacing, "claim-spacing", "time between writes of one such object", 0, time.Minute)
+	set.Float(&o.Claims.WritesPerSecond, "claim-writes", "writes a second of this host on the platform for claims", 0.1, 1000)
 	set.Duration(&o.Claims.TicketLife, "ticket-life", "time from minting a ticket to its last first use", time.Second, 24*time.Hour)
 	set.Duration(&o.Claims.AnswerTime, "answer-time", "time for which an answer is kept for resends", time.Second, 24*time.Hour)
 	set.Int(&o.Quarantine.Deaths, "quarantine-deaths", "backend servers lost to a request before it is refused", 1, 100)
