Signs reach hosts that come later; servers that return are usable

Cause: a sign spread once, when it changed, so a host that started later would have sent work to a leaving server; and what was known of a server that the tables had left out and have again kept it out. Listed addresses are tried four at a time, since the list may hold hundreds of hosts that are no entry hosts.

--- a/process/report/report.go
+++ b/process/report/report.go
@@ -82,7 +82,7 @@
 const silentPolls = 3
 
 // Counters count a Watcher's work.
-type Counters struct{ Polls, Lists, Shared, SharedBytes atomic.Int64 }
+type Counters struct{ Rounds, Polls, Lists, Shared, SharedBytes atomic.Int64 }
 
 // Watcher polls, shares and applies reports.
 type Watcher struct {
@@ -97,6 +97,8 @@
 	shareAt time.Time
 	sends   int
 	rounds  int
+	present map[string]uint64 // incarnations of the hosts not gone
+	joined  atomic.Bool       // a host came since signs were last repeated
 	work    sync.WaitGroup
 }
 
@@ -120,6 +122,7 @@
 	opts.setDefaults()
 	w := &Watcher{opts: opts, known: map[string]*known{}}
 	opts.Link.Handle(MethodLoads, w.onLoads)
+	opts.View.OnChange(w.noteJoined)
 	if opts.Monitor != nil {
 		opts.Monitor.Attach("signs", w.produceSigns, w.consumeSigns)
 	}
@@ -142,6 +145,10 @@
 
 func (w *Watcher) round(ctx context.Context) {
 	w.refresh()
+	w.Counters.Rounds.Add(1)
+	if w.joined.Swap(false) {
+		w.repeatSigns()
+	}
 	self := w.opts.Link.Self()
 	hosts := member.Domain(w.opts.View, self, self.Domain)
 	now := w.opts.Clock.Now()
@@ -163,6 +170,7 @@
 		k := w.known[t.State.Address]
 		if k == nil || k.target != t {
 			k = &known{target: t}
+			w.apply(k) // forget what was known before the tables left it out
 		}
 		next[t.State.Address] = k
 	}
--- a/process/report/report_test.go
+++ b/process/report/report_test.go
@@ -78,6 +78,8 @@
 	list  []platform.Host
 	err   error
 	hosts map[string]*siteHost
+
+	leftOut sync.Map // servers that the tables leave out
 }
 
 type siteHost struct {
@@ -122,6 +124,9 @@
 			for d := range domains {
 				for i := range servers {
 					n := fmt.Sprintf("s%d-%d", d, i)
+					if _, left := s.leftOut.Load(n); left {
+						continue
+					}
 					out = append(out, report.Target{State: h.registry.Get(n, n+":1", time.Unix(1, 0)), Domain: fmt.Sprint("d", d)})
 				}
 			}
@@ -229,6 +234,34 @@
 	s.g.Expect(s.state(ranked[2], "s0-0").Usable()).To(BeTrue())
 }
 
+// A host starts, in another domain, after a server was found leaving. The sign
+// has long spread; without being told again it would send the server work.
+func TestHostThatComesLaterLearnsOfLeavingServers(t *testing.T) {
+	s := newSite(t, 2, 2, 1)
+	s.set(func() { s.reports["s0-0:1"] = report.Report{Leaving: true} })
+	s.everywhere("s0-0", (*server.State).Usable, false)
+	sent := s.hosts["h1-0"].monitor.Counters.Sent.Load()
+	s.g.Eventually(s.hosts["h1-0"].monitor.Counters.Sent.Load, patience).Should(BeNumerically(">", sent+60), "the news has spread")
+	s.start(t, "h1-2", "d1", 2, 1)
+	s.everywhere("s0-0", (*server.State).Usable, false)
+}
+
+// A server left, went out of the tables, and a later release has it again at
+// the same address. What was known of it before must not keep it out.
+func TestServerThatTheTablesHaveAgainIsUsable(t *testing.T) {
+	s := newSite(t, 1, 3, 1)
+	s.set(func() { s.reports["s0-0:1"] = report.Report{Leaving: true} })
+	s.everywhere("s0-0", (*server.State).Usable, false)
+	s.leftOut.Store("s0-0", true)
+	for _, h := range s.hosts {
+		before := h.watcher.Counters.Rounds.Load()
+		s.g.Eventually(h.watcher.Counters.Rounds.Load, patience).Should(BeNumerically(">", before+2), "the tables are taken in")
+	}
+	s.set(func() { s.reports["s0-0:1"] = report.Report{} })
+	s.leftOut.Delete("s0-0")
+	s.everywhere("s0-0", (*server.State).Usable, true)
+}
+
 // Load reports reach the hosts that do not poll the server themselves.
 func TestLoadIsSharedInTheDomain(t *testing.T) {
 	s := newSite(t, 1, 5, 3)
--- a/process/report/signs.go
+++ b/process/report/signs.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/bits"
+	"net"
 	"time"
 
+	"bilberrydale/process/member"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/platform"
 )
@@ -163,7 +165,7 @@
 	}
 	w.seeds = w.seeds[:0:0]
 	for _, h := range hosts {
-		if !servers[h.Name] && !servers[h.Address] && h.State == platform.HostLive {
+		if !servers[h.Name] && !servers[h.Address] && h.State == platform.HostLive && hasPort(h.Address) {
 			w.seeds = append(w.seeds, h.Address)
 		}
 	}
@@ -179,6 +181,11 @@
 	}
 }
 
+func hasPort(address string) bool {
+	_, _, err := net.SplitHostPort(address)
+	return err == nil
+}
+
 func (w *Watcher) listed(k *known, leaving bool) {
 	w.mu.Lock()
 	same := k.sign.Listed == leaving
@@ -202,9 +209,51 @@
 	}
 }
 
-// Seeds returns addresses of the platform's list at which entry hosts may be.
+// maxSeeds bounds the listed addresses tried at once. The list may hold many
+// hosts that are no entry hosts.
+const maxSeeds = 4
+
+// Seeds returns a few addresses of the platform's list, chosen at random, at
+// which entry hosts may be.
 func (w *Watcher) Seeds() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]string(nil), w.seeds...)
+	if len(w.seeds) <= maxSeeds {
+		return append([]string(nil), w.seeds...)
+	}
+	out := make([]string, maxSeeds)
+	for i := range out {
+		out[i] = w.seeds[w.opts.Rand.IntN(len(w.seeds))]
+	}
+	return out
+}
+
+// noteJoined takes note when a host comes that was not there before. Signs
+// spread once, when they change; a host that starts, or comes back from a cut,
+// after a server was found leaving would never hear of it and send it work.
+func (w *Watcher) noteJoined() {
+	next := map[string]uint64{}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.opts.View.Peers() {
+		if p.State == member.Gone {
+			continue
+		}
+		next[p.Host] = p.Incarnation
+		if w.present[p.Host] != p.Incarnation {
+			w.joined.Store(true)
+		}
+	}
+	w.present = next
+}
+
+// repeatSigns lets the signs that keep work away spread once more.
+func (w *Watcher) repeatSigns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.known {
+		if k.sign.leaving() || k.sign.Down {
+			k.spread = max(k.spread, w.spreads())
+		}
+	}
 }
