--- a/internal/faultrun/process_test.go
+++ b/internal/faultrun/process_test.go
@@ -100,7 +100,7 @@
 		listen, admin := freeAddress(p.g), freeAddress(p.g)
 		d.url, d.admin = "http://"+listen, "http://"+admin
 		d.cmd = p.start("bilberryd", "--name", name, "--domain", "d", "--region", "r", "--platform", "http://"+store,
-			"--listen", listen, "--admin", admin, "--peer", peers[i], "--peers", peers[1-i])
+			"--listen", listen, "--admin", admin, "--peer", peers[i], "--peers", peers[1-i], "--drain-delay", "0s")
 		hosts = append(hosts, d)
 	}
 	for _, d := range hosts {
