--- a/internal/memberbench/bench_test.go
+++ b/internal/memberbench/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -29,6 +30,7 @@
 	Polls             float64 `json:"polls"`
 	CPUMicros         float64 `json:"cpu_us"`
 	HeartbeatMicros   float64 `json:"heartbeat_us"`
+	MemoryKB          float64 `json:"memory_kb"`
 	PlatformCalls     float64 `json:"platform_calls"`
 	PlatformPerDomain float64 `json:"platform_calls_per_domain"`
 	KilledFirst       float64 `json:"killed_host_seen_by_first_s"`
@@ -86,6 +88,7 @@
 		Hosts: len(f.all), Domains: f.domains, Servers: f.servers, Heartbeats: per(after.sent - before.sent), PeerBytes: per(after.bytes - before.bytes),
 		LoadBytes: per(after.loads - before.loads), Polls: per(after.polls - before.polls),
 		CPUMicros:       per(int64((after.cpu - before.cpu) / time.Microsecond)),
+		MemoryKB:        memory() / 1024 / float64(len(f.all)),
 		HeartbeatMicros: float64(after.busy-before.busy) / 1e3 / float64(4*max(1, after.sent-before.sent)),
 		PlatformCalls:   calls, PlatformPerDomain: calls / float64(f.domains),
 	}
@@ -100,6 +103,14 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// memory is the live heap and the stacks of the whole process, in bytes.
+func memory() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 // leaving lets a backend server report that it leaves and returns the time
 // until the last host of all domains gives it no new work.
 func (f *fleet) leaving() time.Duration {
