Cut domain healed, silent strangers, fuzzed greeting; same name twice is logged

Cause: a cut from peers and platform at once, and connections that never prove anything, were not shown. Two hosts of one name only replaced each other.

--- a/connection/peerconn/peerconn_test.go
+++ b/connection/peerconn/peerconn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 func listener(t *testing.T, opts Options, serve peer.Dispatch) (string, chan peer.Conn, chan error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	conns, refused := make(chan peer.Conn, 16), make(chan error, 16)
+	conns, refused := make(chan peer.Conn, 16), make(chan error, 256)
 	s := &Server{
 		Options: opts, Serve: serve,
 		Accepted: func(c peer.Conn) { conns <- c },
@@ -248,6 +249,54 @@
 	g.Expect(c.Err()).To(MatchError(ErrIdle))
 }
 
+// Strangers open connections to the peer port and say nothing, more than the
+// port keeps unproven at once. They are dropped after the handshake's time, so
+// a real peer gets in again.
+func TestSilentStrangersDoNotKeepPeersOut(t *testing.T) {
+	g := NewWithT(t)
+	opts := options(bo, "s")
+	opts.Handshake = 100 * time.Millisecond
+	address, _, _ := listener(t, opts, echo)
+	for range maxUnproven + 10 {
+		stranger, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer stranger.Close()
+	}
+	g.Eventually(func() error {
+		c, err := Dial(context.Background(), address, options(ada, "s"), echo)
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}, 10*time.Second).Should(Succeed())
+}
+
+// FuzzGreeting feeds the acceptor what a stranger may send: it must neither
+// panic nor take anybody for proven who does not know the secret.
+func FuzzGreeting(f *testing.F) {
+	var hello bytes.Buffer
+	g := newGreeting(ada)
+	if err := send(&hello, &g); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(hello.Bytes())
+	if err := send(&hello, &proof{MAC: make([]byte, 32)}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(hello.Bytes())
+	f.Add([]byte{0, 0, 4, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var out bytes.Buffer
+		rw := struct {
+			io.Reader
+			io.Writer
+		}{bytes.NewReader(data), &out}
+		if id, err := acceptHandshake(rw, bo, []byte("a secret that no input knows")); err == nil {
+			t.Fatalf("%+v was taken for proven", id)
+		}
+	})
+}
+
 // FuzzFrame feeds the decoder what a broken or hostile peer may send: it must
 // return an error or a frame that encodes again, and take no more memory than
 // the limit.
--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -67,8 +67,13 @@
 	h.members.link, h.members.mesh, h.members.listener = mesh, mesh, l
 	server := &peerconn.Server{
 		Options: conns, Serve: mesh.Dispatch,
-		Accepted: func(c peer.Conn) { mesh.Accepted(c) },
-		Refused:  func(address string, cause error) { h.log.Warn("peer refused", "address", address, "err", cause) },
+		Accepted: func(c peer.Conn) {
+			if id := c.Peer(); id.Host == self.Host && id.Incarnation != self.Incarnation {
+				h.log.Error("another entry host has this name; give each its own --name", "address", id.Address)
+			}
+			mesh.Accepted(c)
+		},
+		Refused: func(address string, cause error) { h.log.Warn("peer refused", "address", address, "err", cause) },
 	}
 	h.add("peer port", func(ctx context.Context) error {
 		defer mesh.Close()
--- a/process/report/report_test.go
+++ b/process/report/report_test.go
@@ -262,6 +262,36 @@
 	s.everywhere("s0-0", (*server.State).Usable, true)
 }
 
+// A domain is cut off from the others and the platform is down for all. A
+// server of the cut domain leaves. Its own hosts have to know at once, from
+// each other alone; the others learn when the cut heals, without the server
+// changing again.
+func TestDomainCutFromPeersAndPlatformGoesOnAndHeals(t *testing.T) {
+	s := newSite(t, 2, 3, 1)
+	s.mu.Lock()
+	s.err = platform.ErrUnavailable
+	s.mu.Unlock()
+	pairs := func(do func(a, b string)) {
+		for i := range 3 {
+			for j := range 3 {
+				do(fmt.Sprint("h0-", i), fmt.Sprint("h1-", j))
+			}
+		}
+	}
+	pairs(s.net.Cut)
+	s.set(func() { s.reports["s1-0:1"] = report.Report{Leaving: true} })
+	for i := range 3 {
+		name := fmt.Sprint("h1-", i)
+		s.g.Eventually(func() bool { return s.state(name, "s1-0").Usable() }, patience, interval).Should(BeFalse(), name)
+		s.g.Expect(s.state(name, "s0-0").Usable()).To(BeTrue(), "a cut is no sign of a server")
+		outside := s.hosts[fmt.Sprint("h0-", i)]
+		s.g.Eventually(func() member.State { p, _ := outside.monitor.Lookup(name); return p.State }, patience).Should(Equal(member.Gone))
+		s.g.Expect(s.state(fmt.Sprint("h0-", i), "s1-0").Usable()).To(BeTrue())
+	}
+	pairs(s.net.Heal)
+	s.everywhere("s1-0", (*server.State).Usable, false)
+}
+
 // Load reports reach the hosts that do not poll the server themselves.
 func TestLoadIsSharedInTheDomain(t *testing.T) {
 	s := newSite(t, 1, 5, 3)
