A late backend server is not taken for dead

Cause: three unanswered polls took a server out, also one that was only overloaded; its work would have gone to the others, which would have followed. Only connections that do not open count now; requests decide about the rest.

--- a/connection/serverprobe/serverprobe.go
+++ b/connection/serverprobe/serverprobe.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -40,7 +41,9 @@
 	if opts.Timeout <= 0 {
 		opts.Timeout = defaultTimeout
 	}
-	dial := (&net.Dialer{Timeout: opts.Timeout}).DialContext
+	// Below the poll's own timeout, so that a connection that does not open is
+	// told from an answer that does not come.
+	dial := (&net.Dialer{Timeout: opts.Timeout * 3 / 4}).DialContext
 	return &Client{
 		path: opts.Path, timeout: opts.Timeout,
 		kept:  &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
@@ -72,7 +75,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return report.Report{}, err
+		return report.Report{}, cause(err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
@@ -86,5 +89,13 @@
 	return report.Report(r), nil
 }
 
+func cause(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", report.ErrNoConnection, err)
+	}
+	return err
+}
+
 // Forget drops kept connections, of which one turned out to be silent.
 func (c *Client) Forget() { c.kept.CloseIdleConnections() }
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -19,8 +19,13 @@
 	"bilberrydale/process/server"
 )
 
-// ErrNoReport: the server answered, but not with a load report.
-var ErrNoReport = errors.New("report: the server gives no load report")
+// Errors of a poll. Use errors.Is.
+var (
+	// ErrNoReport: the server answered, but not with a load report.
+	ErrNoReport = errors.New("report: the server gives no load report")
+	// ErrNoConnection: no connection to the server could be opened.
+	ErrNoConnection = errors.New("report: no connection to the server")
+)
 
 // Report is a backend server's own account.
 type Report struct {
@@ -34,7 +39,8 @@
 
 // Prober asks backend servers.
 type Prober interface {
-	// Report polls address, on a fresh connection if fresh is set.
+	// Report polls address, on a fresh connection if fresh is set. It returns
+	// ErrNoReport, ErrNoConnection, or another error when no answer came.
 	Report(ctx context.Context, address string, fresh bool) (Report, error)
 	// Forget drops kept connections.
 	Forget()
@@ -76,10 +82,15 @@
 	}
 }
 
-// silentPolls is how many polls in a row have to go unanswered, the fresh ones
-// included, before a server that refuses no connection is taken for dead: an
-// overloaded server answers late.
-const silentPolls = 3
+// Polls in a row that open no connection before a server is taken for dead: a
+// refused connection says that no process listens, a lost one may be a full
+// queue. A server that takes connections and answers late or never is not
+// taken out here: an overloaded one does that too, and taking it out would
+// overload the others in turn. Requests to it decide (version/pick ejects).
+const (
+	refusedPolls = 2
+	lostPolls    = 3
+)
 
 // Counters count a Watcher's work.
 type Counters struct{ Rounds, Polls, Lists, Shared, SharedBytes atomic.Int64 }
@@ -239,7 +250,7 @@
 	case errors.Is(err, ErrNoReport):
 		w.answered(k)
 	default:
-		w.failed(k, errors.Is(err, syscall.ECONNREFUSED))
+		w.failed(k, err)
 	}
 }
 
@@ -257,11 +268,17 @@
 
 func (w *Watcher) answered(k *known) { w.observe(k, func(s *sign) { s.Down = false }) }
 
-func (w *Watcher) failed(k *known, refused bool) {
+func (w *Watcher) failed(k *known, err error) {
+	limit := lostPolls
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		limit = refusedPolls
+	}
 	w.mu.Lock()
-	k.missed++
-	dead := k.missed >= silentPolls || (refused && k.missed >= 2)
 	k.busy = false
+	if errors.Is(err, ErrNoConnection) {
+		k.missed++
+	}
+	dead := k.missed >= limit
 	w.mu.Unlock()
 	if dead {
 		w.observe(k, func(s *sign) { s.Down = true })
--- a/process/report/signs.go
+++ b/process/report/signs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/bits"
 	"net"
 	"time"
@@ -133,7 +134,7 @@
 	down := true
 	for try := 0; try < 2 && down; try++ {
 		_, err := w.opts.Prober.Report(context.Background(), k.target.State.Address, true)
-		down = err != nil && err != ErrNoReport
+		down = errors.Is(err, ErrNoConnection)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
