A dial ends with its context; an order is confirmed by a later report too

Cause: in a run of three real hosts a stopped one (SIGSTOP) was gone for its peer only after 5.35 s: the handshake of a fresh connection waited its own 2 s and not the caller's 0.8 s. The counter of confirmed orders stood at 0 after an order that the engine had carried out, since its report lags. Seen red: with the handshake's own limit the dial outlasted its context.

--- a/connection/peerconn/conn.go
+++ b/connection/peerconn/conn.go
@@ -96,6 +96,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer: %w", err)
 	}
+	// A stopped process still has its connections opened by its kernel; only
+	// the handshake then tells, and it must not outlast the caller's patience.
+	if deadline, ok := ctx.Deadline(); ok {
+		opts.Handshake = time.Until(deadline)
+	}
 	return open(raw, opts, serve, dialHandshake)
 }
 
--- a/connection/peerconn/peerconn_test.go
+++ b/connection/peerconn/peerconn_test.go
@@ -271,6 +271,26 @@
 	}, 10*time.Second).Should(Succeed())
 }
 
+// A peer's process is stopped. Its kernel still opens the connection and nobody
+// answers the handshake. The caller's deadline ends the wait, not the longer
+// limit of a handshake: a host's judgement would be late by that much.
+func TestDialEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	opts := options(ada, "s")
+	opts.Handshake = time.Hour
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		_, err := Dial(ctx, l.Addr().String(), opts, echo)
+		done <- err
+	}()
+	g.Eventually(done, 10*time.Second).Should(Receive(HaveOccurred()))
+}
+
 // FuzzGreeting feeds the acceptor what a stranger may send: it must neither
 // panic nor take anybody for proven who does not know the secret.
 func FuzzGreeting(f *testing.F) {
--- a/process/order/order.go
+++ b/process/order/order.go
@@ -106,13 +106,14 @@
 	limiter *rate.Limiter
 	mu      sync.Mutex
 	next    map[string]time.Time // earliest next order by address
+	sent    map[string]bool      // addresses whose order is not confirmed
 	unsure  time.Time            // until when an order without an answer may still arrive
 }
 
 // New returns a manager.
 func New(opts Options) *Manager {
 	opts.setDefaults()
-	return &Manager{opts: opts, limiter: rate.NewLimiter(rate.Limit(opts.Rate), opts.Parallel), next: map[string]time.Time{}}
+	return &Manager{opts: opts, limiter: rate.NewLimiter(rate.Limit(opts.Rate), opts.Parallel), next: map[string]time.Time{}, sent: map[string]bool{}}
 }
 
 // releaseTimeout bounds the giving up of the lease at the end.
@@ -172,10 +173,11 @@
 	defer m.mu.Unlock()
 	var out []Target
 	for _, t := range m.opts.Targets() {
-		if now.Before(m.next[t.Address]) {
+		if t.Reported != nil && t.satisfied(*t.Reported) {
+			m.confirm(t)
 			continue
 		}
-		if t.Reported != nil && t.satisfied(*t.Reported) {
+		if now.Before(m.next[t.Address]) {
 			continue
 		}
 		if !m.limiter.AllowN(now, 1) {
@@ -200,7 +202,20 @@
 	if !m.send(ctx, t) {
 		return
 	}
-	if s, err := m.read(ctx, t); err == nil && t.satisfied(s) {
+	s, err := m.read(ctx, t)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent[t.Address] = true
+	if err == nil && t.satisfied(s) {
+		m.confirm(t)
+	}
+}
+
+// confirm counts an order whose result was seen; an engine's report lags, so
+// that is often a later one than the first read.
+func (m *Manager) confirm(t Target) {
+	if m.sent[t.Address] {
+		delete(m.sent, t.Address)
 		m.Counters.Confirmed.Add(1)
 	}
 }
