Operators' calls wait out the platform's call rate

A call refused for the rate wrote nothing; it is repeated by itself, with a growing random wait.

Seen red: without the patience, 100 operators at 600 calls/s.

--- a/process/release/chain.go
+++ b/process/release/chain.go
@@ -100,12 +100,12 @@
 
 // History returns up to n accepted releases, the newest first, without rows.
 func (p *Publisher) History(ctx context.Context, n int) ([]Ref, error) {
-	head, _, err := readHead(ctx, p.Store)
+	head, _, err := readHead(ctx, p.store())
 	if err != nil {
 		return nil, err
 	}
 	var refs []Ref
-	err = walk(ctx, p.Store, head, func(r Ref) bool {
+	err = walk(ctx, p.store(), head, func(r Ref) bool {
 		if len(refs) < n {
 			refs = append(refs, r)
 		}
@@ -119,7 +119,7 @@
 
 // At returns the accepted release of the given number with its rows.
 func (p *Publisher) At(ctx context.Context, number uint64) (Release, error) {
-	head, _, err := readHead(ctx, p.Store)
+	head, _, err := readHead(ctx, p.store())
 	if err != nil {
 		return Release{}, err
 	}
@@ -128,17 +128,17 @@
 
 func (p *Publisher) at(ctx context.Context, head Head, number uint64) (Release, error) {
 	if number == head.Number {
-		return loadParts(ctx, p.Store, head)
+		return loadParts(ctx, p.store(), head)
 	}
-	ref, err := find(ctx, p.Store, head, number)
+	ref, err := find(ctx, p.store(), head, number)
 	if err != nil {
 		return Release{}, err
 	}
-	record, err := readRecord(ctx, p.Store, ref)
+	record, err := readRecord(ctx, p.store(), ref)
 	if err != nil {
 		return Release{}, err
 	}
-	return loadParts(ctx, p.Store, record)
+	return loadParts(ctx, p.store(), record)
 }
 
 // Rollback accepts a new release with the rows of the release of the given
--- a/process/release/commit.go
+++ b/process/release/commit.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	_, err = p.Store.Put(ctx, HeadKey, data, b.obj.Version)
+	_, err = p.store().Put(ctx, HeadKey, data, b.obj.Version)
 	if errors.Is(err, platform.ErrUnknownOutcome) {
 		return p.resolve(ctx, rel.Ref(), err)
 	}
@@ -141,7 +141,7 @@
 		if err = p.pause(ctx, try); err != nil {
 			break
 		}
-		_, err = p.Store.Put(ctx, key, data, 0)
+		_, err = p.store().Put(ctx, key, data, 0)
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
@@ -244,12 +244,12 @@
 		if from+kept >= newest {
 			break
 		}
-		objs, err := p.Store.List(ctx, numberPrefix(from))
+		objs, err := p.store().List(ctx, numberPrefix(from))
 		if err != nil {
 			break
 		}
 		for _, o := range objs {
-			if err := p.Store.Delete(ctx, o.Key, o.Version); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			if err := p.store().Delete(ctx, o.Key, o.Version); err != nil && !errors.Is(err, platform.ErrNotFound) {
 				return from
 			}
 		}
--- a/process/release/floor.go
+++ b/process/release/floor.go
@@ -52,7 +52,7 @@
 // would get a number that entry hosts have seen with other content, and they
 // would either ignore it or disagree with each other.
 func (p *Publisher) checkFloor(ctx context.Context, head Head) error {
-	f, _, err := readFloor(ctx, p.Store)
+	f, _, err := readFloor(ctx, p.store())
 	if err != nil {
 		return err
 	}
@@ -70,11 +70,11 @@
 	if err := rel.Verify(); err != nil {
 		return Release{}, err
 	}
-	head, obj, err := readHead(ctx, p.Store)
+	head, obj, err := readHead(ctx, p.store())
 	if err != nil {
 		return Release{}, err
 	}
-	floor, _, err := readFloor(ctx, p.Store)
+	floor, _, err := readFloor(ctx, p.store())
 	if err != nil {
 		return Release{}, err
 	}
--- a/process/release/publish.go
+++ b/process/release/publish.go
@@ -36,14 +36,19 @@
 // is the head object's, to be given to a conditional update. A platform that
 // has no release yet gives an empty one numbered 0.
 func (p *Publisher) Head(ctx context.Context) (Release, uint64, error) {
-	head, obj, err := readHead(ctx, p.Store)
+	head, obj, err := readHead(ctx, p.store())
 	if err != nil {
 		return Release{}, 0, err
 	}
-	rel, err := loadParts(ctx, p.Store, head)
+	rel, err := loadParts(ctx, p.store(), head)
 	return rel, obj.Version, err
 }
 
+// store is the platform, with patience for its call rate.
+func (p *Publisher) store() platform.Store {
+	return platform.Patient{Store: p.Store, Clock: p.Clock, Rand: p.Rand}
+}
+
 // base is the state that a commit builds on.
 type base struct {
 	head Head
@@ -57,7 +62,7 @@
 }
 
 func (p *Publisher) read(ctx context.Context) (base, error) {
-	head, obj, err := readHead(ctx, p.Store)
+	head, obj, err := readHead(ctx, p.store())
 	if err != nil {
 		return base{}, err
 	}
@@ -66,7 +71,7 @@
 
 // complete reads the rows of head and checks it against the floor.
 func (p *Publisher) complete(ctx context.Context, head Head, obj platform.Object) (base, error) {
-	rel, err := loadParts(ctx, p.Store, head)
+	rel, err := loadParts(ctx, p.store(), head)
 	if err != nil {
 		return base{}, err
 	}
@@ -144,7 +149,7 @@
 		if err := p.pause(ctx, try); err != nil {
 			return fmt.Errorf("%w (reading back: %w)", cause, err)
 		}
-		head, obj, err := readHead(ctx, p.Store)
+		head, obj, err := readHead(ctx, p.store())
 		if err != nil {
 			continue
 		}
@@ -154,7 +159,7 @@
 			}
 			continue
 		}
-		accepted, err := find(ctx, p.Store, head, ref.Number)
+		accepted, err := find(ctx, p.store(), head, ref.Number)
 		if errors.Is(err, ErrNotKept) {
 			return fmt.Errorf("%w: %w", cause, err)
 		}
@@ -177,6 +182,6 @@
 	if obj.Version == 0 {
 		obj.Value = []byte("{}") // a head that names no release
 	}
-	_, err := p.Store.Put(ctx, HeadKey, obj.Value, obj.Version)
+	_, err := p.store().Put(ctx, HeadKey, obj.Value, obj.Version)
 	return err
 }
--- a/process/release/publish_test.go
+++ b/process/release/publish_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// A backlog meets the platform's call rate: most calls of a hundred operators are
+// refused at first. They wait and go on; nobody is told less than accepted.
+func TestBacklogWithinTheCallRate(t *testing.T) {
+	g := NewWithT(t)
+	ctx, objects := context.Background(), standin.New()
+	objects.SetFaults(standin.Faults{CallBudget: 600})
+	errs := race(100, func(i int) error {
+		_, err := publisher(objects, uint64(i)).Apply(ctx, put(fmt.Sprint("op", i), fmt.Sprintf("pools/%03d", i), "x", 0))
+		return err
+	})
+	g.Expect(errors.Join(errs...)).NotTo(HaveOccurred())
+	objects.SetFaults(standin.Faults{})
+	g.Expect(must(g)(objects2head(ctx, objects)).Rows).To(HaveLen(100))
+}
+
 func race(n int, f func(i int) error) []error {
 	errs := make([]error, n)
 	var wg sync.WaitGroup
--- a/process/release/queue.go
+++ b/process/release/queue.go
@@ -15,6 +15,8 @@
 	// queueLife is how long a queued set may wait for its writer. A writer
 	// that died must not have its edit accepted hours later.
 	queueLife = 30 * time.Second
+	// giveUpTime is how long a writer tries to withdraw its set at the end.
+	giveUpTime = 5 * time.Second
 	// groupSize bounds the change sets of one release.
 	groupSize = 400
 	// headWait is the longest wait for somebody else's commit, in jittered
@@ -77,7 +79,7 @@
 func (q *queued) wait(ctx context.Context, try int) {
 	limit := headWait * time.Duration(min(try+1, 8))
 	wait := time.Duration((0.1 + 0.9*q.p.Rand.Float64()) * float64(limit))
-	if _, err := q.p.Store.Watch(ctx, HeadKey, q.version, wait); err != nil {
+	if _, err := q.p.store().Watch(ctx, HeadKey, q.version, wait); err != nil {
 		_ = q.p.pause(ctx, try+1)
 	}
 }
@@ -86,7 +88,7 @@
 // queue. The head is read before the queue: withdraw depends on that order. Rows
 // are read only by the few writers that prepare a commit.
 func (q *queued) step(ctx context.Context, try int) (Release, bool, error) {
-	head, obj, err := readHead(ctx, q.p.Store)
+	head, obj, err := readHead(ctx, q.p.store())
 	if err != nil {
 		return Release{}, false, err
 	}
@@ -181,7 +183,7 @@
 func (p *Publisher) setsSince(ctx context.Context, head Head, since uint64) (map[string]uint64, error) {
 	done := map[string]uint64{}
 	var refs []Ref
-	err := walk(ctx, p.Store, head, func(r Ref) bool {
+	err := walk(ctx, p.store(), head, func(r Ref) bool {
 		if r.Number > since {
 			refs = append(refs, r)
 		}
@@ -193,7 +195,7 @@
 	for _, ref := range refs {
 		record := head
 		if ref.Number != head.Number {
-			if record, err = readRecord(ctx, p.Store, ref); err != nil {
+			if record, err = readRecord(ctx, p.store(), ref); err != nil {
 				return nil, err
 			}
 		}
@@ -209,7 +211,7 @@
 // writer may have died before removing it, and accepting it again would bring
 // back a row that somebody has deleted since.
 func (q *queued) pending(ctx context.Context, head Head) ([]ChangeSet, error) {
-	objs, err := q.p.Store.List(ctx, queuePrefix)
+	objs, err := q.p.store().List(ctx, queuePrefix)
 	if err != nil {
 		return nil, fmt.Errorf("read queue: %w", err)
 	}
@@ -219,7 +221,7 @@
 	for _, o := range objs {
 		var e entry
 		if err := json.Unmarshal(o.Value, &e); err != nil || q.expired(e, head) {
-			_ = q.p.Store.Delete(ctx, o.Key, o.Version)
+			_ = q.p.store().Delete(ctx, o.Key, o.Version)
 			continue
 		}
 		if e.Set.ID != q.set.ID && len(entries) < groupSize {
@@ -247,9 +249,9 @@
 }
 
 func (q *queued) remove(ctx context.Context) {
-	obj, err := q.p.Store.Get(ctx, q.key)
+	obj, err := q.p.store().Get(ctx, q.key)
 	if err == nil {
-		_ = q.p.Store.Delete(ctx, q.key, obj.Version)
+		_ = q.p.store().Delete(ctx, q.key, obj.Version)
 	}
 }
 
@@ -258,19 +260,19 @@
 // before the removal built on a head read even earlier; once the head has a
 // newer version its update fails. So: remove, read, fence.
 func (q *queued) withdraw(ctx context.Context, refusal error) (Release, bool, error) {
-	obj, err := q.p.Store.Get(ctx, q.key)
+	obj, err := q.p.store().Get(ctx, q.key)
 	if err == nil {
-		err = q.p.Store.Delete(ctx, q.key, obj.Version)
+		err = q.p.store().Delete(ctx, q.key, obj.Version)
 	}
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return Release{}, false, err
 	}
-	head, obj, err := readHead(ctx, q.p.Store)
+	head, obj, err := readHead(ctx, q.p.store())
 	if err == nil {
 		err = q.p.fence(ctx, obj)
 	}
 	if errors.Is(err, platform.ErrConflict) {
-		head, _, err = readHead(ctx, q.p.Store)
+		head, _, err = readHead(ctx, q.p.store())
 	}
 	if err != nil {
 		return Release{}, false, err
@@ -283,7 +285,7 @@
 
 // giveUp ends a writer that ran out of attempts or time.
 func (q *queued) giveUp(ctx context.Context, last error) (Release, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), giveUpTime)
 	defer cancel()
 	refusal := fmt.Errorf("release not accepted after %d attempts: %w", q.p.attempts(), last)
 	rel, done, err := q.withdraw(ctx, refusal)
