--- a/entryhost/members.go
+++ b/entryhost/members.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/serverprobe"
+	"bilberrydale/process/lease"
 	"bilberrydale/process/member"
+	"bilberrydale/process/order"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/report"
 )
@@ -22,6 +25,9 @@
 
 	monitor  *member.Monitor
 	servers  *report.Watcher
+	lease    *lease.Keeper
+	orders   *order.Manager
+	accepted atomic.Pointer[modelTable]
 	mesh     *peer.Mesh
 	listener net.Listener
 }
@@ -44,6 +50,9 @@
 		Host: h.opts.Name, Incarnation: h.incarnation, Domain: h.opts.Domain, Region: h.opts.Region,
 		Address: l.Addr().String(),
 	}
+	if h.opts.Members.Advertise != "" {
+		self.Address = h.opts.Members.Advertise
+	}
 	conns := peerconn.Options{Self: self, Secret: []byte(h.opts.PeerSecret)}
 	mesh := peer.NewMesh(peer.MeshOptions{
 		Self: self, Clock: h.clock, Rand: h.rand,
@@ -84,6 +93,7 @@
 	})
 	h.add("membership", m.Run)
 	h.add("backend server reports", h.members.servers.Run)
+	h.giveOrders(m)
 }
 
 // targets returns the backend servers of the tables in force.
