--- a/process/release/spread_bench_test.go
+++ b/process/release/spread_bench_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"sort"
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,6 +144,23 @@
 	return calls, bytes, most
 }
 
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heapKB returns the live heap for each host, the platform's and the harness's
+// share included.
+func (fl *fleet) heapKB() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1024 / float64(len(fl.hosts))
+}
+
 func BenchmarkInForce(b *testing.B) {
 	for _, hold := range []time.Duration{0, 100 * time.Millisecond, 250 * time.Millisecond} {
 		for _, n := range []int{6, 12, 24, 48} {
@@ -155,6 +174,7 @@
 					all = append(all, fl.delays(rel, at))
 				}
 				report(b, all)
+				b.ReportMetric(fl.heapKB(), "heapKB/host")
 				calls, bytes, most := fl.traffic()
 				b.ReportMetric(float64(calls-calls0)/float64(b.N*domains), "calls/domain/op")
 				b.ReportMetric(float64(bytes-bytes0)/float64(b.N*n), "peerB/host/op")
@@ -223,11 +243,14 @@
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			fl := benchFleet(b, n, DefaultHold)
 			calls0, bytes0, most0 := fl.traffic()
+			cpu0 := processorTime()
 			for range b.N {
 				pass(period)
 			}
+			cpu := processorTime() - cpu0
 			calls, bytes, most := fl.traffic()
 			seconds := period.Seconds() * float64(b.N)
+			b.ReportMetric(float64(cpu.Microseconds())/seconds/float64(n), "cpu-us/host/s")
 			b.ReportMetric(float64(calls-calls0)/seconds/domains, "calls/domain/s")
 			b.ReportMetric(float64(bytes-bytes0)/seconds/float64(n), "peerB/host/s")
 			b.ReportMetric(float64(most-most0)/seconds, "peerB/busiest/s")
