Round trips to peers smoothed: a loaded host no longer switches early

Cause: the single round trip of a fetch includes the wait for a processor; half of it made hosts switch early.

--- a/entryhost/releases_bench_test.go
+++ b/entryhost/releases_bench_test.go
@@ -29,6 +29,9 @@
 	tables  table.Tables
 }
 
+// settleTime is how often a watcher measures its way to the platform.
+const settleTime = 5 * time.Second
+
 func newReleaseBench(b *testing.B, n int) *releaseBench {
 	RegisterTestingT(b)
 	r := &releaseBench{objects: standin.New()}
@@ -66,6 +69,7 @@
 		Eventually(h.ready, 10*time.Second).Should(BeTrue())
 		Eventually(func() int { return len(h.members.view.Peers()) }, 20*time.Second).Should(Equal(n - 1))
 	}
+	<-time.After(2 * settleTime) // round trips measured while all start are too long
 	return r
 }
 
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -180,9 +180,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var a summary
+	asked := s.f.opts.Clock.Now()
 	if err := s.opts.Link.Call(callCtx, p.Host, methodSummary, nil, &a); err != nil {
 		return err
 	}
+	s.measured(p.Host, s.f.opts.Clock.Now().Sub(asked))
 	if a.Platform >= 0 && p.Domain == s.opts.Link.Self().Domain {
 		s.heardPlatform(time.Duration(a.Platform) * time.Millisecond)
 	}
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -61,8 +61,9 @@
 	mu          sync.Mutex
 	sent        map[string]uint64 // root -> number forwarded last
 	pulling     map[uint64]chan struct{}
-	pullingNear map[uint64]bool // those of pulling that come from this domain
-	heardOf     time.Time       // when a watcher of the domain last reached the platform, as told
+	pullingNear map[uint64]bool      // those of pulling that come from this domain
+	trips       map[string]roundTrip // by peer
+	heardOf     time.Time            // when a watcher of the domain last reached the platform, as told
 }
 
 // NewSpread registers the peer methods; it is called before the link starts.
@@ -76,7 +77,7 @@
 	if opts.Silence <= 0 {
 		opts.Silence = defaultSilence
 	}
-	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, pullingNear: map[uint64]bool{}}
+	s := &Spread{opts: opts, f: opts.Follower, sent: map[string]uint64{}, pulling: map[uint64]chan struct{}{}, pullingNear: map[uint64]bool{}, trips: map[string]roundTrip{}}
 	if opts.Link == nil {
 		return s
 	}
@@ -178,10 +179,10 @@
 		return fmt.Errorf("fetch release from %s: %w", host, err)
 	}
 	now := s.f.opts.Clock.Now()
-	// The answer was half of the time on the wire under way. Without it each
-	// step would put the switch off by that much.
-	wire := now.Sub(asked) - time.Duration(t.Spent)*time.Microsecond
-	origin := now.Add(-time.Duration(t.Age)*time.Microsecond - min(max(wire, 0)/2, maxOneWay))
+	// The answer was under way for some time. Without it each step would put the
+	// switch off by that much.
+	way := s.measured(host, now.Sub(asked)-time.Duration(t.Spent)*time.Microsecond)
+	origin := now.Add(-time.Duration(t.Age)*time.Microsecond - way)
 	rel, err := t.release(base)
 	if err == nil {
 		err = s.f.Offer(rel, s.f.opts.Clock.Now().Sub(origin), host)
@@ -189,6 +190,24 @@
 	return err
 }
 
+// tripsKept bounds the peers whose round trip is remembered.
+const tripsKept = 512
+
+// measured takes the time of one call to host and returns the estimate of a
+// message's way. The smoothed lowest time counts and not this one: on a loaded
+// host a call waits for a processor, and its half would switch the host early.
+func (s *Spread) measured(host string, d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.trips) >= tripsKept {
+		clear(s.trips)
+	}
+	trip := s.trips[host]
+	trip.measured(max(d, time.Microsecond))
+	s.trips[host] = trip
+	return min(trip.oneWay(), d/2)
+}
+
 func (s *Spread) onFetch(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
 	var ask fetch
 	if err := msgpack.Unmarshal(payload, &ask); err != nil {
--- a/process/release/spread_bench_test.go
+++ b/process/release/spread_bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"runtime"
+	"slices"
 	"sort"
 	"syscall"
 	"testing"
@@ -211,6 +212,32 @@
 	}
 }
 
+// BenchmarkCutDomain accepts a change while one domain does not reach the
+// platform, and measures its hosts, which learn of it from other domains.
+func BenchmarkCutDomain(b *testing.B) {
+	for _, n := range []int{6, 48} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			fl := benchFleet(b, n, DefaultHold)
+			for _, h := range fl.domain("d1") {
+				h.line.cut()
+			}
+			var all [][]time.Duration
+			for i := range b.N {
+				rel, at := fl.change(i + 1)
+				fl.inForce(rel)
+				var cut []time.Duration
+				for _, h := range fl.domain("d1") {
+					t, _ := h.log.Load(rel.Number)
+					cut = append(cut, t.(time.Time).Sub(at))
+				}
+				slices.Sort(cut)
+				all = append(all, cut)
+			}
+			report(b, all)
+		})
+	}
+}
+
 // BenchmarkKilledWatcher kills the first watcher of a domain just before the
 // change, while the membership still lists it.
 func BenchmarkKilledWatcher(b *testing.B) {
--- a/process/release/watch.go
+++ b/process/release/watch.go
@@ -18,24 +18,33 @@
 type watchState struct {
 	answered time.Time // last answer of the platform; zero: it failed since
 	head     uint64    // number of the head read last
-	// roundTrip is the time of a read of the platform, smoothed. Half of it is
-	// how old a change is when the watch tells of it.
-	roundTrip time.Duration
+	// trip is the time of a read of the platform. Half of it is how old a
+	// change is when the watch tells of it.
+	trip roundTrip
 }
 
+// roundTrip is the time of a call and its answer, smoothed.
+type roundTrip time.Duration
+
 // roundTripShare is the weight of a new measurement that is above the present
 // one; a lower one counts at once, because only queueing makes it higher.
 const roundTripShare = 16
 
+func (r *roundTrip) measured(d time.Duration) {
+	if *r == 0 || d < time.Duration(*r) {
+		*r = roundTrip(d)
+		return
+	}
+	*r += (roundTrip(d) - *r) / roundTripShare
+}
+
+// oneWay estimates the way of one message.
+func (r roundTrip) oneWay() time.Duration { return min(time.Duration(r)/2, maxOneWay) }
+
 func (f *Follower) measured(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &f.watch
-	if w.roundTrip == 0 || d < w.roundTrip {
-		w.roundTrip = d
-		return
-	}
-	w.roundTrip += (d - w.roundTrip) / roundTripShare
+	f.watch.trip.measured(d)
 }
 
 // platformAnsweredAt returns when the platform last answered this host; zero:
@@ -149,7 +158,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	received := f.opts.Clock.Now().Add(-min(f.watch.roundTrip/2, maxOneWay))
+	received := f.opts.Clock.Now().Add(-f.watch.trip.oneWay())
 	f.mu.Unlock()
 	rel, ok := f.fromDelta(head.Release, head.Delta)
 	if !ok {
