A model version awaited by a release about to be in force is not forgotten

Cause (found by reading, then a test): the gate of model versions compiles the release in force again every 500 ms; when that fell into the 100 ms in which a newer release waits for its switch, the newer one's awaited version was taken as settled, and its pool stayed on the earlier version for good.

Seen red: compiling the earlier release while a newer one waits.

--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -13,8 +13,9 @@
 )
 
 // Compile checks and builds a release and returns the function that puts it in
-// force. It is called with rising numbers, by one goroutine at a time. An error
-// leaves the earlier release in force.
+// force. It is called with rising numbers, or again with the one in force (see
+// Recompile), by one goroutine at a time. An error leaves the earlier release in
+// force.
 type Compile func(Release) (putInForce func(), err error)
 
 // FollowerOptions configure a Follower; zero values get defaults.
@@ -259,11 +260,13 @@
 }
 
 // Recompile compiles the release in force again and puts the result in force,
-// for what the compiled form takes from outside the release.
+// for what the compiled form takes from outside the release. It does nothing
+// while a newer one waits for its switch: what the earlier one takes would be
+// the last that Compile has seen, and the newer one would keep its first result.
 func (f *Follower) Recompile() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.current.Number == 0 {
+	if f.current.Number == 0 || f.next != nil {
 		return nil
 	}
 	switchF, err := f.opts.Compile(f.current)
--- a/process/release/follow_test.go
+++ b/process/release/follow_test.go
@@ -84,6 +84,23 @@
 	g.Expect(f.LastError()).NotTo(HaveOccurred())
 }
 
+// The release in force is compiled again, as when a model has been loaded, while
+// a newer one waits for its switch. What was compiled last has to be the newer
+// one: the entry host takes from it whether some model is still awaited.
+func TestRecompileLeavesTheNewerReleaseLast(t *testing.T) {
+	g := NewWithT(t)
+	var compiled []uint64
+	f := NewFollower(FollowerOptions{Clock: clock.NewManual(time.Unix(1000, 0)), Hold: time.Second, Compile: func(r Release) (func(), error) {
+		compiled = append(compiled, r.Number)
+		return func() {}, nil
+	}})
+	g.Expect(f.Offer(numbered(1, "a"), 0, "x")).To(Succeed())
+	g.Expect(f.Recompile()).To(Succeed())
+	g.Expect(f.Offer(numbered(2, "b"), 0, "x")).To(Succeed())
+	g.Expect(f.Recompile()).To(Succeed())
+	g.Expect(compiled).To(Equal([]uint64{1, 1, 2}))
+}
+
 // Operators edit rows from versions that they read some time ago, answers are
 // lost, the platform answers stale, hosts read, pass releases on in any order
 // and restart. The platform's rows are at every time what a plain map says, and
