--- a/internal/ctl/releases.go
+++ b/internal/ctl/releases.go
@@ -10,10 +10,11 @@
 )
 
 func releaseCommands() []*command {
-	h := &historyCommand{count: 20}
+	h, rec := &historyCommand{count: 20}, &recoverCommand{}
 	return []*command{
 		{name: "history", help: "show the accepted releases, the newest first", flags: h.flags, run: h.run},
 		{name: "rollback", help: "make the content of an earlier release the next release", arg: "release", run: rollback},
+		{name: "recover", help: "after a restore of the platform: accept the tables that an entry host has in force", arg: "host", flags: rec.flags, run: rec.run},
 	}
 }
 
