--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -47,15 +47,10 @@
 // flushTimeout bounds the last write of claims' outcomes.
 const flushTimeout = 2 * time.Second
 
-// flushClaims waits for the last request of a shutdown and then writes down
-// which keys ran, so that resends to other hosts learn it.
+// flushClaims waits for the last request of a drain and then writes down which
+// keys ran, so that resends to other hosts learn it.
 func (h *Host) flushClaims(ctx context.Context) error {
-	<-ctx.Done()
-	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.opts.DrainTimeout)
-	defer cancel()
-	if h.gate.Wait(wait) != nil {
-		return nil // shutdown reports what was still in flight
-	}
+	_ = h.gate.Wait(ctx) // a drain that takes too long ends ctx
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
 	if err := h.requests.claims.Flush(flush); err != nil {
