--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"time"
 
@@ -37,6 +38,9 @@
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
 		Options: h.opts.Requests.Run, Apart: p.guard,
 	}
+	requestVars.Set(h.opts.Name, expvar.Func(func() any {
+		return map[string]any{"attempts": runner.Counters.Map(), "claims": p.claims.Counters.Map(), "quarantine": p.guard.List()}
+	}))
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
 		Gate: &h.gate, Clock: h.clock, Log: h.log, LogLimit: rate.NewLimiter(rate.Limit(h.opts.LogRefusals), h.opts.LogRefusals), Tracer: h.tracer,
@@ -44,6 +48,9 @@
 	}
 }
 
+// requestVars shows every entry host of the process by name.
+var requestVars = expvar.NewMap("requests")
+
 // flushTimeout bounds the last write of claims' outcomes.
 const flushTimeout = 2 * time.Second
 
--- a/process/claim/commit.go
+++ b/process/claim/commit.go
@@ -65,6 +65,13 @@
 	Reads, Writes, Conflicts, Lost, Claims atomic.Int64
 }
 
+// Map returns the counts by name.
+func (c *CommitCounters) Map() map[string]int64 {
+	return map[string]int64{
+		"reads": c.Reads.Load(), "writes": c.Writes.Load(), "conflicts": c.Conflicts.Load(), "lost": c.Lost.Load(), "claims": c.Claims.Load(),
+	}
+}
+
 // committer writes claims: many operations of one shard travel in one
 // conditional update of the shard's object (group commit). While one update is
 // on its way, the next batch gathers behind it.
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -130,6 +130,14 @@
 	}
 }
 
+// answers is alive for one that only doubts a connection: doubts about the same
+// server share a probe, so that a slow pool is not flooded with them. A death
+// is judged by a probe of its own, begun after it.
+func (x *run) answers(a *attempt) bool {
+	v, _, _ := x.probes.Do(a.server.Address, func() (any, error) { return x.alive(a), nil })
+	return v.(bool)
+}
+
 // alive asks the server on a fresh connection, whatever became of the request.
 func (x *run) alive(a *attempt) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), x.Options.ProbeTime)
--- a/request/pipeline/once.go
+++ b/request/pipeline/once.go
@@ -102,7 +102,7 @@
 			// connection either, or an old connection that stays silent while
 			// the server answers new ones, is not waited for any longer.
 			lostOnOld := alive && reused
-			alive = x.alive(a)
+			alive = x.answers(a)
 			if alive && !lostOnOld {
 				continue
 			}
--- a/request/pipeline/options.go
+++ b/request/pipeline/options.go
@@ -32,3 +32,11 @@
 type Counters struct {
 	Retries, RetriesDenied, Doubted, ProbesFailed, Resumed, LateUsed atomic.Int64
 }
+
+// Map returns the counts by name.
+func (c *Counters) Map() map[string]int64 {
+	return map[string]int64{
+		"retries": c.Retries.Load(), "retries_denied": c.RetriesDenied.Load(), "doubted": c.Doubted.Load(),
+		"probes_failed": c.ProbesFailed.Load(), "resumed": c.Resumed.Load(), "late_used": c.LateUsed.Load(),
+	}
+}
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/singleflight"
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/admission"
@@ -34,7 +35,8 @@
 	Options     Options
 	Counters    Counters
 
-	pools pools
+	pools  pools
+	probes singleflight.Group
 }
 
 // Request is one admitted request.
--- a/request/pipeline/repeat.go
+++ b/request/pipeline/repeat.go
@@ -56,7 +56,7 @@
 			}
 		case a := <-r.doubts:
 			x.Counters.Doubted.Add(1)
-			go func() { r.probes <- probed{a, x.alive(a)} }()
+			go func() { r.probes <- probed{a, x.answers(a)} }()
 		case p := <-r.probes:
 			r.judged(p)
 		case <-ctx.Done():
--- a/request/pipeline/stream.go
+++ b/request/pipeline/stream.go
@@ -70,7 +70,7 @@
 		s.Counters.Doubted.Add(1)
 		// A server that answers on a new connection and is silent on a new
 		// one too is slow; cutting it off would only add to its load.
-		return !s.alive(a) || reused
+		return !s.answers(a) || reused
 	}
 	s.at = s.Clock.Now()
 	return s.do(ctx, s.st, a, func(ctx context.Context) error {
