A service's refusal is kept as the key's answer; a minter out of reach is worth coming back for

Cause: a booking that its service refused was 'outcome unknown' on the resend, and a ticket whose minter is cut off was told that it belongs to a host that is gone, without a time to come back. A full table no longer looks at every key for each refusal.

--- a/process/claim/table.go
+++ b/process/claim/table.go
@@ -49,7 +49,12 @@
 	swept   time.Time
 }
 
-const sweepsPerAnswerTime = 8
+// A sweep looks at every key: it is rare, and when the table is full it is not
+// made for each request that is refused.
+const (
+	sweepsPerAnswerTime = 8
+	minSweep            = time.Second
+)
 
 func newTable(clk clock.Clock, opts Options) *table {
 	return &table{clock: clk, opts: opts, byID: map[ID]*holding{}}
@@ -157,7 +162,9 @@
 // ticket has expired: until then only this memory keeps it from running twice.
 func (t *table) sweep() {
 	now := t.clock.Now()
-	if now.Sub(t.swept) < t.opts.AnswerTime/sweepsPerAnswerTime && len(t.byID) < t.opts.MaxKeys {
+	full := len(t.byID) >= t.opts.MaxKeys
+	since := now.Sub(t.swept)
+	if since < minSweep || (since < t.opts.AnswerTime/sweepsPerAnswerTime && !full) {
 		return
 	}
 	t.swept = now
--- a/request/entry/answer.go
+++ b/request/entry/answer.go
@@ -24,6 +24,8 @@
 // with the offset of its data, and a last one marked final.
 const StreamType = "application/x-ndjson"
 
+const problemType = "application/problem+json"
+
 // Problem is the body of every error answer (RFC 9457).
 type Problem struct {
 	Type       string    `json:"type"`
@@ -57,7 +59,7 @@
 		return
 	}
 	h := c.w.Header()
-	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Type", problemType)
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter))))
 	}
--- a/request/entry/claim.go
+++ b/request/entry/claim.go
@@ -55,7 +55,10 @@
 	case claim.Unavailable:
 		e = kind.New(kind.ClaimUnavailable, "the claim could not be made")
 	case claim.Foreign:
-		e = kind.New(kind.UnknownTicket, "the entry host that minted the ticket cannot be asked, or did not mint it")
+		e = kind.New(kind.UnknownTicket, "the entry host that minted the ticket has ended, or did not mint it")
+		if res.RetryAfter > 0 {
+			e = kind.New(kind.ClaimUnavailable, "the entry host that minted the ticket cannot be reached")
+		}
 	default:
 		e = kind.New(kind.OutcomeUnknown, "an earlier attempt with this key may have run")
 	}
@@ -65,8 +68,8 @@
 
 // replay gives a kept answer, in the form that this send asks for.
 func (c *call) replay(a *claim.Answer) {
-	if !c.wantsStream() {
-		c.answer(a.Status, a.Body)
+	if !c.wantsStream() || a.Status != http.StatusOK {
+		c.write(a.Status, a.Header["Content-Type"], a.Body)
 		return
 	}
 	c.stream = &streamWriter{w: c.w}
@@ -88,11 +91,20 @@
 		c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: res.Body})
 	case !res.Started:
 		c.release(ctx, err.Dispatched)
+	case err.Kind == kind.BackendRefused:
+		// The service has answered: a resend gets the same answer.
+		c.Claims.Finish(ctx, c.claimKey, c.keepProblem(err))
 	default:
 		c.Claims.Lose(ctx, c.claimKey)
 	}
 }
 
+func (c *call) keepProblem(e *kind.Error) claim.Answer {
+	p := c.problem(e, e.Ran())
+	body, _ := json.Marshal(p) // cannot fail
+	return claim.Answer{Status: p.Status, Header: map[string]string{"Content-Type": problemType}, Body: body}
+}
+
 // release gives the key up. Stages that may be repeated may have run.
 func (c *call) release(ctx context.Context, ranPart bool) {
 	if parts, ok := c.Claims.(claim.Parts); ok && ranPart {
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -273,9 +273,14 @@
 	return nil
 }
 
-func (c *call) answer(status int, body []byte) {
+func (c *call) answer(status int, body []byte) { c.write(status, "application/json", body) }
+
+func (c *call) write(status int, contentType string, body []byte) {
 	c.answered = true
-	c.w.Header().Set("Content-Type", "application/json")
+	if contentType == "" {
+		contentType = "application/json"
+	}
+	c.w.Header().Set("Content-Type", contentType)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(body)
--- a/request/entry/headers_test.go
+++ b/request/entry/headers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -31,10 +32,16 @@
 )
 
 // counting is a backend that answers everything and counts.
-type counting struct{ calls atomic.Int64 }
+type counting struct {
+	calls atomic.Int64
+	fail  error
+}
 
 func (c *counting) Do(context.Context, *backend.Call) (*backend.Reply, error) {
 	c.calls.Add(1)
+	if c.fail != nil {
+		return nil, c.fail
+	}
 	return &backend.Reply{Status: http.StatusOK, Body: []byte(`"done"`)}, nil
 }
 
@@ -100,6 +107,21 @@
 	g.Expect(send(h, stream, "other").Code).To(Equal(http.StatusUnprocessableEntity))
 }
 
+// The service refuses a booking with a status of its own. That is its answer:
+// a resend gets it again, and not an unknown outcome.
+func TestResendOfARefusedBookingGetsTheServicesAnswer(t *testing.T) {
+	g := NewWithT(t)
+	b := &counting{fail: &backend.Error{Sent: backend.Answered, Status: http.StatusConflict, Cause: errors.New("no bars left")}}
+	h := handler(b)
+	first := send(h, map[string]string{"Idempotency-Key": "k"}, "{}")
+	again := send(h, map[string]string{"Idempotency-Key": "k"}, "{}")
+	g.Expect(first.Code).To(Equal(http.StatusBadGateway))
+	g.Expect(again.Code).To(Equal(first.Code))
+	g.Expect(again.Body.String()).To(MatchJSON(first.Body.String()))
+	g.Expect(again.Header().Get("Content-Type")).To(Equal(first.Header().Get("Content-Type")))
+	g.Expect(b.calls.Load()).To(BeEquivalentTo(1))
+}
+
 // A host that knows nothing of a key refuses a resend: it is draining, or the
 // body does not fit. The first send may have run elsewhere, so "not run" would
 // be a guess; without a key there is no first send.
