--- a/internal/faultrun/faults_test.go
+++ b/internal/faultrun/faults_test.go
@@ -15,10 +15,11 @@
 )
 
 var (
-	seedFlag = flag.Uint64("faults.seed", 1, "seed of the fault run")
-	runsFlag = flag.Int("faults.runs", 1, "runs, each with the next seed")
-	nFlag    = flag.Int("faults.n", 400, "operations of a run")
-	outFlag  = flag.String("faults.out", "", "file for the reports as JSON")
+	seedFlag      = flag.Uint64("faults.seed", 1, "seed of the fault run")
+	runsFlag      = flag.Int("faults.runs", 1, "runs, each with the next seed")
+	nFlag         = flag.Int("faults.n", 400, "operations of a run")
+	processesFlag = flag.Int("faults.processes", 24, "operations of the run over real processes")
+	outFlag       = flag.String("faults.out", "", "file for the reports as JSON")
 )
 
 const (
--- a/internal/faultrun/process_test.go
+++ b/internal/faultrun/process_test.go
@@ -66,6 +66,7 @@
 // daemon is one entry host.
 type daemon struct {
 	cmd        *exec.Cmd
+	args       []string
 	url, admin string
 }
 
@@ -99,8 +100,11 @@
 		d := &daemon{}
 		listen, admin := freeAddress(p.g), freeAddress(p.g)
 		d.url, d.admin = "http://"+listen, "http://"+admin
-		d.cmd = p.start("bilberryd", "--name", name, "--domain", "d", "--region", "r", "--platform", "http://"+store,
-			"--listen", listen, "--admin", admin, "--peer", peers[i], "--peers", peers[1-i], "--drain-delay", "0s")
+		d.args = []string{
+			"--name", name, "--domain", "d", "--region", "r", "--platform", "http://" + store,
+			"--listen", listen, "--admin", admin, "--peer", peers[i], "--peers", peers[1-i], "--drain-delay", "0s",
+		}
+		d.cmd = p.start("bilberryd", d.args...)
 		hosts = append(hosts, d)
 	}
 	for _, d := range hosts {
