--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -11,6 +12,8 @@
 	"bilberrydale/connection/backend"
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/claim"
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
 	"bilberrydale/process/quarantine"
 	"bilberrydale/request/entry"
 	"bilberrydale/request/pipeline"
@@ -26,11 +29,12 @@
 
 func (h *Host) wireRequests() {
 	p := &h.requests
-	p.guard = quarantine.NewShared(h.clock, h.rand, h.members.link, h.opts.Requests.Quarantine)
+	link := livingLink{h.members.link, h.members.view}
+	p.guard = quarantine.NewShared(h.clock, h.rand, link, h.opts.Requests.Quarantine)
 	h.add("quarantine", p.guard.Run)
 	p.claims = claim.New(claim.Config{
 		Host: h.opts.Name, Incarnation: h.incarnation, Store: h.store, Clock: h.clock,
-		Link: h.members.link, Options: h.opts.Requests.Claims,
+		Link: link, Options: h.opts.Requests.Claims,
 	})
 	h.add("claims", h.flushClaims)
 	runner := &pipeline.Runner{
@@ -48,6 +52,22 @@
 	}
 }
 
+// livingLink is a link that does not name hosts believed gone. A call to such a
+// host waits for an answer in vain: as the home of a shard it would delay every
+// claim there, and many of them would keep news from the living.
+type livingLink struct {
+	peer.Link
+	view member.View
+}
+
+// Peers implements peer.Link.
+func (l livingLink) Peers() []peer.Identity {
+	return slices.DeleteFunc(l.Link.Peers(), func(id peer.Identity) bool {
+		p, ok := l.view.Lookup(id.Host)
+		return ok && p.State == member.Gone
+	})
+}
+
 // requestVars shows every entry host of the process by name.
 var requestVars = expvar.NewMap("requests")
 
