Single-promise tests no longer hang on the machine's speed

Cause: TestForgottenConnectionsCostOneWait failed once in a whole make test on a busy machine: a draft passed its 600 ms deadline, or its probe 100 ms. These tests check orders of events, so their routes now have 10 s; the fault run and the figures keep 600 ms.

--- a/internal/faultrun/bench_test.go
+++ b/internal/faultrun/bench_test.go
@@ -54,6 +54,8 @@
 		b.Run(fmt.Sprintf("doubt=%t", doubt), func(b *testing.B) {
 			for range b.N {
 				w := newWorld(b, 1, 1)
+				w.limit = deadline
+				w.rebuild(false)
 				if !doubt {
 					w.host(0).runner.Options.MinSilence = time.Hour
 				}
