A paused process does not start a booking after its deadline

Cause: a process that wakes from a pause may run on before its timers fire; its request's context looks alive and the next stage would start, although the caller gave up and may have sent it again. The clock is asked as well, before each attempt. Red before (the booking was called), green -count=20 -race.

--- /dev/null
+++ b/request/pipeline/paused_test.go
@@ -0,0 +1,63 @@
+package pipeline
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"bilberrydale/connection/backend"
+	"bilberrydale/process/admission"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/kind"
+	"bilberrydale/process/quarantine"
+	"bilberrydale/process/server"
+	"bilberrydale/version/pick"
+	"bilberrydale/version/snapshot"
+	"bilberrydale/version/table"
+)
+
+// pausing moves the clock as a paused process sees it: during the first call.
+type pausing struct {
+	clock *clock.Manual
+	calls []string
+}
+
+func (p *pausing) Do(_ context.Context, c *backend.Call) (*backend.Reply, error) {
+	p.calls = append(p.calls, c.Stage)
+	p.clock.Advance(time.Hour)
+	return &backend.Reply{Status: 200}, nil
+}
+
+func (p *pausing) Stream(context.Context, *backend.Call, func(backend.Chunk) error) error { return nil }
+
+func (p *pausing) Probe(context.Context, *server.State) error { return nil }
+func (p *pausing) Forget(*server.State)                       {}
+
+// The process is paused for an hour between two stages. It wakes before its
+// timers fire, so the request's context still looks alive; its caller gave up
+// long ago and may have sent the booking again. The booking must not start.
+func TestPausedProcessDoesNotStartABooking(t *testing.T) {
+	g := NewWithT(t)
+	clk := clock.NewManual(time.Now())
+	b := &pausing{clock: clk}
+	state := server.NewRegistry().Get("s", "127.0.0.1:1", clk.Now())
+	pool := &snapshot.Pool{Pool: table.Pool{Name: "p"}, Picker: pick.NewRandom([]pick.Server{{State: state}})}
+	stage := func(i int, name string, repeatable bool) snapshot.Stage {
+		return snapshot.Stage{Stage: table.Stage{Name: name, Pool: "p", Budget: table.Duration(time.Second), Repeatable: repeatable}, Pool: pool, Index: i}
+	}
+	r := &Runner{
+		Backend: b, Admission: admission.Always{}, Quarantine: quarantine.Open{}, Clock: clk, Rand: clock.NewSeeded(1),
+		Tracer: noop.NewTracerProvider().Tracer(""), Options: DefaultOptions(),
+	}
+	res, err := r.Run(t.Context(), &Request{
+		Route:    &snapshot.Route{Stages: []snapshot.Stage{stage(0, "check", true), stage(1, "book", false)}},
+		Admitted: &admission.Request{Deadline: clk.Now().Add(time.Minute)},
+	})
+	g.Expect(err.Kind).To(Equal(kind.DeadlineExceeded))
+	g.Expect(err.Ran()).To(Equal(kind.RanUnknown))
+	g.Expect(res.Started).To(BeFalse())
+	g.Expect(b.calls).To(Equal([]string{"check"}))
+}
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -135,8 +135,12 @@
 
 func (x *run) expired(ctx context.Context) *kind.Error {
 	switch err := ctx.Err(); {
-	case err == nil:
+	case err == nil && x.left() > 0:
 		return nil
+	case err == nil:
+		// A process that was paused may run again before its timers do. It
+		// must not start what its caller, and others, have given up.
+		return kind.New(kind.DeadlineExceeded, "the deadline passed")
 	case errors.Is(err, context.DeadlineExceeded):
 		return kind.New(kind.DeadlineExceeded, "the deadline passed")
 	default:
