--- a/internal/faultrun/process_test.go
+++ b/internal/faultrun/process_test.go
@@ -130,14 +130,19 @@
 	return counts
 }
 
-// The daemon gets SIGTERM while a chat streams and a transfer is booked. New
-// requests are refused as draining; both in flight reach their callers whole;
-// then the process ends without an error.
+// The daemon gets SIGTERM while a chat streams. New requests are refused as
+// draining; what is in flight reaches its caller whole; then the process ends
+// without an error. It has left word on the platform of what it booked: a
+// resend to the other daemon is told that it ran.
 func TestShutdownCutsNothingInFlight(t *testing.T) {
 	t.Parallel()
 	p := build(t)
-	hosts, _, _ := p.deployment()
+	hosts, ledger, _ := p.deployment()
 	d := hosts[0]
+	booked, err := d.post("/transfer", "booked", "", "{}")
+	p.g.Expect(err).NotTo(HaveOccurred())
+	booked.Body.Close()
+	p.g.Expect(booked.StatusCode).To(Equal(http.StatusOK))
 	stream, err := d.post("/chat", "", entry.StreamType, "{}")
 	p.g.Expect(err).NotTo(HaveOccurred())
 	defer stream.Body.Close()
@@ -158,6 +163,14 @@
 	p.g.Expect(err).NotTo(HaveOccurred())
 	p.g.Expect(strings.TrimSpace(string(rest))).To(HaveSuffix(`"final":true}`))
 	p.g.Expect(d.cmd.Wait()).To(Succeed())
+
+	resent, err := hosts[1].post("/transfer", "booked", "", "{}")
+	p.g.Expect(err).NotTo(HaveOccurred())
+	defer resent.Body.Close()
+	var problem entry.Problem
+	p.g.Expect(json.NewDecoder(resent.Body).Decode(&problem)).To(Succeed())
+	p.g.Expect(problem.Ran).To(BeEquivalentTo(RanYes), problem.Detail)
+	p.g.Expect(executed(p.g, ledger)).To(HaveKeyWithValue("booked/book", 1))
 }
 
 // The daemon is killed with SIGKILL while it books, and another is stopped
