A resumed stream of a suspect takes its server again

Cause, by reading: the end of each attempt leaves the server to other suspects; the resumed attempt's end would have left it a second time, for another suspect that runs there. No test of its own.

--- a/request/pipeline/stream.go
+++ b/request/pipeline/stream.go
@@ -135,6 +135,8 @@
 		s.number++
 		s.Counters.Resumed.Add(1)
 		a.number = s.number
+		// The end of the last attempt gave the server free for other suspects.
+		a.alone = a.alone && s.Apart.Enter(a.server.Name, s.req.Fingerprint)
 		return true
 	case s.offset > 0 && s.req.Sink != nil:
 		// A server that takes no connection has lost the stream with its
