--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -10,6 +12,8 @@
 	"bilberrydale/connection/backend"
 	"bilberrydale/internal/settings"
 	"bilberrydale/process/claim"
+	"bilberrydale/process/member"
+	"bilberrydale/process/peer"
 	"bilberrydale/process/quarantine"
 	"bilberrydale/request/entry"
 	"bilberrydale/request/pipeline"
@@ -25,11 +29,12 @@
 
 func (h *Host) wireRequests() {
 	p := &h.requests
-	p.guard = quarantine.NewShared(h.clock, h.rand, h.members.link, h.opts.Requests.Quarantine)
+	link := livingLink{h.members.link, h.members.view}
+	p.guard = quarantine.NewShared(h.clock, h.rand, link, h.opts.Requests.Quarantine)
 	h.add("quarantine", p.guard.Run)
 	p.claims = claim.New(claim.Config{
 		Host: h.opts.Name, Incarnation: h.incarnation, Store: h.store, Clock: h.clock,
-		Link: h.members.link, Options: h.opts.Requests.Claims,
+		Link: link, Options: h.opts.Requests.Claims,
 	})
 	h.add("claims", h.flushClaims)
 	runner := &pipeline.Runner{
@@ -37,6 +42,9 @@
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
 		Options: h.opts.Requests.Run, Apart: p.guard,
 	}
+	requestVars.Set(h.opts.Name, expvar.Func(func() any {
+		return map[string]any{"attempts": runner.Counters.Map(), "claims": p.claims.Counters.Map(), "quarantine": p.guard.List()}
+	}))
 	p.handler = &entry.Handler{
 		InForce: &h.inForce, Runner: runner, Admission: h.policy.admit, Claims: p.claims, Quarantine: p.guard,
 		Gate: &h.gate, Clock: h.clock, Log: h.log, LogLimit: rate.NewLimiter(rate.Limit(h.opts.LogRefusals), h.opts.LogRefusals), Tracer: h.tracer,
@@ -44,18 +52,32 @@
 	}
 }
 
+// livingLink is a link that does not name hosts believed gone. A call to such a
+// host waits for an answer in vain: as the home of a shard it would delay every
+// claim there, and many of them would keep news from the living.
+type livingLink struct {
+	peer.Link
+	view member.View
+}
+
+// Peers implements peer.Link.
+func (l livingLink) Peers() []peer.Identity {
+	return slices.DeleteFunc(l.Link.Peers(), func(id peer.Identity) bool {
+		p, ok := l.view.Lookup(id.Host)
+		return ok && p.State == member.Gone
+	})
+}
+
+// requestVars shows every entry host of the process by name.
+var requestVars = expvar.NewMap("requests")
+
 // flushTimeout bounds the last write of claims' outcomes.
 const flushTimeout = 2 * time.Second
 
-// flushClaims waits for the last request of a shutdown and then writes down
-// which keys ran, so that resends to other hosts learn it.
+// flushClaims waits for the last request of a drain and then writes down which
+// keys ran, so that resends to other hosts learn it.
 func (h *Host) flushClaims(ctx context.Context) error {
-	<-ctx.Done()
-	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.opts.DrainTimeout)
-	defer cancel()
-	if h.gate.Wait(wait) != nil {
-		return nil // shutdown reports what was still in flight
-	}
+	_ = h.gate.Wait(ctx) // a drain that takes too long ends ctx
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
 	if err := h.requests.claims.Flush(flush); err != nil {
--- a/request/pipeline/stream.go
+++ b/request/pipeline/stream.go
@@ -70,7 +70,7 @@
 		s.Counters.Doubted.Add(1)
 		// A server that answers on a new connection and is silent on a new
 		// one too is slow; cutting it off would only add to its load.
-		return !s.alive(a) || reused
+		return !s.answers(a) || reused
 	}
 	s.at = s.Clock.Now()
 	return s.do(ctx, s.st, a, func(ctx context.Context) error {
@@ -135,6 +135,8 @@
 		s.number++
 		s.Counters.Resumed.Add(1)
 		a.number = s.number
+		// The end of the last attempt gave the server free for other suspects.
+		a.alone = a.alone && s.Apart.Enter(a.server.Name, s.req.Fingerprint)
 		return true
 	case s.offset > 0 && s.req.Sink != nil:
 		// A server that takes no connection has lost the stream with its
