Placement: leave the region late, unless it is short of servers

Cause: a load of 1.2 is a swing of the moment in a region of four servers; work that left then cost billed bytes and gained nothing. Leaving at 1.6 requests for a slot, at 1.2 only while over a fifth of the region's servers are out of use. Seen red: without the exception, and always leaving at 1.2.

--- a/version/pick/placed.go
+++ b/version/pick/placed.go
@@ -21,8 +21,10 @@
 	// which the rest of the region is tried.
 	SpillAt float64
 	// RemoteAt is the load of the own region from which other regions are
-	// tried, RemoteBelow the load that they may have.
+	// tried, RemoteShort the same while servers of the own region are out of
+	// use, RemoteBelow the load that the others may have.
 	RemoteAt    float64
+	RemoteShort float64
 	RemoteBelow float64
 	// RemotePerMB is the load by which another region has to be better for
 	// each billed megabyte of input.
@@ -43,7 +45,7 @@
 func DefaultOptions(host, domain, region string) Options {
 	return Options{
 		Host: host, Domain: domain, Region: region, SubsetRegion: 8, SubsetRemote: 4,
-		SpillAt: 1, RemoteAt: 1.2, RemoteBelow: .8, RemotePerMB: 1,
+		SpillAt: 1, RemoteAt: 1.6, RemoteShort: 1.2, RemoteBelow: .8, RemotePerMB: 1,
 		AffinityBound: 1.25, SlowStart: 5 * time.Second, ReportLife: 15 * time.Second, EjectShare: .5,
 	}
 }
@@ -137,9 +139,29 @@
 
 // mayLeave reports whether the own region is so full that another is tried.
 func (p *Placed) mayLeave(info *Info, load float64) bool {
-	return load >= p.opts.RemoteAt && info.Class != table.Background
+	if info.Class == table.Background || load < p.opts.RemoteShort {
+		return false
+	}
+	return load >= p.opts.RemoteAt || p.short(info.Now)
+}
+
+// short reports whether more than a few servers of the own region are out of
+// use: then its queue is no swing of the moment, and waiting will not end it.
+func (p *Placed) short(now time.Time) bool {
+	out := 0
+	for _, t := range []tier{p.near, p.region} {
+		for _, s := range t {
+			if !s.serves(now) {
+				out++
+			}
+		}
+	}
+	return float64(out) > shortShare*float64(len(p.near)+len(p.region))
 }
 
+// shortShare is the part of a region's servers whose loss makes it short.
+const shortShare = .2
+
 // worthLeaving weighs a shorter queue in another region against its bytes.
 func (p *Placed) worthLeaving(info *Info, here, there float64) bool {
 	const megabyte = 1 << 20
--- a/version/pick/placed_test.go
+++ b/version/pick/placed_test.go
@@ -55,6 +55,9 @@
 	want("s1", info()) // the own region has room
 	fill(&all[1], 5)
 	want("s0", info()) // full, but not by enough to pay for another region
+	fill(&all[0], 2)
+	fill(&all[1], 2)
+	want("s0", info())
 	fill(&all[0], 1)
 	want("s2", info())
 	heavy := info()
@@ -196,6 +199,26 @@
 	g.Expect(sent["s7"]).To(BeNumerically("<", 3*hosts*each/n))
 }
 
+// Half of the region's servers are gone. Their work queues for the rest while
+// another region idles; a queue that will not pass is left sooner.
+func TestRegionShortOfServersLeavesSooner(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(3, func(i int) (string, string) {
+		return []string{"a1", "a1", "b1"}[i], []string{"a", "a", "b"}[i]
+	})
+	all[2].State.SetLoad(&server.Load{Received: start})
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	fill(&all[0], 5)
+	fill(&all[1], 5)
+	s, err := p.Pick(info())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Region).To(Equal("a"))
+	all[1].State.SetDown(true)
+	s, err = p.Pick(info())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Region).To(Equal("b"))
+}
+
 // Two regions are full. No report of the other comes through, so its servers
 // look idle to a host that has sent them nothing; without the safeguard each
 // region sends its overload to the other, at the price of the billed bytes.
