--- a/cmd/bilberryd/main.go
+++ b/cmd/bilberryd/main.go
@@ -31,6 +31,7 @@
 	opts := entryhost.DefaultOptions()
 	opts.DrainDelay = drainDelay
 	p := flaggy.NewParser("bilberryd")
+	p.Version = settings.Version()
 	p.Description = "Serves callers' requests through the stages of their routes."
 	set := settings.New(p, "BILBERRYD")
 	opts.Register(set)
@@ -42,6 +43,8 @@
 	opts.Reload = reload
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// A second signal ends the process at once, cutting what is in flight.
+	context.AfterFunc(ctx, stop)
 	host, err := entryhost.New(ctx, opts)
 	if err != nil {
 		return err
--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -12,10 +12,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"bilberrydale/connection/backend"
 	"bilberrydale/process/clock"
+	"bilberrydale/request/entry"
 	"bilberrydale/version/snapshot"
 	"bilberrydale/version/table"
 )
@@ -156,6 +158,7 @@
 		Eventually(spans.GetSpans).Should(HaveLen(2))
 		stage, top := spans.GetSpans()[0], spans.GetSpans()[1]
 		Expect(top.Name).To(Equal("entry POST"))
+		Expect(top.Attributes).To(ContainElement(attribute.String("route", "draft")))
 		Expect(stage.Name).To(Equal("stage encode"))
 		Expect(stage.Parent.SpanID()).To(Equal(top.SpanContext.SpanID()))
 		Expect(hop.Get("Traceparent")).To(ContainSubstring(stage.SpanContext.TraceID().String() + "-" + stage.SpanContext.SpanID().String()))
@@ -210,6 +213,57 @@
 		Expect(logged.String()).NotTo(ContainSubstring("hush"))
 	})
 
+	// Callers send more at once than the host is to hold. What is over the bound
+	// gets its final answer before its body is read; what is within goes on.
+	It("bounds the requests in the host", func() {
+		w, s := heldWorld()
+		h := w.newHost("e1", func(o *Options) { o.MaxActive = 2 })
+		runHost(h)
+		Eventually(h.ready, 5*time.Second).Should(BeTrue())
+		held := []chan sent{sendInBackground(h), sendInBackground(h)}
+		Eventually(h.gate.Active).Should(BeEquivalentTo(2))
+		over := <-sendInBackground(h)
+		Expect(over.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(over.body).To(And(ContainSubstring(`"kind":"overloaded"`), ContainSubstring(`"ran":"no"`)))
+		Expect(over.header.Get("Retry-After")).To(Equal("1"))
+		Expect(over.header.Get("X-Request-Id")).NotTo(BeEmpty())
+		s.letGo()
+		for _, ch := range held {
+			Expect((<-ch).status).To(Equal(http.StatusOK))
+		}
+	})
+
+	// A burst of refusals must not cost a log line each; their number stays known.
+	It("bounds the log lines about refusals", func() {
+		w, _ := heldWorld()
+		h := w.newHost("e1", func(o *Options) { o.LogRefusals, o.LogLevel = 1, "info" })
+		var logged bytes.Buffer
+		h.log.SetOutput(&logged)
+		stop, done := runHost(h)
+		Eventually(h.ready, 5*time.Second).Should(BeTrue())
+		limit := h.requests.handler.(*entry.Handler).LogLimit
+		limit.SetLimit(0) // the burst alone
+		for range 5 {
+			resp, _ := send(h, "/nowhere", "", "{}")
+			Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+		}
+		_, vars := get(h, "/debug/vars")
+		Expect(vars).To(ContainSubstring(`"refusals_unlogged": 4`))
+		stop()
+		Eventually(done, 10*time.Second).Should(Receive())
+		Expect(strings.Count(logged.String(), "request refused")).To(Equal(1))
+	})
+
+	It("says which port is taken before anything runs", func() {
+		w, _ := heldWorld()
+		running := w.newHost("e1", func(*Options) {})
+		runHost(running)
+		o := running.opts
+		o.Admin, _ = running.Addresses()
+		_, err := New(context.Background(), o)
+		Expect(err).To(MatchError(ContainSubstring("listen for admin")))
+	})
+
 	It("reports every fault of its settings together", func() {
 		o := DefaultOptions()
 		o.Admin, o.Listen, o.Peer = "10.0.0.1:1", "127.0.0.1:9", "127.0.0.1:9"
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
 
 	"bilberrydale/process/admission"
 	"bilberrydale/process/claim"
@@ -64,6 +65,7 @@
 	Gate       *drain.Gate
 	Clock      clock.Clock
 	Log        *log.Logger
+	LogLimit   *rate.Limiter // of lines about error answers; nil: none
 	Tracer     trace.Tracer
 	Headers    Headers
 	Limits     Limits
@@ -229,6 +231,7 @@
 		}
 		limit = min(limit, d)
 	}
+	c.boundWrites(limit)
 	c.admitted = admission.Request{Profile: c.route.Profile, Account: c.account, Arrived: now, Deadline: now.Add(limit)}
 	c.claimKey = claim.Key{Account: c.account, Key: c.key, Body: c.bodyHash()}
 	c.admitted.Identity = c.claimKey.Body
@@ -266,6 +269,7 @@
 		c.answer(http.StatusOK, res.Body)
 	}
 	c.Counters.Completed.Add(1)
+	c.recordWhole()
 	return nil
 }
 
