--- a/cmd/replay/main.go
+++ b/cmd/replay/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -28,6 +29,8 @@
 	policies   string
 	out        string
 	against    string
+	record     string
+	recorded   string
 	parallel   int
 }
 
@@ -43,6 +46,8 @@
 	set.String(&o.policies, "policies", "policies to compare, separated by commas", settings.Required)
 	set.String(&o.out, "out", "file for the measures as JSON", nil)
 	set.String(&o.against, "against", "file of an earlier --out to show beside", nil)
+	set.String(&o.record, "record", "file to write the trace to, in place of a replay; needs --deployment and --trace", nil)
+	set.String(&o.recorded, "recorded", "file of a recorded trace to replay; needs --deployment and --trace, whose faults happen", nil)
 	set.Int(&o.parallel, "parallel", "replays at once", 1, 64)
 	if err := p.ParseArgs(args); err != nil {
 		return err
@@ -67,6 +72,12 @@
 		}
 		job.Policies = append(job.Policies, p)
 	}
+	if o.record != "" {
+		return record(job, o.record)
+	}
+	if err := o.read(&job); err != nil {
+		return err
+	}
 	results, err := replay.Run(job)
 	if err != nil {
 		return err
@@ -100,3 +111,34 @@
 	}
 	return replay.WriteTable(os.Stdout, replay.Interleave(results, previous))
 }
+
+// read takes in a recorded trace, if one is named.
+func (o *options) read(job *replay.Job) error {
+	if o.recorded == "" {
+		return nil
+	}
+	f, err := os.Open(o.recorded)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	job.Records, err = replay.ReadTrace(f)
+	return err
+}
+
+// record writes the one generated trace that the job names.
+func record(job replay.Job, path string) error {
+	for _, d := range job.Deployments {
+		for _, s := range replay.Scenarios(d) {
+			if s.Name != job.Only || len(job.Deployments) != 1 {
+				continue
+			}
+			f, err := os.Create(path)
+			if err != nil {
+				return err
+			}
+			return errors.Join(replay.WriteTrace(f, replay.Generate(d, s, job.Seed)), f.Close())
+		}
+	}
+	return errors.New("--record needs --deployment and --trace")
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -70,3 +70,20 @@
 	g.Expect(fairDue([]float64{10, 100, 100}, a, 100)).To(Equal([]float64{10, 30, 60}))
 	g.Expect(fairDue([]float64{1, 2, 3}, a, 100)).To(Equal([]float64{1, 2, 3}))
 }
+
+// A trace recorded elsewhere may name what the deployment has not; that is a
+// fault of one line, not a panic in the middle of a replay.
+func TestRecordedTraceHasToFit(t *testing.T) {
+	g := NewWithT(t)
+	d := Kalahari()
+	records := Generate(d, short("x", .1), 1)
+	job := Job{Deployments: []*Deployment{d}, Only: "ordinary", Policies: []Policy{Naive()}, Records: records}
+	_, err := Run(job)
+	g.Expect(err).NotTo(HaveOccurred())
+	records[3].Route = "nowhere"
+	_, err = Run(job)
+	g.Expect(err).To(MatchError(ContainSubstring("record 4")))
+	job.Only = ""
+	_, err = Run(job)
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +17,9 @@
 	Only        string // one scenario; empty: all
 	Policies    []Policy
 	Parallel    int
+	// Records, if set, are replayed in place of generated ones: a recorded
+	// trace of the one deployment and scenario that the job names.
+	Records []Record
 }
 
 // Run replays every scenario under every policy and returns the results in a
@@ -41,13 +45,22 @@
 	if len(units) == 0 {
 		return nil, fmt.Errorf("there is no scenario %q", j.Only)
 	}
+	if j.Records != nil && len(units) != 1 {
+		return nil, fmt.Errorf("a recorded trace needs one deployment and one scenario, not %d", len(units))
+	}
 	n := len(j.Policies)
 	out := make([]*Result, len(units)*n)
 	g := errgroup.Group{}
 	g.SetLimit(max(1, j.Parallel))
 	for i, u := range units {
 		g.Go(func() error {
-			u.records = Generate(u.d, u.s, j.Seed)
+			u.records = j.Records
+			if u.records == nil {
+				u.records = Generate(u.d, u.s, j.Seed)
+			}
+			if err := check(u.d, u.records); err != nil {
+				return err
+			}
 			bound := Bound(u.d, u.s, u.records)
 			fluid := Bound(u.d, u.s, ByRoute(u.d, u.records))
 			for k, p := range j.Policies {
@@ -61,6 +74,23 @@
 	return out, g.Wait()
 }
 
+// check reports a record that does not fit the deployment.
+func check(d *Deployment, records []Record) error {
+	for i := range records {
+		r := &records[i]
+		rt := d.route(r.Route)
+		switch {
+		case rt == nil:
+			return fmt.Errorf("record %d: %s has no route %q", i+1, d.Name, r.Route)
+		case !slices.Contains(d.Regions, r.Region):
+			return fmt.Errorf("record %d: %s has no region %q", i+1, d.Name, r.Region)
+		case len(r.Work) != len(rt.Stages) || len(r.Bytes) != len(rt.Stages)+1:
+			return fmt.Errorf("record %d: route %s has %d stages", i+1, r.Route, len(rt.Stages))
+		}
+	}
+	return nil
+}
+
 // WriteTable prints results for people.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
