--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -29,6 +29,9 @@
 	WastedIn    string  `json:"wasted_in"`
 	CrossBytes  int64   `json:"cross_bytes"`
 	WorstShare  float64 `json:"worst_share"` // worst account's part of its fair due
+	// WorstServed is the same when the due is a share of what was served, so
+	// that it shows how evenly and not how much.
+	WorstServed float64 `json:"worst_served"`
 	// Returned came back when told to, and Served of them completed then;
 	// background requests, which are refused as long as others wait, apart.
 	Returned         int     `json:"returned"`
@@ -50,7 +53,7 @@
 	}
 	m.Interactive, m.Standard, m.Background = r.attained("interactive"), r.attained("standard"), r.attained("background")
 	m.spending(slices.Concat(r.outcomes, r.returned), r.deployment)
-	m.WorstShare = r.worstShare()
+	m.WorstShare, m.WorstServed = r.worstShares()
 	r.comeBacks(m)
 	return m
 }
@@ -133,32 +136,51 @@
 // sharePhase is the length of the phases in which shares are compared.
 const sharePhase = 30 * time.Second
 
-// worstShare compares, in each phase, the engine time that each account got for
+// worstShares compares, in each phase, the engine time that each account got for
 // requests completed in time with its weighted max-min share of what the
-// engines can do. Background work has no due.
-func (r *run) worstShare() float64 {
-	worst := 1.0
+// engines can do, and of what all accounts got. Background work has no due.
+func (r *run) worstShares() (ofCapacity, ofServed float64) {
+	ofCapacity, ofServed = 1, 1
 	for from := time.Duration(0); from < length(r.scenario); from += sharePhase {
-		asked := make([]float64, len(r.deployment.Accounts))
-		got := make([]float64, len(asked))
-		for _, o := range r.outcomes {
-			if o.arrived < from || o.arrived >= from+sharePhase || o.rec.Poison {
-				continue
-			}
-			i := slices.IndexFunc(r.deployment.Accounts, func(a Account) bool { return a.Name == o.rec.Account })
-			s := r.engineSeconds(o.rec)
-			asked[i] += s
-			if o.completed {
-				got[i] += s
-			}
+		asked, got := r.accountSeconds(from)
+		var served float64
+		for _, s := range got {
+			served += s
 		}
-		for i, due := range fairDue(asked, r.deployment.Accounts, r.engineCapacity(from)) {
-			if due > 1 {
-				worst = min(worst, got[i]/due)
-			}
+		ofCapacity = min(ofCapacity, worst(got, fairDue(asked, r.deployment.Accounts, r.engineCapacity(from))))
+		ofServed = min(ofServed, worst(got, fairDue(asked, r.deployment.Accounts, served)))
+	}
+	return ofCapacity, ofServed
+}
+
+func (r *run) accountSeconds(from time.Duration) (asked, got []float64) {
+	asked = make([]float64, len(r.deployment.Accounts))
+	got = make([]float64, len(asked))
+	for _, o := range r.outcomes {
+		if o.arrived < from || o.arrived >= from+sharePhase || o.rec.Poison {
+			continue
+		}
+		i := slices.IndexFunc(r.deployment.Accounts, func(a Account) bool { return a.Name == o.rec.Account })
+		s := r.engineSeconds(o.rec)
+		asked[i] += s
+		if o.completed {
+			got[i] += s
+		}
+	}
+	return asked, got
+}
+
+// leastDue is the due in seconds below which a share says nothing.
+const leastDue = 1
+
+func worst(got, due []float64) float64 {
+	out := 1.0
+	for i := range due {
+		if due[i] > leastDue {
+			out = min(out, got[i]/due[i])
 		}
 	}
-	return worst
+	return out
 }
 
 func (r *run) engineSeconds(rec *Record) float64 {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -94,11 +94,11 @@
 // WriteTable prints results for people.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "deployment\ttrace\tpolicy\toffered\trefused\tworth\tof bound\tof fluid\tinteractive\tstandard\tbackground\tcost\twasted\tin\tcross MB\tworst share\tback\tserved\t")
+	fmt.Fprintln(t, "deployment\ttrace\tpolicy\toffered\trefused\tworth\tof bound\tof fluid\tinteractive\tstandard\tbackground\tcost\twasted\tin\tcross MB\tworst share\tof served\tback\tserved\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%s\t%.1f\t%.2f\t%d\t%.2f\t\n",
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%s\t%.1f\t%.2f\t%.2f\t%d\t%.2f\t\n",
 			r.Deployment, r.Scenario, r.Policy, r.Offered, r.Refused, r.Worth, r.OfBound, r.OfFluid, r.Interactive, r.Standard, r.Background,
-			r.Cost, r.Wasted, r.WastedIn, float64(r.CrossBytes)/(1<<20), r.WorstShare, r.Returned, r.Served)
+			r.Cost, r.Wasted, r.WastedIn, float64(r.CrossBytes)/(1<<20), r.WorstShare, r.WorstServed, r.Returned, r.Served)
 	}
 	return t.Flush()
 }
