Admission: pools and places that are gone leave nothing behind

Cause: what is kept of a pool (1.6 MB once it was loaded) stayed for ever after a rename; a freed place of an account passed its debt on; callers who all send the same body took their turns in step. Seen red without each of the first two.

--- a/process/admission/account.go
+++ b/process/admission/account.go
@@ -108,11 +108,19 @@
 		x.demand.Scale(keep)
 		x.admitted.Scale(keep)
 		if x.demand.Load() < forgotten && x != &a.shared {
-			x.id.Store(0)
+			x.free()
 		}
 	})
 }
 
+// free gives the place up, so that the next account starts without a past.
+func (x *account) free() {
+	x.demand.Store(0)
+	x.admitted.Store(0)
+	x.surplus.Store(0)
+	x.id.Store(0)
+}
+
 // settle sets the threshold of an account from its due.
 func (x *account) settle(lv float64) {
 	asked := x.demand.Load()
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -293,3 +293,37 @@
 	g.Expect(shared).To(BeNumerically(">=", accountSets*accountWays))
 	g.Expect(a.find(accountHash("1"))).NotTo(BeIdenticalTo(&a.shared))
 }
+
+// Operators rename a pool a thousand times a day. Without an end to what is
+// kept of each, the process grows until it dies.
+func TestPoolsAndPlansOutOfTheTablesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench()
+	p := route("r", Standard, 1)
+	b.pass(time.Second)
+	g.Expect(b.ask(p, "a", 1)).To(BeNil())
+	b.now = b.now.Add(planLife + time.Second)
+	b.Tick(b.now, []PoolLoad{{Pool: "renamed", Slots: 100}})
+	g.Expect(b.States()).To(HaveLen(2), "the pool that no tick ever named stays until it is one")
+	_, kept := b.profiles.Load(p)
+	g.Expect(kept).To(BeFalse())
+	_, kept = b.pools.Load("p")
+	g.Expect(kept).To(BeFalse())
+}
+
+// A place that changes hands must not pass on its past: the next account would
+// begin with another's debt.
+func TestFreedPlaceHasNoPast(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccounts()
+	x := a.find(7)
+	x.demand.Store(forgotten / 2)
+	x.surplus.Store(-.3)
+	x.threshold.Store(.1)
+	a.divide(.5, 1)
+	g.Expect(x.id.Load()).To(BeZero())
+	y := a.find(7 + accountSets)
+	g.Expect(y).To(BeIdenticalTo(x))
+	g.Expect(y.threshold.Load()).To(Equal(1.0))
+	g.Expect(y.surplus.Load()).To(BeZero())
+}
--- a/process/admission/judge.go
+++ b/process/admission/judge.go
@@ -181,6 +181,7 @@
 	if id == 0 {
 		return c.rand.Float64()
 	}
+	id ^= accountHash(r.Account) // callers may all send the same body
 	_, f := math.Modf(float64(id>>11)/(1<<53) + float64(now.UnixNano()%int64(c.opts.Rotation))/float64(c.opts.Rotation))
 	return f
 }
--- a/process/admission/tick.go
+++ b/process/admission/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,7 @@
 			p.shared = now
 		}
 	}
+	c.expire(now)
 	c.profiles.Range(func(key, value any) bool {
 		c.refresh(key.(*Profile), value.(*plan), now)
 		return true
@@ -150,6 +152,21 @@
 	}
 }
 
+// expire forgets pools that are in the tables no more; each holds a table of
+// accounts, and operators may rename pools many times a day.
+func (c *Controller) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order = slices.DeleteFunc(c.order, func(p *pool) bool {
+		old := !p.ticked.IsZero() && now.Sub(p.ticked) > planLife
+		if old {
+			c.pools.Delete(p.name)
+		}
+		return old
+	})
+}
+
+// refresh takes in new estimates of a plan, and forgets a plan of an old release.
 func (c *Controller) refresh(r *Profile, p *plan, now time.Time) {
 	if now.UnixNano()-p.used.Load() > int64(planLife) {
 		c.profiles.Delete(r)
