--- a/internal/replay/scenario.go
+++ b/internal/replay/scenario.go
@@ -69,6 +69,7 @@
 		{Name: "release", Load: .7, Faults: []Fault{{Kind: Replace, Pool: d.Engines, Every: 3, From: faultFrom}}},
 		{Name: "burst", Load: .6, Bursts: []Burst{burst}},
 		{Name: "slow-reranker", Load: .7, Faults: []Fault{{Kind: Slow, Pool: d.Reranker, Every: 3, Factor: 12, From: faultFrom, Until: faultUntil}}},
+		{Name: "slow-engines", Load: .6, Faults: []Fault{{Kind: Slow, Pool: d.Engines, Every: 4, Factor: 3, From: faultFrom, Until: faultUntil}}},
 		{Name: "half-engines", Load: .8, Faults: []Fault{half}},
 		{Name: "domain-cut", Load: .6, Faults: []Fault{{Kind: Cut, Region: d.Regions[1], From: faultFrom, Until: faultUntil}}},
 		{Name: "region-cut", Load: .7, Faults: []Fault{{Kind: CutAll, From: faultFrom, Until: faultUntil}}},
--- a/version/pick/explain.go
+++ b/version/pick/explain.go
@@ -14,6 +14,8 @@
 	State  string  `json:"state"`
 	Own    int64   `json:"own"`              // requests of this host in flight
 	Report float64 `json:"report,omitempty"` // age of the load report in seconds
+	// Latency is the mean of this host's attempts that succeeded, in seconds.
+	Latency float64 `json:"latency,omitempty"`
 }
 
 // Explain describes every server of the pool.
@@ -28,6 +30,7 @@
 	for i := range p.servers {
 		s := &p.servers[i]
 		c := Candidate{Name: s.Name, Tier: tiers[s], Load: p.load(s, now), State: describe(s, now), Own: s.State.Inflight()}
+		c.Latency = s.State.Latency().Mean()
 		if c.Tier == "" {
 			c.Tier = "unused"
 		}
