Admission: a pool that stands elsewhere, or lost its near servers, is not down

Cause: a host counted of other regions only what they can spare. A pool with no server in the own region, or whose last near one died, had no slots and was refused although the servers elsewhere answer. Seen red without the fallback.

--- a/version/pick/load.go
+++ b/version/pick/load.go
@@ -31,12 +31,24 @@
 			out.add(s, now)
 		}
 	}
+	if out.Slots == 0 {
+		// Nothing near by can serve: the pool is the servers elsewhere, not
+		// what they can spare. Else a pool of another region would look down
+		// and be refused.
+		trials := out.Trials
+		for _, s := range p.remote {
+			out.add(s, now)
+		}
+		if len(p.near)+len(p.region) > 0 {
+			out.Trials = trials // one of the near ones shows it as well
+		}
+		return out
+	}
 	for _, s := range p.remote {
-		if !s.serves(now) {
-			continue
+		if s.serves(now) {
+			spare := (p.opts.RemoteBelow - p.load(s, now)) * s.capacity()
+			out.Slots += spareShare * max(0, spare)
 		}
-		spare := (p.opts.RemoteBelow - p.load(s, now)) * s.capacity()
-		out.Slots += spareShare * max(0, spare)
 	}
 	return out
 }
--- a/version/pick/placed_test.go
+++ b/version/pick/placed_test.go
@@ -237,3 +237,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.Name).To(Equal("s1"), "better an unknown server than none")
 }
+
+// A pool stands in another region only, or its last server near by is lost. A
+// host that counts only what others can spare takes such a pool for down and
+// refuses every request, although the servers there would answer.
+func TestPoolElsewhereIsNotDown(t *testing.T) {
+	g := NewWithT(t)
+	all := servers(2, func(i int) (string, string) {
+		return []string{"a1", "b1"}[i], []string{"a", "b"}[i]
+	})
+	p := NewPlaced(DefaultOptions("h", "a1", "a"), all)
+	g.Expect(p.Load(start).Slots).To(BeNumerically("==", 4), "what the other can spare is unknown")
+	all[0].State.Record(start, server.Unreachable, 0)
+	g.Expect(p.Load(start).Slots).To(BeNumerically("==", 4))
+	only := NewPlaced(DefaultOptions("h", "a1", "a"), all[1:])
+	g.Expect(only.Load(start).Slots).To(BeNumerically("==", 4))
+	all[1].State.Record(start, server.Unreachable, 0)
+	g.Expect(only.Load(start).Slots).To(BeZero())
+}
