--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +17,9 @@
 	Only        string // one scenario; empty: all
 	Policies    []Policy
 	Parallel    int
+	// Records, if set, are replayed in place of generated ones: a recorded
+	// trace of the one deployment and scenario that the job names.
+	Records []Record
 }
 
 // Run replays every scenario under every policy and returns the results in a
@@ -41,13 +45,22 @@
 	if len(units) == 0 {
 		return nil, fmt.Errorf("there is no scenario %q", j.Only)
 	}
+	if j.Records != nil && len(units) != 1 {
+		return nil, fmt.Errorf("a recorded trace needs one deployment and one scenario, not %d", len(units))
+	}
 	n := len(j.Policies)
 	out := make([]*Result, len(units)*n)
 	g := errgroup.Group{}
 	g.SetLimit(max(1, j.Parallel))
 	for i, u := range units {
 		g.Go(func() error {
-			u.records = Generate(u.d, u.s, j.Seed)
+			u.records = j.Records
+			if u.records == nil {
+				u.records = Generate(u.d, u.s, j.Seed)
+			}
+			if err := check(u.d, u.records); err != nil {
+				return err
+			}
 			bound := Bound(u.d, u.s, u.records)
 			fluid := Bound(u.d, u.s, ByRoute(u.d, u.records))
 			for k, p := range j.Policies {
@@ -61,14 +74,31 @@
 	return out, g.Wait()
 }
 
+// check reports a record that does not fit the deployment.
+func check(d *Deployment, records []Record) error {
+	for i := range records {
+		r := &records[i]
+		rt := d.route(r.Route)
+		switch {
+		case rt == nil:
+			return fmt.Errorf("record %d: %s has no route %q", i+1, d.Name, r.Route)
+		case !slices.Contains(d.Regions, r.Region):
+			return fmt.Errorf("record %d: %s has no region %q", i+1, d.Name, r.Region)
+		case len(r.Work) != len(rt.Stages) || len(r.Bytes) != len(rt.Stages)+1:
+			return fmt.Errorf("record %d: route %s has %d stages", i+1, r.Route, len(rt.Stages))
+		}
+	}
+	return nil
+}
+
 // WriteTable prints results for people.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "deployment\ttrace\tpolicy\toffered\trefused\tworth\tof bound\tof fluid\tinteractive\tstandard\tbackground\tcost\twasted\tin\tcross MB\tworst share\tback\tserved\t")
+	fmt.Fprintln(t, "deployment\ttrace\tpolicy\toffered\trefused\tworth\tof bound\tof fluid\tinteractive\tstandard\tbackground\tcost\twasted\tin\tcross MB\tworst share\tof served\tback\tserved\t")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%s\t%.1f\t%.2f\t%d\t%.2f\t\n",
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%s\t%.1f\t%.2f\t%.2f\t%d\t%.2f\t\n",
 			r.Deployment, r.Scenario, r.Policy, r.Offered, r.Refused, r.Worth, r.OfBound, r.OfFluid, r.Interactive, r.Standard, r.Background,
-			r.Cost, r.Wasted, r.WastedIn, float64(r.CrossBytes)/(1<<20), r.WorstShare, r.Returned, r.Served)
+			r.Cost, r.Wasted, r.WastedIn, float64(r.CrossBytes)/(1<<20), r.WorstShare, r.WorstServed, r.Returned, r.Served)
 	}
 	return t.Flush()
 }
