--- a/entryhost/middlebox_test.go
+++ b/entryhost/middlebox_test.go
@@ -74,12 +74,6 @@
 	return len(m.forgotten)
 }
 
-func (m *middlebox) connections() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.forgotten)
-}
-
 var _ = Describe("a connection between entry hosts that something in between has forgotten", func() {
 	// Both processes keep the connection open and nothing arrives on it any
 	// more; new connections work. The heartbeat on it fails, the peer becomes
