--- a/internal/ctl/hosts_test.go
+++ b/internal/ctl/hosts_test.go
@@ -15,7 +15,9 @@
 func adminPort(t *testing.T) (addr, ca string) {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"name":"e1","release":4,"hash":"h"}`)) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"name":"e1","release":4,"hash":"h"}`))
+	})
 	mux.HandleFunc("GET /release", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"faults":["the platform is behind"]}`))
 	})
@@ -42,9 +44,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(out).To(And(ContainSubstring("e1"), ContainSubstring("the platform is behind")))
 
-	out, err = ada.run("status", "--admin-ca", ca, "--admin-token", "wrong")
+	out, err = ada.run("status", "--admin-ca", ca, "--admin-token", "hush")
 	g.Expect(err).To(MatchError("1 of 1 entry hosts do not answer"))
-	g.Expect(out).To(And(ContainSubstring("set --admin-token"), Not(ContainSubstring("wrong;"))))
+	g.Expect(out).To(And(ContainSubstring("set --admin-token"), Not(ContainSubstring("hush"))))
 
 	_, err = ada.run("status", "--admin-token", "open") // plain HTTP to a TLS port
 	g.Expect(err).To(HaveOccurred())
