--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -220,6 +220,7 @@
 	ada.hosts = a + "," + b
 	g.Expect(ada.must("status", "--wait", "10s")).To(ContainSubstring("e2"))
 	g.Expect(ada.must("status", "--json")).To(ContainSubstring(`"in_force"`))
+	g.Expect(ada.must("peers")).To(HavePrefix("FROM"))
 	g.Expect(ada.must("quarantine", "list", "--json")).To(Equal("[]\n"))
 	_, err := ada.run("quarantine", "lift", "00000000000000ff")
 	g.Expect(err).To(MatchError(ContainSubstring("no entry host has")))
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -55,6 +55,7 @@
 	drain, status := &drainCommand{}, &statusCommand{}
 	return []*command{
 		{name: "status", help: "show which entry host has which release in force; fails when they differ", flags: status.flags, run: status.run},
+		{name: "peers", help: "show what each entry host believes of the others", run: peers},
 		{name: "drain", help: "take entry hosts out of service: no new requests, those in flight finish", flags: drain.flags, run: drain.run},
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -114,7 +114,8 @@
     "http://127.0.0.1:$((base + i))$path" >"$tmp/answer" || fail "entry-$i did not answer: $(head -c 400 "$tmp/answer")"
   echo "entry-$i: $(head -c 300 "$tmp/answer")"
 done
-ctl status --hosts "${admins%,}"
+ctl status --hosts "${admins%,}" --wait 10s
+ctl peers --hosts "${admins%,}"
 if [ -n "${LOAD_RATE:-}" ]; then
   targets=$(for i in $(seq "$count"); do echo "127.0.0.1:$((base + i))"; done | paste -sd, -)
   "$tmp/bin/load" traffic --targets "$targets" --rate "$LOAD_RATE" --duration "${LOAD_DURATION:-10s}" --seed "${SEED:-1}" \
