--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,9 @@
 demo:
 	bash scripts/demo.sh
 
+# All benchmarks, or some: make bench BENCH=Decision PKG=./internal/capacity OUT=f.json
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	OUT=$(OUT) BENCH='$(or $(BENCH),.)' PKG=$(or $(PKG),./...) bash scripts/bench.sh
 
 # What an entry host adds to a direct call: make overhead STAGES=4 CLIENTS=8 OUT=f.json
 overhead:
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -292,7 +292,7 @@
 	g.Expect(string(data)).To(ContainSubstring("worth: 9"))
 }
 
-func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
+func TestUnknownCommandAndMissingArgumentNameTheFix(t *testing.T) {
 	g := NewWithT(t)
 	ada := newOperator(t)
 	_, err := ada.run("aply", ".")
--- a/version/table/decode.go
+++ b/version/table/decode.go
@@ -39,7 +39,7 @@
 	d.value("", doc.Content[0], reflect.ValueOf(t).Elem())
 }
 
-func (d *decoder) add(line int, at, what, mend string) {
+func (d *decoder) add(line int, at, problem, fix string) {
 	row, field := splitPlace(at)
 	if row == "" {
 		row = "file"
@@ -47,7 +47,7 @@
 	if field == "" {
 		field = "row"
 	}
-	d.faults = append(d.faults, Fault{File: d.file, Line: line, Row: row, Field: field, What: what, Mend: mend, at: at})
+	d.faults = append(d.faults, Fault{File: d.file, Line: line, Row: row, Field: field, Problem: problem, Fix: fix, at: at})
 }
 
 // splitPlace cuts "routes[2].stages[1].pool" after the row.
@@ -150,7 +150,7 @@
 	}
 }
 
-// pairs yields the entries of a mapping and reports a key that stands twice:
+// pairs yields the entries of a mapping and reports a key that is listed twice:
 // readers disagree on which of the two counts.
 func (d *decoder) pairs(at string, n *yaml.Node) func(func(string, *yaml.Node) bool) {
 	return func(yield func(string, *yaml.Node) bool) {
@@ -158,7 +158,7 @@
 		for i := 0; i+1 < len(n.Content); i += 2 {
 			key := n.Content[i]
 			if seen[key.Value] {
-				d.add(key.Line, join(at, key.Value), "stands twice", "remove one")
+				d.add(key.Line, join(at, key.Value), "is listed twice", "remove one")
 				continue
 			}
 			seen[key.Value] = true
--- a/version/table/dir.go
+++ b/version/table/dir.go
@@ -17,7 +17,7 @@
 
 // ReadDir reads every *.yaml file of dir, each with a routes and a pools list,
 // and validates them together. The error is a Faults that names file, line,
-// row, field and mend of every fault of every file.
+// row, field and fix of every fault of every file.
 func ReadDir(dir string) (Tables, error) {
 	paths, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
 	if err != nil {
--- a/version/table/fault.go
+++ b/version/table/fault.go
@@ -11,19 +11,19 @@
 	Line  int    `json:"line,omitempty"`
 	Row   string `json:"row"`   // "routes/draft"
 	Field string `json:"field"` // "stages[1].pool"
-	What  string `json:"what"`
-	Mend  string `json:"mend"`
+	Problem  string `json:"problem"`
+	Fix  string `json:"fix"`
 
 	at string // place in the lists: "routes[2].stages[1].pool"
 }
 
-// Error implements error: the place, what is wrong there and its mend.
+// Error implements error: the place, what is wrong there and its fix.
 func (f Fault) Error() string {
 	place := ""
 	if f.File != "" {
 		place = fmt.Sprintf("%s:%d: ", f.File, f.Line)
 	}
-	return fmt.Sprintf("%s%s: %s: %s; %s", place, f.Row, f.Field, f.What, f.Mend)
+	return fmt.Sprintf("%s%s: %s: %s; %s", place, f.Row, f.Field, f.Problem, f.Fix)
 }
 
 // Faults is the error that reports every fault of a pair of tables at once.
--- a/version/table/fuzz_test.go
+++ b/version/table/fuzz_test.go
@@ -9,7 +9,7 @@
 )
 
 // Whatever bytes a file holds, Parse answers with tables that validate or with
-// faults that each name a mend; it neither panics nor accepts unsound tables.
+// faults that each name a fix; it neither panics nor accepts unsound tables.
 func FuzzParse(f *testing.F) {
 	for _, path := range []string{"../../examples/kalahari/routes.yaml", "../../examples/kalahari/pools.yaml"} {
 		data, err := os.ReadFile(path)
@@ -33,8 +33,8 @@
 			t.Fatalf("not a list of faults: %v", err)
 		}
 		for _, x := range faults {
-			if x.What == "" || x.Mend == "" || x.Row == "" || strings.HasPrefix(x.Row, ".") {
-				t.Fatalf("fault without its place or mend: %+v", x)
+			if x.Problem == "" || x.Fix == "" || x.Row == "" || strings.HasPrefix(x.Row, ".") {
+				t.Fatalf("fault without its place or fix: %+v", x)
 			}
 		}
 	})
--- a/version/table/policy.go
+++ b/version/table/policy.go
@@ -10,7 +10,7 @@
 // worth, class and deadline.
 type RoutePolicy struct {
 	// Shares are the weights of client accounts when a pool is too full for
-	// all; an account that is not listed weighs 1. What an account leaves of
+	// all; an account that is not listed weighs 1. Problem an account leaves of
 	// its share is lent to the others.
 	Shares map[string]float64 `json:"shares,omitempty" yaml:"shares,omitempty"`
 }
--- a/version/table/rows.go
+++ b/version/table/rows.go
@@ -25,7 +25,7 @@
 	var faults Faults
 	for _, r := range rows {
 		if err := t.appendRow(r); err != nil {
-			faults = append(faults, Fault{Row: r.Key, Field: "row", What: err.Error(), Mend: "correct or remove the row"})
+			faults = append(faults, Fault{Row: r.Key, Field: "row", Problem: err.Error(), Fix: "correct or remove the row"})
 		}
 	}
 	if faults != nil {
--- a/version/table/table_test.go
+++ b/version/table/table_test.go
@@ -72,7 +72,7 @@
 			g.Expect(err).To(BeAssignableToTypeOf(Faults{}))
 			got := err.(Faults)[0] //nolint:errorlint // the type is asserted above
 			g.Expect([]string{got.Row, got.Field}).To(Equal([]string{c.row, c.field}), err.Error())
-			g.Expect(got.Mend).NotTo(BeEmpty())
+			g.Expect(got.Fix).NotTo(BeEmpty())
 		})
 	}
 }
--- a/version/table/validate.go
+++ b/version/table/validate.go
@@ -26,12 +26,12 @@
 	}
 }
 
-func (c *checker) add(field, what, mend string) {
-	c.faults = append(c.faults, Fault{Row: c.row, Field: field, What: what, Mend: mend, at: c.at + "." + field})
+func (c *checker) add(field, problem, fix string) {
+	c.faults = append(c.faults, Fault{Row: c.row, Field: field, Problem: problem, Fix: fix, at: c.at + "." + field})
 }
 
-func (c *checker) whole(table, what, mend string) {
-	c.faults = append(c.faults, Fault{Row: table, Field: "table", What: what, Mend: mend, at: table})
+func (c *checker) whole(table, problem, fix string) {
+	c.faults = append(c.faults, Fault{Row: table, Field: "table", Problem: problem, Fix: fix, at: table})
 }
 
 // Validate checks both tables together and returns Faults, or nil.
@@ -64,7 +64,7 @@
 		return
 	}
 	if seen[name] {
-		c.add(field, fmt.Sprintf("%q stands twice", name), "rename or remove one")
+		c.add(field, fmt.Sprintf("%q is listed twice", name), "rename or remove one")
 	}
 	seen[name] = true
 }
