--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 table=$(mktemp)
 trap 'rm -f "$table"' EXIT
-go test -run '^$' -bench "${BENCH:-.}" -benchmem -timeout "${TIMEOUT:-30m}" "${PKG:-./...}" | grep -v 'no test files' | tee "$table"
+go test -run '^$' -bench "${BENCH:-.}" -benchmem -timeout "${TIMEOUT:-30m}" "${PKG:-./...}" | grep --line-buffered -v 'no test files' | tee "$table"
 [ -n "${OUT:-}" ] || exit 0
 awk '
   BEGIN { printf "[" }
