--- a/version/table/decode.go
+++ b/version/table/decode.go
@@ -41,18 +41,21 @@
 
 func (d *decoder) add(line int, at, problem, fix string) {
 	row, field := splitPlace(at)
-	if row == "" {
-		row = "file"
-	}
-	if field == "" {
-		field = "row"
-	}
 	d.faults = append(d.faults, Fault{File: d.file, Line: line, Row: row, Field: field, Problem: problem, Fix: fix, at: at})
 }
 
-// splitPlace cuts "routes[2].stages[1].pool" after the row.
+// splitPlace cuts "routes[2].stages[1].pool" after the row. What lies in no
+// row belongs to the file.
 func splitPlace(at string) (row, field string) {
 	row, field, _ = strings.Cut(at, ".")
+	switch {
+	case at == "":
+		return "file", "content"
+	case !strings.Contains(row, "["):
+		return "file", row
+	case field == "":
+		return row, "row"
+	}
 	return row, field
 }
 
--- a/version/table/table_test.go
+++ b/version/table/table_test.go
@@ -132,6 +132,21 @@
 	), err.Error())
 }
 
+func TestFaultsOutsideRowsBelongToTheFile(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]string{
+		"":                           "a.yaml:1: file: content: the file is empty",
+		"rotues: []":                 "a.yaml:1: file: rotues: there is no such field",
+		"pools: {}":                  "a.yaml:1: file: pools: is not a list",
+		"pools: [1]":                 "a.yaml:1: pools[0]: row: is not a mapping",
+		"pools: []\n---\nroutes: []": "a.yaml:1: file: content: there is more than one document",
+		"pools: [":                   "a.yaml:1: file: content: yaml:",
+	} {
+		_, err := Parse([]File{{"a.yaml", []byte(text)}})
+		g.Expect(err).To(MatchError(ContainSubstring(want)), text)
+	}
+}
+
 func TestExamplesHoldTogether(t *testing.T) {
 	g := NewWithT(t)
 	entries, err := os.ReadDir("../../examples")
