--- a/entryhost/admin.go
+++ b/entryhost/admin.go
@@ -53,6 +53,7 @@
 		w.WriteHeader(http.StatusAccepted)
 	}))
 	mux.Handle("GET /debug/vars", h.authorized(h.serveVars))
+	h.adminProfiles(mux)
 	h.adminReleases(mux)
 	h.adminMembers(mux)
 	h.adminPolicy(mux)
