--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -38,7 +38,7 @@
   args=()
   [ -z "${skip_test[$package]-}" ] || args+=(-skip "^(${skip_test[$package]})\$")
   tail=()
-  [ -z "${skip_spec[$package]-}" ] || tail=(-ginkgo.skip="^(${skip_spec[$package]})\$")
+  [ -z "${skip_spec[$package]-}" ] || tail=(-ginkgo.skip="(^| )(${skip_spec[$package]})\$")
   "${run[@]}" "${args[@]}" "$package" "${tail[@]}" || verdict=1
 done
 echo "known red, passed over:"
@@ -46,7 +46,7 @@
   [[ $line =~ ^([^ ,]+)\ ([^,]+), ]]
   package=./${BASH_REMATCH[1]#./} test=${BASH_REMATCH[2]}
   args=(-run "^$(quote "$test")\$") tail=()
-  case $test in spec:*) args=() tail=(-ginkgo.focus="^$(quote "${test#spec:}")\$") ;; esac
+  case $test in spec:*) args=() tail=(-ginkgo.focus="(^| )$(quote "${test#spec:}")\$") ;; esac
   if "${run[@]}" "${args[@]}" "$package" "${tail[@]}" >/dev/null 2>&1; then state="passes now; remove the line"; else state="fails"; fi
   echo "  $line [$state]"
 done
