--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -220,6 +220,7 @@
 	ada.hosts = a + "," + b
 	g.Expect(ada.must("status", "--wait", "10s")).To(ContainSubstring("e2"))
 	g.Expect(ada.must("status", "--json")).To(ContainSubstring(`"in_force"`))
+	g.Expect(ada.must("peers")).To(HavePrefix("FROM"))
 	g.Expect(ada.must("quarantine", "list", "--json")).To(Equal("[]\n"))
 	_, err := ada.run("quarantine", "lift", "00000000000000ff")
 	g.Expect(err).To(MatchError(ContainSubstring("no entry host has")))
@@ -291,7 +292,7 @@
 	g.Expect(string(data)).To(ContainSubstring("worth: 9"))
 }
 
-func TestUnknownCommandAndMissingArgumentNameTheMend(t *testing.T) {
+func TestUnknownCommandAndMissingArgumentNameTheFix(t *testing.T) {
 	g := NewWithT(t)
 	ada := newOperator(t)
 	_, err := ada.run("aply", ".")
