--- a/version/table/table_test.go
+++ b/version/table/table_test.go
@@ -72,7 +72,7 @@
 			g.Expect(err).To(BeAssignableToTypeOf(Faults{}))
 			got := err.(Faults)[0] //nolint:errorlint // the type is asserted above
 			g.Expect([]string{got.Row, got.Field}).To(Equal([]string{c.row, c.field}), err.Error())
-			g.Expect(got.Mend).NotTo(BeEmpty())
+			g.Expect(got.Fix).NotTo(BeEmpty())
 		})
 	}
 }
@@ -132,10 +132,31 @@
 	), err.Error())
 }
 
+func TestFaultsOutsideRowsBelongToTheFile(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]string{
+		"":                           "a.yaml:1: file: content: the file is empty",
+		"rotues: []":                 "a.yaml:1: file: rotues: there is no such field",
+		"pools: {}":                  "a.yaml:1: file: pools: is not a list",
+		"pools: [1]":                 "a.yaml:1: pools[0]: row: is not a mapping",
+		"pools: []\n---\nroutes: []": "a.yaml:1: file: content: there is more than one document",
+		"pools: [":                   "a.yaml:1: file: content: yaml:",
+	} {
+		_, err := Parse([]File{{"a.yaml", []byte(text)}})
+		g.Expect(err).To(MatchError(ContainSubstring(want)), text)
+	}
+}
+
 func TestExamplesHoldTogether(t *testing.T) {
-	dirs, err := filepath.Glob("../../examples/*")
 	g := NewWithT(t)
+	entries, err := os.ReadDir("../../examples")
 	g.Expect(err).NotTo(HaveOccurred())
+	var dirs []string
+	for _, e := range entries {
+		if e.IsDir() {
+			dirs = append(dirs, filepath.Join("../../examples", e.Name()))
+		}
+	}
 	g.Expect(len(dirs)).To(BeNumerically(">=", 2))
 	for _, dir := range dirs {
 		tables, err := ReadDir(dir)
