Heartbeats carry the release's number and hash

Cause: heartbeats could carry a summary (member.Attach) and releases could take one (Spread.Heard), but nothing joined them: a host that met its peers after its start learnt of their release only by the next comparison. Ruled out: shortening the comparison's period, which costs a call of its own each time. Comparing stays for the case in which heartbeats do not reach.

--- a/entryhost/releases_test.go
+++ b/entryhost/releases_test.go
@@ -43,6 +43,26 @@
 		Expect(second.Status().Release).To(Equal(rel.Number))
 	})
 
+	// A host starts during an outage of the platform and meets its peers only
+	// later, as behind a partition that heals. It compares with a peer once a
+	// minute here; heartbeats say what the peer has, so its callers wait for the
+	// next heartbeat and not for a minute.
+	It("learns what a peer has from its heartbeat", func() {
+		w := newWorld()
+		w.engine("model")
+		w.oneRoute("model")
+		rel := w.apply("ada")
+		rare := func(o *Options) { o.Releases.Poll = time.Minute }
+		first := w.hostWith(func(o *Options) { o.Name = "e1"; rare(o) })
+		Eventually(first.ready, 5*time.Second).Should(BeTrue())
+		w.objects.SetFaults(platform.Faults{Down: true})
+		late := w.hostWith(func(o *Options) { o.Name = "e2"; rare(o) })
+		Eventually(func() string { return late.Status().LastError }, 5*time.Second).Should(ContainSubstring("neither the platform nor a peer"))
+		late.members.mesh.Learn(first.members.link.Self())
+		Eventually(late.ready, 10*time.Second).Should(BeTrue())
+		Expect(late.Status().Release).To(Equal(rel.Number))
+	})
+
 	// A release names a new model version of a pool and changes a route. The
 	// route is in force at once; the pool keeps its version until the server
 	// reports that it has loaded the new one, so no request asks for a model
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -185,9 +185,7 @@
 		return err
 	}
 	s.measured(p.Host, s.f.opts.Clock.Now().Sub(asked))
-	if a.Platform >= 0 && p.Domain == s.opts.Link.Self().Domain {
-		s.heardPlatform(time.Duration(a.Platform) * time.Millisecond)
-	}
+	s.heard(p, &a)
 	if s.f.Wants(a.Number, a.Hash, p.Host) {
 		return s.pull(ctx, p, a.Number)
 	}
