--- a/entryhost/releases_test.go
+++ b/entryhost/releases_test.go
@@ -53,13 +53,14 @@
 		w.oneRoute("model")
 		rel := w.apply("ada")
 		rare := func(o *Options) { o.Releases.Poll = time.Minute }
-		first := w.hostWith(func(o *Options) { o.Name = "e1"; rare(o) })
-		Eventually(first.ready, 5*time.Second).Should(BeTrue())
+		box := newMiddlebox() // e1's way to e2, shut at first
+		first := w.hostWith(func(o *Options) { o.Name, o.Peers = "e1", box.Addr().String(); rare(o) })
+		Eventually(first.ready, 10*time.Second).Should(BeTrue())
 		w.objects.SetFaults(platform.Faults{Down: true})
 		late := w.hostWith(func(o *Options) { o.Name = "e2"; rare(o) })
 		Eventually(func() string { return late.Status().LastError }, 5*time.Second).Should(ContainSubstring("neither the platform nor a peer"))
-		late.members.mesh.Learn(first.members.link.Self())
-		Eventually(late.ready, 10*time.Second).Should(BeTrue())
+		go box.run(late.members.listener.Addr().String())
+		Eventually(late.ready, 20*time.Second).Should(BeTrue())
 		Expect(late.Status().Release).To(Equal(rel.Number))
 	})
 
