Claims' outcomes are written after the last request and before any part ends

Cause: the flush ran beside the end of the shutdown; the peers' part could end first. afterDrain hooks run between the two, also when the drain took too long.

--- a/entryhost/health.go
+++ b/entryhost/health.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		err = fmt.Errorf("drain: %d requests still in flight: %w", h.gate.Active(), err)
 	}
+	for _, finish := range h.afterDrain {
+		err = errors.Join(err, finish(ctx))
+	}
 	err = errors.Join(err, h.callers.Shutdown(ctx), h.admin.Shutdown(ctx), h.flushSpans(ctx))
 	h.log.Info("stopped", "err", err)
 	return err
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -47,6 +47,11 @@
 	leaving atomic.Bool // readiness is false; requests are still taken
 	vars    expvar.Map  // of this host; served under "bilberry"
 
+	// afterDrain runs in turn at shutdown, after the last request has ended or
+	// the drain has taken too long, and while every actor still runs. What an
+	// actor did at its own end would race with the end of the peers' actor.
+	afterDrain []func(context.Context) error
+
 	actors     []actor
 	reloads    []chan os.Signal
 	flushSpans func(context.Context) error
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -36,7 +36,7 @@
 		Host: h.opts.Name, Incarnation: h.incarnation, Store: h.store, Clock: h.clock,
 		Link: link, Options: h.opts.Requests.Claims,
 	})
-	h.add("claims", h.flushClaims)
+	h.afterDrain = append(h.afterDrain, h.flushClaims)
 	runner := &pipeline.Runner{
 		Backend: backend.NewHTTP(backend.HTTPOptions{}), Admission: h.policy.admit, Quarantine: p.guard,
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
@@ -74,10 +74,9 @@
 // flushTimeout bounds the last write of claims' outcomes.
 const flushTimeout = 2 * time.Second
 
-// flushClaims waits for the last request of a drain and then writes down which
-// keys ran, so that resends to other hosts learn it.
+// flushClaims writes down which keys ran, so that resends to other hosts learn
+// it.
 func (h *Host) flushClaims(ctx context.Context) error {
-	_ = h.gate.Wait(ctx) // a drain that takes too long ends ctx
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
 	if err := h.requests.claims.Flush(flush); err != nil {
--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -96,6 +96,13 @@
 			close(partEnded)
 			return nil
 		})
+		finished := make(chan int64, 1)
+		h.afterDrain = append(h.afterDrain, func(context.Context) error {
+			defer GinkgoRecover()
+			Expect(partEnded).NotTo(BeClosed())
+			finished <- h.gate.Active()
+			return nil
+		})
 		stop, done := runHost(h)
 		Eventually(h.ready, 5*time.Second).Should(BeTrue())
 		first := sendInBackground(h)
@@ -123,6 +130,7 @@
 			Expect(got.body).To(Equal(`"whole"`))
 		}
 		Eventually(done, 10*time.Second).Should(Receive(BeNil()))
+		Expect(finished).To(Receive(BeZero()))
 		Expect(partEnded).To(BeClosed())
 	})
 
