Operations are named to services by account and key

Cause: services that know operations by key were sent the caller's key alone. Two client accounts that choose the same key would get one booking and one would be given the other's answer.

--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -166,10 +167,20 @@
 	return &backend.Call{
 		Server: a.server.State, Path: path, RequestID: x.req.ID, Stage: st.Name, Attempt: a.number,
 		Host: x.Host, Incarnation: x.Incarnation, Body: in, Account: x.req.Account,
-		Priority: x.req.Route.Priority, Key: x.req.Key,
+		Priority: x.req.Route.Priority, Key: operationKey(x.req.Account, x.req.Key),
 	}
 }
 
+// operationKey names the operation to services that check repeats themselves.
+// Two client accounts may choose the same key; known by it alone, one would be
+// given the other's answer.
+func operationKey(account, key string) string {
+	if key == "" {
+		return ""
+	}
+	return url.QueryEscape(account) + "/" + key
+}
+
 // sent notes what the attempt's end proves about execution.
 func (x *run) sent(err error) {
 	var be *backend.Error
