--- a/process/report/report_test.go
+++ b/process/report/report_test.go
@@ -28,7 +28,10 @@
 	patience = 10 * time.Second
 )
 
-var errTimeout = errors.New("no answer in time")
+var (
+	errTimeout = errors.New("no answer in time")
+	errRefused = fmt.Errorf("%w: %w", report.ErrNoConnection, syscall.ECONNREFUSED)
+)
 
 // backends are fake backend servers that every host polls; faults are by host.
 type backends struct {
@@ -78,6 +81,8 @@
 	list  []platform.Host
 	err   error
 	hosts map[string]*siteHost
+
+	leftOut sync.Map // servers that the tables leave out
 }
 
 type siteHost struct {
@@ -122,6 +127,9 @@
 			for d := range domains {
 				for i := range servers {
 					n := fmt.Sprintf("s%d-%d", d, i)
+					if _, left := s.leftOut.Load(n); left {
+						continue
+					}
 					out = append(out, report.Target{State: h.registry.Get(n, n+":1", time.Unix(1, 0)), Domain: fmt.Sprint("d", d)})
 				}
 			}
@@ -199,12 +207,24 @@
 	}
 }
 
+// A server is so loaded that it takes connections and answers no poll in time.
+// If that took it out, the others would get its work, be as late, and go out
+// one after the other. Requests decide about it.
+func TestLateServerIsNotTakenOut(t *testing.T) {
+	s := newSite(t, 1, 2, 1)
+	s.set(func() { s.all["s0-0:1"] = errTimeout })
+	polls := s.hosts["h0-0"].watcher.Counters.Polls.Load
+	before := polls()
+	s.g.Eventually(polls, patience).Should(BeNumerically(">", before+10))
+	s.everywhere("s0-0", (*server.State).Usable, true)
+}
+
 // A server dies: both owners' polls are refused, on fresh connections too. All
 // hosts keep work away from it, each after a probe of its own, and take it
 // back when it answers again.
 func TestDeadServerIsDownEverywhereAndComesBack(t *testing.T) {
 	s := newSite(t, 2, 3, 1)
-	s.set(func() { s.all["s0-0:1"] = fmt.Errorf("dial: %w", syscall.ECONNREFUSED) })
+	s.set(func() { s.all["s0-0:1"] = errRefused })
 	s.everywhere("s0-0", (*server.State).Usable, false)
 	s.set(func() { delete(s.all, "s0-0:1") })
 	s.everywhere("s0-0", (*server.State).Usable, true)
@@ -215,7 +235,7 @@
 func TestOneHostsProbeIsOnlyAHint(t *testing.T) {
 	s := newSite(t, 1, 3, 1)
 	ranked := member.Rank("s0-0:1", []string{"h0-0", "h0-1", "h0-2"})
-	refused := map[string]error{"s0-0:1": syscall.ECONNREFUSED}
+	refused := map[string]error{"s0-0:1": errRefused}
 	s.set(func() { s.from[ranked[0]], s.from[ranked[1]] = refused, refused })
 	for _, owner := range ranked[:2] {
 		s.g.Eventually(func() bool { return s.state(owner, "s0-0").Usable() }, patience).Should(BeFalse())
@@ -229,6 +249,64 @@
 	s.g.Expect(s.state(ranked[2], "s0-0").Usable()).To(BeTrue())
 }
 
+// A host starts, in another domain, after a server was found leaving. The sign
+// has long spread; without being told again it would send the server work.
+func TestHostThatComesLaterLearnsOfLeavingServers(t *testing.T) {
+	s := newSite(t, 2, 2, 1)
+	s.set(func() { s.reports["s0-0:1"] = report.Report{Leaving: true} })
+	s.everywhere("s0-0", (*server.State).Usable, false)
+	sent := s.hosts["h1-0"].monitor.Counters.Sent.Load()
+	s.g.Eventually(s.hosts["h1-0"].monitor.Counters.Sent.Load, patience).Should(BeNumerically(">", sent+60), "the news has spread")
+	s.start(t, "h1-2", "d1", 2, 1)
+	s.everywhere("s0-0", (*server.State).Usable, false)
+}
+
+// A server left, went out of the tables, and a later release has it again at
+// the same address. What was known of it before must not keep it out.
+func TestServerThatTheTablesHaveAgainIsUsable(t *testing.T) {
+	s := newSite(t, 1, 3, 1)
+	s.set(func() { s.reports["s0-0:1"] = report.Report{Leaving: true} })
+	s.everywhere("s0-0", (*server.State).Usable, false)
+	s.leftOut.Store("s0-0", true)
+	for _, h := range s.hosts {
+		before := h.watcher.Counters.Rounds.Load()
+		s.g.Eventually(h.watcher.Counters.Rounds.Load, patience).Should(BeNumerically(">", before+2), "the tables are taken in")
+	}
+	s.set(func() { s.reports["s0-0:1"] = report.Report{} })
+	s.leftOut.Delete("s0-0")
+	s.everywhere("s0-0", (*server.State).Usable, true)
+}
+
+// A domain is cut off from the others and the platform is down for all. A
+// server of the cut domain leaves. Its own hosts have to know at once, from
+// each other alone; the others learn when the cut heals, without the server
+// changing again.
+func TestDomainCutFromPeersAndPlatformGoesOnAndHeals(t *testing.T) {
+	s := newSite(t, 2, 3, 1)
+	s.mu.Lock()
+	s.err = platform.ErrUnavailable
+	s.mu.Unlock()
+	pairs := func(do func(a, b string)) {
+		for i := range 3 {
+			for j := range 3 {
+				do(fmt.Sprint("h0-", i), fmt.Sprint("h1-", j))
+			}
+		}
+	}
+	pairs(s.net.Cut)
+	s.set(func() { s.reports["s1-0:1"] = report.Report{Leaving: true} })
+	for i := range 3 {
+		name := fmt.Sprint("h1-", i)
+		s.g.Eventually(func() bool { return s.state(name, "s1-0").Usable() }, patience, interval).Should(BeFalse(), name)
+		s.g.Expect(s.state(name, "s0-0").Usable()).To(BeTrue(), "a cut is no sign of a server")
+		outside := s.hosts[fmt.Sprint("h0-", i)]
+		s.g.Eventually(func() member.State { p, _ := outside.monitor.Lookup(name); return p.State }, patience).Should(Equal(member.Gone))
+		s.g.Expect(s.state(fmt.Sprint("h0-", i), "s1-0").Usable()).To(BeTrue())
+	}
+	pairs(s.net.Heal)
+	s.everywhere("s1-0", (*server.State).Usable, false)
+}
+
 // Load reports reach the hosts that do not poll the server themselves.
 func TestLoadIsSharedInTheDomain(t *testing.T) {
 	s := newSite(t, 1, 5, 3)
@@ -264,6 +342,7 @@
 	srv.Close()
 	_, err := c.Report(context.Background(), address, true)
 	g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	g.Expect(err).To(MatchError(report.ErrNoConnection))
 	plain := httptest.NewServer(http.NotFoundHandler())
 	defer plain.Close()
 	_, err = c.Report(context.Background(), plain.Listener.Addr().String(), true)
