--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/process/server"
 )
 
 // exchange is one request and its answer on one connection.
@@ -44,13 +46,25 @@
 		return nil, x.failed(err)
 	}
 	x.watch(c.Idle)
-	if err := x.check(c); err != nil {
+	err = x.check(c)
+	if !errors.Is(err, ErrMisdelivered) {
+		h.heard(c.Server, x.resp.Header)
+	}
+	if err != nil {
 		x.close()
 		return nil, err
 	}
 	return x, nil
 }
 
+// heard takes what an answer says of its server. An answer is often the first
+// sign of a leave: it needs no report, list or peer to arrive.
+func (h *HTTP) heard(s *server.State, header http.Header) {
+	if h.opts.Leaving != nil && header.Get(HeaderLeaving) == "true" && !s.Leaving() {
+		h.opts.Leaving(s)
+	}
+}
+
 func (x *exchange) connected(info httptrace.GotConnInfo) {
 	x.reused.Store(info.Reused)
 	x.sent.Store(true)
--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -30,7 +30,8 @@
 	HeaderPriority    = "X-Priority"
 	HeaderKey         = "X-Operation-Key"
 	HeaderResume      = "X-Resume-Offset"
-	HeaderNotStarted  = "X-Not-Started" // on a refusal: the work was not started
+	HeaderNotStarted  = "X-Not-Started"    // on a refusal: the work was not started
+	HeaderLeaving     = "X-Server-Leaving" // on any answer: the server takes its leave
 )
 
 // HTTPOptions configure the HTTP caller.
@@ -38,6 +39,8 @@
 	MaxAnswer   int64 // bytes; default 16 MiB
 	DialTimeout time.Duration
 	IdleConns   int // kept for each backend server
+	// Leaving is called when an answer first says that its server leaves.
+	Leaving func(*server.State)
 }
 
 // HTTP is the Caller over net/http with one connection pool a backend server,
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -15,6 +15,7 @@
 	"bilberrydale/process/member"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/server"
 	"bilberrydale/request/entry"
 	"bilberrydale/request/pipeline"
 )
@@ -38,7 +39,7 @@
 	})
 	h.afterDrain = append(h.afterDrain, h.flushClaims)
 	runner := &pipeline.Runner{
-		Backend: backend.NewHTTP(backend.HTTPOptions{}), Admission: h.policy.admit, Quarantine: p.guard,
+		Backend: backend.NewHTTP(backend.HTTPOptions{Leaving: h.serverLeaves}), Admission: h.policy.admit, Quarantine: p.guard,
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
 		Options: h.opts.Requests.Run, Apart: p.guard,
 	}
@@ -71,6 +72,9 @@
 // requestVars shows every entry host of the process by name.
 var requestVars = expvar.NewMap("requests")
 
+// serverLeaves spreads the sign that an answer gave.
+func (h *Host) serverLeaves(s *server.State) { h.members.servers.Leaving(s.Address) }
+
 // flushTimeout bounds the last write of claims' outcomes.
 const flushTimeout = 2 * time.Second
 
--- a/internal/faultrun/whole_answer_test.go
+++ b/internal/faultrun/whole_answer_test.go
@@ -52,6 +52,7 @@
 func TestTruncatedAnswerIsNotPassedOn(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(t, 1, 2)
+	w.host(0).runner.Options.RetryBurst = 2 * 2 * 10 // each draft below may need a retry of both stages
 	w.servers[0].cut.Store(true)
 	for range 10 {
 		g.Expect(w.send(0, &Operation{Token: "a", Name: "draft", Repeatable: true}, "").Right).To(BeTrue())
--- a/internal/standin/hop/hop.go
+++ b/internal/standin/hop/hop.go
@@ -21,7 +21,8 @@
 	Cut    int           `json:"cut"`    // end the next N answers before they are whole
 	Cross  int           `json:"cross"`  // put another request's id on the next N answers
 	Poison string        `json:"poison"` // a body that contains this kills the server
-	// Leaving is told in the load report; the server goes on serving.
+	// Leaving is told in the load report and on each answer; the server goes
+	// on serving.
 	Leaving bool `json:"leaving"`
 }
 
@@ -98,6 +99,9 @@
 	for _, h := range []string{backend.HeaderRequestID, backend.HeaderStage, backend.HeaderAttempt} {
 		w.Header().Set(h, r.Header.Get(h))
 	}
+	if s.Faults().Leaving {
+		w.Header().Set(backend.HeaderLeaving, "true")
+	}
 	if s.Take(func(f *Faults) *int { return &f.Cross }) {
 		w.Header().Set(backend.HeaderRequestID, "another-request")
 	}
--- a/request/pipeline/options.go
+++ b/request/pipeline/options.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/process/limit"
 )
 
 // Options bound retries and the wait for progress.
@@ -22,8 +24,9 @@
 
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
+	budget := limit.DefaultBudget()
 	return Options{
-		MaxAttempts: 3, RetryShare: 0.2, RetryBurst: 20, MinSilence: 100 * time.Millisecond,
+		MaxAttempts: 3, RetryShare: budget.Ratio, RetryBurst: budget.Most, MinSilence: 100 * time.Millisecond,
 		MaxIdle: time.Second, ProbeTime: 300 * time.Millisecond, Settle: 10 * time.Second,
 	}
 }
