--- a/entryhost/policy.go
+++ b/entryhost/policy.go
@@ -31,7 +31,7 @@
 	a, p := admission.DefaultOptions(), pick.DefaultOptions("", "", "")
 	return PolicyOptions{
 		LoadTarget: a.Target, BackgroundBelow: a.BackgroundBelow, RemoteAt: p.RemoteAt, RemotePerMB: p.RemotePerMB,
-		SubsetRegion: p.SubsetRegion, SubsetRemote: p.SubsetRemote, LoadReports: 4,
+		SubsetRegion: p.SubsetRegion, SubsetRemote: p.SubsetRemote, LoadReports: 2,
 	}
 }
 
