Backend servers learn method, URI and types; what an idempotency key stands for includes the query

Cause: a stage got the body alone. A read of one order by its path had no body, so its server could not know which order; two bookings that differ in the query alone were taken for one; every answer was called JSON, a collected stream too. Ruled out: forwarding the path itself, which the stage's own path replaces. Now X-Original-Method and X-Original-Uri go with each attempt, content types travel from caller to first stage, from stage to stage, to the caller and into kept answers, and the key's hash covers the query.

--- a/connection/backend/backend.go
+++ b/connection/backend/backend.go
@@ -21,6 +21,9 @@
 	Attempt     int
 	Host        string // name of the sending entry host
 	Incarnation uint64
+	Method      string // of the caller's request
+	URI         string // path and query of the caller's request
+	ContentType string // of Body; empty: JSON
 	Body        []byte
 	Account     string
 	Priority    int // 0 is the most urgent
@@ -40,8 +43,9 @@
 
 // Reply is a whole answer.
 type Reply struct {
-	Status int
-	Body   []byte
+	Status      int
+	ContentType string
+	Body        []byte
 }
 
 // Chunk is one piece of a streamed answer. Offset counts the bytes of data
--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -29,6 +30,8 @@
 	HeaderAccount     = "X-Client-Account"
 	HeaderPriority    = "X-Priority"
 	HeaderKey         = "X-Operation-Key"
+	HeaderMethod      = "X-Original-Method"
+	HeaderURI         = "X-Original-Uri"
 	HeaderResume      = "X-Resume-Offset"
 	HeaderNotStarted  = "X-Not-Started"    // on a refusal: the work was not started
 	HeaderLeaving     = "X-Server-Leaving" // on any answer: the server takes its leave
@@ -124,7 +127,7 @@
 	if int64(len(body)) > h.opts.MaxAnswer {
 		return nil, &Error{Sent: Answered, Status: x.resp.StatusCode, Cause: ErrTooLarge}
 	}
-	return &Reply{Status: x.resp.StatusCode, Body: body}, nil
+	return &Reply{Status: x.resp.StatusCode, ContentType: x.resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
 // Stream implements Caller.
@@ -168,7 +171,9 @@
 	// stage that must not be repeated is sent once.
 	req.GetBody = nil
 	set := req.Header.Set
-	set("Content-Type", "application/json")
+	set("Content-Type", cmp.Or(c.ContentType, "application/json"))
+	set(HeaderMethod, c.Method)
+	set(HeaderURI, c.URI)
 	set(HeaderRequestID, c.RequestID)
 	set(HeaderStage, c.Stage)
 	set(HeaderAttempt, strconv.Itoa(c.Attempt))
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -151,6 +151,7 @@
 			resp, body := send(h, "/v1/drafts", "", `{"x":1}`)
 			Expect(resp.StatusCode).To(Equal(http.StatusOK), string(body))
 			Expect(string(body)).To(ContainSubstring("answer of model-1"))
+			Expect(resp.Header.Get("Content-Type")).To(Equal("text/plain; charset=utf-8"))
 
 			resp, body = send(h, "/v1/drafts", entry.StreamType, `{"x":1}`)
 			Expect(resp.Header.Get("Content-Type")).To(Equal(entry.StreamType))
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -43,6 +43,7 @@
 	Request string          `json:"request"`
 	Stage   string          `json:"stage"`
 	Server  string          `json:"server"`
+	Asked   string          `json:"asked,omitempty"` // method and URI of the caller's request
 	Input   json.RawMessage `json:"input,omitempty"`
 }
 
@@ -106,10 +107,14 @@
 		return
 	}
 	a := Answer{Request: r.Header.Get(backend.HeaderRequestID), Stage: r.Header.Get(backend.HeaderStage), Server: s.Name}
+	if uri := r.Header.Get(backend.HeaderURI); uri != "" {
+		a.Asked = r.Header.Get(backend.HeaderMethod) + " " + uri
+	}
 	if json.Valid(body) {
 		a.Input = body
 	}
 	data, _ := json.Marshal(a)
+	w.Header().Set("Content-Type", "application/json")
 	if s.Take(func(f *hop.Faults) *int { return &f.Cut }) {
 		w.Header().Set("Content-Length", "1000000")
 		_, _ = w.Write(data[:len(data)/2])
--- a/request/entry/claim.go
+++ b/request/entry/claim.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// whole is a whole answer as it is kept for resends.
+func whole(contentType string, body []byte) claim.Answer {
+	return claim.Answer{Status: http.StatusOK, Header: map[string]string{"Content-Type": contentType}, Body: body}
+}
+
 // settle tells the claim store how the attempt ended. It uses a context of its
 // own: a caller that went away must not keep the outcome from being recorded.
 func (c *call) settle(res *pipeline.Result, err *kind.Error) {
@@ -88,7 +93,7 @@
 	ctx := context.WithoutCancel(c.r.Context())
 	switch {
 	case err == nil:
-		c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: res.Body})
+		c.Claims.Finish(ctx, c.claimKey, whole(res.ContentType, res.Body))
 	case !res.Started:
 		c.release(ctx, err.Dispatched)
 	case err.Kind == kind.BackendRefused:
@@ -130,7 +135,7 @@
 		case late.NotStarted:
 			c.release(ctx, true)
 		case late.Whole:
-			c.Claims.Finish(ctx, c.claimKey, claim.Answer{Status: http.StatusOK, Body: late.Body})
+			c.Claims.Finish(ctx, c.claimKey, whole(late.ContentType, late.Body))
 		default:
 			c.Claims.Lose(ctx, c.claimKey)
 		}
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -240,7 +240,7 @@
 
 func (c *call) bodyHash() uint64 {
 	d := xxhash.New()
-	_, _ = d.WriteString(c.r.Method + " " + c.r.URL.Path + "\n")
+	_, _ = d.WriteString(c.r.Method + " " + c.r.URL.RequestURI() + "\n")
 	_, _ = d.Write(c.body)
 	return d.Sum64()
 }
@@ -249,7 +249,8 @@
 
 func (c *call) run(fp quarantine.Fingerprint) *kind.Error {
 	req := &pipeline.Request{
-		ID: c.hopID, Account: c.account, Key: c.key, Body: c.body, Snapshot: c.snap,
+		ID: c.hopID, Account: c.account, Key: c.key, Snapshot: c.snap,
+		Method: c.r.Method, URI: c.r.URL.RequestURI(), ContentType: c.r.Header.Get("Content-Type"), Body: c.body,
 		Route: c.route, Admitted: &c.admitted, Fingerprint: fp, Keep: c.claimed,
 	}
 	if c.wantsStream() {
@@ -266,7 +267,7 @@
 		return err
 	}
 	if c.stream == nil {
-		c.answer(http.StatusOK, res.Body)
+		c.write(http.StatusOK, res.ContentType, res.Body)
 	}
 	c.Counters.Completed.Add(1)
 	c.recordWhole()
--- a/request/pipeline/attempt.go
+++ b/request/pipeline/attempt.go
@@ -166,6 +166,7 @@
 	}
 	return &backend.Call{
 		Server: a.server.State, Path: path, RequestID: x.req.ID, Stage: st.Name, Attempt: a.number,
+		Method: x.req.Method, URI: x.req.URI, ContentType: x.contentType,
 		Host: x.Host, Incarnation: x.Incarnation, Body: in, Account: x.req.Account,
 		Priority: x.req.Route.Priority, Key: operationKey(x.req.Account, x.req.Key),
 	}
--- a/request/pipeline/once.go
+++ b/request/pipeline/once.go
@@ -13,8 +13,8 @@
 // outcome is the end of one attempt at a whole answer.
 type outcome struct {
 	attempt *attempt
-	body    []byte
-	err     error
+	output
+	err error
 }
 
 var errPanic = errors.New("pipeline: attempt panicked")
@@ -40,7 +40,7 @@
 		o.err = x.do(ctx, st, a, func(ctx context.Context) error {
 			reply, err := x.Backend.Do(ctx, c)
 			if err == nil {
-				o.body = reply.Body
+				o.output = output{reply.ContentType, reply.Body}
 				p.firstByte.observe(x.Clock.Now().Sub(start))
 			}
 			return err
@@ -68,7 +68,7 @@
 		x.sent(o.err)
 		if o.err == nil {
 			x.started = true
-			return o.body, nil
+			return x.took(o.output), nil
 		}
 		x.started = x.started || mayHaveStarted(o.err)
 		last = x.classify(ctx, st, o.err)
@@ -136,7 +136,7 @@
 		defer cancel()
 		o := <-results
 		late <- Late{
-			Whole: o.err == nil && whole, Body: o.body,
+			Whole: o.err == nil && whole, ContentType: o.contentType, Body: o.body,
 			NotStarted: o.err != nil && !mayHaveStarted(o.err),
 		}
 	}()
--- a/request/pipeline/pipeline.go
+++ b/request/pipeline/pipeline.go
@@ -44,6 +44,9 @@
 	ID          string // unique over all hosts and incarnations
 	Account     string
 	Key         string
+	Method      string // of the caller's request
+	URI         string // path and query of the caller's request
+	ContentType string // of Body
 	Body        []byte
 	Snapshot    *snapshot.Snapshot
 	Route       *snapshot.Route
@@ -58,7 +61,8 @@
 
 // Result is a whole answer, or with an error what is known of the run.
 type Result struct {
-	Body []byte // empty when it went to the Sink and Keep was not set
+	ContentType string
+	Body        []byte // empty when it went to the Sink and Keep was not set
 	// Started is true if a stage that must not be repeated may have run.
 	Started bool
 	// Pending, with an error, brings the outcome of such a stage that still
@@ -68,9 +72,10 @@
 
 // Late is the outcome of a stage that the caller no longer waits for.
 type Late struct {
-	Whole      bool // Body is the request's whole answer
-	Body       []byte
-	NotStarted bool // it cannot have run
+	Whole       bool // Body is the request's whole answer
+	ContentType string
+	Body        []byte
+	NotStarted  bool // it cannot have run
 }
 
 // run is the state of one request.
@@ -82,6 +87,23 @@
 	started    bool // of a stage that must not be repeated
 	pending    <-chan Late
 	tried      []*server.State // of the present stage
+	// contentType is that of the present stage's input.
+	contentType string
+}
+
+// output is what a stage gives to the next one, or to the caller.
+type output struct {
+	contentType string
+	body        []byte
+}
+
+// streamedType is the type of a streamed answer that was collected.
+const streamedType = "text/plain; charset=utf-8"
+
+// took makes an output the input of the next stage.
+func (x *run) took(o output) []byte {
+	x.contentType = o.contentType
+	return o.body
 }
 
 // Run executes every stage in turn and returns the whole answer or the one
@@ -89,7 +111,7 @@
 func (r *Runner) Run(ctx context.Context, req *Request) (*Result, *kind.Error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Admitted.Deadline)
 	defer cancel()
-	x := &run{Runner: r, req: req}
+	x := &run{Runner: r, req: req, contentType: req.ContentType}
 	body := req.Body
 	for i := range req.Route.Stages {
 		out, err := x.stage(ctx, &req.Route.Stages[i], body)
@@ -102,7 +124,7 @@
 	if r.Apart != nil {
 		r.Apart.Clear(req.Fingerprint)
 	}
-	return &Result{Body: body, Started: x.started}, nil
+	return &Result{ContentType: x.contentType, Body: body, Started: x.started}, nil
 }
 
 // stage runs one stage, with retries where they are allowed.
--- a/request/pipeline/repeat.go
+++ b/request/pipeline/repeat.go
@@ -49,7 +49,7 @@
 				if r.inflight > 0 && o.attempt.number < x.number {
 					x.Counters.LateUsed.Add(1)
 				}
-				return o.body, nil
+				return x.took(o.output), nil
 			}
 			if err := r.failed(o); err != nil {
 				return nil, err
--- a/request/pipeline/stream.go
+++ b/request/pipeline/stream.go
@@ -51,7 +51,7 @@
 		x.sent(err)
 		if err == nil {
 			x.req.Admitted.Running = s.at.Sub(s.first)
-			return s.whole, nil
+			return x.took(output{streamedType, s.whole}), nil
 		}
 		if !s.goesOn(ctx, a, err) {
 			return nil, s.failed(ctx, err)
