--- a/version/table/validate.go
+++ b/version/table/validate.go
@@ -101,7 +101,7 @@
 	if ip, err := netip.ParseAddr(host); err == nil && ip.IsUnspecified() {
 		return fmt.Errorf("%s is no address that a call can be sent to", host)
 	}
-	if host == "" || strings.ContainsAny(host, " /?#@") {
+	if host == "" || strings.ContainsAny(host, "/?#@") || strings.ContainsFunc(host, notVisible) {
 		return fmt.Errorf("%q is not a host", host)
 	}
 	return nil
--- a/version/table/validate_pools.go
+++ b/version/table/validate_pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"unicode"
 )
 
 // fleet is what the pools say together about backend servers: the same server
@@ -39,6 +41,14 @@
 	if p.Kind == Service && p.Model != (Model{}) {
 		c.add("model", "is set on a plain service", "remove it or use kind engine")
 	}
+	if p.Role != "" && !validName(p.Role) {
+		c.add("role", fmt.Sprintf("%q is not a name", p.Role), "name the role that the engines are to have, or leave it out")
+	}
+	for field, part := range map[string]string{"name": p.Model.Name, "adapter": p.Model.Adapter, "version": p.Model.Version} {
+		if strings.ContainsFunc(part, notVisible) {
+			c.add("model."+field, fmt.Sprintf("%q holds a blank or a control character", part), "use visible characters alone")
+		}
+	}
 	if p.Kind != Engine && p.Fencing {
 		c.add("fencing", "is set on a pool that takes no orders", "remove it or use kind engine")
 	}
@@ -47,6 +57,8 @@
 	}
 }
 
+func notVisible(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }
+
 func (c *checker) servers(servers []Server, f *fleet) {
 	seen := map[string]bool{}
 	for i, s := range servers {
--- a/version/table/validate_routes.go
+++ b/version/table/validate_routes.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"unicode"
 )
 
 func (c *checker) routes(routes []Route, pools map[string]bool) {
@@ -41,7 +42,10 @@
 	if n := len(r.Match.Headers); n > MaxHeaders {
 		c.add("match.headers", fmt.Sprintf("has %d headers", n), fmt.Sprintf("use at most %d", MaxHeaders))
 	}
-	for name := range r.Match.Headers {
+	for name, value := range r.Match.Headers {
+		if !isHeaderValue(value) {
+			c.add("match.headers", fmt.Sprintf("no request carries %s: %q", name, value), "use visible characters and no space at the ends")
+		}
 		if name == "" || strings.ContainsAny(name, " :\t\r\n") {
 			c.add("match.headers", fmt.Sprintf("%q is not a header name", name), "correct the name")
 		}
@@ -53,6 +57,11 @@
 	matches[key] = r.Name
 }
 
+// isHeaderValue reports whether HTTP can carry v as it is.
+func isHeaderValue(v string) bool {
+	return v == strings.TrimSpace(v) && !strings.ContainsFunc(v, unicode.IsControl)
+}
+
 var methods = map[string]bool{
 	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true,
 	http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
