--- a/connection/backend/exchange.go
+++ b/connection/backend/exchange.go
@@ -34,7 +34,7 @@
 func (h *HTTP) open(ctx context.Context, c *Call) (*exchange, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	x := &exchange{call: c, cancel: cancel}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.connected}), c)
+	req, err := h.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.connected}), c)
 	if err != nil {
 		cancel()
 		return nil, &Error{Sent: NotSent, Cause: err}
@@ -46,7 +46,7 @@
 		return nil, x.failed(err)
 	}
 	x.watch(c.Idle)
-	err = x.check(c)
+	err = x.check(c, &h.opts.Headers)
 	if !errors.Is(err, ErrMisdelivered) {
 		h.heard(c.Server, x.resp.Header)
 	}
@@ -60,7 +60,7 @@
 // heard takes what an answer says of its server. An answer is often the first
 // sign of a leave: it needs no report, list or peer to arrive.
 func (h *HTTP) heard(s *server.State, header http.Header) {
-	if h.opts.Leaving != nil && header.Get(HeaderLeaving) == "true" && !s.Leaving() {
+	if h.opts.Leaving != nil && header.Get(h.opts.Headers.Leaving) == "true" && !s.Leaving() {
 		h.opts.Leaving(s)
 	}
 }
--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -20,28 +20,12 @@
 	"bilberrydale/process/server"
 )
 
-// Header names of the hop to a backend server.
-const (
-	HeaderRequestID   = "X-Request-Id"
-	HeaderStage       = "X-Stage"
-	HeaderAttempt     = "X-Attempt"
-	HeaderHost        = "X-Entry-Host"
-	HeaderIncarnation = "X-Entry-Incarnation"
-	HeaderAccount     = "X-Client-Account"
-	HeaderPriority    = "X-Priority"
-	HeaderKey         = "X-Operation-Key"
-	HeaderMethod      = "X-Original-Method"
-	HeaderURI         = "X-Original-Uri"
-	HeaderResume      = "X-Resume-Offset"
-	HeaderNotStarted  = "X-Not-Started"    // on a refusal: the work was not started
-	HeaderLeaving     = "X-Server-Leaving" // on any answer: the server takes its leave
-)
-
 // HTTPOptions configure the HTTP caller.
 type HTTPOptions struct {
 	MaxAnswer   int64 // bytes; default 16 MiB
 	DialTimeout time.Duration
-	IdleConns   int // kept for each backend server
+	IdleConns   int     // kept for each backend server
+	Headers     Headers // default: DefaultHeaders
 	// Leaving is called when an answer first says that its server leaves.
 	Leaving func(*server.State)
 }
@@ -64,6 +48,9 @@
 	if opts.IdleConns <= 0 {
 		opts.IdleConns = 64
 	}
+	if opts.Headers == (Headers{}) {
+		opts.Headers = DefaultHeaders()
+	}
 	return &HTTP{opts: opts}
 }
 
@@ -161,7 +148,7 @@
 	}
 }
 
-func newRequest(ctx context.Context, c *Call) (*http.Request, error) {
+func (h *HTTP) newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Server.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, fmt.Errorf("build call: %w", err)
@@ -170,33 +157,33 @@
 	// connection if it can rewind the body. Without GetBody it cannot, so a
 	// stage that must not be repeated is sent once.
 	req.GetBody = nil
-	set := req.Header.Set
+	set, names := req.Header.Set, &h.opts.Headers
 	set("Content-Type", cmp.Or(c.ContentType, "application/json"))
-	set(HeaderMethod, c.Method)
-	set(HeaderURI, c.URI)
-	set(HeaderRequestID, c.RequestID)
-	set(HeaderStage, c.Stage)
-	set(HeaderAttempt, strconv.Itoa(c.Attempt))
-	set(HeaderHost, c.Host)
-	set(HeaderIncarnation, strconv.FormatUint(c.Incarnation, 10))
-	set(HeaderAccount, c.Account)
-	set(HeaderPriority, strconv.Itoa(c.Priority))
+	set(names.Method, c.Method)
+	set(names.URI, c.URI)
+	set(names.RequestID, c.RequestID)
+	set(names.Stage, c.Stage)
+	set(names.Attempt, strconv.Itoa(c.Attempt))
+	set(names.Host, c.Host)
+	set(names.Incarnation, strconv.FormatUint(c.Incarnation, 10))
+	set(names.Account, c.Account)
+	set(names.Priority, strconv.Itoa(c.Priority))
 	if c.Key != "" {
 		// Not named Idempotency-Key: that name makes net/http's transport
 		// treat the request as safe to repeat.
-		set(HeaderKey, c.Key)
+		set(names.Key, c.Key)
 	}
 	if c.Resume > 0 {
-		set(HeaderResume, strconv.FormatInt(c.Resume, 10))
+		set(names.Resume, strconv.FormatInt(c.Resume, 10))
 	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
 }
 
-func (x *exchange) check(c *Call) error {
+func (x *exchange) check(c *Call, names *Headers) error {
 	h := x.resp.Header
-	if h.Get(HeaderRequestID) != c.RequestID || h.Get(HeaderStage) != c.Stage || h.Get(HeaderAttempt) != strconv.Itoa(c.Attempt) {
-		return &Error{Sent: MaySent, Cause: fmt.Errorf("%w: got %q/%q/%q", ErrMisdelivered, h.Get(HeaderRequestID), h.Get(HeaderStage), h.Get(HeaderAttempt))}
+	if h.Get(names.RequestID) != c.RequestID || h.Get(names.Stage) != c.Stage || h.Get(names.Attempt) != strconv.Itoa(c.Attempt) {
+		return &Error{Sent: MaySent, Cause: fmt.Errorf("%w: got %q/%q/%q", ErrMisdelivered, h.Get(names.RequestID), h.Get(names.Stage), h.Get(names.Attempt))}
 	}
 	if x.resp.StatusCode == http.StatusOK {
 		return nil
@@ -204,7 +191,7 @@
 	text, _ := io.ReadAll(io.LimitReader(x.resp.Body, 512))
 	return &Error{
 		Sent: Answered, Status: x.resp.StatusCode,
-		Refused: h.Get(HeaderNotStarted) == "true",
+		Refused: h.Get(names.NotStarted) == "true",
 		Cause:   fmt.Errorf("status %d: %s", x.resp.StatusCode, text),
 	}
 }
--- a/entryhost/options.go
+++ b/entryhost/options.go
@@ -127,7 +127,7 @@
 
 // Check reports every fault between settings.
 func (o *Options) Check() error {
-	faults := []error{o.tlsOptions.check(), o.callerOptions.check(), o.distinctPorts(), o.checkPeer()}
+	faults := []error{o.tlsOptions.check(), o.callerOptions.check(), o.distinctPorts(), o.checkPeer(), o.Requests.Headers.Check()}
 	if o.AdminToken == "" && !loopback(o.Admin) {
 		faults = append(faults, errors.New("--admin: an address other than loopback needs --admin-token"))
 	}
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -39,7 +39,7 @@
 	})
 	h.afterDrain = append(h.afterDrain, h.flushClaims)
 	runner := &pipeline.Runner{
-		Backend: backend.NewHTTP(backend.HTTPOptions{Leaving: h.serverLeaves}), Admission: h.policy.admit, Quarantine: p.guard,
+		Backend: backend.NewHTTP(backend.HTTPOptions{Headers: h.opts.Requests.Headers, Leaving: h.serverLeaves}), Admission: h.policy.admit, Quarantine: p.guard,
 		Clock: h.clock, Rand: h.rand, Tracer: h.tracer, Host: h.opts.Name, Incarnation: h.incarnation,
 		Options: h.opts.Requests.Run, Apart: p.guard,
 	}
@@ -110,11 +110,15 @@
 	Claims     claim.Options
 	Quarantine quarantine.Options
 	Run        pipeline.Options
+	Headers    backend.Headers // of the hop to a backend server
 }
 
 // DefaultRequestOptions returns the defaults.
 func DefaultRequestOptions() RequestOptions {
-	return RequestOptions{Claims: claim.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Run: pipeline.DefaultOptions()}
+	return RequestOptions{
+		Claims: claim.DefaultOptions(), Quarantine: quarantine.DefaultOptions(), Run: pipeline.DefaultOptions(),
+		Headers: backend.DefaultHeaders(),
+	}
 }
 
 func (o *RequestOptions) register(set *settings.Set) {
@@ -128,5 +132,8 @@
 	set.Duration(&o.Quarantine.Term, "quarantine-term", "time for which such a request is refused", time.Second, 24*time.Hour)
 	set.Int(&o.Run.MaxAttempts, "attempts", "attempts of one stage", 1, 10)
 	set.Float(&o.Run.RetryShare, "retry-share", "retries for each request of a pool", 0, 1)
+	o.Headers.Each(func(setting string, name *string, meaning string) {
+		set.String(name, "server-header-"+setting, "backend servers' header: "+meaning, backend.CheckHeader)
+	})
 	set.Duration(&o.Run.MinSilence, "min-silence", "least wait for progress before a connection is doubted", time.Millisecond, time.Minute)
 }
