--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"sync"
 	"time"
@@ -51,6 +52,8 @@
 	if opts.Headers == (Headers{}) {
 		opts.Headers = DefaultHeaders()
 	}
+	// Names are put into canonical form once, not for each attempt.
+	opts.Headers.Each(func(_ string, name *string, _ string) { *name = textproto.CanonicalMIMEHeaderKey(*name) })
 	return &HTTP{opts: opts}
 }
 
@@ -148,6 +151,9 @@
 	}
 }
 
+// hopHeaders is the room for the headers of one attempt.
+const hopHeaders = 16
+
 func (h *HTTP) newRequest(ctx context.Context, c *Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Server.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
@@ -157,7 +163,14 @@
 	// connection if it can rewind the body. Without GetBody it cannot, so a
 	// stage that must not be repeated is sent once.
 	req.GetBody = nil
-	set, names := req.Header.Set, &h.opts.Headers
+	names := &h.opts.Headers
+	req.Header = make(http.Header, hopHeaders)
+	// One array holds all values: Header.Set would allocate one for each.
+	values := make([]string, 0, hopHeaders)
+	set := func(name, value string) {
+		values = append(values, value)
+		req.Header[name] = values[len(values)-1 : len(values) : len(values)]
+	}
 	set("Content-Type", cmp.Or(c.ContentType, "application/json"))
 	set(names.Method, c.Method)
 	set(names.URI, c.URI)
