--- a/connection/backend/headers_test.go
+++ b/connection/backend/headers_test.go
@@ -45,6 +45,16 @@
 // again when a kept connection breaks: a booking could run twice.
 func TestNamesThatRepeatRequestsAreRefused(t *testing.T) {
 	g := NewWithT(t)
+	repeating := DefaultHeaders()
+	repeating.Key = "Idempotency-Key"
+	for received, names := range map[int32]Headers{2: DefaultHeaders(), 3: repeating} {
+		s := newRaw(t, resetOnReuse)
+		h, state := NewHTTP(HTTPOptions{Headers: names}), s.state()
+		for range 2 {
+			_, _ = h.Do(context.Background(), &Call{Server: state, Path: "/", RequestID: "r", Stage: "book", Key: "key"})
+		}
+		g.Expect(s.received.Load()).To(Equal(received), names.Key)
+	}
 	for _, name := range []string{"", "a b", "Idempotency-Key", "x-idempotency-key", "content-length"} {
 		g.Expect(CheckHeader(name)).NotTo(Succeed(), name)
 	}
--- a/connection/backend/not_run_test.go
+++ b/connection/backend/not_run_test.go
@@ -76,6 +76,16 @@
 		r.Header.Get(HeaderRequestID), r.Header.Get(HeaderStage), r.Header.Get(HeaderAttempt), headers, body)
 }
 
+// resetOnReuse answers the first request of a connection and ends it at the
+// second.
+func resetOnReuse(c net.Conn, r *http.Request, _, onConn int) bool {
+	if onConn > 1 {
+		return false
+	}
+	echo(c, r, 200, length("ok"), "ok")
+	return true
+}
+
 func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
 
 func call(s *server.State, id string) *Call {
@@ -94,13 +104,6 @@
 // Idempotency-Key makes it: the booking runs twice, and nobody asked for it.
 func TestConnectionResetOnReuseIsNotRetried(t *testing.T) {
 	g := NewWithT(t)
-	resetOnReuse := func(c net.Conn, r *http.Request, _, onConn int) bool {
-		if onConn > 1 {
-			return false
-		}
-		echo(c, r, 200, length("ok"), "ok")
-		return true
-	}
 	naive := newRaw(t, resetOnReuse)
 	for range 2 {
 		req, _ := http.NewRequest(http.MethodPost, "http://"+naive.listener.Addr().String(), bytes.NewReader([]byte("{}")))
--- a/entryhost/releases.go
+++ b/entryhost/releases.go
@@ -52,7 +52,7 @@
 		Follower: p.follower, Link: h.members.link, View: h.members.view, ExpectPeers: h.opts.Peers != "",
 		Watchers: opts.Watchers, Poll: opts.Poll,
 	})
-	h.members.monitor.Attach("release", p.spread.Beat, p.spread.HeardBeat)
+	h.members.monitor.Attach("release", p.spread.HeartbeatPart, p.spread.OnHeartbeatPart)
 	h.add("releases", p.spread.Run)
 	h.add("model gate", h.openModels)
 	releasesVars.Set(h.opts.Name, expvar.Func(func() any { return h.releaseVars() }))
--- a/process/admission/judge.go
+++ b/process/admission/judge.go
@@ -52,8 +52,8 @@
 	detail     string
 }
 
-// by blames a pool for a refusal.
-func (v *Verdict) by(r Reason, p *pool, wait time.Duration) {
+// refuse makes v a refusal on account of pool p.
+func (v *Verdict) refuse(r Reason, p *pool, wait time.Duration) {
 	v.Reason, v.Pool, v.RetryAfter = r, p.name, wait
 	v.detail = p.details[r.index()]
 }
@@ -83,7 +83,7 @@
 	}
 	for i := range p.stages {
 		if pl := p.stages[i].pool; pl.down.Load() && !(count && pl.probe(now, c.opts.Probe)) {
-			v.by(PoolDown, pl, pl.outageWait(now))
+			v.refuse(PoolDown, pl, pl.outageWait(now))
 			return v
 		}
 	}
@@ -130,7 +130,7 @@
 	for i := range p.stages {
 		pl := p.stages[i].pool
 		if l := pl.now(); l >= c.opts.BackgroundBelow {
-			v.by(Waits, pl, pl.fullWait(now))
+			v.refuse(Waits, pl, pl.fullWait(now))
 			v.Position, v.Threshold = l, c.opts.BackgroundBelow
 			return
 		}
@@ -169,7 +169,7 @@
 	if wait == 0 {
 		wait = pl.fullWait(now)
 	}
-	v.by(reason, pl, wait)
+	v.refuse(reason, pl, wait)
 	return false
 }
 
--- a/process/member/heartbeat.go
+++ b/process/member/heartbeat.go
@@ -118,7 +118,7 @@
 			m.opts.Link.Learn(n.Identity)
 		}
 	}
-	for _, host := range m.hearsay(list, now, 2*m.opts.Interval) {
+	for _, host := range m.gossip(list, now, 2*m.opts.Interval) {
 		m.start(func() { m.check(host) })
 	}
 }
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -15,7 +15,7 @@
 // record is what the table keeps of one other entry host.
 type record struct {
 	Peer
-	heard     time.Time // last direct evidence of life; zero: hearsay only
+	heard     time.Time // last direct evidence of life; zero: gossip only
 	gone      time.Time // when it was judged gone
 	probeAt   time.Time // next probe of a gone host
 	probeWait time.Duration
@@ -180,9 +180,9 @@
 	}
 }
 
-// hearsay records what another host said. It returns hosts whose life should
-// be checked on a fresh connection: no host is judged on hearsay.
-func (t *table) hearsay(list []news, now time.Time, fresh time.Duration) (check []string) {
+// gossip records what another host said. It returns hosts whose life should
+// be checked on a fresh connection: no host is judged on gossip.
+func (t *table) gossip(list []news, now time.Time, fresh time.Duration) (check []string) {
 	t.update(func() bool {
 		changed := false
 		for _, n := range list {
--- a/process/release/publish_test.go
+++ b/process/release/publish_test.go
@@ -213,6 +213,15 @@
 	g.Expect(err).To(MatchError(ContainSubstring("deleted in 2 by bo")))
 }
 
+// enqueue leaves set in the queue, as a writer that goes no further does.
+func enqueue(g *WithT, p *Publisher, id string, set ChangeSet) *queued {
+	set.ID = id
+	q := &queued{p: p, set: set, since: 1, key: queuePrefix + id}
+	left := entry{Set: set, Since: 1, Expires: p.Clock.Now().Add(queueLife)}
+	g.Expect(p.putNew(context.Background(), q.key, left)).To(Succeed())
+	return q
+}
+
 // A writer dies after it queued its edit and another commits it; the row is
 // then deleted. The entry that the dead writer left must not bring the row back.
 func TestEntryOfADeadWriterIsAcceptedOnce(t *testing.T) {
@@ -220,10 +229,7 @@
 	ctx, objects := context.Background(), standin.New()
 	p := publisher(objects, 1)
 	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
-	dead := put("cy", "pools/c", "0", 0)
-	dead.ID = "dead"
-	left := entry{Set: dead, Since: 1, Expires: p.Clock.Now().Add(queueLife)}
-	g.Expect(p.putNew(ctx, queuePrefix+"dead", left)).To(Succeed())
+	enqueue(g, p, "dead", put("cy", "pools/c", "0", 0))
 	second := must(g)(p.Apply(ctx, put("bo", "pools/b", "0", 0)))
 	g.Expect(second.Rows).To(HaveLen(3), "accepted together")
 	must(g)(p.Apply(ctx, remove("bo", "pools/c", second.Number)))
@@ -240,10 +246,7 @@
 	ctx, objects := context.Background(), standin.New()
 	p := publisher(objects, 1)
 	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
-	set := put("bo", "pools/a", "1", 1)
-	set.ID = "slow"
-	q := &queued{p: p, set: set, since: 1, key: queuePrefix + set.ID}
-	g.Expect(p.putNew(ctx, q.key, entry{Set: set, Since: 1, Expires: p.Clock.Now().Add(queueLife)})).To(Succeed())
+	q := enqueue(g, p, "slow", put("bo", "pools/a", "1", 1))
 	second := must(g)(p.Apply(ctx, put("cy", "pools/c", "0", 0)))
 	must(g)(p.Apply(ctx, put("cy", "pools/a", "2", second.Number)))
 	rel, done, err := q.step(ctx, 0)
@@ -260,10 +263,7 @@
 	ctx, objects := context.Background(), standin.New()
 	p := publisher(objects, 1)
 	must(g)(p.Apply(ctx, put("ada", "pools/a", "0", 0)))
-	set := put("ada", "routes/r", "a", 0)
-	set.ID = "withdrawn"
-	q := &queued{p: p, set: set, since: 1, key: queuePrefix + set.ID}
-	g.Expect(p.putNew(ctx, q.key, entry{Set: set, Since: 1, Expires: p.Clock.Now().Add(queueLife)})).To(Succeed())
+	q := enqueue(g, p, "withdrawn", put("ada", "routes/r", "a", 0))
 	racing := &before{Store: objects, key: HeadKey, run: func() {
 		_, done, err := q.withdraw(ctx, ErrInvalid)
 		g.Expect(done).To(BeTrue())
--- a/process/release/role.go
+++ b/process/release/role.go
@@ -185,7 +185,7 @@
 		return err
 	}
 	s.measured(p.Host, s.f.opts.Clock.Now().Sub(asked))
-	s.heard(p, &a)
+	s.notePlatform(p, &a)
 	if s.f.Wants(a.Number, a.Hash, p.Host) {
 		return s.pull(ctx, p, a.Number)
 	}
--- a/process/release/spread.go
+++ b/process/release/spread.go
@@ -232,8 +232,8 @@
 	return msgpack.Marshal(&summary{Number: number, Hash: hash, Platform: s.platformAge()})
 }
 
-// Beat returns what a heartbeat says of this host's releases.
-func (s *Spread) Beat() []byte {
+// HeartbeatPart returns what a heartbeat says of this host's releases.
+func (s *Spread) HeartbeatPart() []byte {
 	data, err := s.onSummary(context.Background(), peer.Identity{}, nil)
 	if err != nil {
 		return nil // comparing with peers goes on without
@@ -241,19 +241,19 @@
 	return data
 }
 
-// HeardBeat takes what Beat returned at from. It returns at once.
-func (s *Spread) HeardBeat(from peer.Identity, data []byte) {
+// OnHeartbeatPart takes what HeartbeatPart returned at from. It returns at once.
+func (s *Spread) OnHeartbeatPart(from peer.Identity, data []byte) {
 	var a summary
 	if msgpack.Unmarshal(data, &a) != nil {
 		return
 	}
-	s.heard(from, &a)
+	s.notePlatform(from, &a)
 	s.Heard(from, a.Number, a.Hash)
 }
 
-// heard notes how the peer stands with the platform: watchers of a domain
+// notePlatform records how the peer stands with the platform: watchers of a domain
 // speak for all of it.
-func (s *Spread) heard(from peer.Identity, a *summary) {
+func (s *Spread) notePlatform(from peer.Identity, a *summary) {
 	if a.Platform >= 0 && from.Domain == s.opts.Link.Self().Domain {
 		s.heardPlatform(time.Duration(a.Platform) * time.Millisecond)
 	}
