--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -97,6 +98,9 @@
 	}
 	answer.Close()
 	c.noteLoad(call.Server, answer.Status, answer.Header)
+	if platform.StageBusy(answer.Status, answer.Header) {
+		return batcher.Answer{Err: errBusy, Busy: true}
+	}
 	results, err := platform.DecodeStageRun(answer.Status, body, call.Server.ID, call.Server.Address, len(call.Items))
 	if err != nil {
 		return batcher.Answer{Err: err}
@@ -105,6 +109,8 @@
 	return batcher.Answer{Results: results}
 }
 
+var errBusy = errors.New("the server has too much work")
+
 func (c *stageCalls) noteLoad(s *directory.Server, status int, header http.Header) {
 	if head := platform.DecodeServer(status, header); head.HasLoad {
 		s.Load(head.Running, head.Waiting, c.clock.Now())
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -181,19 +181,27 @@
 }
 
 func (h *Host) hostsChanged(objects map[string]follow.Object[peer.Identity], why string) {
+	listed := make(map[string]peer.Identity, len(objects))
 	for name, o := range objects {
 		if o.Err != nil {
 			h.log.Warn("entry host", "outcome", "entry left out", "name", name, "err", o.Err)
 			continue
 		}
+		listed[name] = o.Value
 		h.mesh.Learn(o.Value)
 	}
 	for _, id := range h.mesh.Peers() {
-		if _, ok := objects[id.Host]; !ok {
+		before, was := h.listed[id.Host]
+		// A host that came back has told so itself before the list did.
+		if _, is := listed[id.Host]; !is && was && before.Incarnation == id.Incarnation {
 			h.mesh.Forget(id.Host)
 			h.log.Info("entry host", "outcome", "gone", "name", id.Host, "by", why)
 		}
 	}
+	if h.listed == nil {
+		h.stages.Hello()
+	}
+	h.listed = listed
 }
 
 func (h *Host) lost(what string, err error) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,7 +20,6 @@
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
-	"bilberrydale/process/batcher"
 	"bilberrydale/process/budget"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
@@ -28,6 +27,7 @@
 	"bilberrydale/process/meter"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/record"
+	"bilberrydale/process/stages"
 	"bilberrydale/request/gateway"
 	"bilberrydale/version/plan"
 )
@@ -62,12 +62,13 @@
 	upstream  *upstream.Client
 	budget    *budget.Shared
 	batchers  *batchers
-	pool      *batcher.Pool
+	stages    *stages.Pool
 	gateway   *gateway.Gateway
 
 	self   peer.Identity
 	mesh   *peer.Mesh
 	secret atomic.Pointer[string]
+	listed map[string]peer.Identity // hosts as the platform last listed them; of followHosts
 
 	listeners struct{ callers, ready, peers, metrics net.Listener }
 	callers   *http.Server
@@ -93,14 +94,14 @@
 	})
 	h.wirePeers()
 	h.batchers = newBatchers(h)
-	h.pool = batcher.NewPool(h.mesh, h.clock, h.batchers.get)
+	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h))
 	h.budget = budget.New(budget.Options{
 		Ratio: set.RetryRatio, Window: set.RetryWindow, Slack: set.RetrySlack, Clock: h.clock,
 		Hosts: func() int { return len(h.mesh.Peers()) + 1 + spareHosts },
 	})
 	h.gateway = gateway.New(gateway.Options{
 		Domain: set.Domain, Distance: h.distance, Plan: &h.plan, Directory: h.directory, Upstream: h.upstream,
-		Pool: h.pool, Budget: h.budget, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
+		Pool: h.stages, Budget: h.budget, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
 		Closing: h.stopping.Load, Log: h.logRequest,
 	})
 	h.wireServers()
--- a/edge/records.go
+++ b/edge/records.go
@@ -7,6 +7,7 @@
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/kind"
 	"bilberrydale/process/record"
+	"bilberrydale/process/stages"
 	"bilberrydale/request/gateway"
 )
 
@@ -78,6 +79,30 @@
 	}
 }
 
+// StageWork implements stages.Log.
+func (h *Host) StageWork(r *stages.Request, late bool, waited, took time.Duration, err error, onTime, lateWaiting int) {
+	h.meter.Observe("stage_work", took)
+	h.meter.Observe("stage_work_wait", waited)
+	if late {
+		h.meter.Add("stage_work_late", 1)
+	}
+	if err != nil {
+		h.meter.Add("stage_work_failed", 1)
+	}
+	if !h.limits.allow(err != nil, h.clock.Now()) {
+		return
+	}
+	kv := []any{
+		"id", r.ID, "late", late, "waited_ms", ms(waited), "took_ms", ms(took), "waiting", onTime, "waiting_late", lateWaiting,
+		"worth", int(r.Worth),
+	}
+	if err != nil {
+		h.log.Warn("stage work", append(kv, "err", err)...)
+		return
+	}
+	h.log.Info("stage work", kv...)
+}
+
 // CallEnded implements batcher.Log.
 func (h *Host) CallEnded(service string, c *batcher.Call, took time.Duration, a batcher.Answer) {
 	h.meter.Observe("stage_call_"+service, took)
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -48,6 +48,7 @@
 	start := h.clock.Now()
 	h.stopping.Store(true)
 	h.log.Info("stopping", "in_flight", h.active.Load())
+	h.stages.Leave()
 	<-h.clock.After(balancerNotices)
 	end := start.Add(h.set.StopBound - stopReserve)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -64,7 +64,7 @@
 // Submit adds a job; its Done is called for each item.
 func (b *Batcher) Submit(j *Job) {
 	b.mu.Lock()
-	b.queue.Submit(j, b.clock.Now())
+	b.queue.Submit(j)
 	b.mu.Unlock()
 	b.wake()
 }
@@ -77,11 +77,18 @@
 	b.wake()
 }
 
-// Backlog is how long a job that came now would wait.
-func (b *Batcher) Backlog() time.Duration {
+// Capacity is what the service's servers can do now.
+func (b *Batcher) Capacity() Capacity {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.queue.Backlog(b.clock.Now())
+	return b.queue.Capacity(b.clock.Now())
+}
+
+// Options returns the options in force.
+func (b *Batcher) Options() Options {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue.opts
 }
 
 func (b *Batcher) wake() {
@@ -106,8 +113,11 @@
 			b.queue.Recover()
 			recover = now
 		}
+		if len(b.queue.servers) == 0 {
+			b.queue.Fail(NoServer)
+		}
 		calls, again := b.queue.Next(now)
-		waiting, _ := b.queue.Waiting()
+		waiting := b.queue.Waiting()
 		b.mu.Unlock()
 		for _, c := range calls {
 			b.log.CallSent(b.service, c, waiting)
@@ -145,7 +155,7 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	already := c.ended
-	if failed && !already {
+	if failed && !already && !a.Busy {
 		c.Server.Failed(now)
 	}
 	b.queue.Ended(c, a, now)
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -16,8 +16,7 @@
 		start = arrive
 	}
 	c.StartBy = start
-	q.fill(c, s, &q.onTime, start)
-	q.fill(c, s, &q.late, start)
+	q.fill(c, s)
 	if len(c.Items) == 0 {
 		return nil
 	}
@@ -30,11 +29,9 @@
 
 // placeFirst returns a server for the first job that has one.
 func (q *Queue) placeFirst(free []*server, now time.Time) *server {
-	for _, list := range [][]*Job{q.onTime, q.late} {
-		for _, j := range list {
-			if s := q.place(j, free, now); s != nil {
-				return s
-			}
+	for _, j := range q.waiting {
+		if s := q.place(j, free, now); s != nil {
+			return s
 		}
 	}
 	return nil
@@ -48,20 +45,34 @@
 		if !q.fits(s, j.ItemBytes) {
 			continue
 		}
-		finish := s.freeAt(now).Add(q.takes(s, j))
-		if !j.late && finish.After(j.AimBy) && s.slow > slowFrom {
+		if s.slow > slowFrom && s.freeAt(now).Add(q.takes(s, j)).After(j.DieBy) {
 			continue
 		}
 		if best == nil || q.better(s, best, j) {
 			best = s
 		}
 	}
+	if best != nil && best.slow > slowFrom && q.soonerElsewhere(best, j, now) {
+		return nil
+	}
 	return best
 }
 
+// soonerElsewhere tells whether a job is done sooner if it waits for a busy
+// server than if it goes to the free but slow one now.
+func (q *Queue) soonerElsewhere(slow *server, j *Job, now time.Time) bool {
+	done := now.Add(q.takes(slow, j))
+	for _, s := range q.servers {
+		if s != slow && !s.Avoided(now) && q.fits(s, j.ItemBytes) && s.freeAt(now).Add(q.takes(s, j)).Before(done) {
+			return true
+		}
+	}
+	return false
+}
+
 // takes is how long a call with just this job would take.
 func (q *Queue) takes(s *server, j *Job) time.Duration {
-	return time.Duration(float64(q.opts.expected(j.pending)) * s.slow)
+	return time.Duration(float64(q.opts.expected(min(len(j.next), q.opts.MaxItems))) * s.slow)
 }
 
 // slowFrom is how much longer than expected calls take at a server that is
@@ -75,33 +86,47 @@
 	return a.Domain == j.Domain && b.Domain != j.Domain
 }
 
+// roomShare of the configured room is filled: sizes of results are approximate,
+// and a call that finds no room is lost time.
+const roomShare = 0.9
+
+// roomOf is the room for results at a server; 0: not bounded.
+func (q *Queue) roomOf(s *server) int64 {
+	room := int64(roomShare * float64(q.opts.RoomBytes))
+	if s.room > 0 {
+		room = min(room, s.room)
+	}
+	return room
+}
+
 func (q *Queue) fits(s *server, bytes int64) bool {
-	return q.opts.RoomBytes <= 0 || s.held()+bytes <= q.opts.RoomBytes
+	room := q.roomOf(s)
+	// An empty server takes one item whatever its size.
+	return room <= 0 || s.held() == 0 || s.held()+bytes <= room
 }
 
-// fill moves items of waiting jobs into the call.
-func (q *Queue) fill(c *Call, s *server, list *[]*Job, start time.Time) {
-	kept := (*list)[:0]
-	for _, j := range *list {
-		if j.late || s.slow <= slowFrom || !start.Add(q.takes(s, j)).After(j.AimBy) {
-			q.move(c, s, j)
-		}
-		if j.pending > 0 {
+// fill moves waiting items into the call.
+func (q *Queue) fill(c *Call, s *server) {
+	kept := q.waiting[:0]
+	for _, j := range q.waiting {
+		q.move(c, s, j)
+		if len(j.next) > 0 {
 			kept = append(kept, j)
 		}
 	}
-	clear((*list)[len(kept):])
-	*list = kept
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
 }
 
 func (q *Queue) move(c *Call, s *server, j *Job) {
-	for j.pending > 0 && len(c.Items) < q.opts.MaxItems {
-		if q.opts.RoomBytes > 0 && s.held()+c.bytes+j.ItemBytes > q.opts.RoomBytes {
+	room := q.roomOf(s)
+	for len(j.next) > 0 && len(c.Items) < q.opts.MaxItems {
+		held := s.held() + c.bytes
+		if room > 0 && held > 0 && held+j.ItemBytes > room {
 			return
 		}
 		c.Items = append(c.Items, Part{j, j.next[0]})
 		j.next = j.next[1:]
-		j.pending--
 		c.bytes += j.ItemBytes
 	}
 }
@@ -111,6 +136,8 @@
 	Results []Result // Reason Failed: the item may be given to another server
 	// Err is set if the call failed as a whole; its items go to others.
 	Err error
+	// Busy tells that the server refused the call for the work that it has.
+	Busy bool
 }
 
 // Ended takes the outcome of a call. Items that may be made elsewhere wait
@@ -127,39 +154,51 @@
 	again := map[*Job]bool{}
 	for i, part := range c.Items {
 		j := part.Job
-		if a.Err == nil && a.Results[i].Reason != Failed {
-			j.left--
+		reason := Failed
+		switch {
+		case a.Busy:
+			reason = NoRoom
+		case a.Err == nil:
+			reason = a.Results[i].Reason
+		}
+		if reason != Failed && reason != NoRoom {
 			j.Done(part.Index, a.Results[i])
 			continue
 		}
 		j.next = append(j.next, part.Index)
-		j.pending++
-		again[j] = true
+		again[j] = again[j] || reason == Failed
 	}
-	for j := range again {
-		q.requeue(j)
+	for j, failed := range again {
+		q.requeue(j, failed)
 	}
 }
 
-// requeue puts a job back whose items failed, unless it waits already.
-func (q *Queue) requeue(j *Job) {
-	j.attempts++
-	waiting := contains(q.onTime, j) || contains(q.late, j)
-	if j.attempts >= maxAttempts || j.cancelled {
-		if !waiting {
-			r := Failed
-			if j.cancelled {
-				r = Cancelled
-			}
-			j.end(r, 0)
-		}
-		return
+// requeue puts a job back of which items are to be made again.
+func (q *Queue) requeue(j *Job, failed bool) {
+	if failed {
+		j.attempts++
 	}
-	if !waiting {
+	switch {
+	case j.cancelled:
+		q.remove(j)
+		j.end(Cancelled)
+	case j.attempts >= maxAttempts:
+		q.remove(j)
+		j.end(Failed)
+	case !contains(q.waiting, j):
 		q.insert(j)
 	}
 }
 
+func (q *Queue) remove(j *Job) {
+	for i, other := range q.waiting {
+		if other == j {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
 func contains(list []*Job, j *Job) bool {
 	for _, other := range list {
 		if other == j {
@@ -181,23 +220,32 @@
 			break
 		}
 	}
-	made := int64(0)
-	if a.Err == nil {
-		for i, r := range a.Results {
-			if r.Handle != "" {
-				made += c.Items[i].Job.ItemBytes
-			}
-		}
-		took := now.Add(-s.oneWay).Sub(c.StartBy)
-		if took > 0 {
-			ratio := float64(took) / float64(q.opts.expected(len(c.Items)))
-			s.slow += slowShare * (min(max(ratio, minSlow), maxSlow) - s.slow)
+	made, noRoom := int64(0), false
+	for i, r := range a.Results {
+		if r.Handle != "" {
+			made += c.Items[i].Job.ItemBytes
 		}
+		noRoom = noRoom || r.Reason == NoRoom
 	}
-	if a.Err != nil {
+	switch {
+	case a.Busy:
+		// Another host gives it work, too; its calls take their time.
+		s.fullTil = now.Add(busyPause)
+	case a.Err != nil:
 		// How long a call without an answer takes is at least known.
 		waited := float64(now.Sub(c.StartBy)) / float64(q.opts.expected(len(c.Items)))
 		s.slow = min(max(s.slow, waited), maxSlow)
+	case made > 0 && !noRoom:
+		took := now.Add(-s.oneWay).Sub(c.StartBy)
+		ratio := float64(took) / float64(q.opts.expected(len(c.Items)))
+		s.slow += slowShare * (min(max(ratio, minSlow), maxSlow) - s.slow)
+	}
+	if noRoom {
+		// Less fits than was thought: sizes are approximate, and another host
+		// may have given the server work. Asking again before anything was
+		// freed would only be refused again.
+		s.room = max(s.held()-c.bytes+made, int64(leastRoom*float64(q.opts.RoomBytes)))
+		s.fullTil = now.Add(fullPause)
 	}
 	s.inCalls -= c.bytes
 	if made > 0 {
@@ -210,6 +258,13 @@
 	}
 }
 
+// busyPause: half of a call's time, after which a busy server's queue has room.
+const busyPause = 120 * time.Millisecond
+
+// fullPause is how long a server without room is left alone if nothing is
+// freed there before: about the rest of a call of the stage that follows.
+const fullPause = 150 * time.Millisecond
+
 // Bounds of the speed that is believed of a server.
 const (
 	minSlow = 0.6
@@ -222,6 +277,7 @@
 	if s == nil {
 		return
 	}
+	s.fullTil = time.Time{}
 	for bytes > 0 && len(s.results) > 0 {
 		oldest := &s.results[0]
 		part := min(bytes, oldest.bytes)
@@ -263,9 +319,18 @@
 		if len(s.calls) == 0 {
 			s.slow += slowRecovery * (1 - s.slow)
 		}
+		s.room += int64(roomRecovery * float64(q.opts.RoomBytes))
 	}
 }
 
+const (
+	// leastRoom of the configured room is always believed in: what another host
+	// put there is gone within seconds.
+	leastRoom = 0.5
+	// roomRecovery of the configured room is believed in again each second.
+	roomRecovery = 0.15
+)
+
 // slowRecovery: a server five times too slow counts as normal again after
 // about four seconds without a call.
 const slowRecovery = 0.4
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -24,24 +24,18 @@
 	Items []Item
 	// Domain is the failure domain where the results will be used.
 	Domain string
-	// AimBy is when the results have to be there for the request to keep its
-	// target latency; DieBy is when they are of no use any more.
+	// AimBy is when the results should be there: jobs are served in this order.
+	// DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
-	// Worth is what the whole request is worth relative to others.
-	Worth float64
 	// ItemBytes is the approximate size of one result.
 	ItemBytes int64
 	// Done is called once for each item with its result or the reason why
 	// there is none. It must not block.
 	Done func(index int, r Result)
 
-	pending   int // items neither done nor in a call
-	left      int // items not done
-	next      []int
+	next      []int // items neither done nor in a call
 	attempts  int
 	cancelled bool
-	late      bool
-	enqueued  time.Time
 }
 
 // Reason tells why an item has no result; empty: it has one.
@@ -54,6 +48,7 @@
 	NoServer  Reason = "no_server" // no server of the service can be reached
 	Failed    Reason = "failed"    // servers failed on it too often
 	Cancelled Reason = "cancelled" // the request is over
+	NoRoom    Reason = "no_room"   // the server had no room for the result; made elsewhere or later
 )
 
 // Result is the outcome of one item.
@@ -61,9 +56,6 @@
 	Handle   string // names the result at its server; empty: none
 	ServerID string // which made it
 	Reason   Reason
-	// Ready is when a server may be expected to have room again, for reasons
-	// that say there is none; zero: not known.
-	Ready time.Duration
 }
 
 // Options describe a service; they follow the configuration in force.
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -11,8 +11,7 @@
 // use; Batcher guards it.
 type Queue struct {
 	opts    Options
-	onTime  []*Job // can still keep their target latency
-	late    []*Job // cannot, but are of use until DieBy
+	waiting []*Job // with items that are not in a call, by AimBy
 	servers map[string]*server
 }
 
@@ -28,6 +27,8 @@
 	slow    float64 // time that calls take over the expected time; 1: as expected
 	inCalls int64   // bytes of results that present calls make
 	results []heldResults
+	room    int64     // for results, as the server has shown; 0: as configured
+	fullTil time.Time // the server said that it has no room
 	oneWay  time.Duration
 }
 
@@ -70,8 +71,7 @@
 }
 
 // Submit adds a job.
-func (q *Queue) Submit(j *Job, now time.Time) {
-	j.pending, j.left, j.enqueued = len(j.Items), len(j.Items), now
+func (q *Queue) Submit(j *Job) {
 	j.next = make([]int, len(j.Items))
 	for i := range j.next {
 		j.next[i] = i
@@ -80,50 +80,36 @@
 }
 
 func (q *Queue) insert(j *Job) {
-	if j.late {
-		q.late = insertBy(q.late, j, func(a, b *Job) bool { return a.DieBy.Before(b.DieBy) })
-		return
-	}
-	q.onTime = insertBy(q.onTime, j, func(a, b *Job) bool { return a.AimBy.Before(b.AimBy) })
-}
-
-func insertBy(list []*Job, j *Job, less func(a, b *Job) bool) []*Job {
-	i := sort.Search(len(list), func(i int) bool { return less(j, list[i]) })
-	list = append(list, nil)
-	copy(list[i+1:], list[i:])
-	list[i] = j
-	return list
+	i := sort.Search(len(q.waiting), func(i int) bool { return j.AimBy.Before(q.waiting[i].AimBy) })
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[i+1:], q.waiting[i:])
+	q.waiting[i] = j
 }
 
 // Cancel drops the waiting items of a request.
 func (q *Queue) Cancel(requestID string) {
-	for _, list := range [][]*Job{q.onTime, q.late} {
-		for _, j := range list {
-			if j.Items[0].RequestID == requestID {
-				j.cancelled = true
-			}
+	for _, j := range q.waiting {
+		if j.Items[0].RequestID == requestID {
+			j.cancelled = true
 		}
 	}
 }
 
-// Waiting returns the number of items that wait for a call, on time and late.
-func (q *Queue) Waiting() (onTime, late int) {
-	for _, j := range q.onTime {
-		onTime += j.pending
+// Waiting returns the number of items that wait for a call.
+func (q *Queue) Waiting() int {
+	n := 0
+	for _, j := range q.waiting {
+		n += len(j.next)
 	}
-	for _, j := range q.late {
-		late += j.pending
-	}
-	return onTime, late
+	return n
 }
 
 // Next returns the calls to send now and when to ask again at the latest. Jobs
 // that have become hopeless are ended.
 func (q *Queue) Next(now time.Time) (calls []*Call, again time.Time) {
 	q.drop(now)
-	q.demote(now)
 	free := q.free(now)
-	for len(free) > 0 && len(q.onTime)+len(q.late) > 0 {
+	for len(free) > 0 && len(q.waiting) > 0 {
 		c := q.compose(free, now)
 		if c == nil {
 			break
@@ -136,7 +122,7 @@
 
 // wake returns when the next busy server can be given its next call.
 func (q *Queue) wake(now time.Time) time.Time {
-	if len(q.onTime)+len(q.late) == 0 {
+	if len(q.waiting) == 0 {
 		return time.Time{}
 	}
 	at := now.Add(maxSleep)
@@ -152,7 +138,7 @@
 }
 
 // maxSleep bounds the wait until hopeless jobs are looked for again.
-const maxSleep = 100 * time.Millisecond
+const maxSleep = 50 * time.Millisecond
 
 // sendAt is when the next call has to leave so that it arrives as the present
 // one ends. Without the lead a server stands idle for the way there and back
@@ -168,7 +154,7 @@
 	var out []*server
 	for _, s := range q.servers {
 		s.expire(now)
-		if s.Avoided(now) || s.Gone() || len(s.calls) > 1 {
+		if s.Avoided(now) || s.Gone() || len(s.calls) > 1 || now.Before(s.fullTil) {
 			continue
 		}
 		if len(s.calls) == 1 && now.Before(s.sendAt()) {
@@ -188,109 +174,64 @@
 // drop ends jobs that are cancelled or that no server could make in time.
 func (q *Queue) drop(now time.Time) {
 	least := q.opts.CallTime / 2 // the configured time is approximate
-	keep := func(list []*Job) []*Job {
-		kept := list[:0]
-		for _, j := range list {
-			switch {
-			case j.cancelled:
-				j.end(Cancelled, 0)
-			case now.Add(least).After(j.DieBy):
-				j.end(Late, 0)
-			default:
-				kept = append(kept, j)
-			}
+	kept := q.waiting[:0]
+	for _, j := range q.waiting {
+		switch {
+		case j.cancelled:
+			j.end(Cancelled)
+		case now.Add(least).After(j.DieBy):
+			j.end(Late)
+		default:
+			kept = append(kept, j)
 		}
-		clear(list[len(kept):])
-		return kept
 	}
-	q.onTime = keep(q.onTime)
-	q.late = keep(q.late)
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
 }
 
 // end gives all waiting items their outcome.
-func (j *Job) end(r Reason, ready time.Duration) {
-	for _, i := range j.next {
-		j.left--
-		j.Done(i, Result{Reason: r, Ready: ready})
+func (j *Job) end(r Reason) {
+	items := j.next
+	j.next = nil
+	for _, i := range items {
+		j.Done(i, Result{Reason: r})
 	}
-	j.next, j.pending = nil, 0
 }
 
 // Fail ends every waiting job, for a service that has lost all servers.
-func (q *Queue) Fail(r Reason, ready time.Duration) {
-	for _, list := range [][]*Job{q.onTime, q.late} {
-		for _, j := range list {
-			j.end(r, ready)
-		}
-	}
-	q.onTime, q.late = nil, nil
-}
-
-// demote moves jobs that will miss their aim out of the way of those that can
-// still make it. Serving strictly by aim would make every job of an overload
-// late by a little; giving up those of the least worth for their work keeps the
-// others on time (Moore and Hodgson's rule, with worth).
-func (q *Queue) demote(now time.Time) {
-	rate := q.rate(now)
-	if rate <= 0 {
-		return
-	}
-	finish := q.firstFree(now).Sub(now).Seconds()
-	tail := q.opts.expected(q.opts.MaxItems / 2).Seconds()
-	kept := make([]*Job, 0, len(q.onTime))
-	for _, j := range q.onTime {
-		kept = append(kept, j)
-		finish += float64(j.pending) / rate
-		for len(kept) > 0 {
-			last := kept[len(kept)-1]
-			if finish+tail <= last.AimBy.Sub(now).Seconds() {
-				break
-			}
-			i := least(kept)
-			if tail > last.AimBy.Sub(now).Seconds() {
-				i = len(kept) - 1 // hopeless by itself: no other need go for it
-			}
-			out := kept[i]
-			kept = append(kept[:i], kept[i+1:]...)
-			finish -= float64(out.pending) / rate
-			out.late = true
-			q.insert(out)
-		}
+func (q *Queue) Fail(r Reason) {
+	waiting := q.waiting
+	q.waiting = nil
+	for _, j := range waiting {
+		j.end(r)
 	}
-	q.onTime = kept
 }
 
-// least returns the job with the least worth for an item.
-func least(jobs []*Job) int {
-	at := 0
-	for i, j := range jobs {
-		if j.Worth/float64(j.left) <= jobs[at].Worth/float64(jobs[at].left) {
-			at = i
-		}
-	}
-	return at
+// Capacity is what the servers of a service can do now.
+type Capacity struct {
+	Servers int     // that are not avoided
+	Rate    float64 // items a second in full calls
+	// Room is what is left for results, in bytes, beside those of the items that
+	// already wait; it may be negative. RoomAll is all room; 0: not bounded.
+	Room, RoomAll int64
 }
 
-// rate is how many items a second the servers make in full calls.
-func (q *Queue) rate(now time.Time) float64 {
-	var sum float64
+// Capacity returns what the servers can do at now.
+func (q *Queue) Capacity(now time.Time) Capacity {
+	var c Capacity
 	full := q.opts.expected(q.opts.MaxItems).Seconds()
 	for _, s := range q.servers {
 		if !s.Avoided(now) {
-			sum += float64(q.opts.MaxItems) / (full * s.slow)
+			c.Servers++
+			c.Rate += float64(q.opts.MaxItems) / (full * s.slow)
+			c.RoomAll += q.roomOf(s)
+			c.Room += q.roomOf(s) - s.held()
 		}
 	}
-	return sum
-}
-
-func (q *Queue) firstFree(now time.Time) time.Time {
-	first := now.Add(q.opts.expected(q.opts.MaxItems))
-	for _, s := range q.servers {
-		if at := s.freeAt(now); !s.Avoided(now) && at.Before(first) {
-			first = at
-		}
+	for _, j := range q.waiting {
+		c.Room -= int64(len(j.next)) * j.ItemBytes
 	}
-	return first
+	return c
 }
 
 func (s *server) freeAt(now time.Time) time.Time {
@@ -299,13 +240,3 @@
 	}
 	return now
 }
-
-// Backlog is how long a job that came now would wait for a server.
-func (q *Queue) Backlog(now time.Time) time.Duration {
-	rate := q.rate(now)
-	if rate <= 0 {
-		return q.opts.expected(q.opts.MaxItems)
-	}
-	onTime, _ := q.Waiting()
-	return q.firstFree(now).Sub(now) + time.Duration(float64(onTime)/rate*float64(time.Second))
-}
--- /dev/null
+++ b/process/stages/pool.go
@@ -0,0 +1,323 @@
+package stages
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"bilberrydale/process/batcher"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/peer"
+)
+
+// Methods between hosts.
+const (
+	methodRun    peer.Method = "stages.run"
+	methodCancel peer.Method = "stages.cancel"
+	methodFree   peer.Method = "stages.free"
+	methodLeave  peer.Method = "stages.leave"
+	methodHello  peer.Method = "stages.hello"
+)
+
+// runRequest asks another host for stage work. Times are from now: the clocks
+// of two hosts do not agree.
+type runRequest struct {
+	ID     string
+	Key    string
+	Domain string
+	Stages []Stage
+	AimMS  int64
+	DieMS  int64
+	Worth  float64
+}
+
+// runAnswer is the outcome; Reason is empty if there are Inputs.
+type runAnswer struct {
+	Inputs  []Input
+	Reason  batcher.Reason
+	Stage   int
+	ReadyMS int64
+}
+
+type cancelRequest struct{ ID string }
+
+type freeRequest struct{ Inputs []Input }
+
+// Pool finds the host that does the stage work, and does that of other hosts.
+// It is the host that has run for the longest: all see that without an election,
+// and a host that comes back does not take the work away from the one that has
+// it. While hosts disagree, several do it, which costs fuller calls and some
+// refusals of busy servers, but no wrong result.
+type Pool struct {
+	link  peer.Link
+	clock clock.Clock
+	local *Coordinator
+
+	mu       sync.Mutex
+	suspects map[string]suspect
+	left     map[string]uint64             // incarnations of hosts that stop
+	running  map[string]context.CancelFunc // work for other hosts, by request id
+	leaving  bool                          // this host stops
+}
+
+// suspect is a peer that did not answer.
+type suspect struct {
+	until    time.Time
+	failures int
+}
+
+// NewPool returns a pool and registers its handlers with the link.
+func NewPool(link peer.Link, c clock.Clock, local *Coordinator) *Pool {
+	p := &Pool{
+		link: link, clock: c, local: local,
+		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[string]context.CancelFunc{},
+	}
+	link.Handle(methodRun, p.serveRun)
+	link.Handle(methodCancel, p.serveCancel)
+	link.Handle(methodFree, p.serveFree)
+	link.Handle(methodLeave, p.serveLeave)
+	link.Handle(methodHello, func(context.Context, peer.Identity, []byte) ([]byte, error) { return peer.Marshal(nil) })
+	return p
+}
+
+// maxOwners bounds the peers that are tried before this host does the work
+// itself.
+const maxOwners = 2
+
+// Run has the stage work of a request done. The error is an *Error or ctx's.
+func (p *Pool) Run(ctx context.Context, r *Request) (Made, error) {
+	for range maxOwners {
+		owner := p.owner()
+		if owner == "" {
+			break
+		}
+		var a runAnswer
+		err := p.link.Call(ctx, owner, methodRun, p.request(r), &a)
+		if err == nil {
+			p.trust(owner)
+			if a.Reason != "" {
+				return Made{}, &Error{Stage: a.Stage, Reason: a.Reason, Ready: time.Duration(a.ReadyMS) * time.Millisecond}
+			}
+			return Made{Inputs: a.Inputs, Owner: owner}, nil
+		}
+		if ctx.Err() != nil {
+			p.cancel(owner, r.ID)
+			return Made{}, ctx.Err()
+		}
+		if errors.Is(err, peer.ErrRefused) {
+			p.setLeft(owner) // it stops; its answer came before its notice
+			continue
+		}
+		p.distrust(owner)
+	}
+	inputs, err := p.local.Run(ctx, r)
+	return Made{Inputs: inputs}, err
+}
+
+// Leave tells the other hosts that this one stops. What has begun here goes on;
+// what still waits goes to another host, and so does new work of this one.
+func (p *Pool) Leave() {
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
+	p.tellAll(methodLeave)
+	p.local.moveWaiting()
+}
+
+// Hello makes this host known to the others. The call itself proves who calls.
+func (p *Pool) Hello() { p.tellAll(methodHello) }
+
+func (p *Pool) tellAll(m peer.Method) {
+	for _, id := range p.link.Peers() {
+		go func() {
+			ctx, stop := context.WithTimeout(context.Background(), tellBound)
+			defer stop()
+			// A host that misses it finds out by the platform's list.
+			_ = p.link.Call(ctx, id.Host, m, nil, nil)
+		}()
+	}
+}
+
+func (p *Pool) serveLeave(_ context.Context, from peer.Identity, _ []byte) ([]byte, error) {
+	p.mu.Lock()
+	p.left[from.Host] = from.Incarnation
+	p.mu.Unlock()
+	return peer.Marshal(nil)
+}
+
+func (p *Pool) setLeft(host string) {
+	for _, id := range p.link.Peers() {
+		if id.Host == host {
+			p.mu.Lock()
+			p.left[host] = id.Incarnation
+			p.mu.Unlock()
+		}
+	}
+}
+
+// errLeaving refuses work; the caller gives it to another host.
+var errLeaving = errors.New("stages: this host stops")
+
+func (p *Pool) request(r *Request) runRequest {
+	now := p.clock.Now()
+	return runRequest{
+		ID: r.ID, Key: r.Key, Domain: r.Domain, Stages: r.Stages, Worth: r.Worth,
+		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
+	}
+}
+
+func (p *Pool) serveRun(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+	var q runRequest
+	if err := peer.Unmarshal(payload, &q); err != nil {
+		return nil, err
+	}
+	if err := check(q.Stages); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	leaving := p.leaving
+	p.running[q.ID] = cancel
+	p.mu.Unlock()
+	if leaving {
+		return nil, errLeaving
+	}
+	defer func() {
+		p.mu.Lock()
+		delete(p.running, q.ID)
+		p.mu.Unlock()
+	}()
+	now := p.clock.Now()
+	inputs, err := p.local.Run(ctx, &Request{
+		ID: q.ID, Key: q.Key, Domain: q.Domain, Stages: q.Stages, Worth: q.Worth,
+		AimBy: now.Add(time.Duration(q.AimMS) * time.Millisecond),
+		DieBy: now.Add(time.Duration(q.DieMS) * time.Millisecond),
+	})
+	var failed *Error
+	if errors.As(err, &failed) && failed.Reason == moved {
+		return nil, errLeaving
+	}
+	if errors.As(err, &failed) {
+		return peer.Marshal(runAnswer{Reason: failed.Reason, Stage: failed.Stage, ReadyMS: failed.Ready.Milliseconds()})
+	}
+	if err != nil {
+		return nil, err
+	}
+	return peer.Marshal(runAnswer{Inputs: inputs})
+}
+
+var errBadStages = errors.New("stages: a stage follows a later one")
+
+func check(list []Stage) error {
+	for i, s := range list {
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return errBadStages
+			}
+		}
+	}
+	return nil
+}
+
+// tellBound is the time to tell another host something that may be lost.
+const tellBound = time.Second
+
+func (p *Pool) cancel(owner, id string) {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), tellBound)
+		defer stop()
+		// If it is lost, the items are made in vain and free themselves.
+		_ = p.link.Call(ctx, owner, methodCancel, cancelRequest{id}, nil)
+	}()
+}
+
+func (p *Pool) serveCancel(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+	var q cancelRequest
+	if err := peer.Unmarshal(payload, &q); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	cancel := p.running[q.ID]
+	p.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	return peer.Marshal(nil)
+}
+
+// Free gives up results that are no longer needed. It returns at once.
+func (p *Pool) Free(m Made) {
+	if len(m.Inputs) == 0 {
+		return
+	}
+	if m.Owner == "" {
+		p.local.free(m.Inputs...)
+		return
+	}
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), tellBound)
+		defer stop()
+		if err := p.link.Call(ctx, m.Owner, methodFree, freeRequest{m.Inputs}, nil); err != nil {
+			p.local.free(m.Inputs...)
+		}
+	}()
+}
+
+func (p *Pool) serveFree(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+	var q freeRequest
+	if err := peer.Unmarshal(payload, &q); err != nil {
+		return nil, err
+	}
+	p.local.free(q.Inputs...)
+	return peer.Marshal(nil)
+}
+
+// owner returns the host that does the stage work; empty: this one.
+func (p *Pool) owner() string {
+	list := append(p.link.Peers(), p.link.Self())
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Incarnation != list[j].Incarnation {
+			return list[i].Incarnation < list[j].Incarnation
+		}
+		return list[i].Host < list[j].Host
+	})
+	self := p.link.Self().Host
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range list {
+		switch {
+		case id.Host == self && p.leaving, id.Host != self && p.left[id.Host] == id.Incarnation:
+		case id.Host == self:
+			return ""
+		case now.After(p.suspects[id.Host].until):
+			return id.Host
+		}
+	}
+	return ""
+}
+
+// Bounds of the time for which a peer that did not answer is passed over. The
+// first is about a restart; the last bounds what it costs to try a dead one.
+const (
+	minSuspect = 400 * time.Millisecond
+	maxSuspect = 3 * time.Second
+)
+
+func (p *Pool) distrust(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.suspects[host]
+	s.failures = min(s.failures+1, 8)
+	s.until = p.clock.Now().Add(min(minSuspect<<(s.failures-1), maxSuspect))
+	p.suspects[host] = s
+}
+
+func (p *Pool) trust(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.suspects, host)
+}
--- /dev/null
+++ b/process/stages/stages.go
@@ -0,0 +1,97 @@
+// Package stages has the results made that a request needs before it can run.
+// One host collects the stage work of all hosts: only there can items of many
+// requests share calls, and only there is it known what is already under way,
+// so that a request is begun when all its stages have room for it and not
+// before. Work that was begun and cannot be finished in time is the dearest
+// waste of all.
+package stages
+
+import (
+	"time"
+
+	"bilberrydale/process/batcher"
+)
+
+// Stage is one stage of a request.
+type Stage struct {
+	Service   string
+	After     []int // indexes of the stages whose results it needs
+	Items     int   // 0: the stage is left out
+	ItemBytes int64 // approximate size of one result
+}
+
+// Request is the stage work of one request.
+type Request struct {
+	ID     string
+	Key    string // input of the stages that follow no other
+	Domain string // failure domain where the results will be used
+	Stages []Stage
+	// AimBy is when the results have to be there for the request to keep its
+	// target latency; DieBy is when they are of no use any more.
+	AimBy, DieBy time.Time
+	Worth        float64 // of the whole request, relative to others
+}
+
+// last returns the indexes of the stages that no other stage follows.
+func (r *Request) last() []int {
+	followed := make([]bool, len(r.Stages))
+	for _, s := range r.Stages {
+		for _, a := range s.After {
+			followed[a] = true
+		}
+	}
+	var out []int
+	for i := range r.Stages {
+		if !followed[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// depth is the number of stages before a stage, on the longest chain.
+func (r *Request) depth(i int) int {
+	d := 0
+	for _, a := range r.Stages[i].After {
+		n := r.depth(a)
+		if r.Stages[a].Items > 0 {
+			n++
+		}
+		d = max(d, n)
+	}
+	return d
+}
+
+// Input is one result that the request needs.
+type Input struct {
+	Handle   string
+	ServerID string // which holds it
+	Service  string
+	Bytes    int64
+}
+
+// Made are the results that a request needs, and the host that knows of them.
+type Made struct {
+	Inputs []Input
+	Owner  string // empty: this host
+}
+
+// Handles returns the names of the results.
+func (m Made) Handles() []string {
+	out := make([]string, len(m.Inputs))
+	for i, in := range m.Inputs {
+		out[i] = in.Handle
+	}
+	return out
+}
+
+// Error tells why a request's stage work was not done.
+type Error struct {
+	Stage  int
+	Reason batcher.Reason
+	// Ready is when there may be room again; 0: not known.
+	Ready time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "stage work: " + string(e.Reason) }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -13,11 +13,11 @@
 
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
-	"bilberrydale/process/batcher"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/inforce"
 	"bilberrydale/process/kind"
+	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
 
@@ -28,7 +28,7 @@
 	Plan      *inforce.Cell[plan.Plan]
 	Directory *directory.Directory
 	Upstream  *upstream.Client
-	Pool      *batcher.Pool
+	Pool      *stages.Pool
 	Budget    Budget
 	Clock     clock.Clock
 	Rand      clock.Rand
@@ -92,7 +92,7 @@
 	start    time.Time
 	aim      time.Time
 	deadline time.Time
-	made     []batcher.Made // results of the last stages, not yet freed
+	made     stages.Made // inputs that are not yet freed
 	inputs   []string
 	near     string
 	rec      Record
@@ -252,8 +252,6 @@
 }
 
 func (x *exchange) freeInputs() {
-	for _, m := range x.made {
-		x.opts.Pool.Free(m)
-	}
-	x.made = nil
+	x.opts.Pool.Free(x.made)
+	x.made = stages.Made{}
 }
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -2,168 +2,97 @@
 
 import (
 	"context"
-	"fmt"
-	"sync"
+	"errors"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/kind"
-	"bilberrydale/version/plan"
+	"bilberrydale/process/stages"
 )
 
-// runStages has the results made that the request needs, in the order in which
-// stages need each other.
+// runStages has the results made that the request needs.
 func (x *exchange) runStages(ctx context.Context) error {
-	stages := x.route.Stages
-	if len(stages) == 0 {
+	if len(x.route.Stages) == 0 {
 		return nil
 	}
-	run := &stageRun{x: x, done: make([]chan struct{}, len(stages)), made: make([]batcher.Made, len(stages))}
-	for i := range run.done {
-		run.done[i] = make(chan struct{})
-	}
-	g, gctx := errgroup.WithContext(ctx)
-	for i := range stages {
-		g.Go(func() error { return run.stage(gctx, i) })
-	}
-	err := g.Wait()
+	r := x.stageRequest()
+	// Nobody may wait longer than the work can be of use.
+	ctx, cancel := context.WithDeadline(ctx, r.DieBy)
+	defer cancel()
+	made, err := x.opts.Pool.Run(ctx, r)
 	x.rec.StageTook = x.opts.Clock.Now().Sub(x.start)
-	last := map[int]bool{}
-	for _, i := range x.route.LastStages() {
-		last[i] = true
-	}
-	for i, m := range run.made {
-		if last[i] && err == nil {
-			x.made = append(x.made, m)
-			x.inputs = append(x.inputs, handles(m)...)
-			x.near = run.domainOf(m)
-			continue
-		}
-		x.opts.Pool.Free(m)
-	}
-	return err
-}
-
-type stageRun struct {
-	x    *exchange
-	done []chan struct{} // closed when the stage has its results
-	mu   sync.Mutex
-	made []batcher.Made
-}
-
-// pieces is the number of items of a stage; a stage that the client does not
-// mention has one.
-func (r *stageRun) pieces(i int) int {
-	if i < len(r.x.client.Pieces) {
-		return r.x.client.Pieces[i]
-	}
-	return 1
-}
-
-func (r *stageRun) stage(ctx context.Context, i int) error {
-	stage := &r.x.route.Stages[i]
-	for _, a := range stage.After {
-		select {
-		case <-r.done[a]:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	n := r.pieces(i)
-	if n == 0 {
-		close(r.done[i])
-		return nil
-	}
-	made, err := r.x.opts.Pool.Run(ctx, stage.Service, r.job(i, stage, n))
-	r.mu.Lock()
-	r.made[i] = made
-	r.mu.Unlock()
 	if err != nil {
-		return err
-	}
-	for _, res := range made.Results {
-		if res.Reason != "" {
-			return r.x.stageError(i, stage, res)
-		}
+		return x.stageError(err)
 	}
-	close(r.done[i])
+	x.made = made
+	x.inputs = made.Handles()
+	x.near = x.domainOf(made)
 	return nil
 }
 
-func (r *stageRun) job(i int, stage *plan.Stage, n int) batcher.Job {
-	x := r.x
-	var inputs []string
-	r.mu.Lock()
-	for _, a := range stage.After {
-		inputs = append(inputs, handles(r.made[a])...)
+func (x *exchange) stageRequest() *stages.Request {
+	r := &stages.Request{
+		ID: x.client.AttemptID, Key: x.client.PieceKey, Domain: x.opts.Domain, Worth: x.worth(),
+		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
-	r.mu.Unlock()
-	items := make([]batcher.Item, n)
-	for p := range items {
-		items[p] = batcher.Item{RequestID: x.client.AttemptID, Stage: i, Piece: p, Inputs: inputs}
-		if len(stage.After) == 0 {
-			items[p].Key = x.client.PieceKey
-		}
+	for i, s := range x.route.Stages {
+		r.Stages[i] = stages.Stage{Service: s.Service, After: s.After, ItemBytes: s.ResultBytes, Items: x.items(i)}
 	}
-	rest := x.restAfter(i)
-	return batcher.Job{
-		Items: items, Domain: x.opts.Domain, Worth: x.worth(), ItemBytes: stage.ResultBytes,
-		AimBy: x.aim.Add(-rest), DieBy: x.deadline.Add(-rest),
+	first := x.firsts.expect(x.route.Name)
+	r.AimBy = x.aim.Add(-first)
+	r.DieBy = x.start.Add(x.patience()).Add(-first)
+	if end := x.deadline.Add(-first); end.Before(r.DieBy) {
+		r.DieBy = end
 	}
+	return r
 }
 
-func handles(m batcher.Made) []string {
-	out := make([]string, 0, len(m.Results))
-	for _, r := range m.Results {
-		if r.Handle != "" {
-			out = append(out, r.Handle)
-		}
+// items is the number of items of a stage; a stage that the client does not
+// mention has one.
+func (x *exchange) items(stage int) int {
+	if stage < len(x.client.Pieces) {
+		return x.client.Pieces[stage]
 	}
-	return out
+	return 1
 }
 
-func (r *stageRun) domainOf(m batcher.Made) string {
-	if len(m.Results) == 0 {
-		return r.x.opts.Domain
-	}
-	if s := r.x.opts.Directory.View().Server(m.Results[0].ServerID); s != nil {
-		return s.Domain
-	}
-	return r.x.opts.Domain
+// Clients leave a stream that has not begun after the longest of these.
+const (
+	leastPatience   = 2 * time.Second
+	patienceLatency = 4 // times the target latency
+	patienceGap     = 8 // times the longest pause between events
+)
+
+// patience is how long the client of a stream waits for its first event.
+func (x *exchange) patience() time.Duration {
+	return max(leastPatience, patienceLatency*x.route.TargetLatency, patienceGap*x.route.MaxEventGap)
 }
 
-// restAfter is the time that the request needs after a stage: the longest chain
-// of stages behind it, with calls that are fuller than half, and the first
-// event of the engine.
-func (x *exchange) restAfter(i int) time.Duration {
-	var chain func(int) time.Duration
-	chain = func(i int) time.Duration {
-		var longest time.Duration
-		for j := i + 1; j < len(x.route.Stages); j++ {
-			for _, a := range x.route.Stages[j].After {
-				if a == i {
-					longest = max(longest, x.stageTime(j)+chain(j))
-				}
-			}
+// domainOf is the failure domain that holds most of the results.
+func (x *exchange) domainOf(m stages.Made) string {
+	view := x.opts.Directory.View()
+	bytes := map[string]int64{}
+	best := ""
+	for _, in := range m.Inputs {
+		s := view.Server(in.ServerID)
+		if s == nil {
+			continue
+		}
+		bytes[s.Domain] += in.Bytes
+		if best == "" || bytes[s.Domain] > bytes[best] {
+			best = s.Domain
 		}
-		return longest
 	}
-	return chain(i) + x.firsts.expect(x.route.Name)
-}
-
-// stageWait is the usual wait for a call of a stage.
-const stageWait = 60 * time.Millisecond
-
-func (x *exchange) stageTime(i int) time.Duration {
-	s := x.plan.Service(x.route.Stages[i].Service)
-	if s == nil || s.Batch == nil || i < len(x.client.Pieces) && x.client.Pieces[i] == 0 {
-		return 0
+	if bytes[best] < nearBytes {
+		return ""
 	}
-	return s.Batch.CallTime + time.Duration(s.Batch.MaxItems/2)*s.Batch.ItemTime + stageWait
+	return best
 }
 
+// nearBytes: smaller results may lie anywhere; fetching them takes no time that
+// a client would notice.
+const nearBytes = 200_000
+
 // urgency weighs requests by priority: an urgent one counts for more than its
 // size alone, one of the last rank for less.
 var urgency = []float64{2, 1.2, 0.7, 0.5}
@@ -182,15 +111,18 @@
 	noServerRetry   = time.Second
 )
 
-func (x *exchange) stageError(i int, stage *plan.Stage, r batcher.Result) error {
-	e := &kind.Error{Kind: kind.Overloaded, RetryAfter: x.spread(overloadedRetry)}
-	if r.Reason == batcher.NoServer {
+func (x *exchange) stageError(err error) error {
+	var failed *stages.Error
+	if !errors.As(err, &failed) {
+		return err
+	}
+	e := &kind.Error{Kind: kind.Overloaded, RetryAfter: x.spread(overloadedRetry), Detail: err.Error(), Cause: err}
+	if failed.Reason == batcher.NoServer {
 		e.Kind, e.RetryAfter = kind.NoBackend, x.spread(noServerRetry)
 	}
-	if r.Ready > 0 {
-		e.RetryAfter = x.spread(r.Ready)
+	if failed.Ready > 0 {
+		e.RetryAfter = x.spread(failed.Ready)
 	}
-	e.Detail = fmt.Sprintf("stage %d (%s): %s", i, stage.Service, r.Reason)
 	return e
 }
 
