--- a/edge/records.go
+++ b/edge/records.go
@@ -15,7 +15,7 @@
 // a second; at several times that, ordinary lines thin out first and lines
 // about failures much later.
 const (
-	ordinaryLines = 60
+	ordinaryLines = 120
 	failureLines  = 300
 )
 
@@ -80,10 +80,10 @@
 }
 
 // StageWork implements stages.Log.
-func (h *Host) StageWork(r *stages.Request, late bool, waited, took time.Duration, err error, onTime, lateWaiting int) {
+func (h *Host) StageWork(t *stages.Ticket, waited, took time.Duration, err error, onTime, lateWaiting int) {
 	h.meter.Observe("stage_work", took)
 	h.meter.Observe("stage_work_wait", waited)
-	if late {
+	if t.Late() {
 		h.meter.Add("stage_work_late", 1)
 	}
 	if err != nil {
@@ -93,8 +93,8 @@
 		return
 	}
 	kv := []any{
-		"id", r.ID, "late", late, "waited_ms", ms(waited), "took_ms", ms(took), "waiting", onTime, "waiting_late", lateWaiting,
-		"worth", int(r.Worth),
+		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.HeldBy,
+		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth),
 	}
 	if err != nil {
 		h.log.Warn("stage work", append(kv, "err", err)...)
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -98,10 +98,9 @@
 	}
 }
 
-// freeEvery is how long freed results are collected: a server of ten results'
-// room that makes them in calls of a quarter second must not wait long for it,
-// and each call to it has its price.
-const freeEvery = 60 * time.Millisecond
+// freeEvery is how long freed results are collected: those of one request come
+// together, and a server whose room is full waits for them.
+const freeEvery = 10 * time.Millisecond
 
 // Run gives out work until ctx ends.
 func (b *Batcher) Run(ctx context.Context) error {
@@ -202,13 +201,14 @@
 	if f == nil {
 		return
 	}
+	// A call that is sent from now on arrives behind the message that frees.
+	b.mu.Lock()
+	b.queue.Freed(serverID, f.bytes)
+	b.mu.Unlock()
+	b.wake()
 	ctx, cancel := context.WithTimeout(context.Background(), freeBound)
 	defer cancel()
 	// A failure only delays the room until the result's own time is over; the
 	// backend logs it.
 	_ = b.backend.Free(ctx, f.server, f.handles)
-	b.mu.Lock()
-	b.queue.Freed(serverID, f.bytes)
-	b.mu.Unlock()
-	b.wake()
 }
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -86,9 +86,8 @@
 	return a.Domain == j.Domain && b.Domain != j.Domain
 }
 
-// roomShare of the configured room is filled: sizes of results are approximate,
-// and a call that finds no room is lost time.
-const roomShare = 0.9
+// roomShare of the configured room is filled: sizes of results are approximate.
+const roomShare = 0.96
 
 // roomOf is the room for results at a server; 0: not bounded.
 func (q *Queue) roomOf(s *server) int64 {
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -23,16 +23,23 @@
 type Admission struct {
 	services func(name string) (Service, bool)
 	underWay map[string]int // items begun and not finished, by service
-	onTime   []*Ticket
-	late     []*Ticket
+	// lateUnderWay are those of requests that were late when they began.
+	lateUnderWay map[string]int
+	onTime       []*Ticket
+	late         []*Ticket
 }
 
 // Ticket is a request that waits to be begun, or is under way.
 type Ticket struct {
 	Request  *Request
-	Begin    func(late bool)        // called once, when it is begun
+	Begin    func()                 // called once, when it is begun
 	Rejected func(r batcher.Reason) // called once instead
 
+	// HeldBy is the service that last kept it from being begun, and whether that
+	// lacked room for results.
+	HeldBy     string
+	HeldByRoom bool
+
 	late    bool
 	cost    float64 // seconds of all servers of its services
 	offered time.Time
@@ -40,7 +47,7 @@
 
 // NewAdmission returns an admission; services tells what is known of a service.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{services: services, underWay: map[string]int{}}
+	return &Admission{services: services, underWay: map[string]int{}, lateUnderWay: map[string]int{}}
 }
 
 // Offer adds a request that wants to be begun.
@@ -58,6 +65,10 @@
 	return list
 }
 
+// Late reports whether the request could not be on time any more when it was
+// begun or rejected.
+func (t *Ticket) Late() bool { return t.late }
+
 // density is worth for the servers' time: what a scarce second earns.
 func (t *Ticket) density() float64 { return t.Request.Worth / max(t.cost, minCost) }
 
@@ -97,8 +108,11 @@
 }
 
 // Finished notes that items of a service are no longer under way.
-func (a *Admission) Finished(service string, items int) {
+func (a *Admission) Finished(service string, items int, late bool) {
 	a.underWay[service] = max(a.underWay[service]-items, 0)
+	if late {
+		a.lateUnderWay[service] = max(a.lateUnderWay[service]-items, 0)
+	}
 }
 
 // Waiting returns the number of requests that wait to be begun.
@@ -107,20 +121,45 @@
 // Next begins and rejects requests as it is right at now.
 func (a *Admission) Next(now time.Time) {
 	a.sort(now)
-	blocked := map[string]bool{}
-	a.onTime = a.begin(a.onTime, onTimeShare, blocked)
-	if len(a.onTime) == 0 {
-		a.late = a.begin(a.late, lateShare, blocked)
-	}
+	b := &blocked{rate: map[string]bool{}, room: map[string]int64{}}
+	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request) })
+	a.onTime = a.begin(a.onTime, func(t *Ticket) bool { return a.fits(t, onTimeShare, b) })
+	a.late = a.begin(a.late, func(t *Ticket) bool { return a.fits(t, lateShare, b) })
 }
 
 // Shares of the bound on items under way. Late requests keep away from the
 // last part of it, so that one that can still be on time finds room at once.
+// Those whose last chance has come get a part for themselves: an overload would
+// otherwise turn requests of the least worth away for as long as it lasts.
 const (
-	onTimeShare = 1.0
-	lateShare   = 0.6
+	onTimeShare     = 1.0
+	lateShare       = 0.6
+	lastChanceShare = 0.35
 )
 
+// lastChanceTime before its latest begin, a late request takes what is kept
+// for such requests.
+const lastChanceTime = 700 * time.Millisecond
+
+func (a *Admission) lastChance(t *Ticket, now time.Time) bool {
+	return now.Add(a.path(t.Request) + lastChanceTime).After(t.Request.DieBy)
+}
+
+// fitsLate tells whether the part that is kept for last chances has room.
+func (a *Admission) fitsLate(r *Request) bool {
+	for i, s := range r.Stages {
+		svc, ok := a.services(s.Service)
+		if !ok || s.Items == 0 {
+			continue
+		}
+		used := a.lateUnderWay[s.Service]
+		if used > 0 && float64(used+s.Items) > lastChanceShare*svc.bound(r.depth(i), s.ItemBytes) {
+			return false
+		}
+	}
+	return true
+}
+
 // sort moves requests that can no longer be on time behind the others and
 // rejects those that can no longer be of use.
 func (a *Admission) sort(now time.Time) {
@@ -169,7 +208,7 @@
 			ends[i] = max(ends[i], ends[after])
 		}
 		if svc, ok := a.services(s.Service); ok && s.Items > 0 {
-			ends[i] += svc.CallTime + time.Duration(float64(svc.MaxItems)*fullness)*svc.ItemTime + callWait
+			ends[i] += svc.call() + callWait
 		}
 		longest = max(longest, ends[i])
 	}
@@ -183,13 +222,11 @@
 	callWait = 60 * time.Millisecond
 )
 
-// begin starts what fits, in order. A request that does not fit keeps the
-// services that it lacks for itself: smaller ones behind it would take each bit
-// of room before it.
-func (a *Admission) begin(list []*Ticket, share float64, blocked map[string]bool) []*Ticket {
+// begin starts what fits, in order.
+func (a *Admission) begin(list []*Ticket, fits func(*Ticket) bool) []*Ticket {
 	kept := list[:0]
 	for _, t := range list {
-		if a.fits(t.Request, share, blocked) {
+		if fits(t) {
 			a.start(t)
 			continue
 		}
@@ -199,8 +236,18 @@
 	return kept
 }
 
-func (a *Admission) fits(r *Request, share float64, blocked map[string]bool) bool {
+// blocked are services for which a request of more worth waits.
+type blocked struct {
+	rate map[string]bool
+	room map[string]int64 // bytes that it needs
+}
+
+// fits tells whether all services of a request have room for it. A request that
+// does not fit keeps the services that it lacks for itself: others behind it
+// would take each bit of room before it.
+func (a *Admission) fits(t *Ticket, share float64, b *blocked) bool {
 	fits := true
+	r := t.Request
 	for i, s := range r.Stages {
 		if s.Items == 0 {
 			continue
@@ -209,33 +256,58 @@
 		if !ok {
 			continue // the batcher tells what is wrong with it
 		}
-		used := a.underWay[s.Service]
-		depth := r.depth(i)
-		over := used > 0 && float64(used+s.Items) > share*svc.bound(depth)
-		if blocked[s.Service] || over || depth == 0 && svc.full(s, share) {
+		depth, used := r.depth(i), a.underWay[s.Service]
+		if b.rate[s.Service] || used > 0 && float64(used+s.Items) > share*svc.bound(depth, s.ItemBytes) {
+			fits = false
+			t.HeldBy, t.HeldByRoom = s.Service, false
+			b.rate[s.Service] = true
+		}
+		need := int64(s.Items) * s.ItemBytes
+		if depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need, share)) {
 			fits = false
-			blocked[s.Service] = true
+			t.HeldBy, t.HeldByRoom = s.Service, true
+			b.room[s.Service] = max(b.room[s.Service], need)
 		}
 	}
 	return fits
 }
 
-// bound is how many items of a service may be under way. An item of a first
-// stage waits a little and is worked on for one call; one of a later stage is
-// counted from the begin of its request and waits for the stages before it.
-func (s Service) bound(depth int) float64 {
-	calls := firstCalls + float64(depth)*laterCalls
-	return calls * float64(s.Servers*s.MaxItems)
+// smallNeed: a request that needs less than this part of the room that another
+// waits for does not keep the other from it.
+const smallNeed = 20
+
+// bound is how many items of a service may be under way at a stage of some
+// depth: what its servers finish in the time from the begin of a request to the
+// end of that stage.
+func (s Service) bound(depth int, itemBytes int64) float64 {
+	rate := s.Rate
+	if s.RoomAll > 0 && itemBytes > 0 {
+		// A result holds its room until the stage behind has used it.
+		hold := 2*s.call() + callWait + freeing
+		rate = min(rate, float64(s.RoomAll)/float64(itemBytes)/hold.Seconds())
+	}
+	under := time.Duration(depth+1) * (s.call() + callWait)
+	if depth == 0 {
+		under += s.call() // so that a full call waits when a server is free
+	}
+	return rate * under.Seconds()
+}
+
+// call is the time of one call that is as full as usual.
+func (s Service) call() time.Duration {
+	return s.CallTime + time.Duration(fullness*float64(s.MaxItems))*s.ItemTime
 }
 
-// full tells whether a first stage lacks room for the results of s. Its servers
+// freeing is the time from the use of a result to its room being free.
+const freeing = 60 * time.Millisecond
+
+// full tells whether a first stage lacks room for results of need bytes. Its servers
 // keep results until the request runs; items that wait for room there would
 // hold up all behind them.
-func (s Service) full(stage Stage, share float64) bool {
+func (s Service) full(need int64, share float64) bool {
 	if s.RoomAll <= 0 {
 		return false
 	}
-	need := int64(stage.Items) * stage.ItemBytes
 	lent := int64(roomLent * float64(s.RoomAll))
 	return need > s.Room+lent-int64((1-share)*float64(s.RoomAll)) && s.Room < s.RoomAll
 }
@@ -244,14 +316,12 @@
 // work waiting when results are given up.
 const roomLent = 0.25
 
-const (
-	firstCalls = 1.5 // calls' time from the begin to the end of a first stage
-	laterCalls = 1.2 // more for each stage before
-)
-
 func (a *Admission) start(t *Ticket) {
 	for _, s := range t.Request.Stages {
 		a.underWay[s.Service] += s.Items
+		if t.late {
+			a.lateUnderWay[s.Service] += s.Items
+		}
 	}
-	t.Begin(t.late)
+	t.Begin()
 }
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -14,7 +14,7 @@
 
 // Log receives what a Coordinator decides.
 type Log interface {
-	StageWork(r *Request, late bool, waited, took time.Duration, err error, onTime, lateWaiting int)
+	StageWork(t *Ticket, waited, took time.Duration, err error, onTime, lateWaiting int)
 }
 
 // Coordinator runs stage work on this host, its own and that of others.
@@ -46,14 +46,14 @@
 // Run has the results of a request made. The error is an *Error or ctx's.
 func (k *Coordinator) Run(ctx context.Context, r *Request) ([]Input, error) {
 	offered := k.clock.Now()
-	late, err := k.wait(ctx, r)
+	t, err := k.wait(ctx, r)
 	began := k.clock.Now()
 	var inputs []Input
 	if err == nil {
-		inputs, err = k.work(ctx, r, late)
+		inputs, err = k.work(ctx, r, t.late)
 	}
 	onTime, lateWaiting := k.Waiting()
-	k.log.StageWork(r, late, began.Sub(offered), k.clock.Now().Sub(offered), err, onTime, lateWaiting)
+	k.log.StageWork(t, began.Sub(offered), k.clock.Now().Sub(offered), err, onTime, lateWaiting)
 	return inputs, err
 }
 
@@ -75,11 +75,11 @@
 }
 
 // wait returns when the request is begun.
-func (k *Coordinator) wait(ctx context.Context, r *Request) (late bool, err error) {
-	begun, rejected := make(chan bool, 1), make(chan batcher.Reason, 1)
+func (k *Coordinator) wait(ctx context.Context, r *Request) (*Ticket, error) {
+	begun, rejected := make(chan struct{}, 1), make(chan batcher.Reason, 1)
 	t := &Ticket{
 		Request:  r,
-		Begin:    func(late bool) { begun <- late },
+		Begin:    func() { begun <- struct{}{} },
 		Rejected: func(reason batcher.Reason) { rejected <- reason },
 	}
 	k.mu.Lock()
@@ -87,26 +87,26 @@
 	k.mu.Unlock()
 	k.pump()
 	select {
-	case late := <-begun:
-		return late, nil
+	case <-begun:
+		return t, nil
 	case reason := <-rejected:
-		return true, &Error{Reason: reason}
+		return t, &Error{Reason: reason}
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
 	waiting := k.admission.Withdraw(t)
 	if !waiting && len(begun) > 0 {
-		k.release(r.Stages)
+		k.release(r.Stages, t.late)
 	}
 	k.mu.Unlock()
 	k.pump()
-	return false, ctx.Err()
+	return t, ctx.Err()
 }
 
 // release is called with k.mu held.
-func (k *Coordinator) release(list []Stage) {
+func (k *Coordinator) release(list []Stage, late bool) {
 	for _, s := range list {
-		k.admission.Finished(s.Service, s.Items)
+		k.admission.Finished(s.Service, s.Items, late)
 	}
 }
 
@@ -137,7 +137,7 @@
 // work runs the stages of a request that was begun.
 func (k *Coordinator) work(ctx context.Context, r *Request, late bool) ([]Input, error) {
 	w := &work{
-		k: k, r: r, aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
+		k: k, r: r, late: late, aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
 		over: make(chan struct{}),
 	}
 	if late {
@@ -162,6 +162,7 @@
 type work struct {
 	k       *Coordinator
 	r       *Request
+	late    bool
 	aim     time.Time
 	over    chan struct{}
 	inputs  []Input
@@ -300,7 +301,7 @@
 	w.submit(next)
 	w.freeUsed(stage)
 	w.k.mu.Lock()
-	w.k.release(w.r.Stages[stage : stage+1])
+	w.k.release(w.r.Stages[stage:stage+1], w.late)
 	w.k.mu.Unlock()
 	w.k.pump()
 }
@@ -378,7 +379,7 @@
 	w.mu.Unlock()
 	w.k.free(made...)
 	w.k.mu.Lock()
-	w.k.release(rest)
+	w.k.release(rest, w.late)
 	w.k.mu.Unlock()
 	w.k.pump()
 }
