--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -194,8 +194,8 @@
 		before, was := h.listed[id.Host]
 		// A host that came back has told so itself before the list did.
 		if _, is := listed[id.Host]; !is && was && before.Incarnation == id.Incarnation {
-			h.mesh.Forget(id.Host)
 			h.log.Info("entry host", "outcome", "gone", "name", id.Host, "by", why)
+			h.forgetLater(id)
 		}
 	}
 	if h.listed == nil {
@@ -204,6 +204,19 @@
 	h.listed = listed
 }
 
+// forgetLater drops a host that is no longer listed once it must have stopped.
+// It takes its entry back before its last requests are done, and closing its
+// connections then would cut the stage work of those.
+func (h *Host) forgetLater(id peer.Identity) {
+	time.AfterFunc(h.set.StopBound, func() {
+		for _, now := range h.mesh.Peers() {
+			if now.Host == id.Host && now.Incarnation == id.Incarnation {
+				h.mesh.Forget(id.Host)
+			}
+		}
+	})
+}
+
 func (h *Host) lost(what string, err error) {
 	h.meter.Add("dependency_lost", 1)
 	h.log.Warn("dependency lost", "what", what, "err", err)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,7 +94,7 @@
 	})
 	h.wirePeers()
 	h.batchers = newBatchers(h)
-	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h))
+	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h)
 	h.budget = budget.New(budget.Options{
 		Ratio: set.RetryRatio, Window: set.RetryWindow, Slack: set.RetrySlack, Clock: h.clock,
 		Hosts: func() int { return len(h.mesh.Peers()) + 1 + spareHosts },
--- a/edge/records.go
+++ b/edge/records.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// OwnerChanged implements stages.PoolLog.
+func (h *Host) OwnerChanged(host string, incarnation uint64) {
+	h.log.Info("stage work", "outcome", "is done by another host", "name", host, "incarnation", incarnation)
+}
+
+// OwnerFailed implements stages.PoolLog.
+func (h *Host) OwnerFailed(host string, passed time.Duration, err error) {
+	h.meter.Add("stage_owner_failed", 1)
+	h.log.Warn("stage work", "outcome", "host did not answer; passed over", "name", host, "passed_ms", ms(passed), "err", err)
+}
+
 // StageWork implements stages.Log.
 func (h *Host) StageWork(t *stages.Ticket, waited, took time.Duration, err error, onTime, lateWaiting int) {
 	h.meter.Observe("stage_work", took)
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -54,12 +54,14 @@
 	link  peer.Link
 	clock clock.Clock
 	local *Coordinator
+	log   PoolLog
 
 	mu       sync.Mutex
 	suspects map[string]suspect
 	left     map[string]uint64             // incarnations of hosts that stop
 	running  map[string]context.CancelFunc // work for other hosts, by request id
 	leaving  bool                          // this host stops
+	last     string                        // owner that was logged
 }
 
 // suspect is a peer that did not answer.
@@ -68,10 +70,19 @@
 	failures int
 }
 
+// PoolLog receives what a Pool believes.
+type PoolLog interface {
+	// OwnerChanged tells that another host does the stage work from now on;
+	// host is this one's own name if it does it itself.
+	OwnerChanged(host string, incarnation uint64)
+	// OwnerFailed tells that the host did not answer and is passed over.
+	OwnerFailed(host string, until time.Duration, err error)
+}
+
 // NewPool returns a pool and registers its handlers with the link.
-func NewPool(link peer.Link, c clock.Clock, local *Coordinator) *Pool {
+func NewPool(link peer.Link, c clock.Clock, local *Coordinator, log PoolLog) *Pool {
 	p := &Pool{
-		link: link, clock: c, local: local,
+		link: link, clock: c, local: local, log: log,
 		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[string]context.CancelFunc{},
 	}
 	link.Handle(methodRun, p.serveRun)
@@ -95,6 +106,10 @@
 		}
 		var a runAnswer
 		err := p.link.Call(ctx, owner, methodRun, p.request(r), &a)
+		if err == nil && a.Reason == moved {
+			p.setLeft(owner) // its answer came before its notice
+			continue
+		}
 		if err == nil {
 			p.trust(owner)
 			if a.Reason != "" {
@@ -106,11 +121,7 @@
 			p.cancel(owner, r.ID)
 			return Made{}, ctx.Err()
 		}
-		if errors.Is(err, peer.ErrRefused) {
-			p.setLeft(owner) // it stops; its answer came before its notice
-			continue
-		}
-		p.distrust(owner)
+		p.distrust(owner, err)
 	}
 	inputs, err := p.local.Run(ctx, r)
 	return Made{Inputs: inputs}, err
@@ -157,9 +168,6 @@
 	}
 }
 
-// errLeaving refuses work; the caller gives it to another host.
-var errLeaving = errors.New("stages: this host stops")
-
 func (p *Pool) request(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
@@ -183,7 +191,7 @@
 	p.running[q.ID] = cancel
 	p.mu.Unlock()
 	if leaving {
-		return nil, errLeaving
+		return peer.Marshal(runAnswer{Reason: moved})
 	}
 	defer func() {
 		p.mu.Lock()
@@ -197,14 +205,11 @@
 		DieBy: now.Add(time.Duration(q.DieMS) * time.Millisecond),
 	})
 	var failed *Error
-	if errors.As(err, &failed) && failed.Reason == moved {
-		return nil, errLeaving
-	}
 	if errors.As(err, &failed) {
 		return peer.Marshal(runAnswer{Reason: failed.Reason, Stage: failed.Stage, ReadyMS: failed.Ready.Milliseconds()})
 	}
-	if err != nil {
-		return nil, err
+	if err != nil { // of ctx: the time is over, or the request
+		return peer.Marshal(runAnswer{Reason: batcher.Late})
 	}
 	return peer.Marshal(runAnswer{Inputs: inputs})
 }
@@ -284,20 +289,32 @@
 		}
 		return list[i].Host < list[j].Host
 	})
-	self := p.link.Self().Host
-	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	owner := p.first(list)
+	if owner.Host != p.last {
+		p.last = owner.Host
+		p.log.OwnerChanged(owner.Host, owner.Incarnation)
+	}
+	if owner.Host == p.link.Self().Host {
+		return ""
+	}
+	return owner.Host
+}
+
+// first returns the first host that can do the work; this one if there is no
+// other. It is called with p.mu held.
+func (p *Pool) first(list []peer.Identity) peer.Identity {
+	self := p.link.Self()
+	now := p.clock.Now()
 	for _, id := range list {
 		switch {
-		case id.Host == self && p.leaving, id.Host != self && p.left[id.Host] == id.Incarnation:
-		case id.Host == self:
-			return ""
-		case now.After(p.suspects[id.Host].until):
-			return id.Host
+		case id.Host == self.Host && p.leaving, p.left[id.Host] == id.Incarnation:
+		case id.Host == self.Host, now.After(p.suspects[id.Host].until):
+			return id
 		}
 	}
-	return ""
+	return self
 }
 
 // Bounds of the time for which a peer that did not answer is passed over. The
@@ -307,13 +324,18 @@
 	maxSuspect = 3 * time.Second
 )
 
-func (p *Pool) distrust(host string) {
+func (p *Pool) distrust(host string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.suspects[host]
+	if p.clock.Now().Before(s.until) {
+		return // many calls fail with one connection
+	}
 	s.failures = min(s.failures+1, 8)
-	s.until = p.clock.Now().Add(min(minSuspect<<(s.failures-1), maxSuspect))
+	d := min(minSuspect<<(s.failures-1), maxSuspect)
+	s.until = p.clock.Now().Add(d)
 	p.suspects[host] = s
+	p.log.OwnerFailed(host, d, err)
 }
 
 func (p *Pool) trust(host string) {
