Affinity over all regions; stage work placed where the request will run and its inputs lie

A part's home is now one server for all hosts, chosen before the stages, which are made in its domain. Ruled out: results near the entry host.

--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -101,7 +101,7 @@
 	if platform.StageBusy(answer.Status, answer.Header) {
 		return batcher.Answer{Err: errBusy, Busy: true}
 	}
-	results, err := platform.DecodeStageRun(answer.Status, body, call.Server.ID, call.Server.Address, len(call.Items))
+	results, err := platform.DecodeStageRun(answer.Status, body, call.Server, len(call.Items))
 	if err != nil {
 		return batcher.Answer{Err: err}
 	}
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -14,14 +14,17 @@
 type Query struct {
 	Servers  []*directory.Server
 	Distance func(domain string) time.Duration // one way
-	// Affinity names what requests share; they go to the same server while it
-	// is not fuller than others. Empty: none.
-	Affinity string
-	// Near is the failure domain that holds the request's inputs; empty: none.
-	Near     string
-	NearCost time.Duration // what it is worth to stay there
-	Exclude  func(*directory.Server) bool
-	Now      time.Time
+	// Affinity names the part of the prompt that requests share, of SharedTokens
+	// tokens with those before it. They go to the same server, wherever it is,
+	// while it is not fuller than others. Empty: none.
+	Affinity     string
+	SharedTokens int
+	// Near is the failure domain that holds the request's inputs, of NearBytes;
+	// empty: none.
+	Near      string
+	NearBytes int64
+	Exclude   func(*directory.Server) bool
+	Now       time.Time
 }
 
 const (
@@ -34,9 +37,20 @@
 	// shareCost is the cost of one request beside which a request runs, for
 	// servers that share their speed among their requests.
 	shareCost = 2 * time.Millisecond
-	// affinityGain is what a server with the shared part in its memory saves:
-	// reading a prompt part of 5,000 tokens takes about 90 ms.
-	affinityGain = 90 * time.Millisecond
+	// tokenTime is what a token of a shared prompt part saves that need not be
+	// read again: engines read 50 to 60 tokens a millisecond.
+	tokenTime = 18 * time.Microsecond
+	// affinityGain is what a shared part in an engine's memory is worth beside
+	// the time of its reading. It outweighs the way there and back between
+	// regions: a part that two regions read takes memory and time at both, and
+	// the streams that run beside the reading pause.
+	affinityGain = 45 * time.Millisecond
+	// leastShared tokens make affinity worth anything.
+	leastShared = 100
+	// nearTime is what it is worth for each megabyte of inputs to run where
+	// they lie, and maxNear the most.
+	nearTime = 40 * time.Millisecond
+	maxNear  = 60 * time.Millisecond
 	// avoidCost keeps servers that failed a short time ago for the case that
 	// there is no other.
 	avoidCost = 10 * time.Second
@@ -53,7 +67,7 @@
 		}
 		c := q.cost(s)
 		if s == home {
-			c -= affinityGain
+			c -= affinityGain + time.Duration(q.SharedTokens)*tokenTime
 		}
 		if best == nil || c < bestCost || c == bestCost && q.tie(s) > q.tie(best) {
 			best, bestCost = s, c
@@ -69,7 +83,7 @@
 		c += time.Duration(over) * fullCost
 	}
 	if q.Near != "" && s.Domain != q.Near {
-		c += q.NearCost
+		c += min(time.Duration(float64(nearTime)*float64(q.NearBytes)/1e6), maxNear)
 	}
 	if s.Avoided(q.Now) {
 		c += avoidCost
@@ -91,22 +105,19 @@
 }
 
 // home is the server that requests with the same affinity prefer: the first by
-// hashing among the nearest, so that every host of a place names the same one.
+// hashing, so that every host names the same one.
 func (q *Query) home() *directory.Server {
-	if q.Affinity == "" {
+	if q.Affinity == "" || q.SharedTokens < leastShared {
 		return nil
 	}
 	var home *directory.Server
 	var best uint64
-	near := time.Duration(-1)
 	for _, s := range q.Servers {
 		if s.Avoided(q.Now) {
 			continue
 		}
-		d := q.Distance(s.Domain)
-		h := xxhash.Sum64String(q.Affinity + "\x00" + s.ID)
-		if home == nil || d < near || d == near && h > best {
-			home, best, near = s, h, d
+		if h := q.tie(s); home == nil || h > best {
+			home, best = s, h
 		}
 	}
 	return home
@@ -114,5 +125,5 @@
 
 // tie spreads equal servers differently for each thing asked about.
 func (q *Query) tie(s *directory.Server) uint64 {
-	return xxhash.Sum64String(q.Affinity + s.ID)
+	return xxhash.Sum64String(q.Affinity + "\x00" + s.ID)
 }
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -64,7 +64,7 @@
 // Submit adds a job; its Done is called for each item.
 func (b *Batcher) Submit(j *Job) {
 	b.mu.Lock()
-	b.queue.Submit(j)
+	b.queue.Submit(j, b.clock.Now())
 	b.mu.Unlock()
 	b.wake()
 }
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -16,7 +16,7 @@
 		start = arrive
 	}
 	c.StartBy = start
-	q.fill(c, s)
+	q.fill(c, s, now)
 	if len(c.Items) == 0 {
 		return nil
 	}
@@ -104,11 +104,21 @@
 	return room <= 0 || s.held() == 0 || s.held()+bytes <= room
 }
 
-// fill moves waiting items into the call.
-func (q *Queue) fill(c *Call, s *server) {
+// fill moves waiting items into the call: first those that are best made here,
+// then others that had better not wait for a server of their own domain.
+func (q *Queue) fill(c *Call, s *server, now time.Time) {
+	for _, j := range q.waiting {
+		if j.Domain == s.Domain {
+			q.move(c, s, j)
+		}
+	}
+	for _, j := range q.waiting {
+		if len(c.Items) == 0 || !q.waitsForHome(j, now) {
+			q.move(c, s, j)
+		}
+	}
 	kept := q.waiting[:0]
 	for _, j := range q.waiting {
-		q.move(c, s, j)
 		if len(j.next) > 0 {
 			kept = append(kept, j)
 		}
@@ -117,6 +127,28 @@
 	q.waiting = kept
 }
 
+// homeWait is how long a job waits for a server of its own failure domain: with
+// two servers there one ends a call about every 150 ms.
+const homeWait = 120 * time.Millisecond
+
+// waitsForHome tells whether a job can wait a little for a server of its own
+// failure domain, which spares the results a way between domains.
+func (q *Queue) waitsForHome(j *Job, now time.Time) bool {
+	if now.Sub(j.since) >= homeWait || j.ItemBytes < homeBytes {
+		return false
+	}
+	for _, s := range q.servers {
+		if s.Domain == j.Domain && !s.Avoided(now) && !now.Before(s.fullTil) && len(s.calls) < 2 && q.fits(s, j.ItemBytes) &&
+			s.freeAt(now).Sub(now) < homeWait {
+			return true
+		}
+	}
+	return false
+}
+
+// homeBytes: results smaller than this may be made anywhere.
+const homeBytes = 20_000
+
 func (q *Queue) move(c *Call, s *server, j *Job) {
 	room := q.roomOf(s)
 	for len(j.next) > 0 && len(c.Items) < q.opts.MaxItems {
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -22,7 +22,7 @@
 // Job is all items of one stage of one request.
 type Job struct {
 	Items []Item
-	// Domain is the failure domain where the results will be used.
+	// Domain is the failure domain where the items are best made.
 	Domain string
 	// AimBy is when the results should be there: jobs are served in this order.
 	// DieBy is when they are of no use any more.
@@ -34,6 +34,7 @@
 	Done func(index int, r Result)
 
 	next      []int // items neither done nor in a call
+	since     time.Time
 	attempts  int
 	cancelled bool
 }
@@ -55,6 +56,7 @@
 type Result struct {
 	Handle   string // names the result at its server; empty: none
 	ServerID string // which made it
+	Domain   string // failure domain of that server
 	Reason   Reason
 }
 
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -71,7 +71,8 @@
 }
 
 // Submit adds a job.
-func (q *Queue) Submit(j *Job) {
+func (q *Queue) Submit(j *Job, now time.Time) {
+	j.since = now
 	j.next = make([]int, len(j.Items))
 	for i := range j.next {
 		j.next[i] = i
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -248,12 +248,36 @@
 	}
 	rest := w.rest(i)
 	return &batcher.Job{
-		Items: items, Domain: w.r.Domain, ItemBytes: s.ItemBytes,
+		Items: items, Domain: w.domain(i), ItemBytes: s.ItemBytes,
 		AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
 		Done: func(p int, r batcher.Result) { w.item(i, p, r) },
 	}
 }
 
+// nearBytes of inputs in one failure domain draw a stage there; the results of
+// smaller ones are better made where the request will run.
+const nearBytes = 100_000
+
+// domain is where the items of a stage are best made.
+func (w *work) domain(stage int) string {
+	bytes := map[string]int64{}
+	domain, most := w.r.Domain, int64(nearBytes)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.r.Stages[stage].After {
+		for _, r := range w.results[a] {
+			if r.Domain == "" {
+				continue
+			}
+			bytes[r.Domain] += w.r.Stages[a].ItemBytes
+			if bytes[r.Domain] > most {
+				domain, most = r.Domain, bytes[r.Domain]
+			}
+		}
+	}
+	return domain
+}
+
 // rest is the time that the stages behind a stage take at least.
 func (w *work) rest(i int) time.Duration {
 	var longest time.Duration
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -48,31 +48,27 @@
 
 // choose returns the server for the next attempt; nil: there is none.
 func (x *exchange) choose(t tried) *directory.Server {
+	affinity, tokens := x.affinity()
 	return balance.Choose(balance.Query{
 		Servers: x.opts.Directory.View().Servers(x.service), Distance: x.opts.Distance,
-		Affinity: x.affinity(), Near: x.near, NearCost: nearCost,
+		Affinity: affinity, SharedTokens: tokens, Near: x.near, NearBytes: x.nearBytes,
 		Exclude: t.exclude, Now: x.opts.Clock.Now(),
 	})
 }
 
-// nearCost is what it is worth to run where the inputs lie; it must not outweigh
-// the way between regions, over which the request and its answer would go.
-const nearCost = 15 * time.Millisecond
-
 // affinity names the longest part of the prompt that other requests share: all
-// but the last, which belongs to this request or its session.
-func (x *exchange) affinity() string {
-	if !x.route.Affinity {
-		return ""
-	}
-	switch n := len(x.client.Parts); n {
-	case 0:
-		return ""
-	case 1:
-		return x.client.Parts[0].ID
-	default:
-		return x.client.Parts[n-2].ID
-	}
+// but the last, which belongs to this request or its session. tokens counts it
+// and the parts before it.
+func (x *exchange) affinity() (part string, tokens int) {
+	n := len(x.client.Parts)
+	if !x.route.Affinity || n == 0 {
+		return "", 0
+	}
+	shared := x.client.Parts[:max(n-1, 1)]
+	for _, p := range shared {
+		tokens += p.Tokens
+	}
+	return shared[len(shared)-1].ID, tokens
 }
 
 // send gives the request to a server. firstByte bounds the wait for the head of
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -80,26 +80,27 @@
 // exchange is one request on its way.
 type exchange struct {
 	*Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	client   platform.ClientRequest
-	plan     *plan.Plan
-	route    *plan.Route
-	account  string
-	priority int
-	service  string
-	body     []byte
-	start    time.Time
-	aim      time.Time
-	deadline time.Time
-	made     stages.Made // inputs that are not yet freed
-	inputs   []string
-	near     string
-	rec      Record
-	begun    bool // the head of the answer is on its way
-	abort    bool // the answer has to end as incomplete
-	sent     bool // a backend server may have run the request
-	lastErr  error
+	w         http.ResponseWriter
+	r         *http.Request
+	client    platform.ClientRequest
+	plan      *plan.Plan
+	route     *plan.Route
+	account   string
+	priority  int
+	service   string
+	body      []byte
+	start     time.Time
+	aim       time.Time
+	deadline  time.Time
+	made      stages.Made // inputs that are not yet freed
+	inputs    []string
+	near      string // failure domain that holds most of the inputs
+	nearBytes int64
+	rec       Record
+	begun     bool // the head of the answer is on its way
+	abort     bool // the answer has to end as incomplete
+	sent      bool // a backend server may have run the request
+	lastErr   error
 }
 
 // ServeHTTP implements http.Handler.
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -26,13 +26,13 @@
 	}
 	x.made = made
 	x.inputs = made.Handles()
-	x.near = x.domainOf(made)
+	x.near, x.nearBytes = x.domainOf(made)
 	return nil
 }
 
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
-		ID: x.client.AttemptID, Key: x.client.PieceKey, Domain: x.opts.Domain, Worth: x.worth(),
+		ID: x.client.AttemptID, Key: x.client.PieceKey, Domain: x.likelyDomain(), Worth: x.worth(),
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
@@ -68,31 +68,32 @@
 	return max(leastPatience, patienceLatency*x.route.TargetLatency, patienceGap*x.route.MaxEventGap)
 }
 
-// domainOf is the failure domain that holds most of the results.
-func (x *exchange) domainOf(m stages.Made) string {
+// likelyDomain is where the request will run if nothing changes: its inputs are
+// best made there.
+func (x *exchange) likelyDomain() string {
+	if s := x.choose(nil); s != nil {
+		return s.Domain
+	}
+	return x.opts.Domain
+}
+
+// domainOf is the failure domain that holds most of the results, and how much.
+func (x *exchange) domainOf(m stages.Made) (domain string, most int64) {
 	view := x.opts.Directory.View()
 	bytes := map[string]int64{}
-	best := ""
 	for _, in := range m.Inputs {
 		s := view.Server(in.ServerID)
 		if s == nil {
 			continue
 		}
 		bytes[s.Domain] += in.Bytes
-		if best == "" || bytes[s.Domain] > bytes[best] {
-			best = s.Domain
+		if bytes[s.Domain] > most {
+			domain, most = s.Domain, bytes[s.Domain]
 		}
 	}
-	if bytes[best] < nearBytes {
-		return ""
-	}
-	return best
+	return domain, most
 }
 
-// nearBytes: smaller results may lie anywhere; fetching them takes no time that
-// a client would notice.
-const nearBytes = 200_000
-
 // urgency weighs requests by priority: an urgent one counts for more than its
 // size alone, one of the last rank for less.
 var urgency = []float64{2, 1.2, 0.7, 0.5}
