Tests of the entry host on a platform of stand-ins; events that arrived are delivered before a stream ends broken off

Cause of the change: events behind which a part of the next had arrived stayed in the server's buffer and were lost when the stream broke off (TestStreamThatBreaksOff, red before).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,6 +92,9 @@
 		KeepAlive: func(header http.Header) time.Duration { return platform.DecodeServer(http.StatusOK, header).KeepAlive },
 		Opened:    func(string) { h.meter.Add("upstream_connections_opened", 1) },
 	})
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
 	h.wirePeers()
 	h.batchers = newBatchers(h)
 	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h)
@@ -106,7 +109,7 @@
 	})
 	h.wireServers()
 	h.gauges()
-	return h, h.listen()
+	return h, nil
 }
 
 // spareHosts may join before this host knows of them; the retry budget's part
@@ -140,18 +143,18 @@
 }
 
 func (h *Host) listen() error {
-	ip := h.set.IP
 	for _, l := range []struct {
 		name, address string
 		to            *net.Listener
 	}{
 		{"clients", h.set.Callers, &h.listeners.callers},
 		{"readiness", h.set.Ready, &h.listeners.ready},
-		{"peers", net.JoinHostPort(ip, strconv.Itoa(h.set.FirstPort)), &h.listeners.peers},
-		{"metrics", net.JoinHostPort(ip, strconv.Itoa(h.set.FirstPort+1)), &h.listeners.metrics},
+		{"peers", h.internal(peerPort), &h.listeners.peers},
+		{"metrics", h.internal(metricsPort), &h.listeners.metrics},
 	} {
 		open, err := net.Listen("tcp", l.address)
 		if err != nil {
+			h.closeListeners()
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
 		*l.to = open
@@ -159,11 +162,40 @@
 	return nil
 }
 
+// Ports of this host among those for traffic between hosts.
+const (
+	peerPort = iota
+	metricsPort
+)
+
+// internal is the address of a port for traffic between hosts; any free one if
+// the settings name none.
+func (h *Host) internal(n int) string {
+	port := 0
+	if h.set.FirstPort > 0 {
+		port = h.set.FirstPort + n
+	}
+	return net.JoinHostPort(h.set.IP, strconv.Itoa(port))
+}
+
+func (h *Host) closeListeners() {
+	for _, l := range []net.Listener{h.listeners.callers, h.listeners.ready, h.listeners.peers, h.listeners.metrics} {
+		if l != nil {
+			_ = l.Close() // nothing was accepted on it
+		}
+	}
+}
+
+// Addresses returns where clients, the balancer and metrics are served.
+func (h *Host) Addresses() (callers, ready, metrics string) {
+	return h.listeners.callers.Addr().String(), h.listeners.ready.Addr().String(), h.listeners.metrics.Addr().String()
+}
+
 func (h *Host) wirePeers() {
 	h.self = peer.Identity{
 		Host: h.set.Host, Incarnation: uint64(time.Now().UnixNano()), Domain: h.set.Domain,
 		Region:  h.set.Regions[h.set.Domain],
-		Address: net.JoinHostPort(h.set.IP, strconv.Itoa(h.set.FirstPort)),
+		Address: h.listeners.peers.Addr().String(),
 	}
 	h.mesh = peer.NewMesh(peer.MeshOptions{
 		Self: h.self, Clock: h.clock, Rand: h.rand, MaxBackoff: time.Second,
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -36,6 +36,14 @@
 // Add adds n to a counter.
 func (m *Meter) Add(name string, n int64) { m.counters.Add(name, n) }
 
+// Counter returns a counter's value.
+func (m *Meter) Counter(name string) int64 {
+	if v, ok := m.counters.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
 // Gauge registers a value that is read when asked for.
 func (m *Meter) Gauge(name string, f func() float64) { m.gauges.Store(name, f) }
 
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -150,7 +150,7 @@
 		if err := x.pass(a, st, id); err != nil {
 			return err
 		}
-		if r.Buffered() == 0 {
+		if !wholeEvent(r) {
 			if err := flush.Flush(); err != nil {
 				return err
 			}
@@ -158,6 +158,13 @@
 	}
 }
 
+// wholeEvent tells whether the next event has arrived whole: then one flush
+// serves both.
+func wholeEvent(r *bufio.Reader) bool {
+	next, _ := r.Peek(r.Buffered()) // no more than there is, so no error
+	return bytes.Contains(next, []byte("\n\n")) || bytes.Contains(next, []byte("\n\r\n"))
+}
+
 // pass writes one event, unless the client has it already.
 func (x *exchange) pass(a *attempt, st *streaming, id string) error {
 	defer st.event.Reset()
