--- /dev/null
+++ b/edge/beliefs_test.go
@@ -0,0 +1,145 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// The platform can no longer be reached. Once the bound for revoked keys comes
+// near, requests with keys are refused as not run; public ones go on.
+func TestKeysAreNotHonouredWhenTheyCannotBeConfirmed(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	p.store.SetBefore(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	var r reply
+	g.Eventually(func() int { r = p.ask(h, "GET", "/status/1", ""); return r.status }, "20s").Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(r.body).To(ContainSubstring("keys_not_fresh"))
+	g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	_, ready, _ := h.Addresses()
+	g.Expect(status("http://" + ready + "/ready")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(p.ask(h, "GET", "/open/1", "").status).To(Equal(http.StatusOK))
+
+	p.store.SetBefore(nil)
+	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "20s").Should(Equal(http.StatusOK))
+}
+
+// A new configuration takes a key and a route away and an older one is written
+// over it afterwards. The process never goes back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	p.config["version"] = 9
+	p.config["tenants"] = []map[string]any{{"name": "boilers", "api_keys": []string{"another"}}}
+	p.store.Put("config", "main", p.config)
+	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "20s").Should(Equal(http.StatusUnauthorized))
+	p.config["version"] = 7
+	p.config["tenants"] = []map[string]any{{"name": "boilers", "api_keys": []string{testKey}}}
+	p.store.Put("config", "main", p.config)
+	p.store.PutRaw("config", "other", []byte(`"left by somebody"`))
+	g.Consistently(func() int { return p.ask(h, "GET", "/status/1", "").status }, "1s").Should(Equal(http.StatusUnauthorized))
+}
+
+// Other writers leave entries that cannot be read beside those of servers. They
+// name no server; the others are used.
+func TestForeignEntriesDoNotHideServers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	for i, spec := range []string{`7`, `{"service":"ledger"}`, `{"service":"ledger","address":5}`, `null`, `"x"`} {
+		p.store.PutRaw("servers", fmt.Sprintf("foreign-%d", i), []byte(spec))
+	}
+	h := p.start("front-1")
+	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
+	g.Expect(h.directory.View().Count()).To(Equal(4))
+}
+
+// A server says that it leaves; then all history is dropped while watches are
+// deaf, and another server leaves meanwhile. Neither gets work afterwards.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	p.serve("ledger-2", "ledger")
+	p.serve("ledger-3", "ledger")
+	h := p.start("front-1")
+	p.store.Put("servers", "ledger-1", with(p.servers["ledger-1"].Entry("a"), "state", "draining"))
+	usable := func() int { return len(h.directory.View().Servers("ledger")) }
+	g.Eventually(usable, "10s").Should(Equal(2))
+	p.store.SetDeaf(true)
+	p.store.Delete("servers", "ledger-2")
+	p.store.Forget()
+	p.store.SetDeaf(false)
+	g.Eventually(usable, "10s").Should(Equal(1))
+	for range 5 {
+		g.Expect(p.ask(h, "GET", "/status/1", "").body).To(Equal("answer of ledger-3"))
+	}
+}
+
+// The process is told to stop while a stream runs and a client still sends on
+// its connection. Both get their whole answers; the second is told to close.
+func TestStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	release := make(chan struct{})
+	p.servers["model-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
+		s := p.servers["model-1"]
+		s.Note(r)
+		w.Header().Set("Response-Stamp", "s")
+		s.Events(w, 1, 2)
+		<-release
+		s.Events(w, 3, 5)
+		return true
+	})
+	got := make(chan reply, 1)
+	go func() { got <- p.ask(h, "POST", "/stream/stream/1", "x") }()
+	g.Eventually(func() int { return len(p.runs("model")) }, "10s").Should(Equal(1))
+	p.stops[0]()
+	g.Eventually(h.stopping.Load, "10s").Should(BeTrue())
+	_, ready, _ := h.Addresses()
+	g.Expect(status("http://" + ready + "/ready")).To(Equal(http.StatusServiceUnavailable))
+	r := p.ask(h, "GET", "/status/1", "")
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	close(release)
+	var s reply
+	g.Eventually(got, "10s").Should(Receive(&s))
+	g.Expect(s.err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(s.body, "data: piece")).To(Equal(5))
+	g.Eventually(func() []string { return p.store.Names("entryhosts") }, "10s").Should(BeEmpty())
+}
+
+func TestMetricsAreServedAsText(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
+	_, _, metrics := h.Addresses()
+	var text string
+	g.Eventually(func() string {
+		resp, err := http.Get("http://" + metrics + "/metrics")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		text = string(data)
+		return text
+	}, "10s").Should(ContainSubstring("requests_answered_2xx 1"))
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		g.Expect(line).To(MatchRegexp(`^[A-Za-z0-9_.-]+ -?[0-9.e+-]+$`))
+	}
+	g.Expect(text).To(ContainSubstring("request_status_p99_ms"))
+}
--- /dev/null
+++ b/process/balance/balance_test.go
@@ -0,0 +1,106 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/directory"
+)
+
+var now = time.Unix(1000, 0)
+
+// servers lists some servers in each of three regions.
+func servers(each int) []*directory.Server {
+	d := directory.New()
+	var entries []directory.Entry
+	for _, domain := range []string{"x", "y", "z"} {
+		for i := range each {
+			entries = append(entries, directory.Entry{ID: fmt.Sprintf("%s-%d", domain, i), Service: "s", Domain: domain, Slots: 6})
+		}
+	}
+	d.Replace(entries)
+	return d.View().Servers("s")
+}
+
+func from(home string) func(string) time.Duration {
+	return func(domain string) time.Duration {
+		if domain == home {
+			return 200 * time.Microsecond
+		}
+		return 20 * time.Millisecond
+	}
+}
+
+func TestNearServersServeWhileTheyHaveSlots(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(1)
+	q := Query{Servers: list, Distance: from("y"), Now: now}
+	g.Expect(Choose(q).ID).To(Equal("y-0"))
+	list[1].Load(6, 3, now)
+	g.Expect(Choose(q).Domain).NotTo(Equal("y"), "three wait there already")
+	list[1].Load(6, 3, now.Add(-time.Second))
+	g.Expect(Choose(q).ID).To(Equal("y-0"), "an old report")
+}
+
+// A server failed a moment ago. It is passed over while there is another, and
+// tried again after a while.
+func TestFailedServerIsAvoidedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(1)
+	q := Query{Servers: list, Distance: from("y"), Now: now}
+	list[1].Failed(now)
+	g.Expect(Choose(q).Domain).NotTo(Equal("y"))
+	q.Now = now.Add(time.Second)
+	g.Expect(Choose(q).ID).To(Equal("y-0"))
+	q.Exclude = func(s *directory.Server) bool { return s.ID != "y-0" }
+	list[1].Failed(q.Now)
+	g.Expect(Choose(q).ID).To(Equal("y-0"), "there is no other")
+	q.Exclude = func(*directory.Server) bool { return true }
+	g.Expect(Choose(q)).To(BeNil())
+}
+
+// Hosts in all regions get requests that share a long part of their prompts.
+// All send them to the same server, until that is much fuller than others.
+func TestSharedPromptsMeetAtOneServer(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(4)
+	homes := map[string]bool{}
+	for _, home := range []string{"x", "y", "z"} {
+		s := Choose(Query{Servers: list, Distance: from(home), Affinity: "part", SharedTokens: 5000, Now: now})
+		homes[s.ID] = true
+	}
+	g.Expect(homes).To(HaveLen(1))
+	for _, s := range list {
+		if homes[s.ID] {
+			s.Inflight.Store(100)
+		}
+	}
+	s := Choose(Query{Servers: list, Distance: from("x"), Affinity: "part", SharedTokens: 5000, Now: now})
+	g.Expect(homes).NotTo(HaveKey(s.ID))
+	g.Expect(s.Domain).To(Equal("x"))
+}
+
+func TestAffinitiesSpreadOverServers(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(4)
+	byServer := map[string]int{}
+	for i := range 600 {
+		byServer[Choose(Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 5000, Now: now}).ID]++
+	}
+	g.Expect(byServer).To(HaveLen(12))
+	for id, n := range byServer {
+		g.Expect(n).To(BeNumerically("~", 50, 30), id)
+	}
+}
+
+func TestLargeInputsDrawTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(1)
+	q := Query{Servers: list, Distance: from("x"), Near: "z", NearBytes: 2_000_000, Now: now}
+	g.Expect(Choose(q).Domain).To(Equal("z"))
+	q.NearBytes = 10_000
+	g.Expect(Choose(q).Domain).To(Equal("x"))
+}
--- /dev/null
+++ b/process/batcher/queue_test.go
@@ -0,0 +1,316 @@
+package batcher
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/directory"
+)
+
+// A stage like the sheets of today: a call takes 240 ms and 15 ms an item, of
+// at most 14; a result of 60 kB, room for 26.
+var sheet = Options{MaxItems: 14, CallTime: 240 * time.Millisecond, ItemTime: 15 * time.Millisecond, RoomBytes: 1_600_000, ResultTTL: 4 * time.Second}
+
+const resultBytes = 60_000
+
+// bench drives a queue with simulated time and servers that take as long as
+// expected, times slow.
+type bench struct {
+	t     *testing.T
+	g     *WithT
+	q     *Queue
+	now   time.Time
+	dir   *directory.Directory
+	slow  map[string]float64
+	open  []*Call
+	done  map[string]Result // by request/piece
+	calls []*Call
+	busy  map[string]time.Time // end of a server's last call
+	frees []freed
+}
+
+// freed are results that are given up at a time.
+type freed struct {
+	at     time.Time
+	server string
+	bytes  int64
+}
+
+func newBench(t *testing.T, opts Options, servers map[string]string) *bench {
+	b := &bench{
+		t: t, g: NewWithT(t), q: NewQueue(opts), now: time.Unix(1000, 0), dir: directory.New(),
+		slow: map[string]float64{}, busy: map[string]time.Time{}, done: map[string]Result{},
+	}
+	var entries []directory.Entry
+	for id, domain := range servers {
+		entries = append(entries, directory.Entry{ID: id, Service: "s", Domain: domain, Address: id + ":1"})
+		b.slow[id] = 1
+	}
+	b.dir.Replace(entries)
+	b.list()
+	return b
+}
+
+func (b *bench) list() {
+	b.q.SetServers(b.dir.View().Servers("s"), func(*directory.Server) time.Duration { return time.Millisecond })
+}
+
+func (b *bench) submit(id string, items int, aim time.Duration, domain string) *Job {
+	j := &Job{Domain: domain, AimBy: b.now.Add(aim), DieBy: b.now.Add(20 * time.Second), ItemBytes: resultBytes}
+	for p := range items {
+		j.Items = append(j.Items, Item{RequestID: id, Piece: p})
+	}
+	j.Done = func(p int, r Result) { b.done[fmt.Sprintf("%s/%d", id, p)] = r }
+	b.q.Submit(j, b.now)
+	return j
+}
+
+// next asks for calls and keeps them open.
+func (b *bench) next() []*Call {
+	calls, _ := b.q.Next(b.now)
+	b.open = append(b.open, calls...)
+	b.calls = append(b.calls, calls...)
+	return calls
+}
+
+// run lets the time pass in steps of a millisecond; calls end when their
+// servers are done, and results are freed after hold.
+func (b *bench) run(d, hold time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(time.Millisecond) {
+		b.next()
+		kept := b.open[:0]
+		for _, c := range b.open {
+			start := c.sent.Add(time.Millisecond)
+			if before := b.busy[c.Server.ID]; before.After(start) && c != firstOf(b.open, c.Server.ID) {
+				kept = append(kept, c)
+				continue
+			}
+			took := time.Duration(b.slow[c.Server.ID] * float64(b.q.opts.expected(len(c.Items))))
+			if c.StartBy.After(start) {
+				start = c.StartBy
+			}
+			if b.now.Before(start.Add(took)) {
+				kept = append(kept, c)
+				continue
+			}
+			b.busy[c.Server.ID] = b.now
+			b.end(c)
+			b.frees = append(b.frees, freed{b.now.Add(hold), c.Server.ID, c.bytes})
+		}
+		b.open = kept
+		left := b.frees[:0]
+		for _, f := range b.frees {
+			if b.now.Before(f.at) {
+				left = append(left, f)
+				continue
+			}
+			b.q.Freed(f.server, f.bytes)
+		}
+		b.frees = left
+	}
+}
+
+func firstOf(calls []*Call, id string) *Call {
+	for _, c := range calls {
+		if c.Server.ID == id {
+			return c
+		}
+	}
+	return nil
+}
+
+func (b *bench) end(c *Call) {
+	a := Answer{}
+	for i := range c.Items {
+		a.Results = append(a.Results, Result{Handle: fmt.Sprintf("h%d", i), ServerID: c.Server.ID})
+	}
+	b.q.Ended(c, a, b.now)
+}
+
+// Items of many requests wait while all servers work. They share the next
+// calls: the fixed time of a call is paid once for all of them.
+func TestItemsOfManyRequestsShareCalls(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	b.submit("first", 1, time.Second, "x")
+	b.next()
+	for i := range 5 {
+		b.submit(fmt.Sprint(i), 4, time.Second, "x")
+	}
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.g.Expect(b.next()).To(BeEmpty(), "the server still works")
+	b.now = b.calls[0].FreeAt
+	calls := b.next()
+	b.g.Expect(calls).To(HaveLen(1))
+	b.g.Expect(calls[0].Items).To(HaveLen(14))
+}
+
+// The next call leaves before the present one ends, by the way there and back:
+// the server finds it waiting and does not stand idle.
+func TestNextCallLeavesBeforeTheServerIsFree(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	far := func(*directory.Server) time.Duration { return 20 * time.Millisecond }
+	b.q.SetServers(b.dir.View().Servers("s"), far)
+	b.submit("1", 1, time.Second, "x")
+	c := b.next()[0]
+	b.submit("2", 1, time.Second, "x")
+	b.now = c.FreeAt.Add(-51 * time.Millisecond)
+	b.g.Expect(b.next()).To(BeEmpty())
+	b.now = c.FreeAt.Add(-50 * time.Millisecond)
+	b.g.Expect(b.next()).To(HaveLen(1))
+	b.submit("3", 1, time.Second, "x")
+	b.g.Expect(b.next()).To(BeEmpty(), "one call waits at the server already")
+}
+
+// Results fill the room of a server and are not given up. No more items go
+// there until they are, or until they free themselves.
+func TestRoomForResultsIsNotOverfilled(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	for i := range 10 {
+		b.submit(fmt.Sprint(i), 4, 10*time.Second, "x")
+	}
+	b.run(2*time.Second, time.Hour)
+	b.g.Expect(len(b.done)).To(Equal(25), "0.96 of the room for 26")
+	b.q.Freed("a", 4*resultBytes)
+	b.run(time.Second, time.Hour)
+	b.g.Expect(len(b.done)).To(Equal(29))
+	b.run(4*time.Second, time.Hour)
+	b.g.Expect(len(b.done)).To(BeNumerically(">", 29), "what nobody freed is gone after its own time")
+}
+
+// A server says that it has no room, though there should be some: another host
+// gives it work, too. It is left alone for a while, and nothing fails.
+func TestServerWithoutRoomIsLeftAloneForAWhile(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	b.submit("1", 4, time.Second, "x")
+	c := b.next()[0]
+	refused := Answer{Results: make([]Result, 4)}
+	for i := range refused.Results {
+		refused.Results[i].Reason = NoRoom
+	}
+	for range 5 {
+		b.q.Ended(c, refused, b.now)
+		b.g.Expect(b.next()).To(BeEmpty())
+		b.now = b.now.Add(fullPause)
+		calls := b.next()
+		b.g.Expect(calls).To(HaveLen(1))
+		c = calls[0]
+	}
+	b.g.Expect(b.done).To(BeEmpty())
+	b.end(c)
+	b.g.Expect(len(b.done)).To(Equal(4))
+}
+
+// A server breaks off a call. Its items go to another one at once; after three
+// failures the request gets its final answer.
+func TestItemsOfAFailedCallAreMadeElsewhere(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "x"})
+	b.submit("1", 2, time.Second, "x")
+	seen := map[string]bool{}
+	for range maxAttempts {
+		calls := b.next()
+		b.g.Expect(calls).To(HaveLen(1))
+		seen[calls[0].Server.ID] = true
+		calls[0].Server.Failed(b.now)
+		b.q.Ended(calls[0], Answer{Err: errors.New("reset")}, b.now)
+		if len(seen) == 2 {
+			b.now = b.now.Add(2 * time.Second)
+		}
+	}
+	b.g.Expect(seen).To(HaveLen(2))
+	b.g.Expect(len(b.done)).To(Equal(2))
+	b.g.Expect(b.done["1/0"].Reason).To(Equal(Failed))
+}
+
+// A call is given up and answers later. Its items were made elsewhere
+// meanwhile: the late answer changes nothing.
+func TestLateAnswerOfACallThatWasGivenUp(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "x"})
+	b.submit("1", 1, time.Second, "x")
+	first := b.next()[0]
+	b.now = b.now.Add(time.Second)
+	first.Server.Failed(b.now)
+	b.q.Ended(first, Answer{Err: errors.New("no answer")}, b.now)
+	second := b.next()[0]
+	b.g.Expect(second.Server.ID).NotTo(Equal(first.Server.ID))
+	b.end(second)
+	b.g.Expect(b.done["1/0"].ServerID).To(Equal(second.Server.ID))
+	b.end(first)
+	b.g.Expect(b.done["1/0"].ServerID).To(Equal(second.Server.ID))
+}
+
+// One of five servers takes four times as long, as on a day with a slow server.
+// It gets little work, and the others' requests do not wait for it.
+func TestSlowServerGetsLittleWork(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "x", "c": "x", "d": "x", "e": "x"})
+	b.slow["e"] = 4
+	for i := range 60 { // 20 requests a second, of four items each
+		b.submit(fmt.Sprint(i), 4, 2*time.Second, "x")
+		b.run(50*time.Millisecond, 500*time.Millisecond)
+	}
+	b.run(2*time.Second, 500*time.Millisecond)
+	b.g.Expect(len(b.done)).To(Equal(240))
+	byServer := map[string]int{}
+	for _, r := range b.done {
+		byServer[r.ServerID]++
+	}
+	b.g.Expect(byServer["e"]).To(BeNumerically("<", 24), "%v", byServer)
+}
+
+// Two domains have servers of the same speed. Work is made in the domain where
+// it is needed while there is a server for it, and elsewhere when there is not.
+func TestWorkStaysInItsDomainWhileThatHasServers(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "y"})
+	for i := range 10 {
+		b.submit(fmt.Sprintf("%d-x", i), 4, 5*time.Second, "x")
+		b.submit(fmt.Sprintf("%d-y", i), 4, 5*time.Second, "y")
+		b.run(350*time.Millisecond, 100*time.Millisecond)
+	}
+	b.run(time.Second, 100*time.Millisecond)
+	for i := range 10 {
+		b.g.Expect(b.done[fmt.Sprintf("%d-x/0", i)].ServerID).To(Equal("a"))
+		b.g.Expect(b.done[fmt.Sprintf("%d-y/0", i)].ServerID).To(Equal("b"))
+	}
+	b.dir.Replace([]directory.Entry{{ID: "b", Service: "s", Domain: "y", Address: "b:1"}})
+	b.list()
+	b.submit("far", 1, time.Second, "x")
+	b.run(time.Second, 0)
+	b.g.Expect(b.done["far/0"].ServerID).To(Equal("b"))
+}
+
+// Jobs that are of no use any more, or whose request is over, get their outcome
+// and no server.
+func TestHopelessAndCancelledJobsGetNoServer(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	b.submit("busy", 14, time.Second, "x")
+	b.next()
+	late := b.submit("late", 1, time.Second, "x")
+	late.DieBy = b.now.Add(50 * time.Millisecond)
+	b.submit("left", 1, time.Second, "x")
+	b.q.Cancel("left")
+	b.next()
+	b.g.Expect(b.done["late/0"].Reason).To(Equal(Late))
+	b.g.Expect(b.done["left/0"].Reason).To(Equal(Cancelled))
+	b.g.Expect(b.q.Waiting()).To(BeZero())
+}
+
+// The load of a burst: 120 items a second in requests of four, results held for
+// half a second, before five servers with room for 26 results. Calls of one
+// request would take 15 servers; the five make it, because calls are shared.
+func TestBurstIsMadeByFiveServers(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "x", "c": "y", "d": "y", "e": "z"})
+	for i := range 150 { // 5 s
+		b.submit(fmt.Sprint(i), 4, time.Second, []string{"x", "y", "z"}[i%3])
+		b.run(33*time.Millisecond, 500*time.Millisecond)
+	}
+	b.run(1500*time.Millisecond, 500*time.Millisecond)
+	b.g.Expect(len(b.done)).To(Equal(600))
+	items := 0
+	for _, c := range b.calls {
+		items += len(c.Items)
+	}
+	b.g.Expect(float64(items) / float64(len(b.calls))).To(BeNumerically(">", 6))
+}
--- /dev/null
+++ b/process/follow/follow_test.go
@@ -0,0 +1,143 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+)
+
+// script is a Source that gives prepared answers in turn and then ends the
+// test's context.
+type script struct {
+	steps []step
+	asked []string
+	end   context.CancelFunc
+}
+
+type step struct {
+	objects []Object[string]
+	asOf    Revision
+	err     error
+}
+
+func (s *script) next() step {
+	if len(s.steps) == 0 {
+		s.end()
+		return step{err: context.Canceled}
+	}
+	first := s.steps[0]
+	s.steps = s.steps[1:]
+	return first
+}
+
+func (s *script) List(context.Context) ([]Object[string], Revision, error) {
+	s.asked = append(s.asked, "list")
+	x := s.next()
+	return x.objects, x.asOf, x.err
+}
+
+func (s *script) Watch(_ context.Context, from Revision, _ time.Duration) ([]Object[string], Revision, error) {
+	s.asked = append(s.asked, "watch")
+	if len(s.steps) > 0 && s.steps[0].asOf < 0 && from != -s.steps[0].asOf {
+		return nil, 0, errors.New("watched from another revision")
+	}
+	x := s.next()
+	return x.objects, max(x.asOf, 0), x.err
+}
+
+// wanted is the revision from which the next watch has to go on.
+func wanted(from Revision) step { return step{asOf: -from} }
+
+func object(name string, rev Revision, value string) Object[string] {
+	return Object[string]{Name: name, Revision: rev, Value: value}
+}
+
+func follow(t *testing.T, steps ...step) (s *script, copies []map[string]string, proved int, lost []error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s = &script{steps: steps, end: cancel}
+	f := New(Options[string]{
+		Source: s, Clock: clock.System{}, Rand: clock.NewSeeded(1), Wait: time.Second, Answer: time.Second,
+		Changed: func(objects map[string]Object[string], _ string) {
+			c := map[string]string{}
+			for name, o := range objects {
+				c[name] = o.Value
+			}
+			copies = append(copies, c)
+		},
+		Proved: func(time.Time) { proved++ }, Lost: func(err error) { lost = append(lost, err) },
+		Regained: func(time.Duration) {},
+	})
+	NewWithT(t).Expect(f.Run(ctx)).To(Succeed())
+	return s, copies, proved, lost
+}
+
+func TestChangesAreTakenInOrder(t *testing.T) {
+	g := NewWithT(t)
+	_, copies, proved, _ := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1"), object("b", 4, "1")}, asOf: 10},
+		step{objects: []Object[string]{object("a", 11, "2"), {Name: "b", Revision: 4, Deleted: true}}, asOf: 12},
+		wanted(12),
+	)
+	g.Expect(copies).To(Equal([]map[string]string{{"a": "1", "b": "1"}, {"a": "2"}}))
+	g.Expect(proved).To(Equal(3))
+}
+
+// A watch that the store kept deaf ends without changes and names a newer
+// state. The next one has to go on from the last change that was seen, or what
+// changed meanwhile would be missed for good.
+func TestDeafWatchSkipsNothing(t *testing.T) {
+	g := NewWithT(t)
+	_, copies, _, lost := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 10},
+		step{asOf: 20},
+		wanted(10),
+		step{objects: []Object[string]{object("a", 15, "2")}, asOf: 21},
+	)
+	g.Expect(lost).To(BeEmpty())
+	g.Expect(copies[len(copies)-1]).To(Equal(map[string]string{"a": "2"}))
+}
+
+// The history is gone: everything is listed again, and what was deleted
+// meanwhile goes.
+func TestHistoryGoneListsAgain(t *testing.T) {
+	g := NewWithT(t)
+	s, copies, _, lost := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1"), object("b", 3, "1")}, asOf: 10},
+		step{err: ErrHistoryGone},
+		step{objects: []Object[string]{object("a", 13, "2")}, asOf: 14},
+	)
+	g.Expect(s.asked[:3]).To(Equal([]string{"list", "watch", "list"}))
+	g.Expect(copies[1]).To(Equal(map[string]string{"a": "2"}))
+	g.Expect(lost).To(BeEmpty())
+}
+
+// The source fails and comes back. The copy stays meanwhile, nothing counts as
+// proved, and the loss is told once.
+func TestLostSourceKeepsTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	down := errors.New("down")
+	_, copies, proved, lost := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 10},
+		step{err: down}, step{err: down},
+		step{objects: []Object[string]{object("a", 11, "2")}, asOf: 11},
+	)
+	g.Expect(copies).To(HaveLen(2))
+	g.Expect(proved).To(Equal(2))
+	g.Expect(lost).To(Equal([]error{down}))
+}
+
+// A change that is older than what is known comes late. It does not go back.
+func TestOlderChangeIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	_, copies, _, _ := follow(t,
+		step{objects: []Object[string]{object("a", 9, "new")}, asOf: 10},
+		step{objects: []Object[string]{object("a", 5, "old")}, asOf: 11},
+	)
+	g.Expect(copies[len(copies)-1]).To(Equal(map[string]string{"a": "new"}))
+}
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -163,40 +163,31 @@
 // sort moves requests that can no longer be on time behind the others and
 // rejects those that can no longer be of use.
 func (a *Admission) sort(now time.Time) {
-	kept := a.onTime[:0]
-	for _, t := range a.onTime {
-		if now.Add(a.path(t.Request)).After(t.Request.AimBy) {
-			t.late = true
-			a.late = insert(a.late, t, func(x, y *Ticket) bool { return x.Request.DieBy.Before(y.Request.DieBy) })
-			continue
+	a.onTime = a.keep(a.onTime, now, func(t *Ticket) bool {
+		if !now.Add(a.path(t.Request)).After(t.Request.AimBy) {
+			return true
 		}
-		kept = append(kept, t)
-	}
-	clear(a.onTime[len(kept):])
-	a.onTime = kept
-	a.reject(now)
+		t.late = true
+		a.late = insert(a.late, t, func(x, y *Ticket) bool { return x.Request.DieBy.Before(y.Request.DieBy) })
+		return false
+	})
+	a.late = a.keep(a.late, now, func(*Ticket) bool { return true })
 }
 
-func (a *Admission) reject(now time.Time) {
-	kept := a.late[:0]
-	for _, t := range a.late {
-		reason := a.hopeless(t, now)
-		if reason != "" {
-			t.Rejected(reason)
+// keep rejects the hopeless of a list and drops those that stay is false for.
+func (a *Admission) keep(list []*Ticket, now time.Time, stay func(*Ticket) bool) []*Ticket {
+	kept := list[:0]
+	for _, t := range list {
+		if now.Add(a.path(t.Request)).After(t.Request.DieBy) {
+			t.Rejected(batcher.Late)
 			continue
 		}
-		kept = append(kept, t)
-	}
-	clear(a.late[len(kept):])
-	a.late = kept
-}
-
-// hopeless tells why a request cannot be served any more; empty: it can.
-func (a *Admission) hopeless(t *Ticket, now time.Time) batcher.Reason {
-	if now.Add(a.path(t.Request)).After(t.Request.DieBy) {
-		return batcher.Late
+		if stay(t) {
+			kept = append(kept, t)
+		}
 	}
-	return ""
+	clear(list[len(kept):])
+	return kept
 }
 
 // path is how long the stages of a request take once it is begun.
--- /dev/null
+++ b/process/stages/admission_test.go
@@ -0,0 +1,171 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/batcher"
+)
+
+// sheet is a service like those of today: five servers, calls of 240 ms and 15
+// ms an item, of at most 14, which makes 155 items a second.
+func sheet() Service {
+	o := batcher.Options{MaxItems: 14, CallTime: 240 * time.Millisecond, ItemTime: 15 * time.Millisecond}
+	return Service{Options: o, Capacity: batcher.Capacity{Servers: 5, Rate: 155}}
+}
+
+// line is an admission with simulated time in which begun requests take as long
+// as the service needs for them, one after the other.
+type line struct {
+	g        *WithT
+	a        *Admission
+	now      time.Time
+	begun    []string
+	rejected map[string]batcher.Reason
+	lateOnes map[string]bool
+	underWay []bool // late or not, an item each, in the order of their begin
+}
+
+func newLine(t *testing.T, services map[string]Service) *line {
+	l := &line{g: NewWithT(t), now: time.Unix(1000, 0), rejected: map[string]batcher.Reason{}, lateOnes: map[string]bool{}}
+	l.a = NewAdmission(func(name string) (Service, bool) { s, ok := services[name]; return s, ok })
+	return l
+}
+
+func (l *line) offer(id string, worth float64, items int, aim, die time.Duration) {
+	r := &Request{
+		ID: id, Worth: worth, Stages: []Stage{{Service: "s", Items: items}},
+		AimBy: l.now.Add(aim), DieBy: l.now.Add(die),
+	}
+	t := &Ticket{Request: r}
+	t.Begin = func() {
+		l.begun = append(l.begun, id)
+		l.lateOnes[id] = t.late
+		for range items {
+			l.underWay = append(l.underWay, t.late)
+		}
+	}
+	t.Rejected = func(reason batcher.Reason) { l.rejected[id] = reason }
+	l.a.Offer(t, l.now)
+}
+
+// pass lets the service finish items at its rate for d.
+func (l *line) pass(d time.Duration) {
+	const step = 20 * time.Millisecond
+	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(step) {
+		for range min(3, len(l.underWay)) { // 150 a second
+			l.a.Finished("s", 1, l.underWay[0])
+			l.underWay = l.underWay[1:]
+		}
+		l.a.Next(l.now)
+	}
+}
+
+// Requests of more worth for their work come while the service is full. They
+// are begun before those that came earlier but are worth less.
+func TestWorthForWorkDecidesWhoIsBegun(t *testing.T) {
+	l := newLine(t, map[string]Service{"s": sheet()})
+	for i := range 60 {
+		l.offer(fmt.Sprintf("low-%d", i), 1, 4, 3*time.Second, 10*time.Second)
+	}
+	l.a.Next(l.now)
+	before := len(l.begun)
+	l.g.Expect(before).To(BeNumerically("<", 60), "not all at once")
+	for i := range 10 {
+		l.offer(fmt.Sprintf("high-%d", i), 5, 4, 3*time.Second, 10*time.Second)
+	}
+	l.pass(400 * time.Millisecond)
+	for i, id := range l.begun[before : before+10] {
+		l.g.Expect(id).To(Equal(fmt.Sprintf("high-%d", i)))
+	}
+}
+
+// Twice the load that the service can make comes for four seconds. What is begun
+// in time stays in time, instead of all being late by a little; the rest is
+// served afterwards, since it is of use for longer.
+func TestOverloadMakesSomeLateAndNotAll(t *testing.T) {
+	l := newLine(t, map[string]Service{"s": sheet()})
+	n := 0
+	for range 40 { // 75 requests of four items a second
+		for range 7 {
+			l.offer(fmt.Sprint(n), float64(1+n%3), 4, 1500*time.Millisecond, 15*time.Second)
+			n++
+		}
+		l.pass(100 * time.Millisecond)
+	}
+	l.pass(14 * time.Second)
+	onTime := 0
+	for _, id := range l.begun {
+		if !l.lateOnes[id] {
+			onTime++
+		}
+	}
+	l.g.Expect(onTime).To(BeNumerically(">", 130), "about half of %d", n)
+	l.g.Expect(len(l.begun)).To(Equal(n), "nobody is turned away")
+}
+
+// The overload lasts. Requests of little worth get a share at their last chance,
+// so that they are not turned away for as long as it lasts.
+func TestLastChanceOfRequestsOfLittleWorth(t *testing.T) {
+	l := newLine(t, map[string]Service{"s": sheet()})
+	for i := range 100 { // ten seconds
+		for k := range 6 {
+			l.offer(fmt.Sprintf("high-%d-%d", i, k), 5, 4, 1500*time.Millisecond, 15*time.Second)
+		}
+		l.offer(fmt.Sprintf("low-%d", i), 0.1, 4, 1500*time.Millisecond, 5*time.Second)
+		l.pass(100 * time.Millisecond)
+	}
+	served := 0
+	for _, id := range l.begun {
+		if id[0] == 'l' {
+			served++
+		}
+	}
+	l.g.Expect(served).To(BeNumerically(">=", 20), "of 100")
+}
+
+// A request that cannot be of use any more is rejected when that is known, not
+// when its deadline has passed.
+func TestHopelessRequestIsRejectedAtOnce(t *testing.T) {
+	l := newLine(t, map[string]Service{"s": sheet()})
+	l.offer("hopeless", 1, 1, time.Second, 300*time.Millisecond)
+	l.a.Next(l.now)
+	l.g.Expect(l.rejected).To(HaveKeyWithValue("hopeless", batcher.Late))
+}
+
+// The first stage lacks room for large results. A request with large results
+// waits; one with small results does not wait behind it.
+func TestLackOfRoomHoldsOnlyThoseThatNeedIt(t *testing.T) {
+	s := sheet()
+	s.RoomAll, s.Room = 48_000_000, -11_500_000
+	l := newLine(t, map[string]Service{"s": s})
+	for i, bytes := range []int64{800_000, 8_000} {
+		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ItemBytes: bytes}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(9 * time.Second)}
+		l.a.Offer(&Ticket{Request: r, Begin: func() { l.begun = append(l.begun, r.ID) }, Rejected: func(batcher.Reason) {}}, l.now)
+	}
+	l.a.Next(l.now)
+	l.g.Expect(l.begun).To(Equal([]string{"1"}))
+}
+
+func TestWithdrawnRequestIsNotBegun(t *testing.T) {
+	l := newLine(t, map[string]Service{"s": sheet()})
+	r := &Request{ID: "1", Stages: []Stage{{Service: "s", Items: 1}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(time.Second)}
+	ticket := &Ticket{Request: r, Begin: func() { t.Error("begun") }, Rejected: func(batcher.Reason) { t.Error("rejected") }}
+	l.a.Offer(ticket, l.now)
+	l.g.Expect(l.a.Withdraw(ticket)).To(BeTrue())
+	l.a.Next(l.now)
+	l.g.Expect(l.a.Withdraw(ticket)).To(BeFalse())
+}
+
+func TestDepthCountsStagesThatAreNotLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	r := &Request{Stages: []Stage{
+		{Items: 1}, {Items: 0, After: []int{0}}, {Items: 2, After: []int{1}}, {Items: 1},
+	}}
+	g.Expect(r.depth(0)).To(Equal(0))
+	g.Expect(r.depth(2)).To(Equal(1))
+	g.Expect(r.last()).To(Equal([]int{2, 3}))
+}
--- /dev/null
+++ b/version/plan/plan_test.go
@@ -0,0 +1,44 @@
+package plan
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	g := NewWithT(t)
+	p := Compile(Config{Routes: []Route{
+		{Name: "all", Host: "a.example", PathPrefix: "/"},
+		{Name: "x", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "xy", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+	}})
+	for path, want := range map[string]string{"/": "all", "/x": "all", "/x/": "x", "/x/y/z": "xy", "/x/yy": "x"} {
+		g.Expect(p.Match("a.example", path).Name).To(Equal(want), path)
+	}
+	g.Expect(p.Match("B.example:8080", "/x/1").Name).To(Equal("other"))
+	g.Expect(p.Match("b.example", "/y/")).To(BeNil())
+	g.Expect(p.Match("c.example", "/x/")).To(BeNil())
+}
+
+func TestTargetsAreChosenByWeight(t *testing.T) {
+	g := NewWithT(t)
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
+	n := map[string]int{}
+	for i := range 1000 {
+		n[r.Choose(float64(i)/1000)]++
+	}
+	g.Expect(n).To(Equal(map[string]int{"a": 900, "b": 100}))
+	g.Expect((&Route{}).Choose(0.5)).To(BeEmpty())
+}
+
+func TestKeysNameTheirAccount(t *testing.T) {
+	g := NewWithT(t)
+	p := Compile(Config{Accounts: []Account{{Name: "a", Keys: []string{"1", "2"}}, {Name: "b", Keys: []string{"3"}}}})
+	g.Expect(p.Account("2").Name).To(Equal("a"))
+	g.Expect(p.Account("3").Name).To(Equal("b"))
+	g.Expect(p.Account("")).To(BeNil())
+	g.Expect(p.HasAccounts()).To(BeTrue())
+	g.Expect(Compile(Config{}).HasAccounts()).To(BeFalse())
+}
