--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"bilberrydale/platform/platformtest"
 )
 
 func TestRequestsOfEachKindAreServed(t *testing.T) {
