--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -100,7 +100,6 @@
 	begun     bool // the head of the answer is on its way
 	abort     bool // the answer has to end as incomplete
 	sent      bool // a backend server may have run the request
-	lastErr   error
 }
 
 // ServeHTTP implements http.Handler.
