--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -25,14 +25,53 @@
 	answerWait  = 700 * time.Millisecond // beyond the watch's own wait
 )
 
-func (h *Host) followConfig(ctx context.Context) error {
-	return follow.New(follow.Options[plan.Config]{
-		Source: platform.ConfigSource(h.store), Clock: h.boot, Rand: h.rand,
+// wireBeliefs makes the followers. They ask the host of the region that has run
+// for the longest, which asks the platform.
+func (h *Host) wireBeliefs() {
+	h.config = follow.New(follow.Options[plan.Config]{
+		Source: relay(h, "config", platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
 		Wait: configWait, Answer: answerWait, Changed: h.configChanged,
-		Proved:   func(sent time.Time) { h.confirmed.Store(sent.UnixNano()) },
+		Proved:   h.configProved,
 		Lost:     func(err error) { h.lost("configuration", err) },
 		Regained: func(d time.Duration) { h.regained("configuration", d) },
-	}).Run(ctx)
+	})
+	h.servers = follow.New(follow.Options[directory.Entry]{
+		Source: relay(h, "servers", platform.ServerSource(h.store)), Clock: h.boot, Rand: h.rand,
+		Wait: serversWait, Answer: answerWait, Changed: h.serversChanged,
+		Proved:   func(time.Time) {},
+		Lost:     func(err error) { h.lost("list of backend servers", err) },
+		Regained: func(d time.Duration) { h.regained("list of backend servers", d) },
+	})
+	h.config.Serve(h.mesh, "config")
+	h.servers.Serve(h.mesh, "servers")
+}
+
+func relay[T any](h *Host, kind string, direct follow.Source[T]) follow.Source[T] {
+	return &follow.Relay[T]{Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, Reader: h.reader}
+}
+
+// reader is the host of this region that has run for the longest; empty if it
+// is this one, or if the peers cannot be called yet.
+func (h *Host) reader() string {
+	if h.secret.Load() == nil {
+		return ""
+	}
+	oldest := h.self
+	for _, id := range h.mesh.Peers() {
+		if id.Region == h.self.Region && id.Incarnation < oldest.Incarnation {
+			oldest = id
+		}
+	}
+	if oldest.Host == h.self.Host {
+		return ""
+	}
+	return oldest.Host
+}
+
+// configProved moves the time up to which the configuration is confirmed. An
+// answer by way of another host may be older than one that came before it.
+func (h *Host) configProved(at time.Time) {
+	h.confirmed.Store(max(h.confirmed.Load(), at.UnixNano()))
 }
 
 func (h *Host) configChanged(objects map[string]follow.Object[plan.Config], why string) {
@@ -74,16 +113,6 @@
 	return !h.set.StrictRevoke || age < h.set.RevokeBound-keysMargin, age
 }
 
-func (h *Host) followServers(ctx context.Context) error {
-	return follow.New(follow.Options[directory.Entry]{
-		Source: platform.ServerSource(h.store), Clock: h.boot, Rand: h.rand,
-		Wait: serversWait, Answer: answerWait, Changed: h.serversChanged,
-		Proved:   func(time.Time) {},
-		Lost:     func(err error) { h.lost("list of backend servers", err) },
-		Regained: func(d time.Duration) { h.regained("list of backend servers", d) },
-	}).Run(ctx)
-}
-
 func (h *Host) serversChanged(objects map[string]follow.Object[directory.Entry], why string) {
 	before := h.directory.View()
 	entries := make([]directory.Entry, 0, len(objects))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"bilberrydale/process/budget"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
+	"bilberrydale/process/follow"
 	"bilberrydale/process/inforce"
 	"bilberrydale/process/meter"
 	"bilberrydale/process/peer"
@@ -58,6 +59,8 @@
 	store     *platform.Store
 	plan      inforce.Cell[plan.Plan]
 	directory *directory.Directory
+	config    *follow.Follower[plan.Config]
+	servers   *follow.Follower[directory.Entry]
 	confirmed atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
 	upstream  *upstream.Client
 	budget    *budget.Shared
@@ -96,6 +99,7 @@
 		return nil, err
 	}
 	h.wirePeers()
+	h.wireBeliefs()
 	h.batchers = newBatchers(h)
 	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h)
 	h.budget = budget.New(budget.Options{
@@ -260,7 +264,7 @@
 		g.Go(func() error { return serve(s.server, s.on) })
 	}
 	for _, actor := range []func(context.Context) error{
-		h.followConfig, h.followServers, h.joinPeers, h.sweep, h.reload,
+		h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload,
 	} {
 		g.Go(func() error { return actor(gctx) })
 	}
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -24,19 +24,30 @@
 	Err      error
 }
 
+// Answer is what a Source says.
+type Answer[T any] struct {
+	Objects []Object[T] // all of them, or the changes
+	AsOf    Revision
+	// Age is how long before the question the source itself had last made sure
+	// of what it says; 0 for the object API, which answers from its own state.
+	Age time.Duration
+}
+
 // Source reads the objects of one kind.
 type Source[T any] interface {
-	// List returns all objects at AsOf, linearizable.
-	List(ctx context.Context) (objects []Object[T], asOf Revision, err error)
+	// List returns all objects.
+	List(ctx context.Context) (Answer[T], error)
 	// Watch returns the changes after from as soon as there are some, or none
 	// after wait. ErrHistoryGone means that from is too old.
-	Watch(ctx context.Context, from Revision, wait time.Duration) (changes []Object[T], asOf Revision, err error)
+	Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error)
 }
 
 // ErrHistoryGone is returned by Watch when the changes after the revision are
 // no longer kept. Use errors.Is.
 var ErrHistoryGone = errors.New("follow: history is gone")
 
+var errOlder = errors.New("follow: the list is older than what is known")
+
 // Options of a Follower.
 type Options[T any] struct {
 	Source Source[T]
@@ -50,8 +61,8 @@
 	// Changed is called with the whole copy after each list or change.
 	Changed func(objects map[string]Object[T], why string)
 	// Proved is called when an answer has shown that the copy held everything
-	// that was accepted before sent.
-	Proved func(sent time.Time)
+	// that was accepted before at.
+	Proved func(at time.Time)
 	// Lost and Regained tell of the source itself.
 	Lost     func(err error)
 	Regained func(after time.Duration)
@@ -65,11 +76,14 @@
 	listed  bool
 	failing time.Time // since; zero: not
 	tries   int
+	history history[T]
 }
 
 // New returns a follower with an empty copy.
 func New[T any](opts Options[T]) *Follower[T] {
-	return &Follower[T]{opts: opts, objects: map[string]Object[T]{}}
+	f := &Follower[T]{opts: opts, objects: map[string]Object[T]{}}
+	f.history.changed = make(chan struct{})
+	return f
 }
 
 // Bounds of the pause after a failed call. The first is short so that a single
@@ -98,7 +112,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Wait+f.opts.Answer)
 	defer cancel()
-	changes, asOf, err := f.opts.Source.Watch(ctx, f.from, f.opts.Wait)
+	a, err := f.opts.Source.Watch(ctx, f.from, f.opts.Wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
 		return nil
@@ -106,17 +120,18 @@
 	if err != nil {
 		return err
 	}
-	f.answered(sent)
+	defer f.answered(sent.Add(-a.Age))
 	// The watch goes on from the last answer that held changes, never from the
 	// state that an empty answer names: a watch that a disturbed store kept
 	// deaf would otherwise skip the changes made meanwhile for good.
-	if len(changes) == 0 {
+	if len(a.Objects) == 0 {
 		return nil
 	}
-	for _, c := range changes {
+	for _, c := range a.Objects {
 		f.apply(c)
 	}
-	f.from = max(f.from, asOf)
+	f.from = max(f.from, a.AsOf)
+	f.history.add(a.Objects, f.from)
 	f.opts.Changed(f.objects, "watch")
 	return nil
 }
@@ -124,18 +139,23 @@
 func (f *Follower[T]) list(ctx context.Context, sent time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Answer)
 	defer cancel()
-	objects, asOf, err := f.opts.Source.List(ctx)
+	a, err := f.opts.Source.List(ctx)
 	if err != nil {
 		return err
 	}
-	f.objects = make(map[string]Object[T], len(objects))
-	for _, o := range objects {
+	if a.AsOf < f.from {
+		// By way of another host; taking it would bring back what has gone.
+		return errOlder
+	}
+	f.objects = make(map[string]Object[T], len(a.Objects))
+	for _, o := range a.Objects {
 		f.objects[o.Name] = o
 	}
-	f.from = max(f.from, asOf)
+	f.from = a.AsOf
 	f.listed = true
+	f.history.reset(a.Objects, f.from)
 	f.opts.Changed(f.objects, "list")
-	f.answered(sent)
+	f.answered(sent.Add(-a.Age))
 	return nil
 }
 
@@ -153,13 +173,14 @@
 	f.objects[c.Name] = c
 }
 
-func (f *Follower[T]) answered(sent time.Time) {
+func (f *Follower[T]) answered(proved time.Time) {
 	f.tries = 0
 	if !f.failing.IsZero() {
 		f.opts.Regained(f.opts.Clock.Now().Sub(f.failing))
 		f.failing = time.Time{}
 	}
-	f.opts.Proved(sent)
+	f.history.prove(proved)
+	f.opts.Proved(proved)
 }
 
 func (f *Follower[T]) failed(err error) {
--- a/process/follow/follow_test.go
+++ b/process/follow/follow_test.go
@@ -35,19 +35,19 @@
 	return first
 }
 
-func (s *script) List(context.Context) ([]Object[string], Revision, error) {
+func (s *script) List(context.Context) (Answer[string], error) {
 	s.asked = append(s.asked, "list")
 	x := s.next()
-	return x.objects, x.asOf, x.err
+	return Answer[string]{Objects: x.objects, AsOf: x.asOf}, x.err
 }
 
-func (s *script) Watch(_ context.Context, from Revision, _ time.Duration) ([]Object[string], Revision, error) {
+func (s *script) Watch(_ context.Context, from Revision, _ time.Duration) (Answer[string], error) {
 	s.asked = append(s.asked, "watch")
 	if len(s.steps) > 0 && s.steps[0].asOf < 0 && from != -s.steps[0].asOf {
-		return nil, 0, errors.New("watched from another revision")
+		return Answer[string]{}, errors.New("watched from another revision")
 	}
 	x := s.next()
-	return x.objects, max(x.asOf, 0), x.err
+	return Answer[string]{Objects: x.objects, AsOf: max(x.asOf, 0)}, x.err
 }
 
 // wanted is the revision from which the next watch has to go on.
--- /dev/null
+++ b/process/follow/relay.go
@@ -0,0 +1,259 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/peer"
+)
+
+// history is what a follower tells others: its copy, the changes of late, and
+// when it last made sure of them.
+type history[T any] struct {
+	mu      sync.Mutex
+	objects map[string]Object[T]
+	from    Revision
+	batches []batch[T]
+	oldest  Revision // changes up to here are no longer kept
+	proved  time.Time
+	changed chan struct{} // closed at each change
+}
+
+type batch[T any] struct {
+	at      Revision
+	objects []Object[T]
+}
+
+// keptBatches bounds the changes of late; who needs older ones lists again.
+const keptBatches = 256
+
+func (h *history[T]) reset(objects []Object[T], from Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.objects = make(map[string]Object[T], len(objects))
+	for _, o := range objects {
+		h.objects[o.Name] = o
+	}
+	h.from, h.oldest, h.batches = from, from, nil
+	h.wake()
+}
+
+func (h *history[T]) add(objects []Object[T], at Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range objects {
+		if o.Deleted {
+			delete(h.objects, o.Name)
+		} else {
+			h.objects[o.Name] = o
+		}
+	}
+	h.from = at
+	h.batches = append(h.batches, batch[T]{at, objects})
+	if len(h.batches) > keptBatches {
+		h.oldest = h.batches[0].at
+		h.batches = h.batches[1:]
+	}
+	h.wake()
+}
+
+// wake is called with h.mu held.
+func (h *history[T]) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *history[T]) prove(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.proved) {
+		h.proved = at
+	}
+}
+
+// list returns the copy; ok is false before the first list.
+func (h *history[T]) list() (objects []Object[T], from Revision, proved time.Time, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.objects {
+		objects = append(objects, o)
+	}
+	return objects, h.from, h.proved, h.objects != nil
+}
+
+// since returns the changes after from, and a channel that is closed at the
+// next change. gone tells that they are no longer kept.
+func (h *history[T]) since(from Revision) (objects []Object[T], at Revision, proved time.Time, next chan struct{}, gone bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.batches {
+		if b.at > from {
+			objects = append(objects, b.objects...)
+		}
+	}
+	return objects, h.from, h.proved, h.changed, h.objects == nil || from < h.oldest
+}
+
+// relayRequest asks another host for what it follows.
+type relayRequest struct {
+	List   bool
+	From   Revision
+	WaitMS int64
+}
+
+type relayObject[T any] struct {
+	Name     string
+	Revision Revision
+	Value    T
+	Deleted  bool
+	Fault    string
+}
+
+type relayAnswer[T any] struct {
+	Objects []relayObject[T]
+	AsOf    Revision
+	AgeUS   int64 // of the answering host's own knowledge, as it answers
+	Gone    bool
+	Ready   bool
+}
+
+func relayMethod(kind string) peer.Method { return peer.Method("follow." + kind) }
+
+// Serve answers other hosts from this follower's copy. It is called before the
+// link starts.
+func (f *Follower[T]) Serve(link peer.Link, kind string) {
+	link.Handle(relayMethod(kind), func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+		var q relayRequest
+		if err := peer.Unmarshal(payload, &q); err != nil {
+			return nil, err
+		}
+		if q.List {
+			return peer.Marshal(f.relayList())
+		}
+		return peer.Marshal(f.relayWatch(ctx, q))
+	})
+}
+
+func (f *Follower[T]) relayList() relayAnswer[T] {
+	objects, from, proved, ok := f.history.list()
+	return relayAnswer[T]{Objects: encode(objects), AsOf: from, AgeUS: f.age(proved), Ready: ok}
+}
+
+func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) relayAnswer[T] {
+	end := f.opts.Clock.After(time.Duration(q.WaitMS) * time.Millisecond)
+	for {
+		objects, at, proved, next, gone := f.history.since(q.From)
+		if len(objects) > 0 || gone {
+			return relayAnswer[T]{Objects: encode(objects), AsOf: at, AgeUS: f.age(proved), Gone: gone, Ready: true}
+		}
+		select {
+		case <-next:
+		case <-end:
+			_, at, proved, _, gone := f.history.since(q.From)
+			return relayAnswer[T]{AsOf: at, AgeUS: f.age(proved), Gone: gone, Ready: true}
+		case <-ctx.Done():
+			return relayAnswer[T]{}
+		}
+	}
+}
+
+func (f *Follower[T]) age(proved time.Time) int64 {
+	return f.opts.Clock.Now().Sub(proved).Microseconds()
+}
+
+func encode[T any](objects []Object[T]) []relayObject[T] {
+	out := make([]relayObject[T], len(objects))
+	for i, o := range objects {
+		out[i] = relayObject[T]{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+		if o.Err != nil {
+			out[i].Fault = o.Err.Error()
+		}
+	}
+	return out
+}
+
+func decode[T any](objects []relayObject[T]) []Object[T] {
+	out := make([]Object[T], len(objects))
+	for i, o := range objects {
+		out[i] = Object[T]{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+		if o.Fault != "" {
+			out[i].Err = errors.New(o.Fault)
+		}
+	}
+	return out
+}
+
+// Relay is a Source that asks another host first, so that the calls to the
+// object API do not grow with the fleet. That host's answer counts as old as
+// its own knowledge; when it cannot answer or has not made sure of late, the
+// object API is asked itself.
+type Relay[T any] struct {
+	Kind   string
+	Link   peer.Link
+	Direct Source[T]
+	Clock  clock.Clock
+	// Reader returns the host to ask; empty: none.
+	Reader func() string
+
+	passedOver time.Time // until then
+}
+
+const (
+	// relayMaxAge of the other host's knowledge: its watch is answered each
+	// second, and a lost answer is made up for within half of one.
+	relayMaxAge = 1600 * time.Millisecond
+	// relayPassOver is how long a host that could not answer is passed over.
+	relayPassOver = 2 * time.Second
+)
+
+var errRelay = errors.New("follow: the other host cannot tell")
+
+// List implements Source.
+func (r *Relay[T]) List(ctx context.Context) (Answer[T], error) {
+	a, ok, err := r.ask(ctx, relayRequest{List: true})
+	if err != nil {
+		return Answer[T]{}, err
+	}
+	if !ok {
+		return r.Direct.List(ctx)
+	}
+	return a, nil
+}
+
+// Watch implements Source.
+func (r *Relay[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error) {
+	a, ok, err := r.ask(ctx, relayRequest{From: from, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		return Answer[T]{}, err
+	}
+	if !ok {
+		return r.Direct.Watch(ctx, from, wait)
+	}
+	return a, nil
+}
+
+// ask asks the other host; ok is false if there is none to ask now.
+func (r *Relay[T]) ask(ctx context.Context, q relayRequest) (a Answer[T], ok bool, err error) {
+	if r.Clock.Now().Before(r.passedOver) {
+		return a, false, nil
+	}
+	reader := r.Reader()
+	if reader == "" {
+		return a, false, nil
+	}
+	var got relayAnswer[T]
+	err = r.Link.Call(ctx, reader, relayMethod(r.Kind), q, &got)
+	if err == nil && got.Gone {
+		return a, true, ErrHistoryGone
+	}
+	age := time.Duration(got.AgeUS) * time.Microsecond
+	if err != nil || !got.Ready || age > relayMaxAge {
+		r.passedOver = r.Clock.Now().Add(relayPassOver)
+		return a, true, fmt.Errorf("%w: %s: knowledge of %s: %w", errRelay, reader, age, errors.Join(err))
+	}
+	return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: max(age, 0)}, true, nil
+}
--- /dev/null
+++ b/process/follow/relay_test.go
@@ -0,0 +1,177 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/peer"
+)
+
+// wire is a link between one reader and one asking host in memory.
+type wire struct {
+	handlers map[peer.Method]peer.Handler
+	down     error
+}
+
+func (w *wire) Self() peer.Identity                  { return peer.Identity{Host: "asking"} }
+func (w *wire) Peers() []peer.Identity               { return []peer.Identity{{Host: "reader"}} }
+func (w *wire) Handle(m peer.Method, h peer.Handler) { w.handlers[m] = h }
+func (w *wire) Call(ctx context.Context, _ string, m peer.Method, in, out any) error {
+	if w.down != nil {
+		return w.down
+	}
+	payload, err := peer.Marshal(in)
+	if err != nil {
+		return err
+	}
+	answer, err := w.handlers[m](ctx, peer.Identity{}, payload)
+	if err != nil {
+		return err
+	}
+	return peer.Unmarshal(answer, out)
+}
+
+// api is a Source that holds one value and counts its calls.
+type api struct {
+	mu    sync.Mutex
+	value string
+	rev   Revision
+	calls int
+}
+
+func (a *api) List(context.Context) (Answer[string], error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	return Answer[string]{Objects: []Object[string]{object("a", a.rev, a.value)}, AsOf: a.rev}, nil
+}
+
+func (a *api) Watch(_ context.Context, from Revision, _ time.Duration) (Answer[string], error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	if a.rev > from {
+		return Answer[string]{Objects: []Object[string]{object("a", a.rev, a.value)}, AsOf: a.rev}, nil
+	}
+	return Answer[string]{AsOf: a.rev}, nil
+}
+
+func (a *api) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls
+}
+
+func newFollower(source Source[string], now clock.Clock) *Follower[string] {
+	return New(Options[string]{
+		Source: source, Clock: now, Rand: clock.NewSeeded(1), Wait: time.Second, Answer: time.Second,
+		Changed: func(map[string]Object[string], string) {}, Proved: func(time.Time) {},
+		Lost: func(error) {}, Regained: func(time.Duration) {},
+	})
+}
+
+type relayed struct {
+	g      *WithT
+	now    *clock.Manual
+	api    *api
+	wire   *wire
+	reader *Follower[string]
+	relay  *Relay[string]
+}
+
+func newRelayed(t *testing.T) *relayed {
+	r := &relayed{
+		g: NewWithT(t), now: clock.NewManual(time.Unix(1000, 0)), api: &api{value: "1", rev: 5},
+		wire: &wire{handlers: map[peer.Method]peer.Handler{}},
+	}
+	r.reader = newFollower(r.api, r.now)
+	r.reader.Serve(r.wire, "k")
+	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, Reader: func() string { return "reader" }}
+	return r
+}
+
+func (r *relayed) step(f *Follower[string]) error { return f.step(context.Background()) }
+
+func TestOneHostAsksForOthers(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	calls := r.api.count()
+	a, err := r.relay.List(t.Context())
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Objects).To(Equal([]Object[string]{object("a", 5, "1")}))
+	r.g.Expect(a.AsOf).To(BeEquivalentTo(5))
+
+	r.api.value, r.api.rev = "2", 6
+	r.now.Advance(300 * time.Millisecond)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(200 * time.Millisecond)
+	a, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Objects[0].Value).To(Equal("2"))
+	r.g.Expect(a.Age).To(Equal(200*time.Millisecond), "as old as the reader's own knowledge")
+	r.g.Expect(r.api.count()).To(Equal(calls+1), "the reader's own")
+}
+
+// The reader has lost the platform, or itself been stopped for a while. What it
+// says is too old: the asking host turns to the platform.
+func TestReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(relayMaxAge + time.Millisecond)
+	calls := r.api.count()
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errRelay))
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(calls + 1))
+	r.now.Advance(relayPassOver)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(calls+2), "the reader is asked again")
+}
+
+func TestReaderThatIsDownIsPassedOver(t *testing.T) {
+	r := newRelayed(t)
+	r.wire.down = errors.New("down")
+	_, err := r.relay.List(t.Context())
+	r.g.Expect(err).To(MatchError(errRelay))
+	a, err := r.relay.List(t.Context())
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Objects).To(HaveLen(1))
+}
+
+// A reader that has just started knows nothing yet.
+func TestReaderThatHasNotListedIsPassedOver(t *testing.T) {
+	r := newRelayed(t)
+	_, err := r.relay.List(t.Context())
+	r.g.Expect(err).To(MatchError(errRelay))
+}
+
+// The asking host has seen a newer state than the reader has. A list of the
+// reader would bring back what has gone.
+func TestListThatIsOlderIsRefused(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	f := newFollower(r.relay, r.now)
+	f.from = 9
+	r.g.Expect(r.step(f)).To(MatchError(errOlder))
+}
+
+// More changes came than the reader keeps. The asking host lists again.
+func TestChangesThatAreNoLongerKept(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	for range keptBatches + 2 {
+		r.api.rev++
+		r.g.Expect(r.step(r.reader)).To(Succeed())
+	}
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(ErrHistoryGone))
+}
