--- a/edge/records.go
+++ b/edge/records.go
@@ -105,7 +105,7 @@
 	}
 	kv := []any{
 		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.HeldBy,
-		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth),
+		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageTimes(t.Took),
 	}
 	if err != nil {
 		h.log.Warn("stage work", append(kv, "err", err)...)
@@ -114,6 +114,14 @@
 	h.log.Info("stage work", kv...)
 }
 
+func stageTimes(took []time.Duration) []int64 {
+	out := make([]int64, len(took))
+	for i, d := range took {
+		out[i] = d.Milliseconds()
+	}
+	return out
+}
+
 // CallEnded implements batcher.Log.
 func (h *Host) CallEnded(service string, c *batcher.Call, took time.Duration, a batcher.Answer) {
 	h.meter.Observe("stage_call_"+service, took)
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -42,7 +42,7 @@
 func (q *Queue) place(j *Job, free []*server, now time.Time) *server {
 	var best *server
 	for _, s := range free {
-		if !q.fits(s, j.ItemBytes) {
+		if q.take(nil, s, j) == 0 {
 			continue
 		}
 		if s.slow > slowFrom && s.freeAt(now).Add(q.takes(s, j)).After(j.DieBy) {
@@ -149,17 +149,30 @@
 // homeBytes: results smaller than this may be made anywhere.
 const homeBytes = 20_000
 
-func (q *Queue) move(c *Call, s *server, j *Job) {
-	room := q.roomOf(s)
-	for len(j.next) > 0 && len(c.Items) < q.opts.MaxItems {
-		held := s.held() + c.bytes
-		if room > 0 && held > 0 && held+j.ItemBytes > room {
-			return
+// take is how many items of a job a call (nil: an empty one) to a server takes.
+func (q *Queue) take(c *Call, s *server, j *Job) int {
+	items, bytes := 0, int64(0)
+	if c != nil {
+		items, bytes = len(c.Items), c.bytes
+	}
+	n := min(len(j.next), q.opts.MaxItems-items)
+	if room := q.roomOf(s); room > 0 && j.ItemBytes > 0 {
+		left := room - s.held() - bytes
+		if s.held()+bytes == 0 {
+			left = max(left, j.ItemBytes) // an empty server takes one item whatever its size
 		}
-		c.Items = append(c.Items, Part{j, j.next[0]})
-		j.next = j.next[1:]
-		c.bytes += j.ItemBytes
+		n = min(n, int(max(left, 0)/j.ItemBytes))
+	}
+	return n
+}
+
+func (q *Queue) move(c *Call, s *server, j *Job) {
+	n := q.take(c, s, j)
+	for _, i := range j.next[:n] {
+		c.Items = append(c.Items, Part{j, i})
 	}
+	j.next = j.next[n:]
+	c.bytes += int64(n) * j.ItemBytes
 }
 
 // Answer is the outcome of a call, one result an item.
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -39,6 +39,7 @@
 	// lacked room for results.
 	HeldBy     string
 	HeldByRoom bool
+	Took       []time.Duration // by each stage, once the work is done
 
 	late    bool
 	cost    float64 // seconds of all servers of its services
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -50,7 +50,7 @@
 	began := k.clock.Now()
 	var inputs []Input
 	if err == nil {
-		inputs, err = k.work(ctx, r, t.late)
+		inputs, err = k.work(ctx, t)
 	}
 	onTime, lateWaiting := k.Waiting()
 	k.log.StageWork(t, began.Sub(offered), k.clock.Now().Sub(offered), err, onTime, lateWaiting)
@@ -135,9 +135,11 @@
 const lateAllowance = 2 * time.Second
 
 // work runs the stages of a request that was begun.
-func (k *Coordinator) work(ctx context.Context, r *Request, late bool) ([]Input, error) {
+func (k *Coordinator) work(ctx context.Context, t *Ticket) ([]Input, error) {
+	r, late := t.Request, t.late
 	w := &work{
 		k: k, r: r, late: late, aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
+		began: make([]time.Time, len(r.Stages)), took: make([]time.Duration, len(r.Stages)),
 		over: make(chan struct{}),
 	}
 	if late {
@@ -155,6 +157,9 @@
 		}
 		return nil, ctx.Err()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Took = append([]time.Duration(nil), w.took...)
 	return w.inputs, w.err
 }
 
@@ -170,7 +175,9 @@
 	mu      sync.Mutex
 	results [][]batcher.Result
 	left    []int // items of each stage without outcome; -1: not begun
-	done    int   // stages
+	began   []time.Time
+	took    []time.Duration // from the begin of each stage to its last result
+	done    int             // stages
 	ended   bool
 }
 
@@ -195,6 +202,7 @@
 				continue
 			}
 			w.left[i] = s.Items
+			w.began[i] = w.k.clock.Now()
 			w.results[i] = make([]batcher.Result, s.Items)
 			if s.Items == 0 {
 				w.done++
@@ -316,6 +324,7 @@
 		return
 	}
 	w.done++
+	w.took[stage] = w.k.clock.Now().Sub(w.began[stage])
 	next := w.ready()
 	go w.after(stage, next)
 }
