--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,6 +14,7 @@
 	"bilberrydale/platform"
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/directory"
+	"bilberrydale/version/plan"
 )
 
 // batchers keeps one batcher for each service that stages use.
@@ -22,6 +24,7 @@
 	by    map[string]*batcher.Batcher
 	ctx   context.Context // of the actors; nil before start
 	group *errgroup.Group
+	split atomic.Bool // stage work is collected in each region by itself
 }
 
 func newBatchers(h *Host) *batchers { return &batchers{host: h, by: map[string]*batcher.Batcher{}} }
@@ -40,6 +43,44 @@
 	b.configure()
 }
 
+// leastServers of each service make a region's stage work a matter of its own:
+// fewer would share too few calls, and wait for each other when one is lost.
+const leastServers = 4
+
+// updateRegions decides where stage work is collected: in each region by itself
+// where all have servers enough, so that no result and no message crosses
+// regions and no host has to know all work; otherwise at one place for all. It
+// is called with b.mu held.
+func (b *batchers) updateRegions(p *plan.Plan, view *directory.View) {
+	split := true
+	for _, name := range p.ServiceNames() {
+		if p.Service(name).Batch == nil {
+			continue
+		}
+		count := map[string]int{}
+		for _, region := range b.host.set.Regions {
+			count[region] = 0
+		}
+		for _, s := range view.Servers(name) {
+			count[b.host.set.Regions[s.Domain]]++
+		}
+		for _, n := range count {
+			split = split && n >= leastServers
+		}
+	}
+	if b.split.Swap(split) != split {
+		b.host.log.Info("stage work", "outcome", "place of collection changed", "by_region", split, "config", p.Version)
+	}
+}
+
+// stageRegion implements the choice of updateRegions for one failure domain.
+func (h *Host) stageRegion(domain string) string {
+	if !h.batchers.split.Load() {
+		return ""
+	}
+	return h.set.Regions[domain]
+}
+
 // configure puts the plan and the servers in force.
 func (b *batchers) configure() {
 	p := b.host.plan.Load()
@@ -49,6 +90,7 @@
 		return
 	}
 	view := b.host.directory.View()
+	b.updateRegions(p, view)
 	for _, name := range p.ServiceNames() {
 		batch := p.Service(name).Batch
 		if batch == nil {
@@ -65,8 +107,25 @@
 			ctx := b.ctx
 			b.group.Go(func() error { return one.Run(ctx) })
 		}
-		one.Configure(opts, view.Servers(name), func(s *directory.Server) time.Duration { return b.host.distance(s.Domain) })
+		one.Configure(opts, b.serversOf(view, name), func(s *directory.Server) time.Duration { return b.host.distance(s.Domain) })
+	}
+}
+
+// serversOf returns the servers that this host may give work to: those of its
+// region where each has its own collection, so that two hosts do not fill the
+// same server.
+func (b *batchers) serversOf(view *directory.View, service string) []*directory.Server {
+	all := view.Servers(service)
+	if !b.split.Load() {
+		return all
+	}
+	var out []*directory.Server
+	for _, s := range all {
+		if b.host.set.Regions[s.Domain] == b.host.self.Region {
+			out = append(out, s)
+		}
 	}
+	return out
 }
 
 // stageCalls sends the batchers' calls; it implements batcher.Backend.
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -19,14 +19,14 @@
 // that a server leaves; both stay well within the bounds of the platform. Hosts
 // come and go rarely.
 const (
-	configWait  = 1000 * time.Millisecond
-	serversWait = 1200 * time.Millisecond
+	configWait  = 500 * time.Millisecond
+	serversWait = 800 * time.Millisecond
 	hostsWait   = 10 * time.Second
 	answerWait  = 700 * time.Millisecond // beyond the watch's own wait
 )
 
-// wireBeliefs makes the followers. They ask the host of the region that has run
-// for the longest, which asks the platform.
+// wireBeliefs makes the followers. They ask one host of the region, which asks
+// the platform.
 func (h *Host) wireBeliefs() {
 	h.config = follow.New(follow.Options[plan.Config]{
 		Source: relay(h, "config", platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
@@ -50,22 +50,22 @@
 	return &follow.Relay[T]{Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, Reader: h.reader}
 }
 
-// reader is the host of this region that has run for the longest; empty if it
-// is this one, or if the peers cannot be called yet.
+// reader is the host of this region that asks the platform for the others; empty
+// if it is this one, or if the peers cannot be called yet.
 func (h *Host) reader() string {
 	if h.secret.Load() == nil {
 		return ""
 	}
-	oldest := h.self
+	first := h.self
 	for _, id := range h.mesh.Peers() {
-		if id.Region == h.self.Region && id.Incarnation < oldest.Incarnation {
-			oldest = id
+		if id.Region == h.self.Region && peer.Before(id, first) {
+			first = id
 		}
 	}
-	if oldest.Host == h.self.Host {
+	if first.Host == h.self.Host {
 		return ""
 	}
-	return oldest.Host
+	return first.Host
 }
 
 // configProved moves the time up to which the configuration is confirmed. An
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -103,7 +103,7 @@
 	h.wirePeers()
 	h.wireBeliefs()
 	h.batchers = newBatchers(h)
-	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h)
+	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h.stageRegion, h)
 	h.budget = budget.New(budget.Options{
 		Ratio: set.RetryRatio, Window: set.RetryWindow, Slack: set.RetrySlack, Clock: h.clock,
 		Hosts: func() int { return len(h.mesh.Peers()) + 1 + spareHosts },
@@ -202,6 +202,7 @@
 		Host: h.set.Host, Incarnation: uint64(time.Now().UnixNano()), Domain: h.set.Domain,
 		Region:  h.set.Regions[h.set.Domain],
 		Address: h.listeners.peers.Addr().String(),
+		Share:   h.set.ProcessorShare,
 	}
 	h.mesh = peer.NewMesh(peer.MeshOptions{
 		Self: h.self, Clock: h.clock, Rand: h.rand, MaxBackoff: time.Second,
--- a/edge/records.go
+++ b/edge/records.go
@@ -80,8 +80,8 @@
 }
 
 // OwnerChanged implements stages.PoolLog.
-func (h *Host) OwnerChanged(host string, incarnation uint64) {
-	h.log.Info("stage work", "outcome", "is done by another host", "name", host, "incarnation", incarnation)
+func (h *Host) OwnerChanged(region, host string, incarnation uint64) {
+	h.log.Info("stage work", "outcome", "is done by this host", "region", region, "name", host, "incarnation", incarnation)
 }
 
 // OwnerFailed implements stages.PoolLog.
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -203,9 +203,10 @@
 }
 
 const (
-	// relayMaxAge of the other host's knowledge: its watch is answered each
-	// second, and a lost answer is made up for within half of one.
-	relayMaxAge = 1600 * time.Millisecond
+	// relayMaxAge of the other host's knowledge: what its watch proves is as old
+	// as the watch when that is answered, and twice as old before the next one
+	// is; a watch takes up to 0.8 s and its answer's way.
+	relayMaxAge = 2200 * time.Millisecond
 	// relayPassOver is how long a host that could not answer is passed over.
 	relayPassOver = 2 * time.Second
 )
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -25,6 +25,22 @@
 	Domain      string // failure domain
 	Region      string
 	Address     string // peer address, host:port
+	// Share is the processor time of the host in cores; 0: not known. Work for
+	// other hosts goes to a strong one.
+	Share float64
+}
+
+// Before tells whether a comes before b as the host that works for others: the
+// stronger, then the one that has run for longer, which is most likely to stay
+// and keeps the work when others come.
+func Before(a, b Identity) bool {
+	if a.Share != b.Share {
+		return a.Share > b.Share
+	}
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation < b.Incarnation
+	}
+	return a.Host < b.Host
 }
 
 // Method names a kind of call.
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -68,22 +68,24 @@
 type freeRequest struct{ Inputs []Input }
 
 // Pool finds the host that does the stage work, and does that of other hosts.
-// It is the host that has run for the longest: all see that without an election,
-// and a host that comes back does not take the work away from the one that has
-// it. While hosts disagree, several do it, which costs fuller calls and some
+// It is the first by peer.Before: all see that without an election, and a host
+// that comes back does not take the work away from one like it. While hosts disagree, several do it, which costs fuller calls and some
 // refusals of busy servers, but no wrong result.
 type Pool struct {
 	link  peer.Link
 	clock clock.Clock
 	local *Coordinator
 	log   PoolLog
+	// region returns the region whose hosts do the work of requests that run in
+	// a failure domain; empty: any host may.
+	region func(domain string) string
 
 	mu       sync.Mutex
 	suspects map[string]suspect
 	left     map[string]uint64   // incarnations of hosts that stop
 	running  map[workKey]*shared // work for other hosts
 	leaving  bool                // this host stops
-	last     string              // owner that was logged
+	last     map[string]string   // owner that was logged, by region
 }
 
 // suspect is a peer that did not answer.
@@ -96,16 +98,16 @@
 type PoolLog interface {
 	// OwnerChanged tells that another host does the stage work from now on;
 	// host is this one's own name if it does it itself.
-	OwnerChanged(host string, incarnation uint64)
+	OwnerChanged(region, host string, incarnation uint64)
 	// OwnerFailed tells that the host did not answer and is passed over.
 	OwnerFailed(host string, until time.Duration, err error)
 }
 
 // NewPool returns a pool and registers its handlers with the link.
-func NewPool(link peer.Link, c clock.Clock, local *Coordinator, log PoolLog) *Pool {
+func NewPool(link peer.Link, c clock.Clock, local *Coordinator, region func(domain string) string, log PoolLog) *Pool {
 	p := &Pool{
-		link: link, clock: c, local: local, log: log,
-		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[workKey]*shared{},
+		link: link, clock: c, local: local, region: region, log: log,
+		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[workKey]*shared{}, last: map[string]string{},
 	}
 	link.Handle(methodRun, p.serveRun)
 	link.Handle(methodCancel, p.serveCancel)
@@ -122,8 +124,9 @@
 
 // Run has the stage work of a request done. The error is an *Error or ctx's.
 func (p *Pool) Run(ctx context.Context, r *Request) (Made, error) {
+	region := p.region(r.Domain)
 	for range maxOwners {
-		owner := p.owner()
+		owner := p.owner(region)
 		if owner == "" {
 			break
 		}
@@ -367,21 +370,22 @@
 	return peer.Marshal(nil)
 }
 
-// owner returns the host that does the stage work; empty: this one.
-func (p *Pool) owner() string {
+// owner returns the host that does the stage work of a region (empty: of all);
+// empty: this one. Hosts of other regions follow those of the region itself.
+func (p *Pool) owner(region string) string {
 	list := append(p.link.Peers(), p.link.Self())
 	sort.Slice(list, func(i, j int) bool {
-		if list[i].Incarnation != list[j].Incarnation {
-			return list[i].Incarnation < list[j].Incarnation
+		if in, jn := list[i].Region == region, list[j].Region == region; region != "" && in != jn {
+			return in
 		}
-		return list[i].Host < list[j].Host
+		return peer.Before(list[i], list[j])
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	owner := p.first(list)
-	if owner.Host != p.last {
-		p.last = owner.Host
-		p.log.OwnerChanged(owner.Host, owner.Incarnation)
+	if owner.Host != p.last[region] {
+		p.last[region] = owner.Host
+		p.log.OwnerChanged(region, owner.Host, owner.Incarnation)
 	}
 	if owner.Host == p.link.Self().Host {
 		return ""
