--- a/cmd/bilberryedge/main.go
+++ b/cmd/bilberryedge/main.go
@@ -10,12 +10,15 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/integrii/flaggy"
+
 	"bilberrydale/edge"
+	"bilberrydale/internal/settings"
 	"bilberrydale/platform"
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "bilberryedge:", err)
 		os.Exit(1)
 	}
@@ -25,12 +28,31 @@
 // harder; the rest is for unread bytes in sockets, which count as well.
 const memoryShare = 0.6
 
-func run() error {
-	read := func() (platform.Settings, error) { return platform.ReadSettings(os.Getenv(platform.SettingsVariable)) }
+func run(args []string) error {
+	path := os.Getenv(platform.SettingsVariable)
+	p := flaggy.NewParser("bilberryedge")
+	p.Version = settings.Version()
+	p.Description = "Serves clients' requests on a platform that keeps configuration and backend servers."
+	p.String(&path, "", "settings", "path of the platform's settings file ["+platform.SettingsVariable+"]")
+	check := flaggy.NewSubcommand("check")
+	check.Description = "Reads and checks the settings file, and ends."
+	p.AttachSubcommand(check, 1)
+	if err := p.ParseArgs(args); err != nil {
+		return err
+	}
+	read := func() (platform.Settings, error) { return platform.ReadSettings(path) }
 	set, err := read()
 	if err != nil {
 		return err
 	}
+	if check.Used {
+		fmt.Printf("%s: host %s in %s, clients at %s, store at %s\n", path, set.Host, set.Domain, set.Callers, set.StoreAddress)
+		return nil
+	}
+	return serve(set, read)
+}
+
+func serve(set platform.Settings, read func() (platform.Settings, error)) error {
 	if set.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -246,7 +246,7 @@
 		known.Dispatched = known.Dispatched || x.sent
 		return known
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) && !x.sent {
 		k := kind.Overloaded
 		if x.sent {
 			k = kind.DeadlineExceeded
