Fault soak: real daemons as processes before a stand-in platform, faults from outside; items that a server fails go to another

The soak's first run found a stage server whose items failed getting them three times in a row (TestItemsThatAServerFailsGoToAnother, red before).

--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,307 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seedFlag  = flag.Uint64("soak.seed", 1, "seed of the first run")
+	runsFlag  = flag.Int("soak.runs", 1, "number of runs, each with the next seed")
+	timeFlag  = flag.Duration("soak.time", 4*time.Second, "time of faults in a run")
+	hostsFlag = flag.Int("soak.hosts", 3, "daemons of a run")
+	keepFlag  = flag.String("soak.keep", "", "folder that keeps the logs of a failed run")
+)
+
+// failedOnce are seeds that failed, each with its cause. They stay.
+var failedOnce = []uint64{}
+
+// Clients send requests of four kinds, keeping connections until they are
+// closed, while daemons are killed, paused, stopped and started, links to the
+// store and to servers are delayed, cut one way, silenced and reset, and the
+// store refuses, forgets and loses answers. Faults overlap. Whatever happens:
+// what must not be repeated runs once, "not run" has not run, answers are whole
+// and to their own request, revoked keys end in time, daemons end in time when
+// told to, and when the faults end, requests are served again.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "bilberryedge")
+	build := exec.Command("go", "build", "-o", binary, "bilberrydale/cmd/bilberryedge")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	seeds := append([]uint64(nil), failedOnce...)
+	for i := range *runsFlag {
+		seeds = append(seeds, *seedFlag+uint64(i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, binary, seed) })
+	}
+}
+
+// sent is one request as its client saw it.
+type sent struct {
+	id, path, key string
+	at            time.Time
+	status        int
+	body          string
+	err           error // no answer, or one that did not end as complete
+}
+
+func run(t *testing.T, binary string, seed uint64) {
+	p := newPlace(t, binary, *hostsFlag, os.Getpid()%20000)
+	defer p.keepLogs(seed)
+	p.await("all daemons are ready", func() bool { return p.allReady() })
+	ctx, stop := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	log := &ledger{}
+	for i := range 3 * len(p.hosts) {
+		c := &client{p: p, log: log, host: p.hosts[i%len(p.hosts)], r: rand.New(rand.NewPCG(seed, uint64(i)))}
+		clients.Go(func() { c.run(ctx) })
+	}
+	p.disturb(seed, binary)
+	stop()
+	clients.Wait()
+	p.settle()
+	p.await("all daemons are ready after the faults", p.allReady)
+	p.recovered(log)
+	p.judge(log.all())
+}
+
+// disturb lets faults come, up to three at a time, and waits for their ends.
+func (p *place) disturb(seed uint64, binary string) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	var running sync.WaitGroup
+	slots := make(chan struct{}, 3)
+	for end := time.Now().Add(*timeFlag); time.Now().Before(end); {
+		f := faults[r.IntN(len(faults))]
+		own := rand.New(rand.NewPCG(r.Uint64(), 1))
+		slots <- struct{}{}
+		p.t.Logf("fault: %s", f.name)
+		running.Go(func() {
+			defer func() { <-slots }()
+			f.run(p, own, binary)
+		})
+		time.Sleep(some(r, 20, 600))
+	}
+	running.Wait()
+}
+
+func (p *place) settle() {
+	p.store.SetBefore(nil)
+	p.store.SetDeaf(false)
+	for _, h := range p.hosts {
+		h.relay.heal()
+	}
+	for _, b := range p.servers {
+		b.relay.heal()
+		p.list(b, "ready")
+	}
+}
+
+func (p *place) allReady() bool {
+	for _, h := range p.hosts {
+		if !h.ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// patience is far over what a start or a recovery takes on a busy machine.
+const patience = 60 * time.Second
+
+func (p *place) await(what string, ok func() bool) {
+	for end := time.Now().Add(patience); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// recovered asks each daemon for each kind until all are served.
+func (p *place) recovered(log *ledger) {
+	for _, h := range p.hosts {
+		for _, path := range paths {
+			c := &client{p: p, log: log, host: h, r: rand.New(rand.NewPCG(1, 1))}
+			p.await(h.name+" serves "+path, func() bool { return c.send(path).status == http.StatusOK })
+		}
+	}
+}
+
+type ledger struct {
+	mu   sync.Mutex
+	list []sent
+	n    int
+}
+
+func (l *ledger) add(s sent) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, s)
+}
+
+func (l *ledger) next() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.n++
+	return l.n
+}
+
+func (l *ledger) all() []sent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]sent(nil), l.list...)
+}
+
+var paths = []string{"/transfer/1", "/status/1", "/stream/chat/1", "/stream/draft/1"}
+
+// client sends one request after the other and keeps its connection while the
+// daemon does.
+type client struct {
+	p    *place
+	log  *ledger
+	host *host
+	r    *rand.Rand
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (c *client) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.send(paths[c.r.IntN(len(paths))])
+		time.Sleep(some(c.r, 5, 40))
+	}
+	c.drop()
+}
+
+func (c *client) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *client) send(path string) sent {
+	c.p.mu.Lock()
+	key := c.p.keys[c.r.IntN(len(c.p.keys))]
+	if c.r.IntN(10) == 0 { // a client that has not heard that its key is gone
+		for old := range c.p.revoked {
+			key = old
+		}
+	}
+	c.p.mu.Unlock()
+	s := sent{id: fmt.Sprintf("a%012x", c.log.next()), path: path, key: key}
+	c.exchange(&s)
+	c.log.add(s)
+	return s
+}
+
+func (c *client) exchange(s *sent) {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.host.ip+":8625", time.Second)
+		if err != nil {
+			s.at, s.err = time.Now(), err
+			return
+		}
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(routeTime + 2*time.Second))
+	s.at = time.Now()
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nPieces: 1,2\r\nPiece-Key: k\r\nContent-Length: 1\r\n\r\nx",
+		s.path, s.id, routeTime.Milliseconds(), s.key)
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(c.in, nil)
+	}
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		s.status, s.body = resp.StatusCode, string(body)
+		if id := resp.Header.Get("Attempt-Id"); id != s.id {
+			c.p.t.Errorf("%s got the answer to %q", s.id, id)
+		}
+	}
+	s.err = err
+	if err != nil || resp.Close || c.r.IntN(20) == 0 {
+		c.drop()
+	}
+}
+
+// promisedNotRun are statuses by which a request has not run and never will.
+func promisedNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+// judge compares what clients got with what servers ran.
+func (p *place) judge(list []sent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := map[int]int{}
+	for _, s := range list {
+		count[s.status]++
+		ran := p.ran[s.id]
+		if strings.HasPrefix(s.path, "/transfer") && len(ran) > 1 {
+			p.t.Errorf("%s %s ran on %v", s.id, s.path, ran)
+		}
+		if promisedNotRun(s.status) && len(ran) > 0 && !strings.HasPrefix(s.path, "/status") {
+			p.t.Errorf("%s %s was told %d and ran on %v", s.id, s.path, s.status, ran)
+		}
+		if gone, ok := p.revoked[s.key]; ok && s.at.Sub(gone) > revokeBound && len(ran) > 0 {
+			p.t.Errorf("%s ran %s after its key was revoked", s.id, s.at.Sub(gone))
+		}
+		if s.status == http.StatusOK && s.err == nil {
+			p.whole(s)
+		}
+	}
+	p.t.Logf("%d requests, by status: %v", len(list), count)
+	if count[http.StatusOK] == 0 {
+		p.t.Error("nothing was served")
+	}
+}
+
+func (p *place) whole(s sent) {
+	if !strings.HasPrefix(s.path, "/stream") {
+		if s.body != "answer to "+s.id {
+			p.t.Errorf("%s got %q", s.id, s.body)
+		}
+		return
+	}
+	var want strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		want.WriteString("id: " + strconv.Itoa(i) + "\ndata: piece " + strconv.Itoa(i) + "\n\n")
+	}
+	if s.body != want.String() {
+		p.t.Errorf("%s ended as complete with %q", s.id, s.body)
+	}
+}
+
+// keepLogs copies the daemons' logs of a failed run.
+func (p *place) keepLogs(seed uint64) {
+	if !p.t.Failed() || *keepFlag == "" {
+		return
+	}
+	for _, h := range p.hosts {
+		data, err := os.ReadFile(h.log.Name())
+		if err == nil {
+			err = os.WriteFile(filepath.Join(*keepFlag, fmt.Sprintf("%d-%s.log", seed, h.name)), data, 0o600)
+		}
+		if err != nil {
+			p.t.Logf("log of %s not kept: %v", h.name, err)
+		}
+	}
+}
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -42,7 +42,7 @@
 func (q *Queue) place(j *Job, free []*server, now time.Time) *server {
 	var best *server
 	for _, s := range free {
-		if q.take(nil, s, j) == 0 {
+		if q.take(nil, s, j) == 0 || j.failedOn[s.ID] && q.others(j) {
 			continue
 		}
 		if s.slow > slowFrom && s.freeAt(now).Add(q.takes(s, j)).After(j.DieBy) {
@@ -58,6 +58,16 @@
 	return best
 }
 
+// others tells whether there is a server that has not failed on the job.
+func (q *Queue) others(j *Job) bool {
+	for id := range q.servers {
+		if !j.failedOn[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // soonerElsewhere tells whether a job is done sooner if it waits for a busy
 // server than if it goes to the free but slow one now.
 func (q *Queue) soonerElsewhere(slow *server, j *Job, now time.Time) bool {
@@ -167,6 +177,9 @@
 }
 
 func (q *Queue) move(c *Call, s *server, j *Job) {
+	if j.failedOn[s.ID] && q.others(j) {
+		return // a server that fails part of its items would have them all three times
+	}
 	n := q.take(c, s, j)
 	for _, i := range j.next[:n] {
 		c.Items = append(c.Items, Part{j, i})
@@ -211,6 +224,12 @@
 		}
 		j.next = append(j.next, part.Index)
 		again[j] = again[j] || reason == Failed
+		if reason == Failed {
+			if j.failedOn == nil {
+				j.failedOn = map[string]bool{}
+			}
+			j.failedOn[c.Server.ID] = true
+		}
 	}
 	for j, failed := range again {
 		q.requeue(j, failed)
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -36,6 +36,7 @@
 	next      []int // items neither done nor in a call
 	since     time.Time
 	attempts  int
+	failedOn  map[string]bool // servers that failed on an item
 	cancelled bool
 }
 
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -314,3 +314,17 @@
 	}
 	b.g.Expect(float64(items) / float64(len(b.calls))).To(BeNumerically(">", 6))
 }
+
+// A server fails part of its items and answers the others well, while its calls
+// look sound. What failed there goes to another server.
+func TestItemsThatAServerFailsGoToAnother(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "y"})
+	b.submit("1", 1, time.Second, "x")
+	first := b.next()[0]
+	b.g.Expect(first.Server.ID).To(Equal("a"))
+	b.q.Ended(first, Answer{Results: []Result{{Reason: Failed}}}, b.now)
+	second := b.next()[0]
+	b.g.Expect(second.Server.ID).To(Equal("b"))
+	b.end(second)
+	b.g.Expect(b.done["1/0"].ServerID).To(Equal("b"))
+}
