--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -210,27 +210,41 @@
 }
 
 func (h *Host) hostsChanged(objects map[string]follow.Object[peer.Identity], why string) {
-	listed := make(map[string]peer.Identity, len(objects))
+	listed := make(map[string]follow.Object[peer.Identity], len(objects))
 	for name, o := range objects {
 		if o.Err != nil {
 			h.log.Warn("entry host", "outcome", "entry left out", "name", name, "err", o.Err)
 			continue
 		}
-		listed[name] = o.Value
+		listed[name] = o
 		h.mesh.Learn(o.Value)
 	}
+	before := h.listed.Swap(&listed)
+	if before == nil {
+		h.stages.Hello()
+		return
+	}
 	for _, id := range h.mesh.Peers() {
-		before, was := h.listed[id.Host]
+		was, ok := (*before)[id.Host]
 		// A host that came back has told so itself before the list did.
-		if _, is := listed[id.Host]; !is && was && before.Incarnation == id.Incarnation {
+		if _, is := listed[id.Host]; !is && ok && was.Value.Incarnation == id.Incarnation {
 			h.log.Info("entry host", "outcome", "gone", "name", id.Host, "by", why)
 			h.forgetLater(id)
 		}
 	}
-	if h.listed == nil {
-		h.stages.Hello()
+	if _, is := listed[h.self.Host]; !is && !h.stopping.Load() {
+		// Another host took this one for lost, while it was cut off.
+		h.log.Warn("entry host", "outcome", "own entry is gone; registered again", "by", why)
+		go h.registerAgain()
+	}
+}
+
+func (h *Host) registerAgain() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*answerWait)
+	defer cancel()
+	if err := h.register(ctx); err != nil {
+		h.log.Warn("peers", "outcome", "not registered again", "err", err)
 	}
-	h.listed = listed
 }
 
 // forgetLater drops a host that is no longer listed once it must have stopped.
--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -143,3 +144,23 @@
 	}
 	g.Expect(text).To(ContainSubstring("request_status_p99_ms"))
 }
+
+// A host was lost for good and its entry stays behind. The host that looks after
+// them removes it once it has been silent for long; a host that was taken for
+// lost and lives registers itself again.
+func TestEntriesOfLostHostsAreRemoved(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	p.store.Put("entryhosts", "lost", map[string]any{"address": "127.0.0.1:1", "incarnation": 1, "domain": "a", "region": "r"})
+	h := p.start("front-1")
+	g.Eventually(func() bool { return h.listed.Load() != nil && len(*h.listed.Load()) == 2 }, "10s").Should(BeTrue())
+	silent := map[string]time.Time{}
+	h.pruneOnce(t.Context(), silent)
+	g.Expect(p.store.Names("entryhosts")).To(ContainElement("lost"))
+	silent["lost"] = silent["lost"].Add(-lostAfter)
+	h.pruneOnce(t.Context(), silent)
+	g.Expect(p.store.Names("entryhosts")).To(Equal([]string{"front-1"}))
+	p.store.Delete("entryhosts", "front-1")
+	g.Eventually(func() []string { return p.store.Names("entryhosts") }, "20s").Should(Equal([]string{"front-1"}))
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,7 +71,8 @@
 	self   peer.Identity
 	mesh   *peer.Mesh
 	secret atomic.Pointer[string]
-	listed map[string]peer.Identity // hosts as the platform last listed them; of followHosts
+	// listed are the hosts as the platform last listed them; nil: not yet.
+	listed atomic.Pointer[map[string]follow.Object[peer.Identity]]
 
 	listeners struct{ callers, ready, peers, metrics net.Listener }
 	callers   *http.Server
@@ -267,7 +268,7 @@
 		g.Go(func() error { return serve(s.server, s.on) })
 	}
 	for _, actor := range []func(context.Context) error{
-		h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload,
+		h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload, h.prune,
 	} {
 		g.Go(func() error { return actor(gctx) })
 	}
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -77,7 +77,7 @@
 func (h *Host) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
-	if err := platform.UnregisterHost(ctx, h.store, h.self.Host); err != nil {
+	if err := platform.UnregisterHost(ctx, h.store, h.self.Host, 0); err != nil {
 		h.log.Warn("peers", "outcome", "entry not removed", "err", err)
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -87,11 +87,19 @@
 var faults = []fault{
 	{"kill", func(p *place, r *rand.Rand, binary string) {
 		h := p.anyHost(r)
+		if !h.restarting.TryLock() {
+			return
+		}
+		defer h.restarting.Unlock()
 		h.signal(syscall.SIGKILL)
 		p.restart(h, binary, some(r, 0, 1500))
 	}},
 	{"terminate", func(p *place, r *rand.Rand, binary string) {
 		h := p.anyHost(r)
+		if !h.restarting.TryLock() {
+			return
+		}
+		defer h.restarting.Unlock()
 		h.signal(syscall.SIGTERM)
 		p.restart(h, binary, some(r, 0, 500))
 	}},
--- a/internal/soak/place_test.go
+++ b/internal/soak/place_test.go
@@ -46,9 +46,12 @@
 	settings string
 	relay    *relay // to the store
 	log      *os.File
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// restarting is held while the process is ended and started again.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	exited     chan struct{}
+	started    []*exec.Cmd // all processes of this host, to end them by their ids
 }
 
 // backend is a backend server behind a relay.
@@ -205,8 +208,11 @@
 	p.hosts = append(p.hosts, h)
 	p.must(h.start(binary))
 	p.t.Cleanup(func() {
-		h.signal(syscall.SIGCONT)
-		h.signal(syscall.SIGKILL)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, cmd := range h.started {
+			_ = cmd.Process.Kill() // most have ended
+		}
 		<-h.exited
 		_ = h.log.Close()
 	})
@@ -222,6 +228,7 @@
 	exited := make(chan struct{})
 	h.mu.Lock()
 	h.cmd, h.exited = cmd, exited
+	h.started = append(h.started, cmd)
 	h.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // ends by a signal of ours; the run judges what that does
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -51,6 +51,9 @@
 	// they lie, and maxNear the most.
 	nearTime = 40 * time.Millisecond
 	maxNear  = 60 * time.Millisecond
+	// errorCost is the cost of certain failure: a server that fails a third of its
+	// answers is as dear as the way to another region and back.
+	errorCost = 150 * time.Millisecond
 	// avoidCost keeps servers that failed a short time ago for the case that
 	// there is no other.
 	avoidCost = 10 * time.Second
@@ -88,6 +91,7 @@
 	if s.Avoided(q.Now) {
 		c += avoidCost
 	}
+	c += time.Duration(s.Errors(q.Now) * float64(errorCost))
 	if s.ColdLeft > 0 {
 		c += fullCost
 	}
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -104,3 +104,21 @@
 	q.NearBytes = 10_000
 	g.Expect(Choose(q).Domain).To(Equal("x"))
 }
+
+// The nearest server fails almost half of its answers, the others one in ten, as
+// on a day with a grey server. Requests go to another region until it is better.
+func TestServerThatFailsManyAnswersIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	list := servers(1)
+	at := now
+	for i := range 60 {
+		for k, s := range list {
+			s.Answered(i%10 == 0 || k == 1 && i%9 < 4, at)
+		}
+		at = at.Add(10 * time.Millisecond)
+	}
+	q := Query{Servers: list, Distance: from("y"), Now: at}
+	g.Expect(Choose(q).Domain).NotTo(Equal("y"))
+	q.Now = at.Add(6 * time.Second)
+	g.Expect(Choose(q).ID).To(Equal("y-0"))
+}
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,10 @@
 	avoidUntil       atomic.Int64
 	failures         atomic.Int64 // in a row
 	gone             atomic.Bool
+
+	mu       sync.Mutex
+	errors   float64   // share of late answers that were failures
+	errorsAt time.Time // of its last change
 }
 
 // Bounds of the time for which a failing server is avoided: the first is the
@@ -62,6 +67,44 @@
 	s.avoidUntil.Store(0)
 }
 
+const (
+	// newestShare is the weight of the newest answer in the share of failures:
+	// a dozen answers tell a server that fails half of its requests from one
+	// with the few failures that all have.
+	newestShare = 0.08
+	// errorsHalfLife lets the share fade, so that a server that gets no requests
+	// for its failures is tried again after some seconds.
+	errorsHalfLife = 3 * time.Second
+)
+
+// Answered notes whether an answer was a failure of the server.
+func (s *State) Answered(failed bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := s.faded(now)
+	if failed {
+		share += newestShare * (1 - share)
+	} else {
+		share -= newestShare * share
+	}
+	s.errors, s.errorsAt = share, now
+}
+
+// Errors returns the share of late answers that were failures, 0 to 1.
+func (s *State) Errors(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faded(now)
+}
+
+// faded is called with s.mu held.
+func (s *State) faded(now time.Time) float64 {
+	if s.errors == 0 {
+		return 0
+	}
+	return s.errors * math.Exp2(-now.Sub(s.errorsAt).Seconds()/errorsHalfLife.Seconds())
+}
+
 // Avoided reports whether the server failed a short time ago.
 func (s *State) Avoided(now time.Time) bool { return s.avoidUntil.Load() > now.UnixNano() }
 
--- a/process/directory/directory_test.go
+++ b/process/directory/directory_test.go
@@ -39,3 +39,21 @@
 	s.Succeeded()
 	g.Expect(s.Avoided(now)).To(BeFalse())
 }
+
+// A server fails half of its answers while its health is good. That shows after
+// a dozen answers, and fades when it gets no more requests.
+func TestShareOfFailuresShowsAndFades(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	now := time.Unix(1000, 0)
+	for i := range 24 {
+		s.Answered(i%2 == 0, now)
+		now = now.Add(20 * time.Millisecond)
+	}
+	g.Expect(s.Errors(now)).To(BeNumerically(">", 0.3))
+	g.Expect(s.Errors(now.Add(4 * errorsHalfLife))).To(BeNumerically("<", 0.05))
+	for range 40 {
+		s.Answered(false, now)
+	}
+	g.Expect(s.Errors(now)).To(BeNumerically("<", 0.05))
+}
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -198,6 +198,11 @@
 	p.local.moveWaiting()
 }
 
+// Ask tells whether a host answers.
+func (p *Pool) Ask(ctx context.Context, host string) error {
+	return p.link.Call(ctx, host, methodHello, nil, nil)
+}
+
 // Hello makes this host known to the others. The call itself proves who calls.
 func (p *Pool) Hello() { p.tellAll(methodHello) }
 
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -140,6 +140,7 @@
 		return fmt.Errorf("%w: %s", errInputsGone, a.server.ID)
 	}
 	if a.head.NotRun {
+		a.server.Answered(true, x.opts.Clock.Now())
 		return fmt.Errorf("%w: %s: status %d", errNotRun, a.server.ID, a.answer.Status)
 	}
 	x.sent = true
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -147,6 +147,7 @@
 		return nil, fmt.Errorf("%w: %s: %w", errBroken, a.server.ID, err)
 	}
 	r := &reply{status: a.answer.Status, header: a.answer.Header, body: body}
+	a.server.Answered(r.status >= 500, x.opts.Clock.Now())
 	a.close(true)
 	return r, nil
 }
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -102,6 +102,7 @@
 		x.rec.Resumed++
 		return fmt.Errorf("%w: %s after event %q: %w", errBroken, a.server.ID, st.last, err)
 	}
+	a.server.Answered(false, x.opts.Clock.Now())
 	if !x.begun {
 		x.begin(a)
 	}
