--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -17,11 +17,12 @@
 // Waits of the watches. The configuration's bounds how old the knowledge of API
 // keys gets while all is well; the servers' how long a silent connection hides
 // that a server leaves; both stay well within the bounds of the platform. Hosts
-// come and go rarely.
+// tell each other when they come and leave; their list only has to be right in
+// the end.
 const (
 	configWait  = 500 * time.Millisecond
 	serversWait = 800 * time.Millisecond
-	hostsWait   = 10 * time.Second
+	hostsWait   = 2 * time.Second
 	answerWait  = 700 * time.Millisecond // beyond the watch's own wait
 )
 
@@ -29,25 +30,38 @@
 // the platform.
 func (h *Host) wireBeliefs() {
 	h.config = follow.New(follow.Options[plan.Config]{
-		Source: relay(h, "config", platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
+		Source: relay(h, "config", configWait, platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
 		Wait: configWait, Answer: answerWait, Changed: h.configChanged,
 		Proved:   h.configProved,
 		Lost:     func(err error) { h.lost("configuration", err) },
 		Regained: func(d time.Duration) { h.regained("configuration", d) },
 	})
 	h.servers = follow.New(follow.Options[directory.Entry]{
-		Source: relay(h, "servers", platform.ServerSource(h.store)), Clock: h.boot, Rand: h.rand,
+		Source: relay(h, "servers", serversWait, platform.ServerSource(h.store)), Clock: h.boot, Rand: h.rand,
 		Wait: serversWait, Answer: answerWait, Changed: h.serversChanged,
 		Proved:   func(time.Time) {},
 		Lost:     func(err error) { h.lost("list of backend servers", err) },
 		Regained: func(d time.Duration) { h.regained("list of backend servers", d) },
 	})
+	h.entryHosts = follow.New(follow.Options[peer.Identity]{
+		Source: relay(h, "hosts", hostsWait, platform.HostSource(h.store)), Clock: h.boot, Rand: h.rand,
+		Wait: hostsWait, Answer: answerWait, Changed: h.hostsChanged,
+		Proved: func(time.Time) {}, Lost: func(err error) { h.lost("list of entry hosts", err) },
+		Regained: func(d time.Duration) { h.regained("list of entry hosts", d) },
+	})
+	h.entryHosts.Serve(h.mesh, "hosts")
 	h.config.Serve(h.mesh, "config")
 	h.servers.Serve(h.mesh, "servers")
 }
 
-func relay[T any](h *Host, kind string, direct follow.Source[T]) follow.Source[T] {
-	return &follow.Relay[T]{Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, Reader: h.reader}
+// relayRoom is what another host's knowledge may be older than two of its
+// watches: the ways there and back, and a lost answer that is asked for again.
+const relayRoom = 600 * time.Millisecond
+
+func relay[T any](h *Host, kind string, wait time.Duration, direct follow.Source[T]) follow.Source[T] {
+	return &follow.Relay[T]{
+		Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, MaxAge: 2*wait + relayRoom, Reader: h.reader,
+	}
 }
 
 // reader is the host of this region that asks the platform for the others; empty
@@ -173,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	go h.followHosts(ctx)
+	go func() { _ = h.entryHosts.Run(ctx) }() // ends with ctx, without an error
 	defer h.mesh.Close()
 	server := &peerconn.Server{
 		Options: opts, Serve: h.mesh.Dispatch, Accepted: h.mesh.Accepted,
@@ -199,16 +213,6 @@
 	return platform.RegisterHost(ctx, h.store, h.self)
 }
 
-func (h *Host) followHosts(ctx context.Context) {
-	f := follow.New(follow.Options[peer.Identity]{
-		Source: platform.HostSource(h.store), Clock: h.boot, Rand: h.rand,
-		Wait: hostsWait, Answer: answerWait, Changed: h.hostsChanged,
-		Proved: func(time.Time) {}, Lost: func(err error) { h.lost("list of entry hosts", err) },
-		Regained: func(d time.Duration) { h.regained("list of entry hosts", d) },
-	})
-	_ = f.Run(ctx) // ends only with ctx
-}
-
 func (h *Host) hostsChanged(objects map[string]follow.Object[peer.Identity], why string) {
 	listed := make(map[string]follow.Object[peer.Identity], len(objects))
 	for name, o := range objects {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,17 +56,18 @@
 	limits recordLimits
 	meter  *meter.Meter
 
-	store     *platform.Store
-	plan      inforce.Cell[plan.Plan]
-	directory *directory.Directory
-	config    *follow.Follower[plan.Config]
-	servers   *follow.Follower[directory.Entry]
-	confirmed atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
-	upstream  *upstream.Client
-	budget    *budget.Shared
-	batchers  *batchers
-	stages    *stages.Pool
-	gateway   *gateway.Gateway
+	store      *platform.Store
+	plan       inforce.Cell[plan.Plan]
+	directory  *directory.Directory
+	config     *follow.Follower[plan.Config]
+	servers    *follow.Follower[directory.Entry]
+	entryHosts *follow.Follower[peer.Identity]
+	confirmed  atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
+	upstream   *upstream.Client
+	budget     *budget.Shared
+	batchers   *batchers
+	stages     *stages.Pool
+	gateway    *gateway.Gateway
 
 	self   peer.Identity
 	mesh   *peer.Mesh
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -196,68 +196,83 @@
 	Link   peer.Link
 	Direct Source[T]
 	Clock  clock.Clock
+	// MaxAge of the other host's knowledge. What a watch proves is as old as the
+	// watch when that is answered, and twice as old before the next one is.
+	MaxAge time.Duration
 	// Reader returns the host to ask; empty: none.
 	Reader func() string
 
-	passedOver time.Time // until then
+	passedOver time.Time // the other host, until then
+	direct     time.Time // the object API is not asked before
 }
 
 const (
-	// relayMaxAge of the other host's knowledge: what its watch proves is as old
-	// as the watch when that is answered, and twice as old before the next one
-	// is; a watch takes up to 0.8 s and its answer's way.
-	relayMaxAge = 2200 * time.Millisecond
 	// relayPassOver is how long a host that could not answer is passed over.
 	relayPassOver = 2 * time.Second
+	// directPause is kept between direct questions while both the other host and
+	// the object API fail: a whole fleet that asks a store which is down, or back
+	// just now, costs it its rate. The other host goes on asking and tells.
+	directPause = 2 * time.Second
 )
 
 var errRelay = errors.New("follow: the other host cannot tell")
 
 // List implements Source.
 func (r *Relay[T]) List(ctx context.Context) (Answer[T], error) {
-	a, ok, err := r.ask(ctx, relayRequest{List: true})
-	if err != nil {
-		return Answer[T]{}, err
-	}
-	if !ok {
-		return r.Direct.List(ctx)
-	}
-	return a, nil
+	return r.ask(ctx, relayRequest{List: true}, r.Direct.List)
 }
 
 // Watch implements Source.
 func (r *Relay[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error) {
-	a, ok, err := r.ask(ctx, relayRequest{From: from, WaitMS: wait.Milliseconds()})
-	if err != nil {
-		return Answer[T]{}, err
-	}
-	if !ok {
+	return r.ask(ctx, relayRequest{From: from, WaitMS: wait.Milliseconds()}, func(ctx context.Context) (Answer[T], error) {
 		return r.Direct.Watch(ctx, from, wait)
-	}
-	return a, nil
+	})
 }
 
-// ask asks the other host; ok is false if there is none to ask now.
-func (r *Relay[T]) ask(ctx context.Context, q relayRequest) (a Answer[T], ok bool, err error) {
-	if r.Clock.Now().Before(r.passedOver) {
-		return a, false, nil
-	}
+// ask asks the other host, or the object API while that one cannot answer.
+func (r *Relay[T]) ask(ctx context.Context, q relayRequest, direct func(context.Context) (Answer[T], error)) (Answer[T], error) {
 	reader := r.Reader()
 	if reader == "" {
-		return a, false, nil
+		return direct(ctx)
+	}
+	if r.Clock.Now().Before(r.passedOver) {
+		return r.askDirect(ctx, direct)
+	}
+	a, err := r.askReader(ctx, reader, q)
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		return a, err
 	}
+	if !r.Clock.Now().Before(r.direct) {
+		r.passedOver = r.Clock.Now().Add(relayPassOver)
+	}
+	return a, err
+}
+
+// askDirect asks the object API; if that fails, the other host comes first again.
+func (r *Relay[T]) askDirect(ctx context.Context, direct func(context.Context) (Answer[T], error)) (Answer[T], error) {
+	a, err := direct(ctx)
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		r.passedOver = time.Time{}
+		r.direct = r.Clock.Now().Add(directPause)
+	}
+	return a, err
+}
+
+func (r *Relay[T]) askReader(ctx context.Context, reader string, q relayRequest) (a Answer[T], err error) {
 	var got relayAnswer[T]
 	err = r.Link.Call(ctx, reader, relayMethod(r.Kind), q, &got)
 	if err == nil && got.Gone {
-		return a, true, ErrHistoryGone
+		return a, ErrHistoryGone
 	}
 	age := time.Duration(got.AgeUS) * time.Microsecond
-	if err != nil || !got.Ready || age > relayMaxAge {
-		r.passedOver = r.Clock.Now().Add(relayPassOver)
-		if err == nil {
-			err = fmt.Errorf("its knowledge is %s old", age)
-		}
-		return a, true, fmt.Errorf("%w: %s: %w", errRelay, reader, err)
+	switch {
+	case err != nil:
+	case !got.Ready:
+		err = errors.New("it knows nothing yet")
+	case age > r.MaxAge:
+		err = fmt.Errorf("its knowledge is %s old", age)
+	default:
+		return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: max(age, 0)}, nil
 	}
-	return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: max(age, 0)}, true, nil
+	return a, fmt.Errorf("%w: %s: %w", errRelay, reader, err)
 }
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -76,6 +76,8 @@
 	})
 }
 
+const maxAge = 2 * time.Second
+
 type relayed struct {
 	g      *WithT
 	now    *clock.Manual
@@ -92,7 +94,7 @@
 	}
 	r.reader = newFollower(r.api, r.now)
 	r.reader.Serve(r.wire, "k")
-	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, Reader: func() string { return "reader" }}
+	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, MaxAge: maxAge, Reader: func() string { return "reader" }}
 	return r
 }
 
@@ -123,7 +125,7 @@
 func TestReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
 	r := newRelayed(t)
 	r.g.Expect(r.step(r.reader)).To(Succeed())
-	r.now.Advance(relayMaxAge + time.Millisecond)
+	r.now.Advance(maxAge + time.Millisecond)
 	calls := r.api.count()
 	_, err := r.relay.Watch(t.Context(), 5, 0)
 	r.g.Expect(err).To(MatchError(errRelay))
@@ -175,3 +177,34 @@
 	_, err := r.relay.Watch(t.Context(), 5, 0)
 	r.g.Expect(err).To(MatchError(ErrHistoryGone))
 }
+
+// The platform is down, for the reader as well. The asking host tries it itself
+// once and then leaves it to the reader, which tells when it is back.
+func TestFleetDoesNotAskAPlatformThatIsDown(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	down := errors.New("down")
+	r.relay.Direct = failing{r.api, down}
+	r.now.Advance(maxAge + time.Millisecond)
+	direct := 0
+	for range 10 { // two seconds
+		_, err := r.relay.Watch(t.Context(), 5, 0)
+		if errors.Is(err, down) {
+			direct++
+		}
+		r.now.Advance(180 * time.Millisecond)
+	}
+	r.g.Expect(direct).To(Equal(1))
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+}
+
+type failing struct {
+	*api
+	err error
+}
+
+func (f failing) Watch(context.Context, Revision, time.Duration) (Answer[string], error) {
+	return Answer[string]{}, f.err
+}
