--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -143,7 +143,16 @@
 const lastChanceTime = 700 * time.Millisecond
 
 func (a *Admission) lastChance(t *Ticket, now time.Time) bool {
-	return now.Add(a.path(t.Request) + lastChanceTime).After(t.Request.DieBy)
+	return now.Add(a.latePath(t.Request) + lastChanceTime).After(t.Request.DieBy)
+}
+
+// lateFactor is how much longer the stages of a late request may take: it runs
+// behind those that can be on time, while there are most of them. Begun with less
+// time, a third of them were not finished, and their work was lost.
+const lateFactor = 1.5
+
+func (a *Admission) latePath(r *Request) time.Duration {
+	return time.Duration(lateFactor * float64(a.path(r)))
 }
 
 // fitsLate tells whether the part that is kept for last chances has room.
@@ -179,7 +188,11 @@
 func (a *Admission) keep(list []*Ticket, now time.Time, stay func(*Ticket) bool) []*Ticket {
 	kept := list[:0]
 	for _, t := range list {
-		if now.Add(a.path(t.Request)).After(t.Request.DieBy) {
+		needs := a.path(t.Request)
+		if t.late {
+			needs = a.latePath(t.Request)
+		}
+		if now.Add(needs).After(t.Request.DieBy) {
 			t.Rejected(batcher.Late)
 			continue
 		}
@@ -308,12 +321,27 @@
 // work waiting when results are given up.
 const roomLent = 0.25
 
+// BeginAgain counts the work of a request once more that has to be repeated;
+// false: it can be of no use any more.
+func (a *Admission) BeginAgain(t *Ticket, now time.Time) bool {
+	if now.Add(a.path(t.Request)).After(t.Request.DieBy) {
+		return false
+	}
+	t.late = t.late || now.Add(a.path(t.Request)).After(t.Request.AimBy)
+	a.count(t)
+	return true
+}
+
 func (a *Admission) start(t *Ticket) {
+	a.count(t)
+	t.Begin()
+}
+
+func (a *Admission) count(t *Ticket) {
 	for _, s := range t.Request.Stages {
 		a.underWay[s.Service] += s.Items
 		if t.late {
 			a.lateUnderWay[s.Service] += s.Items
 		}
 	}
-	t.Begin()
 }
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -52,11 +53,28 @@
 	if err == nil {
 		inputs, err = k.work(ctx, t)
 	}
+	if inputGone(err) && k.begin(t) {
+		// The server that held a result was lost. The client has waited for
+		// most of its answer already: its request does not wait again.
+		inputs, err = k.work(ctx, t)
+	}
 	onTime, lateWaiting := k.Waiting()
 	k.log.StageWork(t, began.Sub(offered), k.clock.Now().Sub(offered), err, onTime, lateWaiting)
 	return inputs, err
 }
 
+func inputGone(err error) bool {
+	var failed *Error
+	return errors.As(err, &failed) && failed.Reason == batcher.InputGone
+}
+
+// begin lets a request's work begin once more, if there is time for it.
+func (k *Coordinator) begin(t *Ticket) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.admission.BeginAgain(t, k.clock.Now())
+}
+
 // Waiting returns the number of requests that wait to be begun.
 func (k *Coordinator) Waiting() (onTime, late int) {
 	k.mu.Lock()
