--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -137,14 +137,15 @@
 	q.waiting = kept
 }
 
-// homeWait is how long a job waits for a server of its own failure domain: with
-// two servers there one ends a call about every 150 ms.
-const homeWait = 120 * time.Millisecond
+// homeWait is how long a job waits for a server of its own failure domain. Longer
+// waits keep more results in their domain (7 to 10% less crosses with 120 ms) but
+// cost more requests their target latency than that is worth.
+const homeWait = 50 * time.Millisecond
 
 // waitsForHome tells whether a job can wait a little for a server of its own
 // failure domain, which spares the results a way between domains.
 func (q *Queue) waitsForHome(j *Job, now time.Time) bool {
-	if now.Sub(j.since) >= homeWait || j.ItemBytes < homeBytes {
+	if now.Sub(j.since) >= homeWait || j.AwayBytes < homeBytes {
 		return false
 	}
 	for _, s := range q.servers {
@@ -156,8 +157,8 @@
 	return false
 }
 
-// homeBytes: results smaller than this may be made anywhere.
-const homeBytes = 20_000
+// homeBytes: what less than this crosses domains is not worth a wait.
+const homeBytes = 100_000
 
 // take is how many items of a job a call (nil: an empty one) to a server takes.
 func (q *Queue) take(c *Call, s *server, j *Job) int {
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -22,8 +22,10 @@
 // Job is all items of one stage of one request.
 type Job struct {
 	Items []Item
-	// Domain is the failure domain where the items are best made.
-	Domain string
+	// Domain is the failure domain where the items are best made, and AwayBytes
+	// is what crosses domains if they are made elsewhere.
+	Domain    string
+	AwayBytes int64
 	// AimBy is when the results should be there: jobs are served in this order.
 	// DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -60,7 +60,7 @@
 }
 
 func (b *bench) submit(id string, items int, aim time.Duration, domain string) *Job {
-	j := &Job{Domain: domain, AimBy: b.now.Add(aim), DieBy: b.now.Add(20 * time.Second), ItemBytes: resultBytes}
+	j := &Job{Domain: domain, AimBy: b.now.Add(aim), DieBy: b.now.Add(20 * time.Second), ItemBytes: resultBytes, AwayBytes: int64(items) * resultBytes}
 	for p := range items {
 		j.Items = append(j.Items, Item{RequestID: id, Piece: p})
 	}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -273,8 +273,9 @@
 		}
 	}
 	rest := w.rest(i)
+	domain, away := w.domain(i)
 	return &batcher.Job{
-		Items: items, Domain: w.domain(i), ItemBytes: s.ItemBytes,
+		Items: items, Domain: domain, AwayBytes: away, ItemBytes: s.ItemBytes,
 		AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
 		Done: func(p int, r batcher.Result) { w.item(i, p, r) },
 	}
@@ -284,13 +285,15 @@
 // smaller ones are better made where the request will run.
 const nearBytes = 100_000
 
-// domain is where the items of a stage are best made.
-func (w *work) domain(stage int) string {
+// domain is where the items of a stage are best made, and how much crosses
+// domains if they are made elsewhere.
+func (w *work) domain(stage int) (domain string, away int64) {
+	s := &w.r.Stages[stage]
 	bytes := map[string]int64{}
 	domain, most := w.r.Domain, int64(nearBytes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, a := range w.r.Stages[stage].After {
+	for _, a := range s.After {
 		for _, r := range w.results[a] {
 			if r.Domain == "" {
 				continue
@@ -301,7 +304,11 @@
 			}
 		}
 	}
-	return domain
+	away = int64(s.Items) * s.ItemBytes
+	if len(bytes) > 0 {
+		away = max(away, bytes[domain])
+	}
+	return domain, away
 }
 
 // rest is the time that the stages behind a stage take at least.
