--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -50,8 +50,8 @@
 
 // Gateway is the handler of clients' requests.
 type Gateway struct {
-	opts   Options
-	firsts firsts
+	opts  Options
+	times streamTimes
 }
 
 // New returns a gateway.
@@ -100,9 +100,10 @@
 	near      string // failure domain that holds most of the inputs
 	nearBytes int64
 	rec       Record
-	begun     bool // the head of the answer is on its way
-	abort     bool // the answer has to end as incomplete
-	sent      bool // a backend server may have run the request
+	begun     bool      // the head of the answer is on its way
+	abort     bool      // the answer has to end as incomplete
+	sent      bool      // a backend server may have run the request
+	firstAt   time.Time // of the first event
 }
 
 // ServeHTTP implements http.Handler.
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -38,10 +38,10 @@
 	for i, s := range x.route.Stages {
 		r.Stages[i] = stages.Stage{Service: s.Service, After: s.After, ItemBytes: s.ResultBytes, Items: x.items(i)}
 	}
-	first := x.firsts.expect(x.route.Name)
-	r.AimBy = x.aim.Add(-first)
-	r.DieBy = x.start.Add(x.patience()).Add(-first)
-	if end := x.deadline.Add(-first); end.Before(r.DieBy) {
+	takes := x.times.expect(x.route.Name)
+	r.AimBy = x.aim.Add(-takes.first)
+	r.DieBy = x.start.Add(x.patience()).Add(-takes.first)
+	if end := x.deadline.Add(-takes.total()); end.Before(r.DieBy) {
 		r.DieBy = end
 	}
 	return r
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -102,10 +102,12 @@
 		x.rec.Resumed++
 		return fmt.Errorf("%w: %s after event %q: %w", errBroken, a.server.ID, st.last, err)
 	}
-	a.server.Answered(false, x.opts.Clock.Now())
+	now := x.opts.Clock.Now()
+	a.server.Answered(false, now)
 	if !x.begun {
 		x.begin(a)
 	}
+	x.times.note(x.route.Name, streamTime{first: x.firstAt.Sub(x.start) - x.rec.StageTook, rest: now.Sub(x.firstAt)})
 	return nil
 }
 
@@ -205,7 +207,7 @@
 	x.rec.Status, x.rec.Ran = a.answer.Status, kind.RanYes
 	now := x.opts.Clock.Now()
 	x.rec.FirstByte = now.Sub(x.start)
-	x.firsts.note(x.route.Name, now.Sub(x.start)-x.rec.StageTook)
+	x.firstAt = now
 	x.w.WriteHeader(a.answer.Status)
 	// The engine has read its inputs before it made the first event.
 	x.freeInputs()
