--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -43,9 +43,13 @@
 	b.configure()
 }
 
-// leastServers of each service make a region's stage work a matter of its own:
-// fewer would share too few calls, and wait for each other when one is lost.
-const leastServers = 4
+// A region's stage work is a matter of its own where there are servers enough:
+// with fewer in all, regions of two servers would share too few calls, and with
+// less than two in a region each loss of one would stop it.
+const (
+	leastServers       = 12 // of each service, in all regions
+	leastRegionServers = 2
+)
 
 // updateRegions decides where stage work is collected: in each region by itself
 // where all have servers enough, so that no result and no message crosses
@@ -64,9 +68,12 @@
 		for _, s := range view.Servers(name) {
 			count[b.host.set.Regions[s.Domain]]++
 		}
+		all := 0
 		for _, n := range count {
-			split = split && n >= leastServers
+			split = split && n >= leastRegionServers
+			all += n
 		}
+		split = split && all >= leastServers
 	}
 	if b.split.Swap(split) != split {
 		b.host.log.Info("stage work", "outcome", "place of collection changed", "by_region", split, "config", p.Version)
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -226,6 +226,7 @@
 	before := h.listed.Swap(&listed)
 	if before == nil {
 		h.stages.Hello()
+		h.stages.Met()
 		return
 	}
 	for _, id := range h.mesh.Peers() {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -228,8 +228,10 @@
 const (
 	peerSilence   = 900 * time.Millisecond
 	peerPing      = 300 * time.Millisecond
-	peerHandshake = 400 * time.Millisecond
+	peerHandshake = 700 * time.Millisecond
 	peerHandlers  = 2048
+	// peerIdle: a connection costs both ends its pings.
+	peerIdle = 10 * time.Second
 )
 
 var errNoSecret = errors.New("edge: the peers' secret is not known yet")
@@ -241,7 +243,7 @@
 	}
 	return peerconn.Options{
 		Self: h.self, Secret: []byte(*secret), MaxHandlers: peerHandlers,
-		Handshake: peerHandshake, Ping: peerPing, Silence: peerSilence,
+		Handshake: peerHandshake, Ping: peerPing, Silence: peerSilence, Idle: peerIdle,
 	}, nil
 }
 
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -96,6 +96,20 @@
 	return out
 }
 
+// Connected returns the peers to which there is a live connection, in order.
+func (m *Mesh) Connected() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for host, r := range m.peers {
+		if r.live() != nil {
+			out = append(out, host)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Handle implements Link.
 func (m *Mesh) Handle(method Method, h Handler) {
 	m.mu.Lock()
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -72,7 +72,7 @@
 // that comes back does not take the work away from one like it. While hosts disagree, several do it, which costs fuller calls and some
 // refusals of busy servers, but no wrong result.
 type Pool struct {
-	link  peer.Link
+	link  Link
 	clock clock.Clock
 	local *Coordinator
 	log   PoolLog
@@ -94,6 +94,13 @@
 	failures int
 }
 
+// Link is what a Pool needs of the peers.
+type Link interface {
+	peer.Link
+	// Connected returns the peers to which there is a connection now.
+	Connected() []string
+}
+
 // PoolLog receives what a Pool believes.
 type PoolLog interface {
 	// OwnerChanged tells that another host does the stage work from now on;
@@ -104,10 +111,10 @@
 }
 
 // NewPool returns a pool and registers its handlers with the link.
-func NewPool(link peer.Link, c clock.Clock, local *Coordinator, region func(domain string) string, log PoolLog) *Pool {
+func NewPool(link Link, c clock.Clock, local *Coordinator, region func(domain string) string, log PoolLog) *Pool {
 	p := &Pool{
 		link: link, clock: c, local: local, region: region, log: log,
-		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[workKey]*shared{}, last: map[string]string{},
+		suspects: map[string]suspect{}, left: map[string]uint64{}, running: map[workKey]*shared{}, last: map[string]string{}, met: make(chan struct{}),
 	}
 	link.Handle(methodRun, p.serveRun)
 	link.Handle(methodCancel, p.serveCancel)
@@ -124,6 +131,9 @@
 
 // Run has the stage work of a request done. The error is an *Error or ctx's.
 func (p *Pool) Run(ctx context.Context, r *Request) (Made, error) {
+	if err := p.meet(ctx); err != nil {
+		return Made{}, err
+	}
 	region := p.region(r.Domain)
 	for range maxOwners {
 		owner := p.owner(region)
@@ -153,6 +163,38 @@
 	return Made{Inputs: inputs}, err
 }
 
+// meetBound is how long requests wait for the other hosts to be known after a
+// start. Without it all hosts of a fleet that starts at once do the stage work
+// themselves, and their servers refuse most of the calls.
+const meetBound = 1500 * time.Millisecond
+
+// Met tells that the other hosts are known. It may be called more than once.
+func (p *Pool) Met() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.met:
+	default:
+		close(p.met)
+	}
+}
+
+func (p *Pool) meet(ctx context.Context) error {
+	select {
+	case <-p.met:
+		return nil
+	default:
+	}
+	select {
+	case <-p.met:
+	case <-p.clock.After(meetBound):
+		p.Met() // the platform's list cannot be had
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 // A connection that breaks says little of the host: it is asked again, on a new
 // one, for the time of a few resets. One that is gone refuses connections or
 // does not answer within that time.
@@ -194,7 +236,9 @@
 	p.mu.Lock()
 	p.leaving = true
 	p.mu.Unlock()
-	p.tellAll(methodLeave)
+	for _, host := range p.link.Connected() {
+		p.tell(host, methodLeave)
+	}
 	p.local.moveWaiting()
 }
 
@@ -203,20 +247,32 @@
 	return p.link.Call(ctx, host, methodHello, nil, nil)
 }
 
-// Hello makes this host known to the others. The call itself proves who calls.
-func (p *Pool) Hello() { p.tellAll(methodHello) }
-
-func (p *Pool) tellAll(m peer.Method) {
-	for _, id := range p.link.Peers() {
-		go func() {
-			ctx, stop := context.WithTimeout(context.Background(), tellBound)
-			defer stop()
-			// A host that misses it finds out by the platform's list.
-			_ = p.link.Call(ctx, id.Host, m, nil, nil)
-		}()
+// helloHosts of those that may do the work of others hear of a new host at once;
+// the rest find it in the platform's list. All of them would be a handshake
+// between each two hosts when a fleet starts: 66 hosts were busy with these for
+// ten seconds.
+const helloHosts = 4
+
+// Hello makes this host known to those that may do the work of others. The call
+// itself proves who calls.
+func (p *Pool) Hello() {
+	list := p.link.Peers()
+	sort.Slice(list, func(i, j int) bool { return peer.Before(list[i], list[j]) })
+	for _, id := range list[:min(len(list), helloHosts)] {
+		p.tell(id.Host, methodHello)
 	}
 }
 
+// tell sends something that may be lost: who misses it finds out by the
+// platform's list.
+func (p *Pool) tell(host string, m peer.Method) {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), tellBound)
+		defer stop()
+		_ = p.link.Call(ctx, host, m, nil, nil)
+	}()
+}
+
 func (p *Pool) serveLeave(_ context.Context, from peer.Identity, _ []byte) ([]byte, error) {
 	p.mu.Lock()
 	p.left[from.Host] = from.Incarnation
