--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -85,6 +85,7 @@
 	left     map[string]uint64   // incarnations of hosts that stop
 	running  map[workKey]*shared // work for other hosts
 	leaving  bool                // this host stops
+	met      chan struct{}       // closed once the other hosts are known
 	last     map[string]string   // owner that was logged, by region
 }
 
