--- /dev/null
+++ b/process/stages/coordinator_test.go
@@ -0,0 +1,210 @@
+package stages
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/batcher"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/directory"
+)
+
+// workshop is a coordinator over real batchers whose servers are in memory.
+type workshop struct {
+	g        *WithT
+	k        *Coordinator
+	batchers map[string]*batcher.Batcher
+
+	mu    sync.Mutex
+	calls []string // "service item-inputs" of each item made
+	freed []string
+	fail  func(service string, item batcher.Item) batcher.Reason
+	hold  chan struct{} // if set, calls wait for it
+}
+
+type backend struct {
+	w       *workshop
+	service string
+}
+
+func (b backend) Run(ctx context.Context, c *batcher.Call) batcher.Answer {
+	b.w.mu.Lock()
+	hold := b.w.hold
+	b.w.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return batcher.Answer{Err: ctx.Err()}
+		}
+	}
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	var a batcher.Answer
+	for _, part := range c.Items {
+		item := part.Job.Items[part.Index]
+		r := batcher.Result{Handle: fmt.Sprintf("%s-%s-%d-%d", b.service, item.RequestID, item.Stage, item.Piece), ServerID: c.Server.ID}
+		if b.w.fail != nil {
+			if reason := b.w.fail(b.service, item); reason != "" {
+				r = batcher.Result{Reason: reason}
+			}
+		}
+		b.w.calls = append(b.w.calls, fmt.Sprintf("%s %s %v", b.service, item.Key, item.Inputs))
+		a.Results = append(a.Results, r)
+	}
+	return a
+}
+
+func (b backend) Free(_ context.Context, _ *directory.Server, handles []string) error {
+	b.w.mu.Lock()
+	defer b.w.mu.Unlock()
+	b.w.freed = append(b.w.freed, handles...)
+	return nil
+}
+
+type quiet struct{}
+
+func (quiet) CallSent(string, *batcher.Call, int)                            {}
+func (quiet) CallEnded(string, *batcher.Call, time.Duration, batcher.Answer) {}
+func (quiet) StageWork(*Ticket, time.Duration, time.Duration, error, int, int) {
+}
+func (quiet) OwnerChanged(string, string, uint64)      {}
+func (quiet) OwnerFailed(string, time.Duration, error) {}
+
+func newWorkshop(t *testing.T) *workshop {
+	w := &workshop{g: NewWithT(t), batchers: map[string]*batcher.Batcher{}}
+	opts := batcher.Options{MaxItems: 8, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, ResultTTL: time.Second}
+	for _, service := range []string{"floor", "portal"} {
+		b := batcher.New(service, opts, backend{w, service}, clock.System{}, quiet{})
+		d := directory.New()
+		d.Replace([]directory.Entry{{ID: service + "-1", Service: service, Address: "a:1", Domain: "x"}})
+		b.Configure(opts, d.View().Servers(service), func(*directory.Server) time.Duration { return 0 })
+		go func() { _ = b.Run(t.Context()) }()
+		w.batchers[service] = b
+	}
+	w.k = NewCoordinator(func(s string) *batcher.Batcher { return w.batchers[s] }, clock.System{}, quiet{})
+	return w
+}
+
+func (w *workshop) freedCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.freed)
+}
+
+// chain is a request of two stages: two items on the floor, whose results the
+// three items of the portal need.
+func chain(id string) *Request {
+	now := time.Now()
+	return &Request{
+		ID: id, Key: "key", Domain: "x", Worth: 1, AimBy: now.Add(20 * time.Second), DieBy: now.Add(30 * time.Second),
+		Stages: []Stage{{Service: "floor", Items: 2, ItemBytes: 10}, {Service: "portal", After: []int{0}, Items: 3, ItemBytes: 10}},
+	}
+}
+
+func TestEachStageGetsAllResultsOfTheStageBefore(t *testing.T) {
+	w := newWorkshop(t)
+	inputs, err := w.k.Run(t.Context(), chain("r"))
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(inputs).To(HaveLen(3))
+	w.g.Expect(inputs[2].Handle).To(Equal("portal-r-1-2"))
+	w.g.Expect(w.calls).To(Equal([]string{
+		"floor key []", "floor key []",
+		"portal  [floor-r-0-0 floor-r-0-1]", "portal  [floor-r-0-0 floor-r-0-1]", "portal  [floor-r-0-0 floor-r-0-1]",
+	}))
+	w.g.Eventually(w.freedCount, "10s").Should(Equal(2), "what the portal has used")
+}
+
+func TestStagesThatAreLeftOutCostNothing(t *testing.T) {
+	w := newWorkshop(t)
+	r := chain("r")
+	r.Stages[0].Items = 0
+	r.Stages[1].Items = 0
+	inputs, err := w.k.Run(t.Context(), r)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(inputs).To(BeEmpty())
+	w.g.Expect(w.calls).To(BeEmpty())
+}
+
+// The server that holds the first stage's results crashes before the second has
+// used them. The work is done again, once.
+func TestLostInputsAreMadeAgain(t *testing.T) {
+	w := newWorkshop(t)
+	lost := true
+	w.fail = func(service string, _ batcher.Item) batcher.Reason {
+		if service == "portal" && lost {
+			lost = false
+			return batcher.InputGone
+		}
+		return ""
+	}
+	inputs, err := w.k.Run(t.Context(), chain("r"))
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.g.Expect(inputs).To(HaveLen(3))
+
+	w.fail = func(service string, _ batcher.Item) batcher.Reason {
+		if service == "portal" {
+			return batcher.InputGone
+		}
+		return ""
+	}
+	_, err = w.k.Run(t.Context(), chain("again"))
+	var failed *Error
+	w.g.Expect(errors.As(err, &failed)).To(BeTrue())
+	w.g.Expect(failed.Reason).To(Equal(batcher.InputGone))
+}
+
+// An item fails on every server. The request gets its outcome, what was made for
+// it is given up, and the room that it took is there for others.
+func TestFailedWorkLeavesNothingBehind(t *testing.T) {
+	w := newWorkshop(t)
+	w.fail = func(service string, item batcher.Item) batcher.Reason {
+		if service == "portal" && item.Piece == 1 {
+			return batcher.Failed
+		}
+		return ""
+	}
+	for i := range 20 {
+		_, err := w.k.Run(t.Context(), chain(fmt.Sprint(i)))
+		w.g.Expect(err).To(HaveOccurred())
+	}
+	w.g.Eventually(func() int {
+		w.k.mu.Lock()
+		defer w.k.mu.Unlock()
+		return w.k.admission.underWay["floor"] + w.k.admission.underWay["portal"]
+	}, "10s").Should(BeZero())
+	w.g.Eventually(w.freedCount, "10s").Should(BeNumerically(">=", 40), "two results of the floor for each")
+}
+
+// The client leaves while its items are being made. They are given up when they
+// are there, and nothing more is begun for it.
+func TestCancelledWorkIsGivenUp(t *testing.T) {
+	w := newWorkshop(t)
+	w.hold = make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := w.k.Run(ctx, chain("r"))
+		done <- err
+	}()
+	w.g.Eventually(func() int {
+		w.k.mu.Lock()
+		defer w.k.mu.Unlock()
+		return w.k.admission.underWay["floor"]
+	}, "10s").Should(Equal(2))
+	cancel()
+	w.g.Eventually(done, "10s").Should(Receive(MatchError(context.Canceled)))
+	close(w.hold)
+	w.g.Consistently(func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.calls)
+	}, "200ms").Should(BeNumerically("<=", 2))
+	w.g.Expect(w.k.admission.underWay["floor"]).To(BeZero())
+}
--- /dev/null
+++ b/process/stages/pool_test.go
@@ -0,0 +1,232 @@
+package stages
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/peer"
+)
+
+// net is a network of hosts in memory.
+type net struct {
+	mu    sync.Mutex
+	hosts map[string]*node
+}
+
+type node struct {
+	net      *net
+	self     peer.Identity
+	handlers map[peer.Method]peer.Handler
+	// breaks is how many of the next calls to this node are carried out and
+	// lose their answers.
+	breaks int
+	down   bool
+	calls  int
+	shop   *workshop
+	pool   *Pool
+}
+
+func (n *node) Self() peer.Identity { return n.self }
+
+func (n *node) Peers() []peer.Identity {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	var out []peer.Identity
+	for _, other := range n.net.hosts {
+		if other != n {
+			out = append(out, other.self)
+		}
+	}
+	return out
+}
+
+func (n *node) Connected() []string {
+	var out []string
+	for _, id := range n.Peers() {
+		out = append(out, id.Host)
+	}
+	return out
+}
+
+func (n *node) Handle(m peer.Method, h peer.Handler) { n.handlers[m] = h }
+
+func (n *node) Call(ctx context.Context, host string, m peer.Method, in, out any) error {
+	n.net.mu.Lock()
+	to := n.net.hosts[host]
+	down := to == nil || to.down
+	lose := false
+	if to != nil && m == methodRun {
+		to.calls++
+		lose = to.breaks > 0
+		to.breaks = max(to.breaks-1, 0)
+	}
+	n.net.mu.Unlock()
+	if down {
+		return peer.ErrUnreachable
+	}
+	payload, err := peer.Marshal(in)
+	if err != nil {
+		return err
+	}
+	if lose {
+		go func() { _, _ = to.handlers[m](context.Background(), n.self, payload) }()
+		return peer.ErrNoAnswer
+	}
+	answer, err := to.handlers[m](ctx, n.self, payload)
+	if err != nil {
+		return errors.Join(peer.ErrRefused, err)
+	}
+	if out == nil {
+		return nil
+	}
+	return peer.Unmarshal(answer, out)
+}
+
+func (x *net) add(t *testing.T, id peer.Identity) *node {
+	n := &node{net: x, self: id, handlers: map[peer.Method]peer.Handler{}, shop: newWorkshop(t)}
+	n.pool = NewPool(n, clock.System{}, n.shop.k, func(domain string) string { return domain }, quiet{})
+	n.pool.Met()
+	x.mu.Lock()
+	x.hosts[id.Host] = n
+	x.mu.Unlock()
+	return n
+}
+
+// madeAt returns how many items a host had made.
+func (n *node) made() int {
+	n.shop.mu.Lock()
+	defer n.shop.mu.Unlock()
+	return len(n.shop.calls)
+}
+
+func three(t *testing.T) (*WithT, *node, *node, *node) {
+	x := &net{hosts: map[string]*node{}}
+	first := x.add(t, peer.Identity{Host: "first", Incarnation: 1, Region: "x"})
+	second := x.add(t, peer.Identity{Host: "second", Incarnation: 2, Region: "x"})
+	third := x.add(t, peer.Identity{Host: "third", Incarnation: 3, Region: "x"})
+	return NewWithT(t), first, second, third
+}
+
+func (n *node) run(id string) (Made, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return n.pool.Run(ctx, chain(id))
+}
+
+func TestAllHostsGiveTheirWorkToTheFirst(t *testing.T) {
+	g, first, second, third := three(t)
+	for _, n := range []*node{first, second, third} {
+		made, err := n.run(n.self.Host)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(made.Inputs).To(HaveLen(3))
+	}
+	g.Expect(first.made()).To(Equal(15))
+	g.Expect(second.made() + third.made()).To(BeZero())
+}
+
+func TestStrongHostsOfTheRegionComeFirst(t *testing.T) {
+	g := NewWithT(t)
+	x := &net{hosts: map[string]*node{}}
+	weak := x.add(t, peer.Identity{Host: "weak", Incarnation: 1, Region: "x", Share: 0.2})
+	strong := x.add(t, peer.Identity{Host: "strong", Incarnation: 9, Region: "x", Share: 0.8})
+	x.add(t, peer.Identity{Host: "far", Incarnation: 2, Region: "y", Share: 0.8})
+	_, err := weak.run("r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(strong.made()).To(Equal(5))
+}
+
+// The connection to the first host breaks after it took the work. It is asked
+// again and the work is joined: nothing is made twice, and no other host begins
+// to do stage work.
+func TestBrokenConnectionJoinsTheWork(t *testing.T) {
+	g, first, second, third := three(t)
+	first.breaks = 2
+	made, err := third.run("r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(made.Owner).To(Equal("first"))
+	g.Expect(first.calls).To(Equal(3))
+	g.Expect(first.made()).To(Equal(5))
+	g.Expect(second.made() + third.made()).To(BeZero())
+}
+
+// The first host is lost. The next one takes the work, and the first is asked
+// again only after a while.
+func TestLostHostIsReplacedByTheNext(t *testing.T) {
+	g, first, second, third := three(t)
+	first.down = true
+	_, err := third.run("1")
+	g.Expect(err).NotTo(HaveOccurred())
+	calls := first.calls
+	_, err = third.run("2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.made()).To(Equal(10))
+	g.Expect(first.calls).To(Equal(calls))
+	second.down = true
+	_, err = third.run("3")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(third.made()).To(Equal(5), "nobody else is left")
+}
+
+// The first host is told to stop. Work that it has begun ends there; new work
+// goes to the next host, also that of a host which missed the notice.
+func TestStoppingHostFinishesWhatItHasBegun(t *testing.T) {
+	g, first, second, third := three(t)
+	first.shop.hold = make(chan struct{})
+	begun := make(chan error)
+	go func() {
+		_, err := second.run("begun")
+		begun <- err
+	}()
+	g.Eventually(func() int {
+		first.shop.k.mu.Lock()
+		defer first.shop.k.mu.Unlock()
+		return first.shop.k.admission.underWay["floor"]
+	}, "10s").Should(Equal(2))
+	first.pool.Leave()
+	third.pool.mu.Lock()
+	third.pool.left = map[string]uint64{}
+	third.pool.mu.Unlock()
+	_, err := third.run("new")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = first.run("own")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.made()).To(Equal(10))
+	close(first.shop.hold)
+	g.Eventually(begun, "10s").Should(Receive(BeNil()))
+}
+
+// The client of another host leaves. The work is given up where it is done.
+func TestCancelReachesTheHostThatDoesTheWork(t *testing.T) {
+	g, first, _, third := three(t)
+	first.shop.hold = make(chan struct{})
+	defer close(first.shop.hold)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := third.pool.Run(ctx, chain("r"))
+		done <- err
+	}()
+	under := func() int {
+		first.shop.k.mu.Lock()
+		defer first.shop.k.mu.Unlock()
+		return first.shop.k.admission.underWay["floor"]
+	}
+	g.Eventually(under, "10s").Should(Equal(2))
+	cancel()
+	g.Eventually(done, "10s").Should(Receive(MatchError(context.Canceled)))
+	g.Eventually(under, "10s").Should(BeZero())
+}
+
+func TestWorkWithACycleIsRefused(t *testing.T) {
+	g, _, _, third := three(t)
+	r := chain("r")
+	r.Stages[0].After = []int{1}
+	g.Expect(check(r.Stages)).To(MatchError(errBadStages))
+	g.Expect(third.pool.owner("x")).To(Equal("first"))
+}
--- /dev/null
+++ b/request/gateway/events_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestEventsAreSplitAtBlankLines(t *testing.T) {
+	g := NewWithT(t)
+	r := newEventReader(iotest.OneByteReader(bytes.NewBufferString("id: 1\ndata: a\n\nversion: 2\r\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata")))
+	event, err := r.next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(event)).To(Equal("id: 1\ndata: a\n\n"))
+	g.Expect(r.id).To(Equal("1"))
+	event, err = r.next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(event)).To(Equal("version: 2\r\nid: 2\r\ndata: b\r\n\r\n"))
+	g.Expect(r.id).To(Equal("2"))
+	event, err = r.next()
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Expect(string(event)).To(Equal("id: 3\ndata"))
+}
+
+// A server breaks off anywhere. Whatever bytes came: events are whole and in
+// order, together they are the stream, and a break is told from an end.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), true)
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\nda"), false)
+	f.Add(bytes.Repeat([]byte("x"), 5000), true)
+	f.Add([]byte("\n\n\r\n\r\nid:\n\n"), false)
+	f.Fuzz(func(t *testing.T, stream []byte, broken bool) {
+		g := NewWithT(t)
+		cut := errors.New("cut")
+		var in io.Reader = bytes.NewReader(stream)
+		if broken {
+			in = io.MultiReader(in, iotest.ErrReader(cut))
+		}
+		r := newEventReader(in)
+		var got []byte
+		for {
+			event, err := r.next()
+			if err == nil {
+				g.Expect(string(event)).To(HaveSuffix("\n"))
+				got = append(got, event...)
+				continue
+			}
+			if broken {
+				g.Expect(err).To(MatchError(cut))
+				g.Expect(string(stream)).To(HavePrefix(string(got)))
+				return
+			}
+			g.Expect(err).To(MatchError(io.EOF))
+			g.Expect(string(append(got, event...))).To(Equal(string(stream)))
+			return
+		}
+	})
+}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -72,7 +70,6 @@
 type streaming struct {
 	last   string // id of the last event that was passed on
 	lastID int64  // the same as a number; 0: none
-	event  bytes.Buffer
 }
 
 // follow passes a server's events on. nil means that the client has its whole
@@ -92,7 +89,6 @@
 		}
 		return fmt.Errorf("%w: %s: status %d", errBroken, a.server.ID, r.status)
 	}
-	st.event.Reset()
 	quiet := x.silence(ctx, a, t)
 	err := x.events(a, st, quiet)
 	quiet.Stop()
@@ -132,47 +128,29 @@
 // events passes whole events on as they arrive; the rest of an event that broke
 // off is dropped, so that the next run's first event does not join it.
 func (x *exchange) events(a *attempt, st *streaming, quiet *time.Timer) error {
-	r := bufio.NewReaderSize(a.answer, 2048)
+	r := newEventReader(a.answer)
 	flush := http.NewResponseController(x.w)
-	id := ""
 	for {
-		line, err := r.ReadSlice('\n')
-		st.event.Write(line)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			if !errors.Is(err, io.EOF) {
-				return err
-			}
-			return x.pass(a, st, id)
+		event, err := r.next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
 		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		if perr := x.pass(a, st, event, r.id); perr != nil || err != nil {
+			return perr // nil at the end
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		quiet.Reset(eventSilence)
+		if r.more() {
 			continue
 		}
-		quiet.Reset(eventSilence)
-		if err := x.pass(a, st, id); err != nil {
+		if err := flush.Flush(); err != nil {
 			return err
 		}
-		if !wholeEvent(r) {
-			if err := flush.Flush(); err != nil {
-				return err
-			}
-		}
 	}
 }
 
-// wholeEvent tells whether the next event has arrived whole: then one flush
-// serves both.
-func wholeEvent(r *bufio.Reader) bool {
-	next, _ := r.Peek(r.Buffered()) // no more than there is, so no error
-	return bytes.Contains(next, []byte("\n\n")) || bytes.Contains(next, []byte("\n\r\n"))
-}
-
 // pass writes one event, unless the client has it already.
-func (x *exchange) pass(a *attempt, st *streaming, id string) error {
-	defer st.event.Reset()
-	if st.event.Len() == 0 {
+func (x *exchange) pass(a *attempt, st *streaming, event []byte, id string) error {
+	if len(event) == 0 {
 		return nil
 	}
 	n, numeric := number(id)
@@ -182,7 +160,7 @@
 	if !x.begun {
 		x.begin(a)
 	}
-	if _, err := x.w.Write(st.event.Bytes()); err != nil {
+	if _, err := x.w.Write(event); err != nil {
 		return err
 	}
 	if id != "" {
