--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -238,16 +238,26 @@
 	if r.Clock.Now().Before(r.passedOver) {
 		return r.askDirect(ctx, direct)
 	}
+	asked := r.Clock.Now()
 	a, err := r.askReader(ctx, reader, q)
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		return a, err
 	}
-	if !r.Clock.Now().Before(r.direct) {
-		r.passedOver = r.Clock.Now().Add(relayPassOver)
+	now := r.Clock.Now()
+	if now.Before(r.direct) {
+		return a, err
 	}
-	return a, err
+	r.passedOver = now.Add(relayPassOver)
+	if now.Sub(asked) > quickAnswer {
+		return a, err // the time for this question is over
+	}
+	return r.askDirect(ctx, direct)
 }
 
+// quickAnswer: a host that says at once that it cannot tell leaves time to ask
+// the object API.
+const quickAnswer = 100 * time.Millisecond
+
 // askDirect asks the object API; if that fails, the other host comes first again.
 func (r *Relay[T]) askDirect(ctx context.Context, direct func(context.Context) (Answer[T], error)) (Answer[T], error) {
 	a, err := direct(ctx)
