--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -164,3 +164,45 @@
 	p.store.Delete("entryhosts", "front-1")
 	g.Eventually(func() []string { return p.store.Names("entryhosts") }, "20s").Should(Equal([]string{"front-1"}))
 }
+
+// A request waits for its stages while the process is told to stop. Its stream
+// could not end before the process does: it is refused as not run while another
+// host can still take it, instead of being cut.
+func TestStopRefusesWhatItCouldNotFinish(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	for _, r := range p.config["routes"].([]map[string]any) {
+		r["timeout_ms"], r["target_latency_ms"] = 20000, 5000
+	}
+	for _, s := range p.config["services"].([]map[string]any) {
+		if s["name"] == "portal" {
+			s["pieces"].(map[string]any)["call_ms"] = 4000 // so that the call is awaited
+		}
+	}
+	p.store.Put("config", "main", p.config)
+	h := p.start("front-1")
+	hold := make(chan struct{})
+	defer close(hold)
+	arrived := make(chan struct{}, 10)
+	p.servers["portal-1"].SetHandle(func(http.ResponseWriter, *http.Request) bool {
+		arrived <- struct{}{}
+		<-hold
+		return false
+	})
+	got := make(chan reply, 1)
+	go func() {
+		got <- p.ask(h, "POST", "/stream/staged/1", "x", func(h http.Header) {
+			h.Set("Pieces", "1,1")
+			h.Set("Deadline-Ms", "20000")
+		})
+	}()
+	g.Eventually(arrived, "10s").Should(Receive())
+	p.stops[0]()
+	var r reply
+	g.Eventually(got, "10s").Should(Receive(&r))
+	g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(r.body).To(ContainSubstring(`"kind":"draining","ran":"no"`))
+	g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(p.runs("model")).To(BeEmpty())
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,6 +80,8 @@
 	ready     *http.Server
 	metrics   *http.Server
 	stopping  atomic.Bool
+	told      chan struct{} // closed when the process is told to stop
+	stopEnd   atomic.Pointer[time.Time]
 	// refuseLong is set when a stream that came now would be cut by the stop.
 	refuseLong atomic.Bool
 	active     atomic.Int64
@@ -91,7 +93,7 @@
 	h := &Host{
 		opts: opts, set: set, clock: clock.System{}, boot: clock.Boot{}, rand: clock.SystemRand{},
 		out: record.NewWriter(opts.Out), meter: meter.New(), store: platform.NewStore(set.StoreAddress),
-		directory: directory.New(),
+		directory: directory.New(), told: make(chan struct{}),
 	}
 	h.log = record.New(h.out, set.Host)
 	h.limits = newRecordLimits()
@@ -113,7 +115,8 @@
 	h.gateway = gateway.New(gateway.Options{
 		Domain: set.Domain, Distance: h.distance, Plan: &h.plan, Directory: h.directory, Upstream: h.upstream,
 		Pool: h.stages, Budget: h.budget, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
-		Closing: h.stopping.Load, RefuseLong: h.refuseLong.Load, Log: h.logRequest,
+		Closing: h.stopping.Load, RefuseLong: h.refuseLong.Load,
+		Stopping: h.told, StopEnd: func() time.Time { return *h.stopEnd.Load() }, Log: h.logRequest,
 	})
 	h.wireServers()
 	h.gauges()
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -51,12 +51,14 @@
 // closed port would turn away what could be served.
 func (h *Host) shutdown() error {
 	start := h.clock.Now()
+	end := start.Add(h.set.StopBound - stopReserve)
+	h.stopEnd.Store(&end)
 	h.stopping.Store(true)
+	close(h.told)
 	h.log.Info("stopping", "in_flight", h.active.Load())
 	h.stages.Leave()
 	<-h.clock.After(balancerNotices)
 	h.refuseLong.Store(true)
-	end := start.Add(h.set.StopBound - stopReserve)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	h.leave(ctx)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -39,7 +39,11 @@
 	Closing func() bool
 	// RefuseLong reports whether streams would be cut by the stop of the process.
 	RefuseLong func() bool
-	Log        func(*Record)
+	// Stopping is closed when the process is told to stop; StopEnd tells from
+	// then on when requests will be cut.
+	Stopping <-chan struct{}
+	StopEnd  func() time.Time
+	Log      func(*Record)
 }
 
 // Budget bounds the sends beyond the first of each request, by service.
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -19,8 +19,13 @@
 	// Nobody may wait longer than the work can be of use.
 	ctx, cancel := context.WithDeadline(ctx, r.DieBy)
 	defer cancel()
+	ctx, leave := x.untilStop(ctx)
+	defer leave()
 	made, err := x.opts.Pool.Run(ctx, r)
 	x.rec.StageTook = x.opts.Clock.Now().Sub(x.start)
+	if err != nil && errors.Is(context.Cause(ctx), errStops) {
+		return &kind.Error{Kind: kind.Draining, Detail: errStops.Error(), RetryAfter: drainingRetry, Cause: err}
+	}
 	if err != nil {
 		return x.stageError(err)
 	}
@@ -30,6 +35,29 @@
 	return nil
 }
 
+var errStops = errors.New("this host stops before the stream could end")
+
+// untilStop ends ctx when the process has been told to stop and the stream that
+// follows could no longer end before it does: refused now, the request can go to
+// another host; begun, it would be cut.
+func (x *exchange) untilStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	takes := x.times.expect(x.route.Name).total()
+	go func() {
+		select {
+		case <-x.opts.Stopping:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-x.opts.Clock.After(x.opts.StopEnd().Add(-takes).Sub(x.opts.Clock.Now())):
+			cancel(errStops)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
 		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), Worth: x.worth(),
