--- a/edge/edge.go
+++ b/edge/edge.go
@@ -142,7 +142,10 @@
 		MaxHeaderBytes: maxHeader, ErrorLog: quiet,
 	}
 	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerBound, ErrorLog: quiet}
-	h.metrics = &http.Server{Handler: h.meter, ReadHeaderTimeout: headerBound, ErrorLog: quiet}
+	operators := http.NewServeMux()
+	operators.Handle("GET /metrics", h.meter)
+	operators.HandleFunc("GET /state", h.serveState)
+	h.metrics = &http.Server{Handler: operators, ReadHeaderTimeout: headerBound, ErrorLog: quiet}
 }
 
 func (h *Host) counted(next http.Handler) http.Handler {
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -300,3 +301,28 @@
 	_ = conn.Close()
 	g.Eventually(stopped, "10s").Should(BeClosed())
 }
+
+// An operator asks a host what it believes: which configuration, how old, and
+// why a server gets no work.
+func TestStateTellsWhyAServerIsNotUsed(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	p.store.Put("servers", "ledger-1", with(p.servers["ledger-1"].Entry("a"), "state", "draining"))
+	_, _, metrics := h.Addresses()
+	read := func() hostState {
+		resp, err := http.Get("http://" + metrics + "/state")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		var s hostState
+		g.Expect(json.NewDecoder(resp.Body).Decode(&s)).To(Succeed())
+		return s
+	}
+	g.Eventually(func() string { return read().Servers[1].Unused }, "10s").Should(Equal("it leaves"))
+	s := read()
+	g.Expect(s.Config).To(BeEquivalentTo(5))
+	g.Expect(s.Ready).To(BeTrue())
+	g.Expect(s.Servers).To(HaveLen(4))
+	g.Expect(s.Servers[2].Unused).To(BeEmpty())
+}
--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"time"
+
+	"bilberrydale/process/balance"
+	"bilberrydale/process/directory"
+)
+
+// hostState is what the process believes, for operators.
+type hostState struct {
+	Host          string        `json:"host"`
+	Incarnation   uint64        `json:"incarnation"`
+	Ready         bool          `json:"ready"`
+	Stopping      bool          `json:"stopping"`
+	Config        int64         `json:"config_version"`
+	ConfigAge     float64       `json:"config_age_ms"` // since it was last confirmed
+	Reader        string        `json:"reader"`        // host that is asked for the platform; empty: none
+	StageByRegion bool          `json:"stage_work_by_region"`
+	StageWaiting  int           `json:"stage_work_waiting"`
+	StageLate     int           `json:"stage_work_waiting_late"`
+	Peers         []string      `json:"peers"`
+	Servers       []serverState `json:"servers"`
+}
+
+// serverState is one listed backend server, and why it gets no work.
+type serverState struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Domain   string  `json:"domain"`
+	Unused   string  `json:"unused,omitempty"` // empty: it is used
+	Inflight int64   `json:"inflight"`
+	Load     int     `json:"load"`
+	Errors   float64 `json:"errors"` // share of late answers that were failures
+}
+
+func (h *Host) state() hostState {
+	now := h.clock.Now()
+	_, age := h.keysFresh()
+	waiting, late := h.stages.Waiting()
+	s := hostState{
+		Host: h.self.Host, Incarnation: h.self.Incarnation, Ready: h.isReady(), Stopping: h.stopping.Load(),
+		ConfigAge: ms(age), Reader: h.reader(), StageByRegion: h.batchers.split.Load(),
+		StageWaiting: waiting, StageLate: late,
+	}
+	if p := h.plan.Load(); p != nil {
+		s.Config = p.Version
+	}
+	for _, id := range h.mesh.Peers() {
+		s.Peers = append(s.Peers, id.Host)
+	}
+	for _, srv := range h.directory.View().All() {
+		s.Servers = append(s.Servers, serverState{
+			ID: srv.ID, Service: srv.Service, Address: srv.Address, Domain: srv.Domain, Unused: unused(srv, now),
+			Inflight: srv.Inflight.Load(), Load: balance.Load(srv, now), Errors: srv.Errors(now),
+		})
+	}
+	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
+	return s
+}
+
+func unused(s *directory.Server, now time.Time) string {
+	switch {
+	case s.Draining:
+		return "it leaves"
+	case s.Avoided(now):
+		return "it did not answer a moment ago"
+	}
+	return ""
+}
+
+func (h *Host) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// Who asked may have gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(h.state())
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -38,6 +38,17 @@
 	p.must(h.start(binary))
 }
 
+// end ends a host's process by a signal and starts it again, unless another
+// fault is doing that.
+func (p *place) end(h *host, s syscall.Signal, binary string, pause time.Duration) {
+	if !h.restarting.TryLock() {
+		return
+	}
+	defer h.restarting.Unlock()
+	h.signal(s)
+	p.restart(h, binary, pause)
+}
+
 // relayFault disturbs the connections of a relay for a while.
 func relayFault(r *rand.Rand, x *relay) {
 	switch r.IntN(5) {
@@ -86,22 +97,10 @@
 
 var faults = []fault{
 	{"kill", func(p *place, r *rand.Rand, binary string) {
-		h := p.anyHost(r)
-		if !h.restarting.TryLock() {
-			return
-		}
-		defer h.restarting.Unlock()
-		h.signal(syscall.SIGKILL)
-		p.restart(h, binary, some(r, 0, 1500))
+		p.end(p.anyHost(r), syscall.SIGKILL, binary, some(r, 0, 1500))
 	}},
 	{"terminate", func(p *place, r *rand.Rand, binary string) {
-		h := p.anyHost(r)
-		if !h.restarting.TryLock() {
-			return
-		}
-		defer h.restarting.Unlock()
-		h.signal(syscall.SIGTERM)
-		p.restart(h, binary, some(r, 0, 500))
+		p.end(p.anyHost(r), syscall.SIGTERM, binary, some(r, 0, 500))
 	}},
 	{"pause", func(p *place, r *rand.Rand, _ string) {
 		h := p.anyHost(r)
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -243,6 +243,10 @@
 	p.local.moveWaiting()
 }
 
+// Waiting returns the number of requests that wait here for their stage work to
+// begin, and of those that are late already.
+func (p *Pool) Waiting() (onTime, late int) { return p.local.Waiting() }
+
 // Ask tells whether a host answers.
 func (p *Pool) Ask(ctx context.Context, host string) error {
 	return p.link.Call(ctx, host, methodHello, nil, nil)
