--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -210,7 +210,8 @@
 
 // Capacity is what the servers of a service can do now.
 type Capacity struct {
-	Servers int     // that are not avoided
+	Listed  int     // servers
+	Servers int     // of these, that are not avoided
 	Rate    float64 // items a second in full calls
 	// Room is what is left for results, in bytes, beside those of the items that
 	// already wait; it may be negative. RoomAll is all room; 0: not bounded.
@@ -219,7 +220,7 @@
 
 // Capacity returns what the servers can do at now.
 func (q *Queue) Capacity(now time.Time) Capacity {
-	var c Capacity
+	c := Capacity{Listed: len(q.servers)}
 	full := q.opts.expected(q.opts.MaxItems).Seconds()
 	for _, s := range q.servers {
 		if !s.Avoided(now) {
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -196,6 +196,10 @@
 			t.Rejected(batcher.Late)
 			continue
 		}
+		if a.unserved(t.Request) {
+			t.Rejected(batcher.NoServer)
+			continue
+		}
 		if stay(t) {
 			kept = append(kept, t)
 		}
@@ -204,6 +208,17 @@
 	return kept
 }
 
+// unserved tells whether a stage has no server at all. Its requests are refused
+// at once: waiting would only take the time in which another try may succeed.
+func (a *Admission) unserved(r *Request) bool {
+	for _, s := range r.Stages {
+		if svc, ok := a.services(s.Service); ok && s.Items > 0 && svc.Listed == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // path is how long the stages of a request take once it is begun.
 func (a *Admission) path(r *Request) time.Duration {
 	ends := make([]time.Duration, len(r.Stages))
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -14,7 +14,7 @@
 // ms an item, of at most 14, which makes 155 items a second.
 func sheet() Service {
 	o := batcher.Options{MaxItems: 14, CallTime: 240 * time.Millisecond, ItemTime: 15 * time.Millisecond}
-	return Service{Options: o, Capacity: batcher.Capacity{Servers: 5, Rate: 155}}
+	return Service{Options: o, Capacity: batcher.Capacity{Listed: 5, Servers: 5, Rate: 155}}
 }
 
 // line is an admission with simulated time in which begun requests take as long
@@ -169,3 +169,16 @@
 	g.Expect(r.depth(2)).To(Equal(1))
 	g.Expect(r.last()).To(Equal([]int{2, 3}))
 }
+
+// All servers of a stage are gone from the platform's list. Requests that need
+// it are refused at once; those that leave the stage out are not.
+func TestStageWithoutServersRefusesAtOnce(t *testing.T) {
+	gone := sheet()
+	gone.Capacity = batcher.Capacity{}
+	l := newLine(t, map[string]Service{"s": gone})
+	l.offer("needs it", 1, 1, time.Second, 10*time.Second)
+	l.offer("does not", 1, 0, time.Second, 10*time.Second)
+	l.a.Next(l.now)
+	l.g.Expect(l.rejected).To(Equal(map[string]batcher.Reason{"needs it": batcher.NoServer}))
+	l.g.Expect(l.begun).To(Equal([]string{"does not"}))
+}
