--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -21,6 +21,13 @@
 	digits  = 2
 )
 
+// maxHistograms bounds the memory, at about 20 kB each: names of routes come and
+// go with the configuration. What is over it is taken together.
+const (
+	maxHistograms = 256
+	overflow      = "others"
+)
+
 // Meter is safe for concurrent use.
 type Meter struct {
 	counters expvar.Map
@@ -51,6 +58,9 @@
 func (m *Meter) Observe(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.histograms[name] == nil && len(m.histograms) >= maxHistograms {
+		name = overflow
+	}
 	h := m.histograms[name]
 	if h == nil {
 		h = hdrhistogram.New(lowest, highest, digits)
