--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -328,3 +328,20 @@
 	b.end(second)
 	b.g.Expect(b.done["1/0"].ServerID).To(Equal("b"))
 }
+
+// A server has never refused an item for its room. However long it is listed,
+// all of its configured room is used.
+func TestRoomIsAsConfiguredUntilAServerRefuses(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	s := b.q.servers["a"]
+	all := b.q.roomOf(s)
+	b.q.Recover()
+	b.g.Expect(b.q.roomOf(s)).To(Equal(all))
+	b.submit("1", 1, time.Second, "x")
+	b.q.Ended(b.next()[0], Answer{Results: []Result{{Reason: NoRoom}}}, b.now)
+	b.g.Expect(b.q.roomOf(s)).To(BeNumerically("<", all))
+	for range 5 {
+		b.q.Recover()
+	}
+	b.g.Expect(b.q.roomOf(s)).To(Equal(all))
+}
--- a/process/meter/meter.go
+++ b/process/meter/meter.go
@@ -73,14 +73,14 @@
 // ServeHTTP implements http.Handler.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	m.WriteTo(w)
+	m.WriteText(w)
 }
 
 var quantiles = []float64{50, 90, 99, 100}
 
-// WriteTo writes all values in order of their names. A writer that fails gets
+// WriteText writes all values in order of their names. A writer that fails gets
 // no more; the next question gets all again.
-func (m *Meter) WriteTo(w io.Writer) {
+func (m *Meter) WriteText(w io.Writer) {
 	var lines []string
 	m.counters.Do(func(kv expvar.KeyValue) { lines = append(lines, kv.Key+" "+kv.Value.String()) })
 	m.gauges.Range(func(k, v any) bool {
--- a/process/meter/meter_test.go
+++ b/process/meter/meter_test.go
@@ -20,7 +20,7 @@
 	}
 	m.Observe("c", time.Hour)
 	var out bytes.Buffer
-	m.WriteTo(&out)
+	m.WriteText(&out)
 	g.Expect(out.String()).To(MatchRegexp(`^a 1.5
 b 3
 c_count 101
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -7,12 +7,6 @@
 	"bilberrydale/process/batcher"
 )
 
-// Service is what admission knows of one service.
-type Service struct {
-	batcher.Options
-	batcher.Capacity
-}
-
 // Admission decides which requests are begun, and when. It is pure and not
 // safe for concurrent use; Coordinator guards it.
 //
@@ -41,9 +35,8 @@
 	HeldByRoom bool
 	Took       []time.Duration // by each stage, once the work is done
 
-	late    bool
-	cost    float64 // seconds of all servers of its services
-	offered time.Time
+	late bool
+	cost float64 // seconds of all servers of its services
 }
 
 // NewAdmission returns an admission; services tells what is known of a service.
@@ -52,8 +45,7 @@
 }
 
 // Offer adds a request that wants to be begun.
-func (a *Admission) Offer(t *Ticket, now time.Time) {
-	t.offered = now
+func (a *Admission) Offer(t *Ticket) {
 	t.cost = a.cost(t.Request)
 	a.onTime = insert(a.onTime, t, func(x, y *Ticket) bool { return x.density() > y.density() })
 }
@@ -235,13 +227,6 @@
 	return longest
 }
 
-const (
-	// fullness of the calls that a request is expected to share.
-	fullness = 0.6
-	// callWait is the usual wait for a server, with the way there and back.
-	callWait = 60 * time.Millisecond
-)
-
 // begin starts what fits, in order.
 func (a *Admission) begin(list []*Ticket, fits func(*Ticket) bool) []*Ticket {
 	kept := list[:0]
@@ -296,46 +281,6 @@
 // waits for does not keep the other from it.
 const smallNeed = 20
 
-// bound is how many items of a service may be under way at a stage of some
-// depth: what its servers finish in the time from the begin of a request to the
-// end of that stage.
-func (s Service) bound(depth int, itemBytes int64) float64 {
-	rate := s.Rate
-	if s.RoomAll > 0 && itemBytes > 0 {
-		// A result holds its room until the stage behind has used it.
-		hold := 2*s.call() + callWait + freeing
-		rate = min(rate, float64(s.RoomAll)/float64(itemBytes)/hold.Seconds())
-	}
-	under := time.Duration(depth+1) * (s.call() + callWait)
-	if depth == 0 {
-		under += s.call() // so that a full call waits when a server is free
-	}
-	return rate * under.Seconds()
-}
-
-// call is the time of one call that is as full as usual.
-func (s Service) call() time.Duration {
-	return s.CallTime + time.Duration(fullness*float64(s.MaxItems))*s.ItemTime
-}
-
-// freeing is the time from the use of a result to its room being free.
-const freeing = 60 * time.Millisecond
-
-// full tells whether a first stage lacks room for results of need bytes. Its servers
-// keep results until the request runs; items that wait for room there would
-// hold up all behind them.
-func (s Service) full(need int64, share float64) bool {
-	if s.RoomAll <= 0 {
-		return false
-	}
-	lent := int64(roomLent * float64(s.RoomAll))
-	return need > s.Room+lent-int64((1-share)*float64(s.RoomAll)) && s.Room < s.RoomAll
-}
-
-// roomLent is room that is given away before it is free, so that a server finds
-// work waiting when results are given up.
-const roomLent = 0.25
-
 // BeginAgain counts the work of a request once more that has to be repeated;
 // false: it can be of no use any more.
 func (a *Admission) BeginAgain(t *Ticket, now time.Time) bool {
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 	t.Rejected = func(reason batcher.Reason) { l.rejected[id] = reason }
-	l.a.Offer(t, l.now)
+	l.a.Offer(t)
 }
 
 // pass lets the service finish items at its rate for d.
@@ -144,7 +144,7 @@
 	l := newLine(t, map[string]Service{"s": s})
 	for i, bytes := range []int64{800_000, 8_000} {
 		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ItemBytes: bytes}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(9 * time.Second)}
-		l.a.Offer(&Ticket{Request: r, Begin: func() { l.begun = append(l.begun, r.ID) }, Rejected: func(batcher.Reason) {}}, l.now)
+		l.a.Offer(&Ticket{Request: r, Begin: func() { l.begun = append(l.begun, r.ID) }, Rejected: func(batcher.Reason) {}})
 	}
 	l.a.Next(l.now)
 	l.g.Expect(l.begun).To(Equal([]string{"1"}))
@@ -154,7 +154,7 @@
 	l := newLine(t, map[string]Service{"s": sheet()})
 	r := &Request{ID: "1", Stages: []Stage{{Service: "s", Items: 1}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(time.Second)}
 	ticket := &Ticket{Request: r, Begin: func() { t.Error("begun") }, Rejected: func(batcher.Reason) { t.Error("rejected") }}
-	l.a.Offer(ticket, l.now)
+	l.a.Offer(ticket)
 	l.g.Expect(l.a.Withdraw(ticket)).To(BeTrue())
 	l.a.Next(l.now)
 	l.g.Expect(l.a.Withdraw(ticket)).To(BeFalse())
--- /dev/null
+++ b/process/stages/bound.go
@@ -0,0 +1,60 @@
+package stages
+
+import (
+	"time"
+
+	"bilberrydale/process/batcher"
+)
+
+// Service is what admission knows of one service.
+type Service struct {
+	batcher.Options
+	batcher.Capacity
+}
+
+const (
+	// fullness of the calls that a request is expected to share.
+	fullness = 0.6
+	// callWait is the usual wait for a server, with the way there and back.
+	callWait = 60 * time.Millisecond
+)
+
+// bound is how many items of a service may be under way at a stage of some
+// depth: what its servers finish in the time from the begin of a request to the
+// end of that stage.
+func (s Service) bound(depth int, itemBytes int64) float64 {
+	rate := s.Rate
+	if s.RoomAll > 0 && itemBytes > 0 {
+		// A result holds its room until the stage behind has used it.
+		hold := 2*s.call() + callWait + freeing
+		rate = min(rate, float64(s.RoomAll)/float64(itemBytes)/hold.Seconds())
+	}
+	under := time.Duration(depth+1) * (s.call() + callWait)
+	if depth == 0 {
+		under += s.call() // so that a full call waits when a server is free
+	}
+	return rate * under.Seconds()
+}
+
+// call is the time of one call that is as full as usual.
+func (s Service) call() time.Duration {
+	return s.CallTime + time.Duration(fullness*float64(s.MaxItems))*s.ItemTime
+}
+
+// freeing is the time from the use of a result to its room being free.
+const freeing = 60 * time.Millisecond
+
+// full tells whether a first stage lacks room for results of need bytes. Its servers
+// keep results until the request runs; items that wait for room there would
+// hold up all behind them.
+func (s Service) full(need int64, share float64) bool {
+	if s.RoomAll <= 0 {
+		return false
+	}
+	lent := int64(roomLent * float64(s.RoomAll))
+	return need > s.Room+lent-int64((1-share)*float64(s.RoomAll)) && s.Room < s.RoomAll
+}
+
+// roomLent is room that is given away before it is free, so that a server finds
+// work waiting when results are given up.
+const roomLent = 0.25
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -101,7 +101,7 @@
 		Rejected: func(reason batcher.Reason) { rejected <- reason },
 	}
 	k.mu.Lock()
-	k.admission.Offer(t, k.clock.Now())
+	k.admission.Offer(t)
 	k.mu.Unlock()
 	k.pump()
 	select {
