--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		opts := batcher.Options{
-			MaxItems: batch.MaxItems, CallTime: batch.CallTime, ItemTime: batch.ItemTime,
+			Slots: batch.Slots, MaxItems: batch.MaxItems, CallTime: batch.CallTime, ItemTime: batch.ItemTime,
 			RoomBytes: batch.RoomBytes, ResultTTL: batch.ResultTTL,
 		}
 		one := b.by[name]
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -11,7 +11,7 @@
 		return nil
 	}
 	c := &Call{Server: s.Server, sent: now}
-	start := s.freeAt(now)
+	start := q.freeAt(s, now)
 	if arrive := now.Add(s.oneWay); arrive.After(start) {
 		start = arrive
 	}
@@ -45,7 +45,7 @@
 		if q.take(nil, s, j) == 0 || j.failedOn[s.ID] && q.others(j) {
 			continue
 		}
-		if s.slow > slowFrom && s.freeAt(now).Add(q.takes(s, j)).After(j.DieBy) {
+		if s.slow > slowFrom && q.freeAt(s, now).Add(q.takes(s, j)).After(j.DieBy) {
 			continue
 		}
 		if best == nil || q.better(s, best, j) {
@@ -73,7 +73,7 @@
 func (q *Queue) soonerElsewhere(slow *server, j *Job, now time.Time) bool {
 	done := now.Add(q.takes(slow, j))
 	for _, s := range q.servers {
-		if s != slow && !s.Avoided(now) && q.take(nil, s, j) > 0 && s.freeAt(now).Add(q.takes(s, j)).Before(done) {
+		if s != slow && !s.Avoided(now) && q.take(nil, s, j) > 0 && q.freeAt(s, now).Add(q.takes(s, j)).Before(done) {
 			return true
 		}
 	}
@@ -131,8 +131,8 @@
 		return false
 	}
 	for _, s := range q.servers {
-		if s.Domain == j.Domain && !s.Avoided(now) && !now.Before(s.fullTil) && len(s.calls) < 2 && q.take(nil, s, j) > 0 &&
-			s.freeAt(now).Sub(now) < homeWait {
+		if s.Domain == j.Domain && !s.Avoided(now) && !now.Before(s.fullTil) && len(s.calls) <= q.opts.slots() && q.take(nil, s, j) > 0 &&
+			q.freeAt(s, now).Sub(now) < homeWait {
 			return true
 		}
 	}
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -65,6 +65,7 @@
 
 // Options describe a service; they follow the configuration in force.
 type Options struct {
+	Slots     int // calls that a server works on at once; at least 1
 	MaxItems  int // items of one call
 	CallTime  time.Duration
 	ItemTime  time.Duration
@@ -72,6 +73,8 @@
 	ResultTTL time.Duration
 }
 
+func (o *Options) slots() int { return max(o.Slots, 1) }
+
 func (o *Options) expected(items int) time.Duration {
 	return o.CallTime + time.Duration(items)*o.ItemTime
 }
--- a/process/batcher/outcome.go
+++ b/process/batcher/outcome.go
@@ -129,9 +129,10 @@
 		s.results = append(s.results, heldResults{until: now.Add(q.opts.ResultTTL), bytes: made})
 	}
 	// A call behind this one begins now, earlier or later than was expected.
-	for _, other := range s.calls {
-		other.StartBy = now.Add(-s.oneWay)
-		other.FreeAt = other.StartBy.Add(other.Expect)
+	if n := len(s.calls); n >= q.opts.slots() {
+		behind := s.calls[n-1]
+		behind.StartBy = now.Add(-s.oneWay)
+		behind.FreeAt = behind.StartBy.Add(behind.Expect)
 	}
 }
 
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -128,7 +129,7 @@
 	}
 	at := now.Add(maxSleep)
 	for _, s := range q.servers {
-		if s.Avoided(now) || len(s.calls) != 1 {
+		if s.Avoided(now) || len(s.calls) != q.opts.slots() {
 			continue
 		}
 		if t := s.sendAt(); t.After(now) && t.Before(at) {
@@ -144,7 +145,17 @@
 // sendAt is when the next call has to leave so that it arrives as the present
 // one ends. Without the lead a server stands idle for the way there and back
 // after each call, a tenth of its time between regions.
-func (s *server) sendAt() time.Time { return s.calls[0].FreeAt.Add(-2*s.oneWay - sendLead) }
+func (s *server) sendAt() time.Time { return s.ends()[0].Add(-2*s.oneWay - sendLead) }
+
+// ends are the expected ends of the present calls, the first one first.
+func (s *server) ends() []time.Time {
+	out := make([]time.Time, len(s.calls))
+	for i, c := range s.calls {
+		out[i] = c.FreeAt
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
 
 // sendLead covers the spread of call times: a call that arrives early waits in
 // the server's own queue, one that arrives late leaves the server idle.
@@ -155,10 +166,10 @@
 	var out []*server
 	for _, s := range q.servers {
 		s.expire(now)
-		if s.Avoided(now) || s.Gone() || len(s.calls) > 1 || now.Before(s.fullTil) {
+		if s.Avoided(now) || s.Gone() || len(s.calls) > q.opts.slots() || now.Before(s.fullTil) {
 			continue
 		}
-		if len(s.calls) == 1 && now.Before(s.sendAt()) {
+		if len(s.calls) == q.opts.slots() && now.Before(s.sendAt()) {
 			continue
 		}
 		out = append(out, s)
@@ -225,7 +236,7 @@
 	for _, s := range q.servers {
 		if !s.Avoided(now) {
 			c.Servers++
-			c.Rate += float64(q.opts.MaxItems) / (full * s.slow)
+			c.Rate += float64(q.opts.slots()*q.opts.MaxItems) / (full * s.slow)
 			c.RoomAll += q.roomOf(s)
 			c.Room += q.roomOf(s) - s.held()
 		}
@@ -236,9 +247,14 @@
 	return c
 }
 
-func (s *server) freeAt(now time.Time) time.Time {
-	if n := len(s.calls); n > 0 && s.calls[n-1].FreeAt.After(now) {
-		return s.calls[n-1].FreeAt
+// freeAt is when the server can begin one more call.
+func (q *Queue) freeAt(s *server, now time.Time) time.Time {
+	over := len(s.calls) - q.opts.slots()
+	if over < 0 {
+		return now
+	}
+	if at := s.ends()[over]; at.After(now) {
+		return at
 	}
 	return now
 }
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -345,3 +345,26 @@
 	}
 	b.g.Expect(b.q.roomOf(s)).To(Equal(all))
 }
+
+// Servers of a stage may work on several calls at once. They get as many, and
+// one that waits.
+func TestServersWithSeveralSlotsGetSeveralCalls(t *testing.T) {
+	opts := sheet
+	opts.Slots, opts.RoomBytes = 2, 0
+	b := newBench(t, opts, map[string]string{"a": "x"})
+	for i := range 4 {
+		b.submit(fmt.Sprint(i), 14, 10*time.Second, "x")
+	}
+	calls := b.next()
+	b.g.Expect(calls).To(HaveLen(2))
+	b.g.Expect(b.q.Capacity(b.now).Rate).To(BeNumerically("~", 2*14/0.45, 1))
+	b.now = calls[0].FreeAt.Add(-5 * time.Millisecond)
+	third := b.next()
+	b.g.Expect(third).To(HaveLen(1))
+	b.g.Expect(b.next()).To(BeEmpty())
+	b.now = calls[0].FreeAt.Add(time.Millisecond)
+	b.end(calls[0])
+	b.g.Expect(third[0].StartBy).To(Equal(b.now.Add(-time.Millisecond)))
+	b.end(calls[1])
+	b.g.Expect(b.next()).To(HaveLen(1))
+}
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -115,6 +115,7 @@
 	services map[string]*Service
 	hosts    map[string][]*Route // by host, longest path prefix first
 	keys     map[string]*Account
+	accounts int
 	names    []string
 }
 
@@ -139,6 +140,7 @@
 	for _, rs := range p.hosts {
 		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].PathPrefix) > len(rs[j].PathPrefix) })
 	}
+	p.accounts = len(c.Accounts)
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
 		for _, k := range a.Keys {
@@ -162,8 +164,9 @@
 // Account returns the holder of an API key, or nil.
 func (p *Plan) Account(key string) *Account { return p.keys[key] }
 
-// HasAccounts reports whether requests need a key at all.
-func (p *Plan) HasAccounts() bool { return len(p.keys) > 0 }
+// HasAccounts reports whether requests need a key at all. They do also where
+// every key was taken away.
+func (p *Plan) HasAccounts() bool { return p.accounts > 0 }
 
 // Service returns a service by name, or nil.
 func (p *Plan) Service(name string) *Service { return p.services[name] }
--- a/version/plan/plan_test.go
+++ b/version/plan/plan_test.go
@@ -41,4 +41,5 @@
 	g.Expect(p.Account("")).To(BeNil())
 	g.Expect(p.HasAccounts()).To(BeTrue())
 	g.Expect(Compile(Config{}).HasAccounts()).To(BeFalse())
+	g.Expect(Compile(Config{Accounts: []Account{{Name: "a"}}}).HasAccounts()).To(BeTrue(), "all its keys were taken away")
 }
