--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -326,3 +326,21 @@
 	g.Expect(s.Servers).To(HaveLen(4))
 	g.Expect(s.Servers[2].Unused).To(BeEmpty())
 }
+
+// The server's address belongs to another process by now, which refuses without
+// naming the request. It has not run: another server gets it.
+func TestRefusalWithoutAnIDOnANewConnection(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	p.serve("ledger-2", "ledger")
+	h := p.start("front-1")
+	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Del("Attempt-Id")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return true
+	})
+	for range 5 {
+		g.Expect(p.ask(h, "POST", "/transfer/1", "x").body).To(Equal("answer of ledger-2"))
+	}
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		s.Inflight.Add(-1)
 		cancel()
-		return nil, x.sendFailed(s, err)
+		return nil, x.sendFailed(s, now, err)
 	}
 	a := &attempt{server: s, answer: answer, cancel: cancel, head: platform.DecodeServer(answer.Status, answer.Header)}
 	if err := x.check(a); err != nil {
@@ -110,12 +110,23 @@
 	return a, nil
 }
 
-func (x *exchange) sendFailed(s *directory.Server, err error) error {
+// silentTime without a byte tells of the server, also when it was the request's
+// deadline that ended the wait; less may just be a request that came late.
+const silentTime = 500 * time.Millisecond
+
+// blame tells whether what ended an attempt, begun at a time, speaks against the
+// server.
+func (x *exchange) blame(began time.Time) bool {
+	now := x.opts.Clock.Now()
+	return x.r.Context().Err() == nil && (now.Before(x.deadline) || now.Sub(began) >= silentTime)
+}
+
+func (x *exchange) sendFailed(s *directory.Server, began time.Time, err error) error {
 	var failed *upstream.Error
 	if !errors.As(err, &failed) {
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
-	if x.r.Context().Err() == nil {
+	if x.blame(began) {
 		s.Failed(x.opts.Clock.Now())
 		x.opts.Upstream.Forget(s.Address)
 	}
@@ -126,9 +137,12 @@
 	return fmt.Errorf("%w: %s: %w", errBroken, s.ID, err)
 }
 
-// check tells whether the head is the server's own answer to this request.
+// check tells whether the head is the server's own answer to this request. A
+// refusal may come without an id, from a process that is not the server: on a
+// new connection it can only be the answer to this request.
 func (x *exchange) check(a *attempt) error {
-	if a.head.AttemptID != x.client.AttemptID {
+	anonymous := a.head.AttemptID == "" && a.head.NotRun && !a.answer.Reused
+	if a.head.AttemptID != x.client.AttemptID && !anonymous {
 		// An answer to another request, or bytes of a faulty server.
 		x.sent = true
 		return fmt.Errorf("%w: %s: the answer carries the id %q", errBroken, a.server.ID, a.head.AttemptID)
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -94,7 +94,9 @@
 	quiet.Stop()
 	a.close(err == nil)
 	if err != nil {
-		a.server.Failed(x.opts.Clock.Now())
+		if x.opts.Clock.Now().Before(x.deadline) {
+			a.server.Failed(x.opts.Clock.Now())
+		}
 		x.rec.Resumed++
 		return fmt.Errorf("%w: %s after event %q: %w", errBroken, a.server.ID, st.last, err)
 	}
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -135,7 +135,8 @@
 	sort.Strings(p.names)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		p.hosts[r.Host] = append(p.hosts[r.Host], r)
+		host := strings.ToLower(r.Host)
+		p.hosts[host] = append(p.hosts[host], r)
 	}
 	for _, rs := range p.hosts {
 		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].PathPrefix) > len(rs[j].PathPrefix) })
--- a/version/plan/plan_test.go
+++ b/version/plan/plan_test.go
@@ -12,7 +12,7 @@
 		{Name: "all", Host: "a.example", PathPrefix: "/"},
 		{Name: "x", Host: "a.example", PathPrefix: "/x/"},
 		{Name: "xy", Host: "a.example", PathPrefix: "/x/y/"},
-		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+		{Name: "other", Host: "B.example", PathPrefix: "/x/"},
 	}})
 	for path, want := range map[string]string{"/": "all", "/x": "all", "/x/": "x", "/x/y/z": "xy", "/x/yy": "x"} {
 		g.Expect(p.Match("a.example", path).Name).To(Equal(want), path)
