--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -206,3 +206,16 @@
 	g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
 	g.Expect(p.runs("model")).To(BeEmpty())
 }
+
+// The configuration has just come into force and is not yet confirmed. The host
+// is not ready: it would refuse the keys of the requests that it asked for.
+func TestHostIsNotReadyBeforeItsConfigurationIsConfirmed(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	g.Expect(h.isReady()).To(BeTrue())
+	never := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory}
+	never.plan.Store(h.plan.Load())
+	g.Expect(never.isReady()).To(BeFalse())
+}
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -28,8 +28,10 @@
 	if h.stopping.Load() || h.plan.Load() == nil || h.directory.View().Count() == 0 {
 		return false
 	}
-	_, age := h.keysFresh()
-	return !h.set.StrictRevoke || age < freshForReady
+	// The configuration is in force a moment before it counts as confirmed: a
+	// host that was ready between the two refused the keys of its first requests.
+	confirmed, age := h.keysFresh()
+	return !h.set.StrictRevoke || confirmed && age < freshForReady
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -136,8 +136,12 @@
 	return nil
 }
 
+// listBound is the time for a whole list, of many pages where a fleet starts at
+// once and the store spreads its answers.
+const listBound = 8 * time.Second
+
 func (f *Follower[T]) list(ctx context.Context, sent time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.Answer)
+	ctx, cancel := context.WithTimeout(ctx, listBound)
 	defer cancel()
 	a, err := f.opts.Source.List(ctx)
 	if err != nil {
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -204,6 +204,7 @@
 
 	passedOver time.Time // the other host, until then
 	direct     time.Time // the object API is not asked before
+	unready    time.Time // since then the other host knows nothing; zero: it does
 }
 
 const (
@@ -213,9 +214,20 @@
 	// the object API fail: a whole fleet that asks a store which is down, or back
 	// just now, costs it its rate. The other host goes on asking and tells.
 	directPause = 2 * time.Second
+	// unreadyWait is how long a host that knows nothing yet is waited for: it has
+	// just started, as a whole fleet may have. If all turned to the store then,
+	// hundreds would list thousands of servers beyond its rate, and none would
+	// end soon.
+	unreadyWait = 1500 * time.Millisecond
+	// relayListBound is the time for a list by way of the other host, which many
+	// may ask at once.
+	relayListBound = 2500 * time.Millisecond
 )
 
-var errRelay = errors.New("follow: the other host cannot tell")
+var (
+	errRelay   = errors.New("follow: the other host cannot tell")
+	errUnready = errors.New("it knows nothing yet")
+)
 
 // List implements Source.
 func (r *Relay[T]) List(ctx context.Context) (Answer[T], error) {
@@ -240,11 +252,17 @@
 	}
 	asked := r.Clock.Now()
 	a, err := r.askReader(ctx, reader, q)
+	now := r.Clock.Now()
+	if !errors.Is(err, errUnready) {
+		r.unready = time.Time{}
+	} else if r.unready.IsZero() {
+		r.unready = now
+	}
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		return a, err
 	}
-	now := r.Clock.Now()
-	if now.Before(r.direct) {
+	waits := !r.unready.IsZero() && now.Sub(r.unready) < unreadyWait
+	if waits || now.Before(r.direct) {
 		return a, err
 	}
 	r.passedOver = now.Add(relayPassOver)
@@ -269,6 +287,11 @@
 }
 
 func (r *Relay[T]) askReader(ctx context.Context, reader string, q relayRequest) (a Answer[T], err error) {
+	if q.List {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, relayListBound)
+		defer cancel()
+	}
 	var got relayAnswer[T]
 	err = r.Link.Call(ctx, reader, relayMethod(r.Kind), q, &got)
 	if err == nil && got.Gone {
@@ -278,7 +301,7 @@
 	switch {
 	case err != nil:
 	case !got.Ready:
-		err = errors.New("it knows nothing yet")
+		err = errUnready
 	case age > r.MaxAge:
 		err = fmt.Errorf("its knowledge is %s old", age)
 	default:
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -165,12 +165,23 @@
 	r.g.Expect(r.api.count()).To(Equal(1))
 }
 
-// A reader that has just started knows nothing yet.
-func TestReaderThatHasNotListedIsPassedOver(t *testing.T) {
+// The reader has just started, as all others have, and knows nothing yet. It is
+// waited for; the platform is asked only when that takes long.
+func TestReaderThatHasNotListedIsWaitedFor(t *testing.T) {
 	r := newRelayed(t)
+	for range 5 {
+		_, err := r.relay.List(t.Context())
+		r.g.Expect(err).To(MatchError(errUnready))
+		r.now.Advance(unreadyWait / 5)
+	}
 	_, err := r.relay.List(t.Context())
 	r.g.Expect(err).NotTo(HaveOccurred())
 	r.g.Expect(r.api.count()).To(Equal(1))
+	r.now.Advance(relayPassOver)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	_, err = r.relay.List(t.Context())
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(2), "the reader's own list")
 }
 
 // The asking host has seen a newer state than the reader has. A list of the
