--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -85,6 +85,9 @@
 // configProved moves the time up to which the configuration is confirmed. An
 // answer by way of another host may be older than one that came before it.
 func (h *Host) configProved(at time.Time) {
+	if h.unreadable.Load() {
+		return // what is in force is not the newest
+	}
 	h.confirmed.Store(max(h.confirmed.Load(), at.UnixNano()))
 }
 
@@ -93,6 +96,7 @@
 	if !ok {
 		return
 	}
+	h.unreadable.Store(o.Err != nil)
 	if o.Err != nil {
 		h.log.Error("configuration", "outcome", "not readable; the one in force stays", "revision", o.Revision, "err", o.Err)
 		return
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,9 @@
 	self   peer.Identity
 	mesh   *peer.Mesh
 	secret atomic.Pointer[string]
+	// unreadable: the newest configuration could not be read, so that the keys of
+	// the one in force cannot be confirmed.
+	unreadable atomic.Bool
 	// listed are the hosts as the platform last listed them; nil: not yet.
 	listed atomic.Pointer[map[string]follow.Object[peer.Identity]]
 
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -31,12 +31,15 @@
 	// Age is how long before the question the source itself had last made sure
 	// of what it says; 0 for the object API, which answers from its own state.
 	Age time.Duration
+	// Next is the name after which a list goes on; empty: this is its end.
+	Next string
 }
 
 // Source reads the objects of one kind.
 type Source[T any] interface {
-	// List returns all objects.
-	List(ctx context.Context) (Answer[T], error)
+	// List returns the objects after a name, or a first part of them with Next.
+	// ErrRefused means that the same may be asked for again a little later.
+	List(ctx context.Context, after string) (Answer[T], error)
 	// Watch returns the changes after from as soon as there are some, or none
 	// after wait. ErrHistoryGone means that from is too old.
 	Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error)
@@ -46,6 +49,10 @@
 // no longer kept. Use errors.Is.
 var ErrHistoryGone = errors.New("follow: history is gone")
 
+// ErrRefused is returned when the source did nothing, because it is busy or over
+// its rate. Use errors.Is.
+var ErrRefused = errors.New("follow: refused")
+
 var errOlder = errors.New("follow: the list is older than what is known")
 
 // Options of a Follower.
@@ -136,6 +143,45 @@
 	return nil
 }
 
+// pages reads a list to its end. A page that was refused is asked for again:
+// beginning anew would cost all pages before it once more. AsOf is that of the
+// first page: changes between the pages come again with the watch.
+func (f *Follower[T]) pages(ctx context.Context) (all Answer[T], err error) {
+	after, refused := "", 0
+	for first := true; ; first = false {
+		page, err := f.page(ctx, after)
+		if errors.Is(err, ErrRefused) && !first && refused < pageRefusals {
+			refused++
+			f.wait(ctx, pagePause)
+			continue
+		}
+		if err != nil {
+			return all, err
+		}
+		if first {
+			all.AsOf, all.Age = page.AsOf, page.Age
+		}
+		all.Objects = append(all.Objects, page.Objects...)
+		if after = page.Next; after == "" {
+			return all, nil
+		}
+	}
+}
+
+func (f *Follower[T]) page(ctx context.Context, after string) (Answer[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, pageBound)
+	defer cancel()
+	return f.opts.Source.List(ctx, after)
+}
+
+const (
+	// pageBound is the time for one page, of up to 1 MB, or for a list by way of
+	// another host, which many may ask at once.
+	pageBound    = 2500 * time.Millisecond
+	pagePause    = 150 * time.Millisecond
+	pageRefusals = 8
+)
+
 // listBound is the time for a whole list, of many pages where a fleet starts at
 // once and the store spreads its answers.
 const listBound = 8 * time.Second
@@ -143,7 +189,7 @@
 func (f *Follower[T]) list(ctx context.Context, sent time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, listBound)
 	defer cancel()
-	a, err := f.opts.Source.List(ctx)
+	a, err := f.pages(ctx)
 	if err != nil {
 		return err
 	}
@@ -197,7 +243,10 @@
 
 func (f *Follower[T]) pause(ctx context.Context) {
 	d := min(minPause<<min(f.tries, 5), maxPause)
-	d = time.Duration((0.5 + f.opts.Rand.Float64()/2) * float64(d))
+	f.wait(ctx, time.Duration((0.5+f.opts.Rand.Float64()/2)*float64(d)))
+}
+
+func (f *Follower[T]) wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-f.opts.Clock.After(d):
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -219,9 +219,6 @@
 	// hundreds would list thousands of servers beyond its rate, and none would
 	// end soon.
 	unreadyWait = 1500 * time.Millisecond
-	// relayListBound is the time for a list by way of the other host, which many
-	// may ask at once.
-	relayListBound = 2500 * time.Millisecond
 )
 
 var (
@@ -230,8 +227,12 @@
 )
 
 // List implements Source.
-func (r *Relay[T]) List(ctx context.Context) (Answer[T], error) {
-	return r.ask(ctx, relayRequest{List: true}, r.Direct.List)
+func (r *Relay[T]) List(ctx context.Context, after string) (Answer[T], error) {
+	direct := func(ctx context.Context) (Answer[T], error) { return r.Direct.List(ctx, after) }
+	if after != "" {
+		return direct(ctx) // only the object API gives a part of a list
+	}
+	return r.ask(ctx, relayRequest{List: true}, direct)
 }
 
 // Watch implements Source.
@@ -287,11 +288,6 @@
 }
 
 func (r *Relay[T]) askReader(ctx context.Context, reader string, q relayRequest) (a Answer[T], err error) {
-	if q.List {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, relayListBound)
-		defer cancel()
-	}
 	var got relayAnswer[T]
 	err = r.Link.Call(ctx, reader, relayMethod(r.Kind), q, &got)
 	if err == nil && got.Gone {
