A host is ready once its stages have servers, and a plan is shown once its batchers are there

Cause: readiness looked at the directory, which shows servers a moment before the batchers of the stages have them; the plan was shown before the batchers of its new services. A first request with stages in between was refused as having no server. Both tests failed before. Host logs of a failed test in edge are printed.

--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -22,9 +22,12 @@
 	host  *Host
 	mu    sync.RWMutex
 	by    map[string]*batcher.Batcher
+	plan  *plan.Plan      // in force here; nil before setPlan
 	ctx   context.Context // of the actors; nil before start
 	group *errgroup.Group
 	split atomic.Bool // stage work is collected in each region by itself
+	// ready is set once the batchers run with a plan and servers.
+	ready atomic.Bool
 }
 
 func newBatchers(h *Host) *batchers { return &batchers{host: h, by: map[string]*batcher.Batcher{}} }
@@ -38,8 +41,25 @@
 // start lets batchers run until ctx ends.
 func (b *batchers) start(ctx context.Context, g *errgroup.Group) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.ctx, b.group = ctx, g
-	b.mu.Unlock()
+	b.configure()
+}
+
+// setPlan puts a plan in force. It is called before requests get the plan: one
+// that came between the two would find no batcher for a new service and be
+// refused, though the service has servers.
+func (b *batchers) setPlan(p *plan.Plan) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.plan = p
+	b.configure()
+}
+
+// updateServers puts the directory's servers in force.
+func (b *batchers) updateServers() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.configure()
 }
 
@@ -88,11 +108,9 @@
 	return h.set.Regions[domain]
 }
 
-// configure puts the plan and the servers in force.
+// configure puts the plan and the servers in force. It is called with b.mu held.
 func (b *batchers) configure() {
-	p := b.host.plan.Load()
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	p := b.plan
 	if p == nil || b.ctx == nil {
 		return
 	}
@@ -116,6 +134,9 @@
 		}
 		one.Configure(opts, b.serversOf(view, name), func(s *directory.Server) time.Duration { return b.host.distance(s.Domain) })
 	}
+	if view.Count() > 0 {
+		b.ready.Store(true)
+	}
 }
 
 // serversOf returns the servers that this host may give work to: those of its
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -110,8 +110,8 @@
 		return
 	}
 	p := plan.Compile(o.Value)
+	h.batchers.setPlan(p)
 	h.plan.Store(p)
-	h.batchers.configure()
 	h.log.Info("configuration", "outcome", "in force", "version", p.Version, "revision", o.Revision, "by", why,
 		"routes", len(o.Value.Routes), "accounts", len(o.Value.Accounts))
 }
@@ -143,7 +143,7 @@
 	}
 	h.directory.Replace(entries)
 	h.logServers(before, h.directory.View(), why)
-	h.batchers.configure()
+	h.batchers.updateServers()
 }
 
 func (h *Host) logServers(before, after *directory.View, why string) {
--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -9,6 +9,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"bilberrydale/platform"
+	"bilberrydale/process/follow"
+	"bilberrydale/version/plan"
 )
 
 // The platform can no longer be reached. Once the bound for revoked keys comes
@@ -222,11 +226,47 @@
 	p := newPlace(t)
 	h := p.start("front-1")
 	g.Expect(h.isReady()).To(BeTrue())
-	never := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory}
+	never := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory, batchers: h.batchers}
 	never.plan.Store(h.plan.Load())
 	g.Expect(never.isReady()).To(BeFalse())
 }
 
+// The list of servers has just come into force and the batchers of the stages do
+// not have it yet. The host is not ready: it would refuse the first requests with
+// stages, as if no server could do them.
+func TestHostIsNotReadyBeforeItsStagesHaveServers(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	early := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory, batchers: newBatchers(h)}
+	early.plan.Store(h.plan.Load())
+	early.confirmed.Store(early.boot.Now().UnixNano())
+	g.Expect(early.isReady()).To(BeFalse())
+}
+
+// A configuration adds a stage's service while requests come. The first request
+// that gets the new plan finds the service's batcher, or it would be refused as
+// if the service had no server.
+func TestBatchersAreThereBeforeThePlanThatNeedsThem(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	c := plan.Config{Version: 100, Services: []plan.Service{{Name: "new", Batch: &plan.Batch{Slots: 1, MaxItems: 1}}}}
+	done := make(chan struct{})
+	h.batchers.mu.Lock() // the batchers cannot be changed yet
+	go func() {
+		defer close(done)
+		h.configChanged(map[string]follow.Object[plan.Config]{platform.NewestConfig: {Value: c}}, "test")
+	}()
+	g.Consistently(func() int64 { return h.plan.Load().Version }, "200ms").Should(BeEquivalentTo(5))
+	h.batchers.mu.Unlock()
+	g.Eventually(done, "10s").Should(BeClosed())
+	g.Expect(h.plan.Load().Version).To(BeEquivalentTo(100))
+	g.Expect(h.batchers.get("new")).NotTo(BeNil())
+}
+
 // The newest configuration cannot be read. It may have taken keys away: those of
 // the one in force are no longer confirmed, and honoured for the bound only.
 func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,7 +111,8 @@
 func (p *place) start(name string) *Host {
 	p.t.Helper()
 	set := p.settings(name)
-	h, err := New(Options{Settings: set, ReadSettings: func() (platform.Settings, error) { return set, nil }, Out: io.Discard})
+	out := &hostLog{}
+	h, err := New(Options{Settings: set, ReadSettings: func() (platform.Settings, error) { return set, nil }, Out: out})
 	NewWithT(p.t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -118,6 +121,9 @@
 	p.t.Cleanup(func() {
 		cancel()
 		NewWithT(p.t).Eventually(done, "20s").Should(Receive(BeNil()))
+		if p.t.Failed() {
+			p.t.Logf("log of %s:\n%s", name, out)
+		}
 	})
 	p.hosts = append(p.hosts, h)
 	_, ready, _ := h.Addresses()
@@ -125,6 +131,24 @@
 	return h
 }
 
+// hostLog keeps what a host logs, to be shown when its test fails.
+type hostLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *hostLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *hostLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func status(url string) int {
 	resp, err := http.Get(url)
 	if err != nil {
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -25,7 +25,10 @@
 const freshForReady = 2800 * time.Millisecond
 
 func (h *Host) isReady() bool {
-	if h.stopping.Load() || h.plan.Load() == nil || h.directory.View().Count() == 0 {
+	// Listed servers are not enough: their stages' batchers get them a moment
+	// later, and a host that was ready between the two refused its first requests
+	// with stages, as if the stages had no server.
+	if h.stopping.Load() || h.plan.Load() == nil || h.directory.View().Count() == 0 || !h.batchers.ready.Load() {
 		return false
 	}
 	// The configuration is in force a moment before it counts as confirmed: a
