The platform's names stand in platform/ alone, in tests too; tests wait for events

platformtest writes configurations, entries and headers from our own types. Faults of the soak last for requests instead of times, the relay's silence ends with a channel, benchmarks of membership count heartbeats.

--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -11,7 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	"bilberrydale/platform"
+	"bilberrydale/platform/platformtest"
 	"bilberrydale/process/follow"
+	"bilberrydale/process/peer"
 	"bilberrydale/version/plan"
 )
 
@@ -45,14 +47,14 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	h := p.start("front-1")
-	p.config["version"] = 9
-	p.config["tenants"] = []map[string]any{{"name": "boilers", "api_keys": []string{"another"}}}
-	p.store.Put("config", "main", p.config)
+	p.config.Version = 9
+	p.config.Accounts[0].Keys = []string{"another"}
+	p.store.PutConfig(p.config)
 	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "20s").Should(Equal(http.StatusUnauthorized))
-	p.config["version"] = 7
-	p.config["tenants"] = []map[string]any{{"name": "boilers", "api_keys": []string{testKey}}}
-	p.store.Put("config", "main", p.config)
-	p.store.PutRaw("config", "other", []byte(`"left by somebody"`))
+	p.config.Version = 7
+	p.config.Accounts[0].Keys = []string{testKey}
+	p.store.PutConfig(p.config)
+	p.store.PutForeignConfig()
 	g.Consistently(func() int { return p.ask(h, "GET", "/status/1", "").status }, "1s").Should(Equal(http.StatusUnauthorized))
 }
 
@@ -63,7 +65,7 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	for i, spec := range []string{`7`, `{"service":"ledger"}`, `{"service":"ledger","address":5}`, `null`, `"x"`} {
-		p.store.PutRaw("servers", fmt.Sprintf("foreign-%d", i), []byte(spec))
+		p.store.PutForeignServer(fmt.Sprintf("foreign-%d", i), spec)
 	}
 	h := p.start("front-1")
 	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
@@ -79,11 +81,11 @@
 	p.serve("ledger-2", "ledger")
 	p.serve("ledger-3", "ledger")
 	h := p.start("front-1")
-	p.store.Put("servers", "ledger-1", with(p.servers["ledger-1"].Entry("a"), "state", "draining"))
+	p.store.PutServer(p.servers["ledger-1"], "a", true)
 	usable := func() int { return len(h.directory.View().Servers("ledger")) }
 	g.Eventually(usable, "10s").Should(Equal(2))
 	p.store.SetDeaf(true)
-	p.store.Delete("servers", "ledger-2")
+	p.store.DeleteServer("ledger-2")
 	p.store.Forget()
 	p.store.SetDeaf(false)
 	g.Eventually(usable, "10s").Should(Equal(1))
@@ -103,7 +105,7 @@
 	p.servers["model-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		s := p.servers["model-1"]
 		s.Note(r)
-		w.Header().Set("Response-Stamp", "s")
+		platformtest.Sign(w.Header(), "s")
 		s.Events(w, 1, 2)
 		<-release
 		s.Events(w, 3, 5)
@@ -123,7 +125,7 @@
 	g.Eventually(got, "10s").Should(Receive(&s))
 	g.Expect(s.err).NotTo(HaveOccurred())
 	g.Expect(strings.Count(s.body, "data: piece")).To(Equal(5))
-	g.Eventually(func() []string { return p.store.Names("entryhosts") }, "10s").Should(BeEmpty())
+	g.Eventually(p.store.Hosts, "10s").Should(BeEmpty())
 }
 
 func TestMetricsAreServedAsText(t *testing.T) {
@@ -156,17 +158,17 @@
 	t.Parallel()
 	g := NewWithT(t)
 	p := newPlace(t)
-	p.store.Put("entryhosts", "lost", map[string]any{"address": "127.0.0.1:1", "incarnation": 1, "domain": "a", "region": "r"})
+	p.store.PutHost(peer.Identity{Host: "lost", Address: "127.0.0.1:1", Incarnation: 1, Domain: "a", Region: "r"})
 	h := p.start("front-1")
 	g.Eventually(func() bool { return h.listed.Load() != nil && len(*h.listed.Load()) == 2 }, "10s").Should(BeTrue())
 	silent := map[string]time.Time{}
 	h.pruneOnce(t.Context(), silent)
-	g.Expect(p.store.Names("entryhosts")).To(ContainElement("lost"))
+	g.Expect(p.store.Hosts()).To(ContainElement("lost"))
 	silent["lost"] = silent["lost"].Add(-lostAfter)
 	h.pruneOnce(t.Context(), silent)
-	g.Expect(p.store.Names("entryhosts")).To(Equal([]string{"front-1"}))
-	p.store.Delete("entryhosts", "front-1")
-	g.Eventually(func() []string { return p.store.Names("entryhosts") }, "20s").Should(Equal([]string{"front-1"}))
+	g.Expect(p.store.Hosts()).To(Equal([]string{"front-1"}))
+	p.store.DeleteHost("front-1")
+	g.Eventually(p.store.Hosts, "20s").Should(Equal([]string{"front-1"}))
 }
 
 // A request waits for its stages while the process is told to stop. Its stream
@@ -176,15 +178,9 @@
 	t.Parallel()
 	g := NewWithT(t)
 	p := newPlace(t)
-	for _, r := range p.config["routes"].([]map[string]any) {
-		r["timeout_ms"], r["target_latency_ms"] = 20000, 5000
-	}
-	for _, s := range p.config["services"].([]map[string]any) {
-		if s["name"] == "portal" {
-			s["pieces"].(map[string]any)["call_ms"] = 4000 // so that the call is awaited
-		}
-	}
-	p.store.Put("config", "main", p.config)
+	p.route("staged").Timeout, p.route("staged").TargetLatency = 20*time.Second, 5*time.Second
+	p.config.Services[3].Batch.CallTime = 4 * time.Second // so that the call is awaited
+	p.store.PutConfig(p.config)
 	h := p.start("front-1")
 	hold := make(chan struct{})
 	defer close(hold)
@@ -196,9 +192,8 @@
 	})
 	got := make(chan reply, 1)
 	go func() {
-		got <- p.ask(h, "POST", "/stream/staged/1", "x", func(h http.Header) {
-			h.Set("Pieces", "1,1")
-			h.Set("Deadline-Ms", "20000")
+		got <- p.ask(h, "POST", "/stream/staged/1", "x", func(q *platformtest.Request) {
+			q.Items, q.Deadline = []int{1, 1}, 20*time.Second
 		})
 	}()
 	g.Eventually(arrived, "10s").Should(Receive(), func() string {
@@ -274,10 +269,10 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	h := p.start("front-1")
-	p.store.PutRaw("config", "main", []byte(`{"version":"new"}`))
+	p.store.PutUnreadableConfig()
 	g.Eventually(h.unreadable.Load, "10s").Should(BeTrue())
 	g.Eventually(func() string { return p.ask(h, "GET", "/status/1", "").body }, "20s").Should(ContainSubstring("keys_not_fresh"))
-	p.config["version"] = 12
-	p.store.Put("config", "main", p.config)
+	p.config.Version = 12
+	p.store.PutConfig(p.config)
 	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "20s").Should(Equal(http.StatusOK))
 }
--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 
 	"bilberrydale/platform"
 	"bilberrydale/platform/platformtest"
+	"bilberrydale/version/plan"
 )
 
 // place is a platform with one entry host, built of stand-ins.
@@ -27,9 +29,11 @@
 	servers map[string]*platformtest.Server
 	hosts   []*Host
 	stops   []func()
-	config  map[string]any
+	config  plan.Config
 }
 
+const userAgent = "boiler/1"
+
 const testKey = "key-of-boilers"
 
 // newPlace starts a store and one backend server of each service; the entry
@@ -43,49 +47,51 @@
 	for _, service := range []string{"ledger", "model", "floor", "portal"} {
 		p.serve(service+"-1", service)
 	}
-	p.config = map[string]any{
-		"version": 5,
-		"routes": []map[string]any{
-			route("transfer", "unsafe", "ledger"), route("status", "safe", "ledger"),
-			route("stream", "streaming", "model"), with(route("resume", "streaming", "model"), "resumable", true),
-			with(route("staged", "streaming", "model"), "stages", []map[string]any{
-				{"service": "floor", "after": []int{}, "bytes": 1000},
-				{"service": "portal", "after": []int{0}, "bytes": 1000},
-			}),
-			with(route("open", "safe", "ledger"), "public", true),
+	p.config = plan.Config{
+		Version: 5,
+		Routes: []plan.Route{
+			route("transfer", plan.Unsafe, "ledger"), route("status", plan.Safe, "ledger"), route("open", plan.Safe, "ledger"),
+			route("stream", plan.Stream, "model"), route("resume", plan.Stream, "model"), route("staged", plan.Stream, "model"),
 		},
-		"services": []map[string]any{
-			{"name": "ledger", "health_path": "/health", "max_conns": 48},
-			{"name": "model", "health_path": "/health", "max_conns": 48, "engine": map[string]any{"slots": 8}},
-			{"name": "floor", "health_path": "/health", "max_conns": 48, "pieces": pieces()},
-			{"name": "portal", "health_path": "/health", "max_conns": 48, "pieces": pieces()},
+		Services: []plan.Service{
+			{Name: "ledger"},
+			{Name: "model", Engine: &plan.Engine{Slots: 8}},
+			{Name: "floor", Batch: batch()},
+			{Name: "portal", Batch: batch()},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "boilers", "api_keys": []string{testKey}}},
+		Limits:   plan.Limits{HeaderBytes: 16384, BodyBytes: 4096, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Accounts: []plan.Account{{Name: "boilers", Keys: []string{testKey}}},
 	}
-	p.store.Put("config", "main", p.config)
+	p.route("open").Public = true
+	p.route("resume").Resumable = true
+	p.route("staged").Stages = []plan.Stage{{Service: "floor", ResultBytes: 1000}, {Service: "portal", After: []int{0}, ResultBytes: 1000}}
+	p.store.PutConfig(p.config)
 	return p
 }
 
-func pieces() map[string]any {
-	return map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 5, "item_ms": 1, "headroom_mb": 1, "handle_s": 4}
+func batch() *plan.Batch {
+	return &plan.Batch{
+		Slots: 1, Queue: 2, MaxItems: 8, CallTime: 5 * time.Millisecond, ItemTime: time.Millisecond,
+		RoomBytes: 1_000_000, ResultTTL: 4 * time.Second,
+	}
 }
 
 // route returns a route under the path /stream/NAME/ or /NAME/.
-func route(name, kind, service string) map[string]any {
+func route(name string, kind plan.Kind, service string) plan.Route {
 	path := "/" + name + "/"
-	if kind == "streaming" {
+	if kind == plan.Stream {
 		path = "/stream" + path
 	}
-	return map[string]any{
-		"name": name, "host": "soap.example", "path_prefix": path, "kind": kind, "service": service,
-		"timeout_ms": 4000, "target_latency_ms": 1000, "max_attempts": 2, "priority": 1, "gap_aim_ms": 400,
+	return plan.Route{
+		Name: name, Host: "soap.example", PathPrefix: path, Kind: kind, Targets: []plan.Target{{Service: service, Weight: 1}},
+		Timeout: 4 * time.Second, TargetLatency: time.Second, MaxEventGap: 400 * time.Millisecond, MaxAttempts: 2, Priority: 1,
 	}
 }
 
-func with(m map[string]any, key string, value any) map[string]any {
-	m[key] = value
-	return m
+// route returns a route of the configuration, to be changed.
+func (p *place) route(name string) *plan.Route {
+	i := slices.IndexFunc(p.config.Routes, func(r plan.Route) bool { return r.Name == name })
+	return &p.config.Routes[i]
 }
 
 // serve starts one more backend server and lists it.
@@ -93,7 +99,7 @@
 	s := platformtest.NewServer(id, service)
 	p.t.Cleanup(s.HTTP.Close)
 	p.servers[id] = s
-	p.store.Put("servers", id, s.Entry("a"))
+	p.store.PutServer(s, "a", false)
 	return s
 }
 
@@ -168,8 +174,8 @@
 
 var attempts atomic.Int64
 
-// ask sends one request of a client.
-func (p *place) ask(h *Host, method, path, body string, change ...func(http.Header)) reply {
+// ask sends one request of a client; change may alter what it says.
+func (p *place) ask(h *Host, method, path, body string, change ...func(*platformtest.Request)) reply {
 	p.t.Helper()
 	callers, _, _ := h.Addresses()
 	req, err := http.NewRequest(method, "http://"+callers+path, strings.NewReader(body))
@@ -177,12 +183,12 @@
 		p.t.Fatal(err)
 	}
 	req.Host = "soap.example"
-	req.Header.Set("Attempt-Id", fmt.Sprintf("a%015x", attempts.Add(1)))
-	req.Header.Set("Deadline-Ms", "3000")
-	req.Header.Set("Authorization", "Bearer "+testKey)
+	said := platformtest.Request{ID: fmt.Sprintf("a%015x", attempts.Add(1)), Deadline: 3 * time.Second, Key: testKey}
 	for _, f := range change {
-		f(req.Header)
+		f(&said)
 	}
+	said.Set(req.Header)
+	req.Header.Set("User-Agent", userAgent)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -25,22 +25,22 @@
 		return true
 	})
 
-	r := p.ask(h, "POST", "/transfer/x?n=1", "soap", func(h http.Header) { h.Set("User-Agent", "boiler/1") })
+	r := p.ask(h, "POST", "/transfer/x?n=1", "soap")
 	g.Expect(r.status).To(Equal(http.StatusOK))
 	g.Expect(r.body).To(Equal("answer of ledger-1"))
-	g.Expect(r.header.Get("Response-Stamp")).NotTo(BeEmpty())
+	g.Expect(platformtest.Signed(r.header)).To(BeTrue())
 	g.Expect(r.header).NotTo(HaveKey("Date"), "a header that the server did not send")
 	g.Expect(r.header).NotTo(HaveKey("Content-Type"), "a header that the server did not send")
 	run := p.runs("ledger")[0]
 	g.Expect(run.URI).To(Equal("/transfer/x?n=1"))
 	g.Expect(run.Body).To(Equal("soap"))
 	g.Expect(run.Host).To(Equal("soap.example"))
-	g.Expect(run.Header.Get("Tenant")).To(Equal("boilers"))
-	g.Expect(run.Header).NotTo(HaveKey("Authorization"), "the key was passed on")
-	g.Expect(run.Header.Get("User-Agent")).To(Equal("boiler/1"))
+	g.Expect(run.Account()).To(Equal("boilers"))
+	g.Expect(run.HasKey()).To(BeFalse(), "the key was passed on")
+	g.Expect(run.Header.Get("User-Agent")).To(Equal(userAgent))
 
 	g.Expect(p.ask(h, "GET", "/status/1", "").body).To(Equal("answer of ledger-1"))
-	g.Expect(p.ask(h, "GET", "/open/1", "", func(h http.Header) { h.Del("Authorization") }).status).To(Equal(http.StatusOK))
+	g.Expect(p.ask(h, "GET", "/open/1", "", func(q *platformtest.Request) { q.Key = "" }).status).To(Equal(http.StatusOK))
 
 	s := p.ask(h, "POST", "/stream/stream/1", "prompt")
 	g.Expect(s.err).NotTo(HaveOccurred())
@@ -52,12 +52,11 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	h := p.start("front-1")
-	r := p.ask(h, "POST", "/stream/staged/1", "prompt", func(h http.Header) {
-		h.Set("Pieces", "2,3")
-		h.Set("Piece-Key", "k")
+	r := p.ask(h, "POST", "/stream/staged/1", "prompt", func(q *platformtest.Request) {
+		q.Items, q.ItemKey = []int{2, 3}, "k"
 	})
 	g.Expect(r.status).To(Equal(http.StatusOK), r.body)
-	inputs := strings.Split(p.runs("model")[0].Header.Get("Inputs"), ",")
+	inputs := p.runs("model")[0].Inputs()
 	g.Expect(inputs).To(HaveLen(3))
 	for _, in := range inputs {
 		g.Expect(in).To(HavePrefix(p.servers["portal-1"].Address() + "/"))
@@ -76,7 +75,7 @@
 	first, second := p.start("front-1"), p.start("front-2")
 	g.Eventually(func() int { return len(second.mesh.Peers()) }, "20s").Should(Equal(1))
 	staged := func(h *Host) int {
-		return p.ask(h, "POST", "/stream/staged/1", "x", func(h http.Header) { h.Set("Pieces", "1,1") }).status
+		return p.ask(h, "POST", "/stream/staged/1", "x", func(q *platformtest.Request) { q.Items = []int{1, 1} }).status
 	}
 	g.Expect(staged(second)).To(Equal(http.StatusOK))
 	g.Expect(second.meter.Counter("stage_calls_floor")).To(BeZero())
@@ -94,24 +93,13 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	h := p.start("front-1")
-	r := p.ask(h, "POST", "/transfer/1", "x", func(h http.Header) {
-		for _, name := range []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Inputs", "Expect-Version", "Request-Priority"} {
-			h.Set(name, "1")
-		}
-		h.Set("Tenant", "others")
-		h.Set("Expect-Instance", "i-other")
-		h.Set("Connection", "Attempt-Id, X-Drop")
-		h.Set("X-Drop", "1")
-		h.Set("X-Keep", "1")
-	})
+	r := p.ask(h, "POST", "/transfer/1", "x", func(q *platformtest.Request) { q.Forged = true })
 	g.Expect(r.status).To(Equal(http.StatusOK))
-	got := p.runs("ledger")[0].Header
-	for _, name := range []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Inputs", "Expect-Version", "Request-Priority", "X-Drop"} {
-		g.Expect(got).NotTo(HaveKey(name))
-	}
-	g.Expect(got.Get("Tenant")).To(Equal("boilers"))
-	g.Expect(got.Get("X-Keep")).To(Equal("1"))
-	g.Expect(got.Get("Attempt-Id")).NotTo(BeEmpty())
+	got := p.runs("ledger")[0]
+	g.Expect(got.Forged()).To(BeEmpty())
+	g.Expect(got.Account()).To(Equal("boilers"))
+	g.Expect(got.Header.Get("User-Agent")).To(Equal(userAgent))
+	g.Expect(got.ID()).NotTo(BeEmpty())
 }
 
 func TestRefusalsBeforeAnythingRuns(t *testing.T) {
@@ -120,9 +108,9 @@
 	p := newPlace(t)
 	h := p.start("front-1")
 	g.Expect(p.ask(h, "GET", "/nowhere/1", "").status).To(Equal(http.StatusNotFound))
-	g.Expect(p.ask(h, "GET", "/status/1", "", func(h http.Header) { h.Set("Authorization", "Bearer x") }).status).To(Equal(http.StatusUnauthorized))
+	g.Expect(p.ask(h, "GET", "/status/1", "", func(q *platformtest.Request) { q.Key = "x" }).status).To(Equal(http.StatusUnauthorized))
 	g.Expect(p.ask(h, "POST", "/transfer/1", strings.Repeat("x", 5000)).status).To(Equal(http.StatusRequestEntityTooLarge))
-	g.Expect(p.ask(h, "GET", "/status/1", "", func(h http.Header) { h.Del("Attempt-Id") }).status).To(Equal(http.StatusBadRequest))
+	g.Expect(p.ask(h, "GET", "/status/1", "", func(q *platformtest.Request) { q.ID = "" }).status).To(Equal(http.StatusBadRequest))
 	g.Expect(p.runs("ledger")).To(BeEmpty())
 }
 
@@ -166,8 +154,7 @@
 	other := p.serve("ledger-2", "ledger")
 	h := p.start("front-1")
 	full := func(w http.ResponseWriter, _ *http.Request) bool {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		platformtest.RefuseNotRun(w)
 		return true
 	}
 	p.servers["ledger-1"].SetHandle(full)
@@ -190,7 +177,7 @@
 	h := p.start("front-1")
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		p.servers["ledger-1"].Note(r)
-		w.Header().Set("Response-Stamp", "s")
+		platformtest.Sign(w.Header(), "s")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
 	})
@@ -207,8 +194,8 @@
 	h := p.start("front-1")
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		p.servers["ledger-1"].Note(r)
-		w.Header().Set("Attempt-Id", "of-another")
-		w.Header().Set("Response-Stamp", "s")
+		platformtest.NameAnother(w.Header(), "of-another")
+		platformtest.Sign(w.Header(), "s")
 		_, _ = io.WriteString(w, "not yours")
 		return true
 	})
@@ -243,8 +230,8 @@
 	second := p.serve("model-2", "model")
 	second.SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		second.Note(r)
-		w.Header().Set("Response-Stamp", "second")
-		if r.Header.Get("Last-Event-Id") == "" {
+		platformtest.Sign(w.Header(), "second")
+		if platformtest.LastEvent(r) == 0 {
 			second.Events(w, 1, 2)
 			panic(http.ErrAbortHandler)
 		}
@@ -254,8 +241,8 @@
 	p.servers["model-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		s := p.servers["model-1"]
 		s.Note(r)
-		w.Header().Set("Response-Stamp", "first")
-		if r.Header.Get("Last-Event-Id") != "" {
+		platformtest.Sign(w.Header(), "first")
+		if platformtest.LastEvent(r) != 0 {
 			s.Events(w, 3, 5)
 			return true
 		}
@@ -295,8 +282,10 @@
 	callers, _, _ := h.Addresses()
 	conn, err := net.Dial("tcp", callers)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = io.WriteString(conn, "POST /stream/stream/1 HTTP/1.1\r\nHost: soap.example\r\nAttempt-Id: leaver\r\nContent-Length: 1\r\nAuthorization: Bearer "+testKey+"\r\n\r\nx")
+	req, err := http.NewRequest(http.MethodPost, "http://soap.example/stream/stream/1", strings.NewReader("x"))
 	g.Expect(err).NotTo(HaveOccurred())
+	platformtest.Request{ID: "leaver", Key: testKey}.Set(req.Header)
+	g.Expect(req.Write(conn)).To(Succeed())
 	g.Eventually(arrived, "10s").Should(BeClosed())
 	_ = conn.Close()
 	g.Eventually(stopped, "10s").Should(BeClosed())
@@ -309,7 +298,7 @@
 	g := NewWithT(t)
 	p := newPlace(t)
 	h := p.start("front-1")
-	p.store.Put("servers", "ledger-1", with(p.servers["ledger-1"].Entry("a"), "state", "draining"))
+	p.store.PutServer(p.servers["ledger-1"], "a", true)
 	_, _, metrics := h.Addresses()
 	read := func() hostState {
 		resp, err := http.Get("http://" + metrics + "/state")
@@ -336,7 +325,7 @@
 	p.serve("ledger-2", "ledger")
 	h := p.start("front-1")
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, _ *http.Request) bool {
-		w.Header().Del("Attempt-Id")
+		platformtest.NameAnother(w.Header(), "")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return true
 	})
--- a/internal/memberbench/bench_test.go
+++ b/internal/memberbench/bench_test.go
@@ -11,12 +11,13 @@
 	"bilberrydale/process/member"
 )
 
-// window is how long each size is measured at rest.
-const window = 8 * time.Second
-
-// settle lets the news of the start, the first details and dials pass, which
-// are not the state at rest.
-const settle = 12 * time.Second
+// A fleet is measured at rest over as many heartbeats of each host as it sends
+// in about 8 s. Those of the first 12 s or so pass before: with them go the news of
+// the start, the first details and dials, which are not the state at rest.
+const (
+	windowBeats = 32
+	settleBeats = 48
+)
 
 // figures are what one size gave. Rates are per second and daemon but for
 // those of the platform, which are for the whole fleet and for one domain.
@@ -44,7 +45,7 @@
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("hosts=%d,domains=%d,servers=%d", size.hosts, size.domains, size.servers), func(b *testing.B) {
 			f := newFleet(b, size)
-			time.Sleep(settle)
+			f.beats(settleBeats)
 			fig := f.atRest()
 			fig.LeavingLast = f.leaving().Seconds()
 			first, last := f.killed()
@@ -78,9 +79,15 @@
 	return t
 }
 
+// beats waits until the hosts have sent so many more heartbeats each.
+func (f *fleet) beats(each int64) {
+	end := f.totals().sent + each*int64(len(f.all))
+	f.wait("heartbeats", func() bool { return f.totals().sent >= end })
+}
+
 func (f *fleet) atRest() figures {
 	before, began := f.totals(), time.Now()
-	time.Sleep(window)
+	f.beats(windowBeats)
 	after, seconds := f.totals(), time.Since(began).Seconds()
 	per := func(n int64) float64 { return float64(n) / seconds / float64(len(f.all)) }
 	calls := float64(after.calls-before.calls) / seconds
--- a/internal/memberbench/fleet_test.go
+++ b/internal/memberbench/fleet_test.go
@@ -22,7 +22,11 @@
 	"bilberrydale/process/server"
 )
 
-const patience = time.Minute
+const (
+	patience = time.Minute
+	// resolution of measured times.
+	resolution = 2 * time.Millisecond
+)
 
 // shape is the size of a fleet.
 type shape struct {
@@ -182,11 +186,13 @@
 
 func (f *fleet) wait(what string, done func() bool) time.Duration {
 	began := time.Now()
+	look := time.NewTicker(resolution)
+	defer look.Stop()
 	for !done() {
 		if time.Since(began) > patience {
 			f.b.Fatalf("%s: not within %s", what, patience)
 		}
-		time.Sleep(2 * time.Millisecond) // a measurement's resolution, not a test's wait
+		<-look.C
 	}
 	return time.Since(began)
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -15,15 +15,19 @@
 	run  func(p *place, r *rand.Rand, binary string)
 }
 
-func some(r *rand.Rand, least, most int) time.Duration {
-	return time.Duration(least+r.IntN(most-least)) * time.Millisecond
+// some returns a number of requests. Faults last for requests, not for times: on
+// a busy machine they meet as many.
+func some(r *rand.Rand, least, most int) int { return least + r.IntN(most-least) }
+
+func someTime(r *rand.Rand, least, most int) time.Duration {
+	return time.Duration(some(r, least, most)) * time.Millisecond
 }
 
 func (p *place) anyHost(r *rand.Rand) *host      { return p.hosts[r.IntN(len(p.hosts))] }
 func (p *place) anyServer(r *rand.Rand) *backend { return p.servers[r.IntN(len(p.servers))] }
 
 // restart waits for the end of a process and starts it again.
-func (p *place) restart(h *host, binary string, pause time.Duration) {
+func (p *place) restart(h *host, binary string, pause int) {
 	h.mu.Lock()
 	exited := h.exited
 	h.mu.Unlock()
@@ -34,13 +38,13 @@
 		h.signal(syscall.SIGKILL)
 		<-exited
 	}
-	time.Sleep(pause)
+	p.log.more(pause)
 	p.must(h.start(binary))
 }
 
 // end ends a host's process by a signal and starts it again, unless another
 // fault is doing that.
-func (p *place) end(h *host, s syscall.Signal, binary string, pause time.Duration) {
+func (p *place) end(h *host, s syscall.Signal, binary string, pause int) {
 	if !h.restarting.TryLock() {
 		return
 	}
@@ -50,21 +54,22 @@
 }
 
 // relayFault disturbs the connections of a relay for a while.
-func relayFault(r *rand.Rand, x *relay) {
+func relayFault(p *place, r *rand.Rand, x *relay) {
 	switch r.IntN(5) {
 	case 0:
 		x.resetAll()
 	case 1:
-		x.delay.Store(int64(some(r, 20, 300)))
+		delay := someTime(r, 20, 300)
+		x.disturb(func(x *relay) { x.delay = delay })
 	case 2:
-		x.silent.Store(true)
+		x.disturb(func(x *relay) { x.silent, x.there = true, true })
 	case 3:
-		x.oneWay.Store(true)
+		x.disturb(func(x *relay) { x.silent = true })
 	case 4:
-		x.refuse.Store(true)
+		x.disturb(func(x *relay) { x.refuse = true })
 		x.resetAll()
 	}
-	time.Sleep(some(r, 200, 2500))
+	p.log.more(some(r, 25, 300))
 	x.heal()
 }
 
@@ -72,7 +77,7 @@
 func storeFault(p *place, r *rand.Rand) {
 	var mode atomic.Int32
 	mode.Store(int32(r.IntN(4)))
-	delay := some(r, 50, 400)
+	delay := someTime(r, 50, 400)
 	p.store.SetBefore(func(w http.ResponseWriter, q *http.Request) bool {
 		switch mode.Load() {
 		case 0:
@@ -82,7 +87,10 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 			return true
 		case 2:
-			time.Sleep(delay)
+			select {
+			case <-time.After(delay):
+			case <-q.Context().Done():
+			}
 			return false
 		default:
 			if q.Method == http.MethodGet {
@@ -91,48 +99,48 @@
 			panic(http.ErrAbortHandler) // a write without an answer
 		}
 	})
-	time.Sleep(some(r, 300, 3000))
+	p.log.more(some(r, 40, 400))
 	p.store.SetBefore(nil)
 }
 
 var faults = []fault{
 	{"kill", func(p *place, r *rand.Rand, binary string) {
-		p.end(p.anyHost(r), syscall.SIGKILL, binary, some(r, 0, 1500))
+		p.end(p.anyHost(r), syscall.SIGKILL, binary, some(r, 0, 200))
 	}},
 	{"terminate", func(p *place, r *rand.Rand, binary string) {
-		p.end(p.anyHost(r), syscall.SIGTERM, binary, some(r, 0, 500))
+		p.end(p.anyHost(r), syscall.SIGTERM, binary, some(r, 0, 60))
 	}},
 	{"pause", func(p *place, r *rand.Rand, _ string) {
 		h := p.anyHost(r)
 		h.signal(syscall.SIGSTOP)
-		time.Sleep(some(r, 100, 7000)) // also longer than keys may be honoured
+		p.log.more(some(r, 15, 900)) // also longer than keys may be honoured
 		h.signal(syscall.SIGCONT)
 	}},
 	{"reload", func(p *place, r *rand.Rand, _ string) { p.anyHost(r).signal(syscall.SIGHUP) }},
-	{"link to the store", func(p *place, r *rand.Rand, _ string) { relayFault(r, p.anyHost(r).relay) }},
-	{"link to a server", func(p *place, r *rand.Rand, _ string) { relayFault(r, p.anyServer(r).relay) }},
+	{"link to the store", func(p *place, r *rand.Rand, _ string) { relayFault(p, r, p.anyHost(r).relay) }},
+	{"link to a server", func(p *place, r *rand.Rand, _ string) { relayFault(p, r, p.anyServer(r).relay) }},
 	{"store", func(p *place, r *rand.Rand, _ string) { storeFault(p, r) }},
 	{"history", func(p *place, r *rand.Rand, _ string) {
 		p.store.SetDeaf(true)
-		time.Sleep(some(r, 100, 1000))
+		p.log.more(some(r, 15, 130))
 		p.store.Forget()
 		p.store.SetDeaf(false)
 	}},
 	{"key", func(p *place, _ *rand.Rand, _ string) { p.revoke() }},
 	{"configuration", func(p *place, _ *rand.Rand, _ string) { p.configure() }},
 	{"foreign entry", func(p *place, r *rand.Rand, _ string) {
-		p.store.PutRaw("servers", fmt.Sprintf("foreign-%d", r.IntN(5)), []byte(`{"service":"ledger","address":7}`))
+		p.store.PutForeignServer(fmt.Sprintf("foreign-%d", r.IntN(5)), `{"service":"ledger","address":7}`)
 	}},
 	{"server leaves", func(p *place, r *rand.Rand, _ string) {
 		b := p.anyServer(r)
-		p.list(b, "draining")
-		time.Sleep(some(r, 500, 2000))
-		p.list(b, "ready")
+		p.list(b, true)
+		p.log.more(some(r, 60, 250))
+		p.list(b, false)
 	}},
 	{"server lapses", func(p *place, r *rand.Rand, _ string) {
 		b := p.anyServer(r)
-		p.store.Delete("servers", b.ID)
-		time.Sleep(some(r, 200, 1500))
-		p.list(b, "ready")
+		p.store.DeleteServer(b.ID)
+		p.log.more(some(r, 25, 200))
+		p.list(b, false)
 	}},
 }
--- a/internal/soak/place_test.go
+++ b/internal/soak/place_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 	"time"
 
 	"bilberrydale/platform/platformtest"
+	"bilberrydale/version/plan"
 )
 
 const (
@@ -32,6 +32,7 @@
 	web     *httptest.Server
 	hosts   []*host
 	servers []*backend
+	log     *ledger
 
 	mu      sync.Mutex
 	version int
@@ -63,7 +64,7 @@
 func newPlace(t *testing.T, binary string, hosts int, base int) *place {
 	p := &place{
 		t: t, dir: t.TempDir(), store: platformtest.NewStore(), keys: []string{"key-1", "key-2"},
-		revoked: map[string]time.Time{}, ran: map[string][]string{},
+		revoked: map[string]time.Time{}, ran: map[string][]string{}, log: newLedger(),
 	}
 	p.web = httptest.NewServer(p.store)
 	t.Cleanup(p.web.Close)
@@ -93,44 +94,50 @@
 	b := &backend{s, r}
 	p.servers = append(p.servers, b)
 	s.SetHandle(func(w http.ResponseWriter, q *http.Request) bool { return p.serve(b, w, q) })
-	p.list(b, "ready")
+	p.list(b, false)
 }
 
-func (p *place) list(b *backend, state string) {
-	entry := b.Entry("a")
-	entry["state"] = state
-	p.store.Put("servers", b.ID, entry)
+func (p *place) list(b *backend, draining bool) {
+	p.store.PutServer(b.Server, "a", draining)
 }
 
 // serve answers as the backend server, and notes who ran what.
 func (p *place) serve(b *backend, w http.ResponseWriter, q *http.Request) bool {
-	if strings.HasPrefix(q.URL.Path, "/stage-") {
+	if platformtest.IsStageCall(q) {
 		return false
 	}
-	id := q.Header.Get("Attempt-Id")
+	id := platformtest.RequestID(q.Header)
 	_, _ = io.Copy(io.Discard, q.Body)
 	p.mu.Lock()
 	p.ran[id] = append(p.ran[id], b.ID)
 	p.mu.Unlock()
-	w.Header().Set("Response-Stamp", "stamp-"+id)
+	platformtest.Sign(w.Header(), "stamp-"+id)
 	if strings.HasPrefix(q.URL.Path, "/stream/") {
-		first := 1
-		_, _ = fmt.Sscanf(q.Header.Get("Last-Event-Id"), "%d", &first)
-		if q.Header.Get("Last-Event-Id") != "" {
-			first++
-		}
-		for i := first; i <= streamEvents; i++ {
+		for i := platformtest.LastEvent(q) + 1; i <= streamEvents; i++ {
 			b.Events(w, i, i)
-			time.Sleep(20 * time.Millisecond)
+			work(q, eventTime)
 		}
 		return true
 	}
-	time.Sleep(5 * time.Millisecond)
+	work(q, callTime)
 	_, _ = io.WriteString(w, "answer to "+id)
 	return true
 }
 
-const streamEvents = 8
+// Work of a backend server, so that faults meet requests under way.
+const (
+	streamEvents = 8
+	eventTime    = 20 * time.Millisecond
+	callTime     = 5 * time.Millisecond
+)
+
+// work takes a time of a server, or until nobody waits for it any more.
+func work(q *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-q.Context().Done():
+	}
+}
 
 // configure writes the next configuration with the keys that hold.
 func (p *place) configure() {
@@ -138,37 +145,35 @@
 	p.version += 3
 	version, keys := p.version, append([]string(nil), p.keys...)
 	p.mu.Unlock()
-	route := func(name, kind, service string, more map[string]any) map[string]any {
+	route := func(name string, kind plan.Kind, service string) plan.Route {
 		path := "/" + name + "/"
-		if kind == "streaming" {
+		if kind == plan.Stream {
 			path = "/stream" + path
 		}
-		m := map[string]any{
-			"name": name, "host": "soak.example", "path_prefix": path, "kind": kind, "service": service, "max_attempts": 2,
-			"timeout_ms": routeTime.Milliseconds(), "target_latency_ms": 800, "priority": 1, "gap_aim_ms": 400,
-		}
-		for k, v := range more {
-			m[k] = v
+		return plan.Route{
+			Name: name, Host: "soap.example", PathPrefix: path, Kind: kind, Targets: []plan.Target{{Service: service, Weight: 1}}, MaxAttempts: 2,
+			Timeout: routeTime, TargetLatency: 800 * time.Millisecond, Priority: 1, MaxEventGap: 400 * time.Millisecond,
 		}
-		return m
 	}
-	pieces := map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 5, "item_ms": 1, "headroom_mb": 1, "handle_s": 4}
-	stages := []map[string]any{{"service": "floor", "after": []int{}, "bytes": 1000}, {"service": "portal", "after": []int{0}, "bytes": 1000}}
-	p.store.Put("config", "main", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("transfer", "unsafe", "ledger", nil), route("status", "safe", "ledger", nil),
-			route("chat", "streaming", "model", map[string]any{"resumable": true}),
-			route("draft", "streaming", "model", map[string]any{"stages": stages, "max_attempts": 1}),
-		},
-		"services": []map[string]any{
-			{"name": "ledger"},
-			{"name": "model", "engine": map[string]any{"slots": 8}},
-			{"name": "floor", "pieces": pieces},
-			{"name": "portal", "pieces": pieces},
+	chat, draft := route("chat", plan.Stream, "model"), route("draft", plan.Stream, "model")
+	chat.Resumable = true
+	draft.MaxAttempts = 1
+	draft.Stages = []plan.Stage{{Service: "floor", ResultBytes: 1000}, {Service: "portal", After: []int{0}, ResultBytes: 1000}}
+	batch := &plan.Batch{
+		Slots: 1, Queue: 2, MaxItems: 8, CallTime: 5 * time.Millisecond, ItemTime: time.Millisecond,
+		RoomBytes: 1_000_000, ResultTTL: 4 * time.Second,
+	}
+	p.store.PutConfig(plan.Config{
+		Version: int64(version),
+		Routes:  []plan.Route{route("transfer", plan.Unsafe, "ledger"), route("status", plan.Safe, "ledger"), chat, draft},
+		Services: []plan.Service{
+			{Name: "ledger"},
+			{Name: "model", Engine: &plan.Engine{Slots: 8}},
+			{Name: "floor", Batch: batch},
+			{Name: "portal", Batch: batch},
 		},
-		"limits":  map[string]any{"max_body_bytes": 100000},
-		"tenants": []map[string]any{{"name": "soap", "api_keys": keys}},
+		Limits:   plan.Limits{BodyBytes: 100_000},
+		Accounts: []plan.Account{{Name: "soap", Keys: keys}},
 	})
 }
 
@@ -190,17 +195,11 @@
 	p.must(err)
 	p.t.Cleanup(r.stop)
 	h := &host{name: fmt.Sprintf("front-%d", i), ip: ip, relay: r, settings: filepath.Join(p.dir, fmt.Sprintf("host-%d.json", i))}
-	data, err := json.Marshal(map[string]any{
-		"node_name": h.name, "ip": ip, "zone": "a", "zones": map[string]string{"a": "r"},
-		"listen":         map[string]string{"front": ip + ":8625", "ready": ip + ":8621"},
-		"internal_ports": []int{7740, 7755}, "heartbeat_ms": 1200,
-		"limits": map[string]any{"memory_mb": 284, "cpu_share": 0.4, "cores": 1},
-		"bounds": map[string]any{
-			"grace_s": stopBound.Seconds(), "strict_revoke": true, "revoke_ms": revokeBound.Milliseconds(),
-			"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 200,
-		},
-		"platform": map[string]any{"address": r.address()},
-	})
+	data, err := platformtest.HostSettings{
+		Name: h.name, IP: ip, Domain: "a", Region: "r", Callers: ip + ":8625", Ready: ip + ":8621",
+		FirstPort: 7740, LastPort: 7755, StoreAddress: r.address(), StopBound: stopBound, RevokeBound: revokeBound,
+		Heartbeat: 1200 * time.Millisecond, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 200,
+	}.JSON()
 	p.must(err)
 	p.must(os.WriteFile(h.settings, data, 0o600))
 	h.log, err = os.Create(filepath.Join(p.dir, h.name+".log"))
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -4,21 +4,22 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // relay passes connections on to a target on loopback and disturbs them.
 type relay struct {
-	l       net.Listener
-	target  string
-	delay   atomic.Int64 // nanoseconds before each block
-	silent  atomic.Bool  // nothing passes, nothing is closed
-	oneWay  atomic.Bool  // nothing passes back
-	refuse  atomic.Bool  // new connections are reset
+	l      net.Listener
+	target string
+
 	mu      sync.Mutex
 	open    map[net.Conn]bool
-	stopped atomic.Bool
+	delay   time.Duration // before each block
+	refuse  bool          // new connections are reset
+	silent  bool          // nothing passes back, nothing is closed
+	there   bool          // with silent: nothing passes there either
+	healed  chan struct{} // closed when the present disturbance ends
+	stopped bool
 }
 
 func newRelay(target string) (*relay, error) {
@@ -26,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{l: l, target: target, open: map[net.Conn]bool{}}
+	r := &relay{l: l, target: target, open: map[net.Conn]bool{}, healed: make(chan struct{})}
 	go r.accept()
 	return r, nil
 }
@@ -39,7 +40,10 @@
 		if err != nil {
 			return
 		}
-		if r.refuse.Load() {
+		r.mu.Lock()
+		refuse := r.refuse
+		r.mu.Unlock()
+		if refuse {
 			reset(c)
 			continue
 		}
@@ -68,6 +72,27 @@
 	r.copy(c, up, true)
 }
 
+// hold blocks while a direction is silent, and for the delay of a slow link; the
+// end of the disturbance ends both.
+func (r *relay) hold(back bool) {
+	for {
+		r.mu.Lock()
+		silent, delay, healed := r.silent && (back || r.there), r.delay, r.healed
+		r.mu.Unlock()
+		if silent {
+			<-healed
+			continue
+		}
+		if delay > 0 {
+			select {
+			case <-time.After(delay):
+			case <-healed:
+			}
+		}
+		return
+	}
+}
+
 // copy passes one direction on; an end is passed on as an end, a reset as one.
 func (r *relay) copy(to, from net.Conn, back bool) {
 	defer func() {
@@ -78,12 +103,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		for (r.silent.Load() || back && r.oneWay.Load()) && !r.stopped.Load() {
-			time.Sleep(time.Millisecond)
-		}
-		if d := r.delay.Load(); d > 0 {
-			time.Sleep(time.Duration(d))
-		}
+		r.hold(back)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				reset(from)
@@ -107,24 +127,39 @@
 func (r *relay) resetAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.resetOpen()
+}
+
+func (r *relay) resetOpen() {
 	for c := range r.open {
 		reset(c)
 	}
 }
 
+// disturb begins a disturbance.
+func (r *relay) disturb(set func(r *relay)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopped {
+		set(r)
+	}
+}
+
 // heal ends every disturbance. Connections that were silent stay lost.
 func (r *relay) heal() {
-	r.delay.Store(0)
-	r.refuse.Store(false)
-	if r.silent.Load() || r.oneWay.Load() {
-		r.resetAll()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent {
+		r.resetOpen()
 	}
-	r.silent.Store(false)
-	r.oneWay.Store(false)
+	r.delay, r.refuse, r.silent, r.there = 0, false, false, false
+	close(r.healed)
+	r.healed = make(chan struct{})
 }
 
 func (r *relay) stop() {
-	r.stopped.Store(true)
+	r.disturb(func(r *relay) { r.stopped = true })
 	_ = r.l.Close()
+	r.heal()
 	r.resetAll()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,12 +17,16 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/onsi/gomega"
+
+	"bilberrydale/platform/platformtest"
 )
 
 var (
 	seedFlag  = flag.Uint64("soak.seed", 1, "seed of the first run")
 	runsFlag  = flag.Int("soak.runs", 1, "number of runs, each with the next seed")
-	timeFlag  = flag.Duration("soak.time", 4*time.Second, "time of faults in a run")
+	sizeFlag  = flag.Int("soak.requests", 500, "requests of a run while faults come")
 	hostsFlag = flag.Int("soak.hosts", 3, "daemons of a run")
 	keepFlag  = flag.String("soak.keep", "", "folder that keeps the logs of a failed run")
 )
@@ -67,7 +71,7 @@
 	p.await("all daemons are ready", func() bool { return p.allReady() })
 	ctx, stop := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	log := &ledger{}
+	log := p.log
 	for i := range 3 * len(p.hosts) {
 		c := &client{p: p, log: log, host: p.hosts[i%len(p.hosts)], r: rand.New(rand.NewPCG(seed, uint64(i)))}
 		clients.Go(func() { c.run(ctx) })
@@ -77,7 +81,7 @@
 	clients.Wait()
 	p.settle()
 	p.await("all daemons are ready after the faults", p.allReady)
-	p.recovered(log)
+	p.recovered()
 	p.judge(log.all())
 }
 
@@ -86,7 +90,7 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	var running sync.WaitGroup
 	slots := make(chan struct{}, 3)
-	for end := time.Now().Add(*timeFlag); time.Now().Before(end); {
+	for p.log.len() < *sizeFlag {
 		f := faults[r.IntN(len(faults))]
 		own := rand.New(rand.NewPCG(r.Uint64(), 1))
 		slots <- struct{}{}
@@ -95,7 +99,7 @@
 			defer func() { <-slots }()
 			f.run(p, own, binary)
 		})
-		time.Sleep(some(r, 20, 600))
+		p.log.more(some(r, 3, 75))
 	}
 	running.Wait()
 }
@@ -108,7 +112,7 @@
 	}
 	for _, b := range p.servers {
 		b.relay.heal()
-		p.list(b, "ready")
+		p.list(b, false)
 	}
 }
 
@@ -125,33 +129,55 @@
 const patience = 60 * time.Second
 
 func (p *place) await(what string, ok func() bool) {
-	for end := time.Now().Add(patience); !ok(); time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(end) {
-			p.t.Fatalf("not in time: %s", what)
-		}
-	}
+	p.t.Helper()
+	gomega.NewWithT(p.t).Eventually(ok, patience, "50ms").Should(gomega.BeTrue(), what)
 }
 
 // recovered asks each daemon for each kind until all are served.
-func (p *place) recovered(log *ledger) {
+func (p *place) recovered() {
 	for _, h := range p.hosts {
 		for _, path := range paths {
-			c := &client{p: p, log: log, host: h, r: rand.New(rand.NewPCG(1, 1))}
+			c := &client{p: p, log: p.log, host: h, r: rand.New(rand.NewPCG(1, 1))}
 			p.await(h.name+" serves "+path, func() bool { return c.send(path).status == http.StatusOK })
 		}
 	}
 }
 
+// ledger keeps what clients saw.
 type ledger struct {
 	mu   sync.Mutex
+	cond sync.Cond // of more entries
 	list []sent
 	n    int
 }
 
+func newLedger() *ledger {
+	l := &ledger{}
+	l.cond.L = &l.mu
+	return l
+}
+
 func (l *ledger) add(s sent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.list = append(l.list, s)
+	l.cond.Broadcast()
+}
+
+func (l *ledger) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.list)
+}
+
+// more returns when n more requests have ended. Each ends in time: its client
+// leaves after the route's time.
+func (l *ledger) more(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for end := len(l.list) + n; len(l.list) < end; {
+		l.cond.Wait()
+	}
 }
 
 func (l *ledger) next() int {
@@ -183,7 +209,10 @@
 func (c *client) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.send(paths[c.r.IntN(len(paths))])
-		time.Sleep(some(c.r, 5, 40))
+		select {
+		case <-time.After(someTime(c.r, 5, 40)): // as people do
+		case <-ctx.Done():
+		}
 	}
 	c.drop()
 }
@@ -221,8 +250,7 @@
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(routeTime + 2*time.Second))
 	s.at = time.Now()
-	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nPieces: 1,2\r\nPiece-Key: k\r\nContent-Length: 1\r\n\r\nx",
-		s.path, s.id, routeTime.Milliseconds(), s.key)
+	err := c.write(s)
 	var resp *http.Response
 	if err == nil {
 		resp, err = http.ReadResponse(c.in, nil)
@@ -231,7 +259,7 @@
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		s.status, s.body = resp.StatusCode, string(body)
-		if id := resp.Header.Get("Attempt-Id"); id != s.id {
+		if id := platformtest.RequestID(resp.Header); id != s.id {
 			c.p.t.Errorf("%s got the answer to %q", s.id, id)
 		}
 	}
@@ -241,6 +269,15 @@
 	}
 }
 
+func (c *client) write(s *sent) error {
+	req, err := http.NewRequest(http.MethodPost, "http://soap.example"+s.path, strings.NewReader("x"))
+	if err != nil {
+		return err
+	}
+	platformtest.Request{ID: s.id, Key: s.key, Deadline: routeTime, Items: []int{1, 2}, ItemKey: "k"}.Set(req.Header)
+	return req.Write(c.conn)
+}
+
 // promisedNotRun are statuses by which a request has not run and never will.
 func promisedNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
