--- a/cmd/bilberryedge/main.go
+++ b/cmd/bilberryedge/main.go
@@ -18,7 +18,11 @@
 )
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	// First of all: until then a SIGHUP, which only asks to read the settings
+	// again, ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(os.Args[1:], hup); err != nil {
 		fmt.Fprintln(os.Stderr, "bilberryedge:", err)
 		os.Exit(1)
 	}
@@ -28,7 +32,7 @@
 // harder; the rest is for unread bytes in sockets, which count as well.
 const memoryShare = 0.6
 
-func run(args []string) error {
+func run(args []string, hup <-chan os.Signal) error {
 	path := os.Getenv(platform.SettingsVariable)
 	p := flaggy.NewParser("bilberryedge")
 	p.Version = settings.Version()
@@ -49,17 +53,15 @@
 		fmt.Printf("%s: host %s in %s, clients at %s, store at %s\n", path, set.Host, set.Domain, set.Callers, set.StoreAddress)
 		return nil
 	}
-	return serve(set, read)
+	return serve(set, read, hup)
 }
 
-func serve(set platform.Settings, read func() (platform.Settings, error)) error {
+func serve(set platform.Settings, read func() (platform.Settings, error), hup <-chan os.Signal) error {
 	if set.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range hup {
