A client that leaves a stream no longer speaks against its server; one that cuts plain answers does

Both tests failed before. The wait for events is one timer with two lengths; the directory loses an unused hook.

--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -199,6 +200,20 @@
 	return reply{resp.StatusCode, resp.Header, string(data), err}
 }
 
+// dial sends a request and returns its connection, for clients that leave.
+func (p *place) dial(h *Host, path string) net.Conn {
+	p.t.Helper()
+	g := NewWithT(p.t)
+	callers, _, _ := h.Addresses()
+	conn, err := net.Dial("tcp", callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPost, "http://soap.example"+path, strings.NewReader("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	platformtest.Request{ID: "leaver", Key: testKey}.Set(req.Header)
+	g.Expect(req.Write(conn)).To(Succeed())
+	return conn
+}
+
 func (p *place) runs(service string) []platformtest.Run {
 	var out []platformtest.Run
 	for _, s := range p.servers {
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -145,6 +144,37 @@
 	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "10s").Should(Equal(http.StatusOK))
 }
 
+// A server's plain answers end in the middle. The safe request is served by the
+// other server, and the one that breaks its answers is passed over for a while.
+func TestServerThatCutsItsAnswersIsPassedOver(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	p.serve("ledger-2", "ledger")
+	h := p.start("front-1")
+	cut := map[string]bool{}
+	first := make(chan string, 1)
+	for _, id := range []string{"ledger-1", "ledger-2"} {
+		p.servers[id].SetHandle(func(w http.ResponseWriter, _ *http.Request) bool {
+			select {
+			case first <- id:
+			default:
+				return false
+			}
+			platformtest.Sign(w.Header(), "s")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half of it")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
+	cut[<-first] = true
+	for id := range p.servers {
+		g.Expect(h.directory.View().Server(id).Avoided(h.clock.Now())).To(Equal(cut[id]), id)
+	}
+}
+
 // The server says that it did not run the request. The other gets it; when that
 // one refuses as well, the client is told truthfully that nothing ran.
 func TestRefusedRequestGoesToAnotherServer(t *testing.T) {
@@ -279,18 +309,40 @@
 		close(stopped)
 		return true
 	})
-	callers, _, _ := h.Addresses()
-	conn, err := net.Dial("tcp", callers)
-	g.Expect(err).NotTo(HaveOccurred())
-	req, err := http.NewRequest(http.MethodPost, "http://soap.example/stream/stream/1", strings.NewReader("x"))
-	g.Expect(err).NotTo(HaveOccurred())
-	platformtest.Request{ID: "leaver", Key: testKey}.Set(req.Header)
-	g.Expect(req.Write(conn)).To(Succeed())
+	conn := p.dial(h, "/stream/stream/1")
 	g.Eventually(arrived, "10s").Should(BeClosed())
 	_ = conn.Close()
 	g.Eventually(stopped, "10s").Should(BeClosed())
 }
 
+// The client leaves in the middle of its stream. That says nothing of the server:
+// passed over for it, a service would lose its servers to clients that give up.
+func TestClientThatLeavesAStreamDoesNotSpeakAgainstTheServer(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	h := p.start("front-1")
+	model := p.servers["model-1"]
+	stopped := make(chan struct{})
+	model.SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
+		model.Note(r)
+		platformtest.Sign(w.Header(), "s")
+		for i := 1; r.Context().Err() == nil; i++ {
+			model.Events(w, i, i)
+		}
+		close(stopped)
+		return true
+	})
+	conn := p.dial(h, "/stream/resume/1")
+	_, err := io.ReadFull(conn, make([]byte, 4096)) // some events
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = conn.Close()
+	g.Eventually(stopped, "10s").Should(BeClosed())
+	g.Eventually(h.active.Load, "10s").Should(BeZero())
+	g.Expect(h.directory.View().Server("model-1").Avoided(h.clock.Now())).To(BeFalse())
+	g.Expect(p.runs("model")).To(HaveLen(1))
+}
+
 // An operator asks a host what it believes: which configuration, how old, and
 // why a server gets no work.
 func TestStateTellsWhyAServerIsNotUsed(t *testing.T) {
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -144,10 +144,9 @@
 
 // Directory is the list in force.
 type Directory struct {
-	view    atomic.Pointer[View]
-	mu      sync.Mutex // held by writers
-	states  map[string]*State
-	changed []func(*View)
+	view   atomic.Pointer[View]
+	mu     sync.Mutex // held by writers
+	states map[string]*State
 }
 
 // New returns an empty directory.
@@ -160,9 +159,6 @@
 // View returns the list in force.
 func (d *Directory) View() *View { return d.view.Load() }
 
-// OnChange registers f, called after each change. Register before the first.
-func (d *Directory) OnChange(f func(*View)) { d.changed = append(d.changed, f) }
-
 // Replace puts entries in force. A server that starts again under its old id
 // gets a new State: nothing of before holds for it.
 func (d *Directory) Replace(entries []Entry) {
@@ -193,7 +189,4 @@
 	}
 	d.states = states
 	d.view.Store(v)
-	for _, f := range d.changed {
-		f(v)
-	}
 }
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -41,6 +41,9 @@
 	errBroken  = errors.New("the backend server's answer broke off or is not its own")
 )
 
+// errClientLeft: the answer could not be written; it says nothing of the server.
+var errClientLeft = errors.New("the client left")
+
 // tried keeps the servers that one request was given to.
 type tried map[string]bool
 
@@ -121,6 +124,14 @@
 	return x.r.Context().Err() == nil && (now.Before(x.deadline) || now.Sub(began) >= silentTime)
 }
 
+// brokeOff notes an answer that broke off, unless the client or its deadline
+// ended it: clients that give up would have their servers passed over.
+func (x *exchange) brokeOff(a *attempt) {
+	if now := x.opts.Clock.Now(); x.r.Context().Err() == nil && now.Before(x.deadline) {
+		a.server.Failed(now)
+	}
+}
+
 func (x *exchange) sendFailed(s *directory.Server, began time.Time, err error) error {
 	var failed *upstream.Error
 	if !errors.As(err, &failed) {
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -144,6 +144,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.answer, maxReply+1))
 	if err != nil || len(body) > maxReply {
 		a.close(false)
+		x.brokeOff(a)
 		return nil, fmt.Errorf("%w: %s: %w", errBroken, a.server.ID, err)
 	}
 	r := &reply{status: a.answer.Status, header: a.answer.Header, body: body}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -30,9 +30,10 @@
 		}
 		a, err := x.send(ctx, s, st.last, 0)
 		if err == nil {
-			err = x.follow(ctx, a, st, t)
-			if err == nil {
-				return nil
+			err = x.follow(a, st, t)
+			var end *kind.Error
+			if err == nil || errors.As(err, &end) {
+				return err
 			}
 		}
 		if errors.Is(err, errInputsGone) && remakes < maxRemakes {
@@ -73,8 +74,8 @@
 }
 
 // follow passes a server's events on. nil means that the client has its whole
-// answer.
-func (x *exchange) follow(ctx context.Context, a *attempt, st *streaming, t *tries) error {
+// answer, a *kind.Error that there is nothing more to do for it.
+func (x *exchange) follow(a *attempt, st *streaming, t *tries) error {
 	if a.answer.Status/100 != 2 {
 		r, err := x.whole(a)
 		if err != nil {
@@ -89,14 +90,14 @@
 		}
 		return fmt.Errorf("%w: %s: status %d", errBroken, a.server.ID, r.status)
 	}
-	quiet := x.silence(ctx, a, t)
-	err := x.events(a, st, quiet)
-	quiet.Stop()
+	err := x.events(a, st, t)
 	a.close(err == nil)
+	if errors.Is(err, errClientLeft) {
+		x.abort = true
+		return &kind.Error{Kind: kind.Cancelled, Detail: "the client left", Dispatched: true, Cause: err}
+	}
 	if err != nil {
-		if x.opts.Clock.Now().Before(x.deadline) {
-			a.server.Failed(x.opts.Clock.Now())
-		}
+		x.brokeOff(a)
 		x.rec.Resumed++
 		return fmt.Errorf("%w: %s after event %q: %w", errBroken, a.server.ID, st.last, err)
 	}
@@ -117,19 +118,23 @@
 	eventSilence      = 700 * time.Millisecond
 )
 
-// silence ends an attempt that says nothing, if another may follow. A stream
-// that cannot be resumed is awaited to its deadline instead: nothing better
-// could come.
-func (x *exchange) silence(ctx context.Context, a *attempt, t *tries) *time.Timer {
+// silence returns how long the first and each later event are awaited. A stream
+// that cannot go on elsewhere is awaited to its deadline: nothing better could
+// come.
+func (x *exchange) silence(t *tries) (first, later time.Duration) {
 	if !x.repeatable() || t.runs+1 >= x.route.MaxAttempts {
-		return time.NewTimer(time.Until(x.deadline))
+		left := x.deadline.Sub(x.opts.Clock.Now())
+		return left, left
 	}
-	return time.AfterFunc(firstEventSilence, a.cancel)
+	return firstEventSilence, eventSilence
 }
 
 // events passes whole events on as they arrive; the rest of an event that broke
 // off is dropped, so that the next run's first event does not join it.
-func (x *exchange) events(a *attempt, st *streaming, quiet *time.Timer) error {
+func (x *exchange) events(a *attempt, st *streaming, t *tries) error {
+	first, later := x.silence(t)
+	quiet := time.AfterFunc(first, a.cancel)
+	defer quiet.Stop()
 	r := newEventReader(a.answer)
 	flush := http.NewResponseController(x.w)
 	for {
@@ -140,12 +145,12 @@
 		if perr := x.pass(a, st, event, r.id); perr != nil || err != nil {
 			return perr // nil at the end
 		}
-		quiet.Reset(eventSilence)
+		quiet.Reset(later)
 		if r.more() {
 			continue
 		}
 		if err := flush.Flush(); err != nil {
-			return err
+			return fmt.Errorf("%w: %w", errClientLeft, err)
 		}
 	}
 }
@@ -163,7 +168,7 @@
 		x.begin(a)
 	}
 	if _, err := x.w.Write(event); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errClientLeft, err)
 	}
 	if id != "" {
 		st.last = id
