--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -20,10 +20,7 @@
 // The platform can no longer be reached. Once the bound for revoked keys comes
 // near, requests with keys are refused as not run; public ones go on.
 func TestKeysAreNotHonouredWhenTheyCannotBeConfirmed(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.store.SetBefore(func(w http.ResponseWriter, _ *http.Request) bool {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
@@ -43,10 +40,7 @@
 // A new configuration takes a key and a route away and an older one is written
 // over it afterwards. The process never goes back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.config.Version = 9
 	p.config.Accounts[0].Keys = []string{"another"}
 	p.store.PutConfig(p.config)
@@ -97,10 +91,7 @@
 // The process is told to stop while a stream runs and a client still sends on
 // its connection. Both get their whole answers; the second is told to close.
 func TestStopCutsNothing(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	release := make(chan struct{})
 	p.servers["model-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		s := p.servers["model-1"]
@@ -129,10 +120,7 @@
 }
 
 func TestMetricsAreServedAsText(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
 	_, _, metrics := h.Addresses()
 	var text string
@@ -216,10 +204,7 @@
 // The configuration has just come into force and is not yet confirmed. The host
 // is not ready: it would refuse the keys of the requests that it asked for.
 func TestHostIsNotReadyBeforeItsConfigurationIsConfirmed(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, _, h := begin(t)
 	g.Expect(h.isReady()).To(BeTrue())
 	never := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory, batchers: h.batchers}
 	never.plan.Store(h.plan.Load())
@@ -230,10 +215,7 @@
 // not have it yet. The host is not ready: it would refuse the first requests with
 // stages, as if no server could do them.
 func TestHostIsNotReadyBeforeItsStagesHaveServers(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, _, h := begin(t)
 	early := &Host{set: h.set, boot: h.boot, clock: h.clock, directory: h.directory, batchers: newBatchers(h)}
 	early.plan.Store(h.plan.Load())
 	early.confirmed.Store(early.boot.Now().UnixNano())
@@ -244,10 +226,7 @@
 // that gets the new plan finds the service's batcher, or it would be refused as
 // if the service had no server.
 func TestBatchersAreThereBeforeThePlanThatNeedsThem(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, _, h := begin(t)
 	c := plan.Config{Version: 100, Services: []plan.Service{{Name: "new", Batch: &plan.Batch{Slots: 1, MaxItems: 1}}}}
 	done := make(chan struct{})
 	h.batchers.mu.Lock() // the batchers cannot be changed yet
@@ -265,10 +244,7 @@
 // The newest configuration cannot be read. It may have taken keys away: those of
 // the one in force are no longer confirmed, and honoured for the bound only.
 func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.store.PutUnreadableConfig()
 	g.Eventually(h.unreadable.Load, "10s").Should(BeTrue())
 	g.Eventually(func() string { return p.ask(h, "GET", "/status/1", "").body }, "20s").Should(ContainSubstring("keys_not_fresh"))
--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -70,6 +70,14 @@
 	return p
 }
 
+// begin lets a test run beside others and gives it a place with one entry host.
+func begin(t *testing.T) (*WithT, *place, *Host) {
+	t.Helper()
+	t.Parallel()
+	p := newPlace(t)
+	return NewWithT(t), p, p.start("front-1")
+}
+
 func batch() *plan.Batch {
 	return &plan.Batch{
 		Slots: 1, Queue: 2, MaxItems: 8, CallTime: 5 * time.Millisecond, ItemTime: time.Millisecond,
--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -13,10 +13,7 @@
 )
 
 func TestRequestsOfEachKindAreServed(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	ledger := p.servers["ledger-1"]
 	ledger.SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
@@ -47,10 +44,7 @@
 }
 
 func TestStagesRunBeforeTheRequestAndTheirResultsAreFreed(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	r := p.ask(h, "POST", "/stream/staged/1", "prompt", func(q *platformtest.Request) {
 		q.Items, q.ItemKey = []int{2, 3}, "k"
 	})
@@ -88,10 +82,7 @@
 // A client sets headers that are the system's own, and names end-to-end headers
 // in Connection to have them dropped. Neither may reach a server as sent.
 func TestHeadersOfTheSystemAreNotTheClientsToSet(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	r := p.ask(h, "POST", "/transfer/1", "x", func(q *platformtest.Request) { q.Forged = true })
 	g.Expect(r.status).To(Equal(http.StatusOK))
 	got := p.runs("ledger")[0]
@@ -102,10 +93,7 @@
 }
 
 func TestRefusalsBeforeAnythingRuns(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	g.Expect(p.ask(h, "GET", "/nowhere/1", "").status).To(Equal(http.StatusNotFound))
 	g.Expect(p.ask(h, "GET", "/status/1", "", func(q *platformtest.Request) { q.Key = "x" }).status).To(Equal(http.StatusUnauthorized))
 	g.Expect(p.ask(h, "POST", "/transfer/1", strings.Repeat("x", 5000)).status).To(Equal(http.StatusRequestEntityTooLarge))
@@ -201,10 +189,7 @@
 // A server answers 503 without saying that it did not run the request. Passed
 // on, the status alone would promise that to the client.
 func TestStatusThatWouldPromiseTooMuchIsNotPassedOn(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		p.servers["ledger-1"].Note(r)
 		platformtest.Sign(w.Header(), "s")
@@ -218,10 +203,7 @@
 // this one was expected. The client must not get it, and an unsafe request must
 // not be sent again.
 func TestAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		p.servers["ledger-1"].Note(r)
 		platformtest.NameAnother(w.Header(), "of-another")
@@ -238,10 +220,7 @@
 // A success without the server's signature, or with an encoded body, is not the
 // server's answer.
 func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.servers["ledger-1"].SetHandle(func(w http.ResponseWriter, _ *http.Request) bool {
 		_, _ = io.WriteString(w, "unsigned")
 		return true
@@ -253,10 +232,7 @@
 // resumed, another server goes on behind the last whole event, and the client
 // sees each event once; elsewhere the answer must not end as complete.
 func TestStreamThatBreaksOff(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	second := p.serve("model-2", "model")
 	second.SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		second.Note(r)
@@ -297,10 +273,7 @@
 // The client leaves while its request waits for the answer. The server's
 // connection is closed, so that it stops working.
 func TestClientThatLeavesStopsTheServer(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	arrived, stopped := make(chan struct{}), make(chan struct{})
 	p.servers["model-1"].SetHandle(func(_ http.ResponseWriter, r *http.Request) bool {
 		_, _ = io.ReadAll(r.Body)
@@ -318,10 +291,7 @@
 // The client leaves in the middle of its stream. That says nothing of the server:
 // passed over for it, a service would lose its servers to clients that give up.
 func TestClientThatLeavesAStreamDoesNotSpeakAgainstTheServer(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	model := p.servers["model-1"]
 	stopped := make(chan struct{})
 	model.SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
@@ -346,10 +316,7 @@
 // An operator asks a host what it believes: which configuration, how old, and
 // why a server gets no work.
 func TestStateTellsWhyAServerIsNotUsed(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
-	p := newPlace(t)
-	h := p.start("front-1")
+	g, p, h := begin(t)
 	p.store.PutServer(p.servers["ledger-1"], "a", true)
 	_, _, metrics := h.Addresses()
 	read := func() hostState {
--- a/process/release/spread_test.go
+++ b/process/release/spread_test.go
@@ -111,16 +111,21 @@
 	fl.inForce(fl.publish("pools/a", "1"))
 }
 
+// fleetThatDoesNotCompare has a first release in force on 16 hosts that hear of
+// releases by notices alone, and returns the hosts in the order of the notices.
+func fleetThatDoesNotCompare(t *testing.T) (*fleet, []string) {
+	fl := newFleet(NewWithT(t))
+	fl.poll, fl.silence = time.Hour, time.Hour
+	fl.start(t, 1, 16)
+	fl.inForce(fl.publish("pools/a", "0"))
+	return fl, fl.hosts["d0-0"].s.ranked(member.Alive)
+}
+
 // A host in the middle of the notices' tree and a watcher are killed while the
 // membership still lists them as alive. The hosts behind them get the release
 // all the same, from the sender before; comparing with peers is switched off.
 func TestKilledHostsCutNobodyOff(t *testing.T) {
-	g := NewWithT(t)
-	fl := newFleet(g)
-	fl.poll, fl.silence = time.Hour, time.Hour
-	fl.start(t, 1, 16)
-	fl.inForce(fl.publish("pools/a", "0"))
-	ranked := fl.hosts["d0-0"].s.ranked(member.Alive)
+	fl, ranked := fleetThatDoesNotCompare(t)
 	fl.kill(ranked[0], false)
 	fl.kill(ranked[2], false)
 	fl.inForce(fl.publish("pools/a", "1"))
@@ -131,12 +136,7 @@
 // find out by comparing, which is switched off here, would take seconds, and for
 // the hosts behind it too.
 func TestLostFetchIsAskedOfOthers(t *testing.T) {
-	g := NewWithT(t)
-	fl := newFleet(g)
-	fl.poll, fl.silence = time.Hour, time.Hour
-	fl.start(t, 1, 16)
-	fl.inForce(fl.publish("pools/a", "0"))
-	ranked := fl.hosts["d0-0"].s.ranked(member.Alive)
+	fl, ranked := fleetThatDoesNotCompare(t)
 	fl.net.LoseAnswers(ranked[2], ranked[0])
 	fl.net.LoseAnswers(ranked[2], ranked[1])
 	fl.inForce(fl.publish("pools/a", "1"))
