--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -117,8 +117,8 @@
 }
 
 // keysMargin is kept below the platform's bound for a revoked key: a watch may
-// have been deaf for a second before its answer, and the request still has to
-// be sent on.
+// have delivered nothing for a second before its answer, and the request still
+// has to be sent on.
 const keysMargin = 1400 * time.Millisecond
 
 // keysFresh tells whether the keys in force may be honoured.
--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -66,8 +66,8 @@
 	g.Expect(h.directory.View().Count()).To(Equal(4))
 }
 
-// A server says that it leaves; then all history is dropped while watches are
-// deaf, and another server leaves meanwhile. Neither gets work afterwards.
+// A server says that it leaves; then all history is dropped while watches deliver
+// nothing, and another server leaves meanwhile. Neither gets work afterwards.
 func TestLeavingServersGetNoWork(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
@@ -78,10 +78,10 @@
 	p.store.PutServer(p.servers["ledger-1"], "a", true)
 	usable := func() int { return len(h.directory.View().Servers("ledger")) }
 	g.Eventually(usable, "10s").Should(Equal(2))
-	p.store.SetDeaf(true)
+	p.store.SetSilent(true)
 	p.store.DeleteServer("ledger-2")
 	p.store.Forget()
-	p.store.SetDeaf(false)
+	p.store.SetSilent(false)
 	g.Eventually(usable, "10s").Should(Equal(1))
 	for range 5 {
 		g.Expect(p.ask(h, "GET", "/status/1", "").body).To(Equal("answer of ledger-3"))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -121,10 +121,10 @@
 	{"link to a server", func(p *place, r *rand.Rand, _ string) { relayFault(p, r, p.anyServer(r).relay) }},
 	{"store", func(p *place, r *rand.Rand, _ string) { storeFault(p, r) }},
 	{"history", func(p *place, r *rand.Rand, _ string) {
-		p.store.SetDeaf(true)
+		p.store.SetSilent(true)
 		p.log.more(some(r, 15, 130))
 		p.store.Forget()
-		p.store.SetDeaf(false)
+		p.store.SetSilent(false)
 	}},
 	{"key", func(p *place, _ *rand.Rand, _ string) { p.revoke() }},
 	{"configuration", func(p *place, _ *rand.Rand, _ string) { p.configure() }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -108,7 +108,7 @@
 
 func (p *place) settle() {
 	p.store.SetBefore(nil)
-	p.store.SetDeaf(false)
+	p.store.SetSilent(false)
 	for _, h := range p.hosts {
 		h.relay.heal()
 	}
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -52,7 +52,7 @@
 	nearTime = 40 * time.Millisecond
 	maxNear  = 60 * time.Millisecond
 	// errorCost is the cost of certain failure: a server that fails a third of its
-	// answers is as dear as the way to another region and back.
+	// answers costs as much as the way to another region and back.
 	errorCost = 150 * time.Millisecond
 	// avoidCost keeps servers that failed a short time ago for the case that
 	// there is no other.
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -30,7 +30,7 @@
 	backend Backend
 	clock   clock.Clock
 	log     Log
-	kick    chan struct{}
+	changed chan struct{}
 
 	mu    sync.Mutex
 	queue *Queue
@@ -47,7 +47,7 @@
 // New returns a batcher for a service. Run has to be called.
 func New(service string, opts Options, backend Backend, c clock.Clock, log Log) *Batcher {
 	return &Batcher{
-		service: service, backend: backend, clock: c, log: log, kick: make(chan struct{}, 1),
+		service: service, backend: backend, clock: c, log: log, changed: make(chan struct{}, 1),
 		queue: NewQueue(opts), freed: map[string]*freeing{},
 	}
 }
@@ -93,7 +93,7 @@
 
 func (b *Batcher) wake() {
 	select {
-	case b.kick <- struct{}{}:
+	case b.changed <- struct{}{}:
 	default:
 	}
 }
@@ -129,7 +129,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-b.kick:
+		case <-b.changed:
 		case <-timer:
 		}
 	}
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -129,8 +129,8 @@
 	}
 	defer f.answered(sent.Add(-a.Age))
 	// The watch goes on from the last answer that held changes, never from the
-	// state that an empty answer names: a watch that a disturbed store kept
-	// deaf would otherwise skip the changes made meanwhile for good.
+	// state that an empty answer names: a watch to which a disturbed store
+	// delivered nothing would otherwise skip the changes made meanwhile for good.
 	if len(a.Objects) == 0 {
 		return nil
 	}
--- a/process/follow/follow_test.go
+++ b/process/follow/follow_test.go
@@ -89,10 +89,10 @@
 	g.Expect(proved).To(Equal(3))
 }
 
-// A watch that the store kept deaf ends without changes and names a newer
+// A watch that the store kept from delivering ends without changes and names a newer
 // state. The next one has to go on from the last change that was seen, or what
 // changed meanwhile would be missed for good.
-func TestDeafWatchSkipsNothing(t *testing.T) {
+func TestSilentWatchSkipsNothing(t *testing.T) {
 	g := NewWithT(t)
 	_, copies, _, lost := follow(t,
 		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 10},
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -2,8 +2,8 @@
 // One host collects the stage work of all hosts: only there can items of many
 // requests share calls, and only there is it known what is already under way,
 // so that a request is begun when all its stages have room for it and not
-// before. Work that was begun and cannot be finished in time is the dearest
-// waste of all.
+// before. Work that was begun and cannot be finished in time is the
+// most costly waste.
 package stages
 
 import (
