The host for stage work is found without sorting all hosts for each request

A client's failed write needs no error of its own: net/http ends the context. The mark of a cut stream is set in one place. An answer given up unread has its test.

--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -121,6 +121,22 @@
 	g.Expect(conns).To(Equal(2))
 }
 
+// A caller gives up an answer of which the end has not arrived yet. The
+// connection must not serve the next request, which would read that end.
+func TestConnectionWithAnUnreadAnswerIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", ok)
+	c := New(Options{})
+	a, err := c.Do(t.Context(), s.l.Addr().String(), &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Close()
+	body, err := get(c, s)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("ok"))
+	_, conns := s.counts()
+	g.Expect(conns).To(Equal(2))
+}
+
 // The server closes a connection as a request arrives on it. net/http's own
 // transport would send a GET again by itself; here the caller decides.
 func TestNoRequestIsRepeated(t *testing.T) {
--- a/entryhost/requests.go
+++ b/entryhost/requests.go
@@ -63,7 +63,7 @@
 
 // Peers implements peer.Link.
 func (l livingLink) Peers() []peer.Identity {
-	return slices.DeleteFunc(l.Link.Peers(), func(id peer.Identity) bool {
+	return slices.DeleteFunc(slices.Clone(l.Link.Peers()), func(id peer.Identity) bool {
 		p, ok := l.view.Lookup(id.Host)
 		return ok && p.State == member.Gone
 	})
--- /dev/null
+++ b/process/balance/bench_test.go
@@ -0,0 +1,34 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bilberrydale/process/directory"
+)
+
+// BenchmarkChoose is what each attempt pays to find its server, with and without
+// a shared prompt part.
+func BenchmarkChoose(b *testing.B) {
+	for _, affinity := range []string{"", "part-5c"} {
+		for _, n := range []int{8, 110} {
+			b.Run(fmt.Sprintf("servers=%d,affinity=%t", n, affinity != ""), func(b *testing.B) {
+				d := directory.New()
+				var list []directory.Entry
+				for i := range n {
+					list = append(list, directory.Entry{ID: fmt.Sprint("model-", i), Service: "model", Domain: fmt.Sprint("z", i%3), Slots: 8})
+				}
+				d.Replace(list)
+				q := Query{
+					Servers: d.View().Servers("model"), Distance: func(string) time.Duration { return time.Millisecond },
+					Affinity: affinity, SharedTokens: 800, Now: time.Unix(1000, 0),
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					Choose(q)
+				}
+			})
+		}
+	}
+}
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex
 	handlers map[Method]Handler
 	peers    map[string]*remote
+	list     []Identity // of peers, in order; nil: to be made anew
 	onSeen   func(Identity)
 	closed   bool
 }
@@ -84,16 +85,19 @@
 // Self implements Link.
 func (m *Mesh) Self() Identity { return m.opts.Self }
 
-// Peers implements Link.
+// Peers implements Link. The list is made when a peer comes, goes or restarts, not
+// for each call: requests with stages ask for it.
 func (m *Mesh) Peers() []Identity {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]Identity, 0, len(m.peers))
-	for _, r := range m.peers {
-		out = append(out, r.identity)
+	if m.list == nil {
+		m.list = make([]Identity, 0, len(m.peers))
+		for _, r := range m.peers {
+			m.list = append(m.list, r.identity)
+		}
+		sort.Slice(m.list, func(i, j int) bool { return m.list[i].Host < m.list[j].Host })
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
-	return out
+	return m.list
 }
 
 // Connected returns the peers to which there is a live connection, in order.
@@ -151,9 +155,11 @@
 		}
 		r = &remote{identity: id}
 		m.peers[id.Host] = r
+		m.list = nil
 	}
 	if id.Incarnation > r.identity.Incarnation {
 		r.identity = id
+		m.list = nil
 		r.failures, r.notUntil = 0, time.Time{}
 	}
 	return r
@@ -164,6 +170,7 @@
 	m.mu.Lock()
 	r := m.peers[host]
 	delete(m.peers, host)
+	m.list = nil
 	m.mu.Unlock()
 	if r != nil {
 		closeConn(r.dialed)
--- a/process/peer/mesh_test.go
+++ b/process/peer/mesh_test.go
@@ -165,3 +165,22 @@
 	g.Expect(w.conns[0].done).To(BeClosed())
 	g.Expect(call(m)).To(MatchError(peer.ErrUnreachable))
 }
+
+// A peer is told of, restarts and is dropped. Each list of peers shows the state
+// of its moment; one that a caller still holds does not change under it.
+func TestListOfPeersFollowsEachChange(t *testing.T) {
+	g := NewWithT(t)
+	m := peer.NewMesh(peer.MeshOptions{Self: peer.Identity{Host: "self"}})
+	g.Expect(m.Peers()).To(BeEmpty())
+	m.Learn(peer.Identity{Host: "b", Incarnation: 1})
+	first := m.Peers()
+	m.Learn(peer.Identity{Host: "a", Incarnation: 1})
+	g.Expect(m.Peers()).To(HaveLen(2))
+	m.Learn(peer.Identity{Host: "b", Incarnation: 2})
+	g.Expect(m.Peers()).To(Equal([]peer.Identity{{Host: "a", Incarnation: 1}, {Host: "b", Incarnation: 2}}))
+	m.Learn(peer.Identity{Host: "b", Incarnation: 1})
+	g.Expect(m.Peers()[1].Incarnation).To(BeEquivalentTo(2))
+	m.Forget("a")
+	g.Expect(m.Peers()).To(HaveLen(1))
+	g.Expect(first).To(Equal([]peer.Identity{{Host: "b", Incarnation: 1}}))
+}
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -54,7 +54,8 @@
 // concurrent use.
 type Link interface {
 	Self() Identity
-	// Peers returns the peers known now, reachable or not.
+	// Peers returns the peers known now, reachable or not, by name. The caller must
+	// not change the slice.
 	Peers() []Identity
 	// Handle registers h; it is called before the link starts.
 	Handle(m Method, h Handler)
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -241,7 +242,7 @@
 // Hello makes this host known to those that may do the work of others. The call
 // itself proves who calls.
 func (p *Pool) Hello() {
-	list := p.link.Peers()
+	list := slices.Clone(p.link.Peers())
 	sort.Slice(list, func(i, j int) bool { return peer.Before(list[i], list[j]) })
 	for _, id := range list[:min(len(list), helloHosts)] {
 		p.tell(id.Host, methodHello)
@@ -339,16 +340,10 @@
 // owner returns the host that does the stage work of a region (empty: of all);
 // empty: this one. Hosts of other regions follow those of the region itself.
 func (p *Pool) owner(region string) string {
-	list := append(p.link.Peers(), p.link.Self())
-	sort.Slice(list, func(i, j int) bool {
-		if in, jn := list[i].Region == region, list[j].Region == region; region != "" && in != jn {
-			return in
-		}
-		return peer.Before(list[i], list[j])
-	})
+	peers := p.link.Peers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	owner := p.first(list)
+	owner := p.first(peers, region)
 	if owner.Host != p.last[region] {
 		p.last[region] = owner.Host
 		p.log.OwnerChanged(region, owner.Host, owner.Incarnation)
@@ -359,19 +354,28 @@
 	return owner.Host
 }
 
-// first returns the first host that can do the work; this one if there is no
-// other. It is called with p.mu held.
-func (p *Pool) first(list []peer.Identity) peer.Identity {
-	self := p.link.Self()
-	now := p.clock.Now()
-	for _, id := range list {
-		switch {
-		case id.Host == self.Host && p.leaving, p.left[id.Host] == id.Incarnation:
-		case id.Host == self.Host, now.After(p.suspects[id.Host].until):
-			return id
+// first returns the first host that can do the work of a region; this one if there
+// is no other. It is called with p.mu held.
+func (p *Pool) first(peers []peer.Identity, region string) peer.Identity {
+	self, now := p.link.Self(), p.clock.Now()
+	best, found := self, !p.leaving
+	for _, id := range peers {
+		if p.left[id.Host] == id.Incarnation || !now.After(p.suspects[id.Host].until) {
+			continue
+		}
+		if !found || before(region, id, best) {
+			best, found = id, true
 		}
 	}
-	return self
+	return best
+}
+
+// before orders hosts as those that do the work of a region (empty: of all).
+func before(region string, a, b peer.Identity) bool {
+	if in, bn := a.Region == region, b.Region == region; region != "" && in != bn {
+		return in
+	}
+	return peer.Before(a, b)
 }
 
 // Bounds of the time for which a peer that did not answer is passed over. The
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -41,9 +41,6 @@
 	errBroken  = errors.New("the backend server's answer broke off or is not its own")
 )
 
-// errClientLeft: the answer could not be written; it says nothing of the server.
-var errClientLeft = errors.New("the client left")
-
 // tried keeps the servers that one request was given to.
 type tried map[string]bool
 
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -31,9 +31,8 @@
 		a, err := x.send(ctx, s, st.last, 0)
 		if err == nil {
 			err = x.follow(a, st, t)
-			var end *kind.Error
-			if err == nil || errors.As(err, &end) {
-				return err
+			if err == nil {
+				return nil
 			}
 		}
 		if errors.Is(err, errInputsGone) && remakes < maxRemakes {
@@ -61,7 +60,6 @@
 
 func (x *exchange) endStream(t *tries) error {
 	if x.begun {
-		x.abort = true
 		return &kind.Error{Kind: kind.StreamCut, Detail: t.text(), Dispatched: true, Cause: t.last}
 	}
 	return x.end(t)
@@ -74,7 +72,7 @@
 }
 
 // follow passes a server's events on. nil means that the client has its whole
-// answer, a *kind.Error that there is nothing more to do for it.
+// answer.
 func (x *exchange) follow(a *attempt, st *streaming, t *tries) error {
 	if a.answer.Status/100 != 2 {
 		r, err := x.whole(a)
@@ -92,10 +90,6 @@
 	}
 	err := x.events(a, st, t)
 	a.close(err == nil)
-	if errors.Is(err, errClientLeft) {
-		x.abort = true
-		return &kind.Error{Kind: kind.Cancelled, Detail: "the client left", Dispatched: true, Cause: err}
-	}
 	if err != nil {
 		x.brokeOff(a)
 		x.rec.Resumed++
@@ -150,12 +144,13 @@
 			continue
 		}
 		if err := flush.Flush(); err != nil {
-			return fmt.Errorf("%w: %w", errClientLeft, err)
+			return err
 		}
 	}
 }
 
-// pass writes one event, unless the client has it already.
+// pass writes one event, unless the client has it already. A write that fails
+// ends the client's context, so that nothing more is tried for it.
 func (x *exchange) pass(a *attempt, st *streaming, event []byte, id string) error {
 	if len(event) == 0 {
 		return nil
@@ -168,7 +163,7 @@
 		x.begin(a)
 	}
 	if _, err := x.w.Write(event); err != nil {
-		return fmt.Errorf("%w: %w", errClientLeft, err)
+		return err
 	}
 	if id != "" {
 		st.last = id
