--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/platform"
 	"bilberrydale/process/directory"
@@ -191,13 +193,15 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = h.entryHosts.Run(ctx) }() // ends with ctx, without an error
 	defer h.mesh.Close()
 	server := &peerconn.Server{
 		Options: opts, Serve: h.mesh.Dispatch, Accepted: h.mesh.Accepted,
 		Refused: func(address string, cause error) { h.log.Warn("peer refused", "address", address, "err", cause) },
 	}
-	return server.Run(ctx, h.listeners.peers)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.entryHosts.Run(ctx) })
+	g.Go(func() error { return server.Run(ctx, h.listeners.peers) })
+	return g.Wait()
 }
 
 func (h *Host) register(ctx context.Context) error {
