--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -91,7 +91,11 @@
 // The process is told to stop while a stream runs and a client still sends on
 // its connection. Both get their whole answers; the second is told to close.
 func TestStopCutsNothing(t *testing.T) {
-	g, p, h := begin(t)
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPlace(t)
+	p.stopBound = 20 * time.Second // long over what a busy machine takes
+	h := p.start("front-1")
 	release := make(chan struct{})
 	p.servers["model-1"].SetHandle(func(w http.ResponseWriter, r *http.Request) bool {
 		s := p.servers["model-1"]
@@ -111,6 +115,10 @@
 	g.Expect(status("http://" + ready + "/ready")).To(Equal(http.StatusServiceUnavailable))
 	r := p.ask(h, "GET", "/status/1", "")
 	g.Expect(r.status).To(Equal(http.StatusOK))
+	// The balancer has had its time; a client that it still sends is served.
+	g.Eventually(h.refuseLong.Load, "10s").Should(BeTrue())
+	g.Expect(p.ask(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
+	g.Expect(p.ask(h, "POST", "/stream/stream/1", "x").body).To(ContainSubstring(`"kind":"draining","ran":"no"`))
 	close(release)
 	var s reply
 	g.Eventually(got, "10s").Should(Receive(&s))
--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -31,6 +32,8 @@
 	hosts   []*Host
 	stops   []func()
 	config  plan.Config
+	// stopBound is the time of hosts to stop; 0: 5 s.
+	stopBound time.Duration
 }
 
 const userAgent = "boiler/1"
@@ -116,7 +119,7 @@
 	return platform.Settings{
 		Host: name, IP: "127.0.0.1", Domain: "a", Regions: map[string]string{"a": "r"},
 		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", StoreAddress: p.address,
-		RevokeBound: 5 * time.Second, StrictRevoke: true, StopBound: 5 * time.Second,
+		RevokeBound: 5 * time.Second, StrictRevoke: true, StopBound: cmp.Or(p.stopBound, 5*time.Second),
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 500, Heartbeat: time.Second,
 	}
 }
