Stage work waits up to 250 ms of its slack for a server where its inputs lie; bytes are counted by item

Cause: a free server elsewhere took a job at once, whatever it had to fetch: the wait of 50 ms held only for items that joined a call, not for a call's first job.

--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -40,6 +40,7 @@
 	attempts  int
 	failedOn  map[string]bool // servers that failed on an item
 	cancelled bool
+	held      bool // waits for a server of its own failure domain
 }
 
 // Reason tells why an item has no result; empty: it has one.
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -281,6 +281,50 @@
 	b.g.Expect(b.done["far/0"].ServerID).To(Equal("b"))
 }
 
+// The only server of a domain works on a call that ends in 200 ms; one elsewhere
+// is free. A job whose results would cross domains waits for its own server if
+// its aim allows that, and goes to the free one if it would be late, if the wait
+// were long, if its own server has more work waiting than it can take, or if the
+// results are small: a free server is not left idle for nothing.
+func TestWorkWaitsForItsDomainWhileItsAimAllows(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		busyFor, aim time.Duration
+		items, ahead int
+		bytes        int64
+		madeBy       string
+	}{
+		{name: "its own server is soon free", busyFor: 200 * time.Millisecond, aim: 2 * time.Second, items: 4, bytes: resultBytes, madeBy: "home"},
+		{name: "it would be late", busyFor: 200 * time.Millisecond, aim: 480 * time.Millisecond, items: 4, bytes: resultBytes, madeBy: "away"},
+		{name: "the wait is long", busyFor: 400 * time.Millisecond, aim: 2 * time.Second, items: 4, bytes: resultBytes, madeBy: "away"},
+		{name: "others wait for all of the next call", busyFor: 200 * time.Millisecond, aim: 2 * time.Second, items: 4, ahead: 14, bytes: resultBytes, madeBy: "away"},
+		{name: "its results are small", busyFor: 200 * time.Millisecond, aim: 2 * time.Second, items: 1, bytes: 6_000, madeBy: "away"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			opts := sheet
+			opts.RoomBytes = 0
+			b := newBench(t, opts, map[string]string{"home": "x", "away": "y"})
+			b.submit("before", 1, time.Second, "x")
+			b.g.Expect(b.next()).To(HaveLen(1))
+			b.q.servers["home"].calls[0].FreeAt = b.now.Add(c.busyFor)
+			for i := range c.ahead / 2 {
+				b.submit(fmt.Sprintf("ahead-%d", i), 2, 1900*time.Millisecond, "x")
+			}
+			j := b.submit("job", c.items, c.aim, "x")
+			j.AwayBytes = int64(c.items) * c.bytes
+			calls := b.next()
+			if c.madeBy == "home" {
+				b.g.Expect(calls).To(BeEmpty())
+				b.now = b.now.Add(c.busyFor)
+				calls = b.next()
+			}
+			b.g.Expect(calls).To(HaveLen(1))
+			b.g.Expect(calls[0].Server.ID).To(Equal(c.madeBy))
+			b.g.Expect(calls[0].Items[len(calls[0].Items)-1].Job).To(BeIdenticalTo(j))
+		})
+	}
+}
+
 // Jobs that are of no use any more, or whose request is over, get their outcome
 // and no server.
 func TestHopelessAndCancelledJobsGetNoServer(t *testing.T) {
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -306,7 +306,7 @@
 	}
 	away = int64(s.Items) * s.ItemBytes
 	if len(bytes) > 0 {
-		away = max(away, bytes[domain])
+		away = max(away, int64(s.Items)*bytes[domain])
 	}
 	return domain, away
 }
