A busy service's free servers wait up to 100 ms for fuller calls

In the module (TestUsualLoadLeavesTimeForABurst, seen red): 154 to 88 calls, servers busy 0.98 to 0.66 of the time.

--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -120,60 +120,6 @@
 	q.waiting = kept
 }
 
-const (
-	// homeWait is the longest that a job waits for a busy server of its own
-	// failure domain. It is half of a usual call: two servers of a domain that
-	// take turns both come free in that time. Half as many bytes of results cross
-	// domains as with jobs that take any free server, and as many requests keep
-	// their target latency. Longer waits (400 ms) spare another third of the bytes
-	// but cost 1 request in 100 its target latency.
-	homeWait = 250 * time.Millisecond
-	// homeSlack is kept of the time to a job's aim when it waits: the spread of
-	// call times, which are only approximate.
-	homeSlack = 50 * time.Millisecond
-	// homeBytes: what less than this crosses domains is not worth a wait.
-	homeBytes = 100_000
-)
-
-// holdForHome marks the jobs that had better wait for a busy server of their own
-// failure domain than go to a free one elsewhere now. Jobs beyond what those
-// servers take in the time are not held: a free server would stand idle while
-// work piles up.
-func (q *Queue) holdForHome(now time.Time) {
-	ahead := map[string]int{} // items by domain
-	for _, j := range q.waiting {
-		before := ahead[j.Domain]
-		ahead[j.Domain] += len(j.next)
-		j.held = j.AwayBytes >= homeBytes && before < q.opts.MaxItems*q.homeCalls(j, now)
-	}
-}
-
-// homeCalls is how many calls the servers of a job's own failure domain can begin
-// while the job may wait.
-func (q *Queue) homeCalls(j *Job, now time.Time) int {
-	n := 0
-	for _, s := range q.servers {
-		if s.Domain == j.Domain && q.works(s, now) && q.take(nil, s, j) > 0 && !q.freeAt(s, now).After(q.holdUntil(s, j)) {
-			n++
-		}
-	}
-	return n
-}
-
-// works tells whether a server can be expected to take a call soon.
-func (q *Queue) works(s *server, now time.Time) bool {
-	return !s.Avoided(now) && !now.Before(s.fullTil) && s.slow <= slowFrom && len(s.calls) <= q.opts.slots()
-}
-
-// holdUntil is how long a job may wait for a server.
-func (q *Queue) holdUntil(s *server, j *Job) time.Time {
-	latest := j.AimBy.Add(-q.takes(s, j) - homeSlack)
-	if most := j.since.Add(homeWait); most.Before(latest) {
-		return most
-	}
-	return latest
-}
-
 // take is how many items of a job a call (nil: an empty one) to a server takes.
 func (q *Queue) take(c *Call, s *server, j *Job) int {
 	items, bytes := 0, int64(0)
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -111,7 +111,7 @@
 func (q *Queue) Next(now time.Time) (calls []*Call, again time.Time) {
 	q.drop(now)
 	free := q.free(now)
-	for len(free) > 0 && len(q.waiting) > 0 {
+	for len(free) > 0 && len(q.waiting) > 0 && !q.gathers(free, now) {
 		c := q.compose(free, now)
 		if c == nil {
 			break
@@ -122,7 +122,8 @@
 	return calls, q.wake(now)
 }
 
-// wake returns when the next busy server can be given its next call.
+// wake returns when the next busy server can be given its next call, or a job
+// has waited long enough.
 func (q *Queue) wake(now time.Time) time.Time {
 	if len(q.waiting) == 0 {
 		return time.Time{}
@@ -139,8 +140,9 @@
 	return at
 }
 
-// maxSleep bounds the wait until hopeless jobs are looked for again.
-const maxSleep = 50 * time.Millisecond
+// maxSleep bounds the wait until hopeless jobs and those that wait for others are
+// looked for again.
+const maxSleep = 25 * time.Millisecond
 
 // sendAt is when the next call has to leave so that it arrives as the present
 // one ends. Without the lead a server stands idle for the way there and back
