One client of the platform's store: bilberryd and bilberryctl keep their objects through platform.Objects

The product had two clients of object APIs, one for the users' store and one for a form of our own that nothing but our stand-in spoke. The second is gone: its calls go through platform.Objects in the store's real form (kinds, revisions, 409, 410, 429, pages, watches), bounds in time, pace after refusals and the repeat of reads stay in process/objectapi.Client, which wraps any Store. Errors have one list, in objectapi.

A value is kept in base64: objectapi.MaxValue is 760 KiB (was 1 MiB), parts of a release 690 KiB (were 900).

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -16,10 +16,11 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrydale/platform"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/drain"
 	"bilberrydale/process/inforce"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/server"
 	"bilberrydale/process/telemetry"
 	"bilberrydale/version/snapshot"
@@ -33,7 +34,7 @@
 	clock       clock.Clock
 	rand        clock.Rand
 
-	store    platform.Store
+	store    objectapi.Store
 	registry *server.Registry
 	inForce  inforce.Cell[snapshot.Snapshot]
 	gate     drain.Gate
@@ -92,7 +93,7 @@
 	h := &Host{
 		opts: opts, incarnation: uint64(time.Now().UnixNano()), log: logger,
 		clock: clock.System{}, rand: clock.SystemRand{}, flushSpans: flush, tracer: tracer,
-		store:    platform.NewHTTP(platform.HTTPOptions{BaseURL: opts.Platform, Token: opts.PlatformToken}),
+		store:    objectapi.NewClient(platform.NewObjects(platform.NewStoreAt(opts.Platform, opts.PlatformToken)), objectapi.ClientOptions{}),
 		registry: server.NewRegistry(),
 	}
 	// The order matters: later parts use what earlier ones made.
--- a/entryhost/releases.go
+++ b/entryhost/releases.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bilberrydale/internal/settings"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/release"
 	"bilberrydale/version/snapshot"
 )
@@ -60,12 +60,12 @@
 
 type releaseVars struct {
 	release.Status
-	Platform *platform.Counts `json:"platform_calls,omitempty"`
+	Platform *objectapi.Counts `json:"platform_calls,omitempty"`
 }
 
 func (h *Host) releaseVars() releaseVars {
 	vars := releaseVars{Status: h.releases.spread.Status()}
-	if store, ok := h.store.(*platform.HTTP); ok {
+	if store, ok := h.store.(*objectapi.Client); ok {
 		counts := store.Counts()
 		vars.Platform = &counts
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -15,7 +15,8 @@
 	"github.com/integrii/flaggy"
 
 	"bilberrydale/internal/settings"
-	"bilberrydale/process/platform"
+	"bilberrydale/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Env is what commands work on. Tests fill it with in-process parts.
@@ -24,7 +25,7 @@
 	JSON   bool // print JSON in place of tables
 	Author string
 	Note   string
-	Store  platform.Store
+	Store  objectapi.Store
 	Hosts  *Hosts
 }
 
@@ -74,7 +75,7 @@
 	}
 	return &Env{
 		Out: out, JSON: o.json, Author: o.author, Note: o.note, Hosts: hosts,
-		Store: platform.NewHTTP(platform.HTTPOptions{BaseURL: o.platform, Token: o.platformToken}),
+		Store: objectapi.NewClient(platform.NewObjects(platform.NewStoreAt(o.platform, o.platformToken)), objectapi.ClientOptions{}),
 	}, nil
 }
 
--- a/internal/faultrun/world_test.go
+++ b/internal/faultrun/world_test.go
@@ -22,9 +22,9 @@
 	"bilberrydale/process/clock"
 	"bilberrydale/process/drain"
 	"bilberrydale/process/inforce"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/peer/peertest"
-	"bilberrydale/process/platform"
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/release"
 	"bilberrydale/process/server"
@@ -66,13 +66,13 @@
 
 // mortal is a store that a killed host can no longer write to.
 type mortal struct {
-	platform.Store
+	objectapi.Store
 	dead context.Context
 }
 
 func (m *mortal) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
 	if m.dead.Err() != nil {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	return m.Store.Put(ctx, key, value, expect)
 }
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Faults are the failure switches. The zero value is a healthy platform.
@@ -30,23 +30,23 @@
 	Watches int64 `json:"watches"`
 }
 
-// Objects is the object API in memory. It implements platform.Store.
+// Objects is the object API in memory. It implements objectapi.Store.
 type Objects struct {
 	mu       sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]objectapi.Object
 	revision uint64
 	changed  chan struct{}
 	faults   Faults
-	frozen   map[string]platform.Object // what stale reads show
+	frozen   map[string]objectapi.Object // what stale reads show
 	counts   Counts
-	hosts    []platform.Host
+	hosts    []objectapi.Host
 	window   int64 // second that the budget counts
 	spent    int
 }
 
 // New returns an empty object API.
 func New() *Objects {
-	return &Objects{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Objects{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults switches failures on or off.
@@ -54,7 +54,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if f.StaleReads && !o.faults.StaleReads {
-		o.frozen = make(map[string]platform.Object, len(o.objects))
+		o.frozen = make(map[string]objectapi.Object, len(o.objects))
 		for k, v := range o.objects {
 			o.frozen[k] = v
 		}
@@ -78,15 +78,15 @@
 }
 
 // SetHosts replaces the host list; the caller applies the lag.
-func (o *Objects) SetHosts(hosts []platform.Host) {
+func (o *Objects) SetHosts(hosts []objectapi.Host) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.hosts = append([]platform.Host(nil), hosts...)
+	o.hosts = append([]objectapi.Host(nil), hosts...)
 }
 
 // Backup is the state of the platform at one time.
 type Backup struct {
-	objects  map[string]platform.Object
+	objects  map[string]objectapi.Object
 	revision uint64
 }
 
@@ -119,15 +119,15 @@
 	over := o.overBudget()
 	o.mu.Unlock()
 	if f.Down {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	if over {
-		return platform.ErrRateLimited
+		return objectapi.ErrRateLimited
 	}
 	if f.Delay > 0 {
 		select {
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return objectapi.ErrUnavailable
 		case <-time.After(f.Delay):
 		}
 	}
@@ -145,29 +145,29 @@
 	return o.spent > o.faults.CallBudget
 }
 
-func (o *Objects) view() map[string]platform.Object {
+func (o *Objects) view() map[string]objectapi.Object {
 	if o.faults.StaleReads {
 		return o.frozen
 	}
 	return o.objects
 }
 
-// Get implements platform.Store.
-func (o *Objects) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (o *Objects) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if err := o.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	obj, ok := o.view()[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (o *Objects) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements objectapi.Store.
+func (o *Objects) List(ctx context.Context, prefix string) ([]objectapi.Object, error) {
 	if err := o.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
 		return nil, err
 	}
@@ -176,8 +176,8 @@
 	return o.under(prefix, 0), nil
 }
 
-func (o *Objects) under(prefix string, after uint64) []platform.Object {
-	var out []platform.Object
+func (o *Objects) under(prefix string, after uint64) []objectapi.Object {
+	var out []objectapi.Object
 	for k, v := range o.view() {
 		if strings.HasPrefix(k, prefix) && v.Version > after {
 			out = append(out, v)
@@ -187,10 +187,10 @@
 	return out
 }
 
-// Put implements platform.Store.
+// Put implements objectapi.Store.
 func (o *Objects) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+	if len(value) > objectapi.MaxValue {
+		return 0, objectapi.ErrTooLarge
 	}
 	if err := o.enter(ctx, func(c *Counts) { c.Writes++ }); err != nil {
 		return 0, err
@@ -198,18 +198,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.objects[key].Version != expect {
-		return 0, platform.ErrConflict
+		return 0, objectapi.ErrConflict
 	}
 	o.revision++
-	o.objects[key] = platform.Object{Key: key, Value: append([]byte(nil), value...), Version: o.revision}
+	o.objects[key] = objectapi.Object{Key: key, Value: append([]byte(nil), value...), Version: o.revision}
 	o.wake()
 	if o.loseAnswer() {
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	}
 	return o.revision, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (o *Objects) Delete(ctx context.Context, key string, expect uint64) error {
 	if err := o.enter(ctx, func(c *Counts) { c.Writes++ }); err != nil {
 		return err
@@ -218,16 +218,16 @@
 	defer o.mu.Unlock()
 	cur, ok := o.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return objectapi.ErrNotFound
 	}
 	if cur.Version != expect {
-		return platform.ErrConflict
+		return objectapi.ErrConflict
 	}
 	o.revision++
 	delete(o.objects, key)
 	o.wake()
 	if o.loseAnswer() {
-		return platform.ErrUnknownOutcome
+		return objectapi.ErrUnknownOutcome
 	}
 	return nil
 }
@@ -240,8 +240,8 @@
 	return false
 }
 
-// Watch implements platform.Store.
-func (o *Objects) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, error) {
+// Watch implements objectapi.Store.
+func (o *Objects) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]objectapi.Object, error) {
 	if err := o.enter(ctx, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, err
 	}
@@ -253,14 +253,14 @@
 		found := o.under(prefix, after)
 		o.mu.Unlock()
 		if down {
-			return nil, platform.ErrUnavailable
+			return nil, objectapi.ErrUnavailable
 		}
 		if len(found) > 0 {
 			return found, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, platform.ErrUnavailable
+			return nil, objectapi.ErrUnavailable
 		case <-timeout.C:
 			return nil, nil
 		case <-changed:
@@ -268,12 +268,12 @@
 	}
 }
 
-// Hosts implements platform.Store.
-func (o *Objects) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements objectapi.Store.
+func (o *Objects) Hosts(ctx context.Context) ([]objectapi.Host, error) {
 	if err := o.enter(ctx, func(c *Counts) { c.Reads++ }); err != nil {
 		return nil, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return append([]platform.Host(nil), o.hosts...), nil
+	return append([]objectapi.Host(nil), o.hosts...), nil
 }
--- a/process/claim/at_most_once_test.go
+++ b/process/claim/at_most_once_test.go
@@ -12,9 +12,9 @@
 
 	standin "bilberrydale/internal/standin/platform"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/peer/peertest"
-	"bilberrydale/process/platform"
 )
 
 // cluster is a platform and the claims of a few entry hosts.
@@ -35,7 +35,7 @@
 	return c.over(c.objects, name, incarnation)
 }
 
-func (c *cluster) over(store platform.Store, name string, incarnation uint64) *Manager {
+func (c *cluster) over(store objectapi.Store, name string, incarnation uint64) *Manager {
 	link := c.net.Join(peer.Identity{Host: name, Incarnation: incarnation})
 	return New(Config{Host: name, Incarnation: incarnation, Store: store, Clock: c.clock, Link: link, Options: c.opts})
 }
@@ -99,7 +99,7 @@
 	v, err := f.Objects.Put(ctx, key, value, expect)
 	if err == nil && f.lose.Swap(false) {
 		f.SetFaults(standin.Faults{Down: true})
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	}
 	return v, err
 }
--- a/process/claim/commit.go
+++ b/process/claim/commit.go
@@ -10,14 +10,14 @@
 	"golang.org/x/time/rate"
 
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // ObjectPrefix is the prefix of the shard objects' keys.
 const ObjectPrefix = "claims/"
 
 // maxShard leaves room below the platform's limit of a value.
-const maxShard = platform.MaxValue - 64<<10
+const maxShard = objectapi.MaxValue - 64<<10
 
 // maxMarks bounds the outcomes that wait for a write to travel with.
 const maxMarks = 4096
@@ -63,7 +63,7 @@
 // conditional update of the shard's object (group commit). While one update is
 // on its way, the next batch gathers behind it.
 type committer struct {
-	store    platform.Store
+	store    objectapi.Store
 	clock    clock.Clock
 	opts     Options
 	limiter  *rate.Limiter
@@ -75,7 +75,7 @@
 	downUntil atomic.Int64
 }
 
-func newCommitter(store platform.Store, clk clock.Clock, opts Options, counters *CommitCounters) *committer {
+func newCommitter(store objectapi.Store, clk clock.Clock, opts Options, counters *CommitCounters) *committer {
 	c := &committer{store: store, clock: clk, opts: opts, counters: counters, limiter: rate.NewLimiter(rate.Limit(opts.WritesPerSecond), opts.WriteBurst)}
 	for range opts.Shards {
 		c.shards = append(c.shards, &shardQueue{loaded: map[string]*sealedPart{}})
@@ -181,7 +181,7 @@
 func (c *committer) read(ctx context.Context, index int, q *shardQueue) error {
 	c.counters.Reads.Add(1)
 	obj, err := c.store.Get(ctx, objectKey(index))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		q.copy, q.version = &shardCopy{open: image{}}, 0
 		return nil
 	}
@@ -218,11 +218,11 @@
 		c.drop(index, q, next)
 		q.copy, q.version = next, version
 		return true, true
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		c.counters.Conflicts.Add(1)
 		q.copy = nil
 		return false, false
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrUnavailable), errors.Is(err, objectapi.ErrRateLimited), errors.Is(err, objectapi.ErrTooLarge):
 		c.unavailable()
 		return false, false
 	default:
--- a/process/claim/manager.go
+++ b/process/claim/manager.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 
 	"bilberrydale/process/clock"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
-	"bilberrydale/process/platform"
 )
 
 // Manager is the Claims of an entry host. A key of the caller's own making is
@@ -30,7 +30,7 @@
 type Config struct {
 	Host        string
 	Incarnation uint64
-	Store       platform.Store
+	Store       objectapi.Store
 	Clock       clock.Clock
 	Link        peer.Link // may be nil
 	Options     Options
--- a/process/lease/keeper.go
+++ b/process/lease/keeper.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Prefix of the lease objects' keys on the platform; the domain follows.
@@ -18,7 +18,7 @@
 
 // Options configure a Keeper; zero values get the defaults.
 type Options struct {
-	Store platform.Store
+	Store objectapi.Store
 	Clock clock.Clock
 	Rand  clock.Rand
 	Key   string
@@ -165,7 +165,7 @@
 	case err == nil:
 		k.hold(w, version)
 		return true
-	case errors.Is(err, platform.ErrUnknownOutcome), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrUnknownOutcome), errors.Is(err, objectapi.ErrConflict):
 		k.readBack(ctx, held)
 	}
 	return false
@@ -176,7 +176,7 @@
 func (k *Keeper) readBack(ctx context.Context, held holding) {
 	obj, lease, err := k.get(ctx)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		k.drop()
 	case err != nil, obj.Version == held.version:
 	case k.own(lease) != nil:
@@ -191,7 +191,7 @@
 // own first sight. No clocks of two hosts are compared.
 func (k *Keeper) campaign(ctx context.Context) {
 	obj, lease, err := k.get(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		// Deleted or never made. A holder of the deleted lease may still act,
 		// so the new object is waited out like any other.
 		_, _ = k.put(ctx, k.newWrite(0), 0, false)
@@ -218,7 +218,7 @@
 // take claims the lease. The fencing number is above the object's version as
 // well as above the earlier number: versions of the store only rise, also when
 // the object was deleted or restored with an old content.
-func (k *Keeper) take(ctx context.Context, obj platform.Object, lease object) {
+func (k *Keeper) take(ctx context.Context, obj objectapi.Object, lease object) {
 	k.mu.Lock()
 	floor := k.floor
 	k.mu.Unlock()
@@ -298,7 +298,7 @@
 	return k.opts.Store.Put(ctx, k.opts.Key, data, expect)
 }
 
-func (k *Keeper) get(ctx context.Context) (platform.Object, object, error) {
+func (k *Keeper) get(ctx context.Context) (objectapi.Object, object, error) {
 	obj, err := k.opts.Store.Get(ctx, k.opts.Key)
 	if err != nil {
 		return obj, object{}, err
--- a/process/lease/keeper_test.go
+++ b/process/lease/keeper_test.go
@@ -12,7 +12,7 @@
 
 	objects "bilberrydale/internal/standin/platform"
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 const (
@@ -37,7 +37,7 @@
 // pausing lets a host's process stop during its next call: after the platform
 // has acted and before the host reads the answer.
 type pausing struct {
-	platform.Store
+	objectapi.Store
 	pause func()
 }
 
--- a/process/platform/http_test.go
+++ b/process/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -11,10 +11,15 @@
 	. "github.com/onsi/gomega"
 
 	standin "bilberrydale/internal/standin/platform"
+	"bilberrydale/platform"
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
+func newClient(url string, opts objectapi.ClientOptions) *objectapi.Client {
+	return objectapi.NewClient(platform.NewObjects(platform.NewStoreAt(url, "")), opts)
+}
+
 // The connection to the platform goes silent: a read on it gets no answer,
 // while new connections work. The read is sent once more and succeeds; a write
 // is not, because it may have taken effect.
@@ -31,7 +36,7 @@
 		}
 	}))
 	t.Cleanup(srv.Close)
-	h := platform.NewHTTP(platform.HTTPOptions{BaseURL: srv.URL, Timeout: time.Second})
+	h := newClient(srv.URL, objectapi.ClientOptions{Timeout: time.Second})
 	_, err := h.Put(ctx, "a/b", []byte("1"), 0)
 	g.Expect(err).NotTo(HaveOccurred())
 
@@ -43,9 +48,9 @@
 
 	silent.Store(1)
 	_, err = h.Put(ctx, "a/b", []byte("2"), obj.Version)
-	g.Expect(err).To(MatchError(platform.ErrUnknownOutcome))
+	g.Expect(err).To(MatchError(objectapi.ErrUnknownOutcome))
 	g.Expect(calls.Load()).To(BeEquivalentTo(4))
-	g.Expect(h.Counts()).To(Equal(platform.Counts{Reads: 2, Writes: 2, Retried: 1, Unavailable: 1, Unknown: 1}))
+	g.Expect(h.Counts()).To(Equal(objectapi.Counts{Reads: 2, Writes: 2, Retried: 1, Unavailable: 1, Unknown: 1}))
 }
 
 // The platform's call budget is spent. After its first refusal the client sends
@@ -59,10 +64,10 @@
 	}))
 	t.Cleanup(srv.Close)
 	now := clock.NewManual(time.Unix(1000, 0))
-	h := platform.NewHTTP(platform.HTTPOptions{BaseURL: srv.URL, Clock: now, Rand: clock.NewSeeded(1)})
+	h := newClient(srv.URL, objectapi.ClientOptions{Clock: now, Rand: clock.NewSeeded(1)})
 	for range 10 {
 		_, err := h.Get(context.Background(), "a")
-		g.Expect(err).To(MatchError(platform.ErrRateLimited))
+		g.Expect(err).To(MatchError(objectapi.ErrRateLimited))
 	}
 	g.Expect(calls.Load()).To(BeEquivalentTo(1))
 	now.Advance(100 * time.Millisecond)
--- a/process/platform/platform.go
+++ b/process/objectapi/objectapi.go
@@ -1,7 +1,7 @@
 // Package platform is the client side of the users' platform: its object API
 // with versions, conditional updates and watches, and its lagging host list.
 // Everything that must outlive a process is kept there and nowhere else.
-package platform
+package objectapi
 
 import (
 	"context"
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// MaxValue is the largest value the object API takes, in bytes.
-const MaxValue = 1 << 20
+// MaxValue is the largest value the object API takes, in bytes: the platform's
+// object of 1 MiB holds it in base64, with its name and revisions.
+const MaxValue = 760 << 10
 
 // Errors of the object API. Use errors.Is.
 var (
@@ -27,6 +28,8 @@
 	ErrUnknownOutcome = errors.New("platform: outcome of the write unknown")
 	// ErrTooLarge: the value is over MaxValue.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrNoAnswer marks a call that got no answer at all.
+	ErrNoAnswer = errors.New("platform: no answer")
 	// ErrRateLimited: the call budget is spent; nothing was written.
 	ErrRateLimited = errors.New("platform: call rate exceeded")
 )
--- a/process/platform/pace.go
+++ b/process/objectapi/pace.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"errors"
@@ -73,10 +73,10 @@
 }
 
 // Counts returns the calls since the client was made.
-func (h *HTTP) Counts() Counts {
-	c := &h.counts
+func (c *Client) Counts() Counts {
+	n := &c.counts
 	return Counts{
-		Reads: c.reads.Load(), Writes: c.writes.Load(), Watches: c.watches.Load(), Retried: c.retried.Load(),
-		Held: c.held.Load(), Limited: c.limited.Load(), Unavailable: c.unavailable.Load(), Unknown: c.unknown.Load(),
+		Reads: n.reads.Load(), Writes: n.writes.Load(), Watches: n.watches.Load(), Retried: n.retried.Load(),
+		Held: n.held.Load(), Limited: n.limited.Load(), Unavailable: n.unavailable.Load(), Unknown: n.unknown.Load(),
 	}
 }
--- a/process/platform/patient.go
+++ b/process/objectapi/patient.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
--- a/process/order/stopped_test.go
+++ b/process/order/stopped_test.go
@@ -14,10 +14,11 @@
 	"bilberrydale/connection/engineorder"
 	"bilberrydale/internal/standin/engine"
 	objects "bilberrydale/internal/standin/platform"
+	"bilberrydale/platform"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/lease"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/order"
-	"bilberrydale/process/platform"
 )
 
 // Variables that make this test binary run as one holder.
@@ -31,7 +32,7 @@
 func holder(ctx context.Context, name, store, address, model string) (*lease.Keeper, *order.Manager) {
 	const unit = 100 * time.Millisecond
 	k := lease.NewKeeper(lease.Options{
-		Store: platform.NewHTTP(platform.HTTPOptions{BaseURL: store}), Clock: clock.System{}, Rand: clock.SystemRand{},
+		Store: objectapi.NewClient(platform.NewObjects(platform.NewStoreAt(store, "")), objectapi.ClientOptions{}), Clock: clock.System{}, Rand: clock.SystemRand{},
 		Key: lease.Prefix + "d", Host: name, Candidate: func() bool { return true },
 		TTL: 15 * unit, Margin: 5 * unit, LongestOrder: 3 * unit,
 	})
--- a/process/release/chain.go
+++ b/process/release/chain.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 func recordKey(r Ref) string { return objectKey(r, "record") }
 
-func decodeHead(obj platform.Object) (Head, error) {
+func decodeHead(obj objectapi.Object) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(obj.Value, &h); err != nil {
 		return Head{}, fmt.Errorf("decode %s: %w", obj.Key, err)
@@ -34,10 +34,10 @@
 
 // readHead returns the head and its object; both are zero before the first
 // release.
-func readHead(ctx context.Context, store platform.Store) (Head, platform.Object, error) {
+func readHead(ctx context.Context, store objectapi.Store) (Head, objectapi.Object, error) {
 	obj, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Head{}, platform.Object{Key: HeadKey}, nil
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return Head{}, objectapi.Object{Key: HeadKey}, nil
 	}
 	if err != nil {
 		return Head{}, obj, fmt.Errorf("read head: %w", err)
@@ -46,9 +46,9 @@
 	return head, obj, err
 }
 
-func readRecord(ctx context.Context, store platform.Store, ref Ref) (Head, error) {
+func readRecord(ctx context.Context, store objectapi.Store, ref Ref) (Head, error) {
 	obj, err := store.Get(ctx, recordKey(ref))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return Head{}, fmt.Errorf("%w: release %d", ErrNotKept, ref.Number)
 	}
 	if err != nil {
@@ -61,7 +61,7 @@
 // the history ends. Each record names its predecessors, so the chain holds
 // exactly the releases that were accepted; objects of writers that lost the
 // race or died are not on it.
-func walk(ctx context.Context, store platform.Store, head Head, f func(Ref) bool) error {
+func walk(ctx context.Context, store objectapi.Store, head Head, f func(Ref) bool) error {
 	if head.Number == 0 || !f(head.Ref()) {
 		return nil
 	}
@@ -84,7 +84,7 @@
 }
 
 // find returns the accepted release of the given number.
-func find(ctx context.Context, store platform.Store, head Head, number uint64) (Ref, error) {
+func find(ctx context.Context, store objectapi.Store, head Head, number uint64) (Ref, error) {
 	var found Ref
 	err := walk(ctx, store, head, func(r Ref) bool {
 		if r.Number == number {
--- a/process/release/commit.go
+++ b/process/release/commit.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // newObjectTries bounds the tries to write one new object.
@@ -124,7 +124,7 @@
 		return fmt.Errorf("encode head: %w", err)
 	}
 	_, err = p.store().Put(ctx, HeadKey, data, b.obj.Version)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objectapi.ErrUnknownOutcome) {
 		return p.resolve(ctx, rel.Ref(), err)
 	}
 	return err
@@ -142,15 +142,15 @@
 			break
 		}
 		_, err = p.store().Put(ctx, key, data, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, objectapi.ErrConflict) {
 			return nil
 		}
-		if errors.Is(err, platform.ErrTooLarge) {
+		if errors.Is(err, objectapi.ErrTooLarge) {
 			return err
 		}
 	}
 	// Not ErrUnknownOutcome: the head was not touched, a retry is safe.
-	return fmt.Errorf("%w: %s: %v", platform.ErrUnavailable, key, err)
+	return fmt.Errorf("%w: %s: %v", objectapi.ErrUnavailable, key, err)
 }
 
 func recent(h Head) []Ref {
@@ -184,7 +184,7 @@
 }
 
 // Load reads the rows that head refers to and checks them against its hash.
-func Load(ctx context.Context, store platform.Store, obj platform.Object) (Release, error) {
+func Load(ctx context.Context, store objectapi.Store, obj objectapi.Object) (Release, error) {
 	head, err := decodeHead(obj)
 	if err != nil {
 		return Release{}, err
@@ -192,7 +192,7 @@
 	return loadParts(ctx, store, head)
 }
 
-func loadParts(ctx context.Context, store platform.Store, head Head) (Release, error) {
+func loadParts(ctx context.Context, store objectapi.Store, head Head) (Release, error) {
 	rel := head.Release
 	if rel.Number == 0 {
 		return rel, nil
@@ -249,7 +249,7 @@
 			break
 		}
 		for _, o := range objs {
-			if err := p.store().Delete(ctx, o.Key, o.Version); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			if err := p.store().Delete(ctx, o.Key, o.Version); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 				return from
 			}
 		}
--- a/process/release/fleet_test.go
+++ b/process/release/fleet_test.go
@@ -15,9 +15,9 @@
 	standin "bilberrydale/internal/standin/platform"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/member"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/peer/peertest"
-	"bilberrydale/process/platform"
 )
 
 // fleet is a platform and the followers of several entry hosts in process.
@@ -47,7 +47,7 @@
 // line is one host's connection to the platform; it can be cut, which also
 // fails calls under way.
 type line struct {
-	platform.Store
+	objectapi.Store
 	watches atomic.Int64
 	calls   atomic.Int64
 	delay   time.Duration // one way
@@ -56,7 +56,7 @@
 	cut     context.CancelFunc
 }
 
-func newLine(store platform.Store) *line {
+func newLine(store objectapi.Store) *line {
 	l := &line{Store: store}
 	l.heal()
 	return l
@@ -74,16 +74,16 @@
 	return l.ctx
 }
 
-func (l *line) Get(ctx context.Context, key string) (platform.Object, error) {
+func (l *line) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	l.calls.Add(1)
 	defer pass(2 * l.delay)
 	if l.down().Err() != nil {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return l.Store.Get(ctx, key)
 }
 
-func (l *line) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, error) {
+func (l *line) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]objectapi.Object, error) {
 	l.watches.Add(1)
 	l.calls.Add(1)
 	pass(l.delay)
@@ -92,7 +92,7 @@
 	defer cancel()
 	defer context.AfterFunc(l.down(), cancel)()
 	if l.down().Err() != nil {
-		return nil, platform.ErrUnavailable
+		return nil, objectapi.ErrUnavailable
 	}
 	return l.Store.Watch(ctx, prefix, after, wait)
 }
--- a/process/release/floor.go
+++ b/process/release/floor.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Floor is what entry hosts report when they have a release in force that the
@@ -19,9 +19,9 @@
 	Host   string `json:"host"`
 }
 
-func readFloor(ctx context.Context, store platform.Store) (Floor, uint64, error) {
+func readFloor(ctx context.Context, store objectapi.Store) (Floor, uint64, error) {
 	obj, err := store.Get(ctx, FloorKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return Floor{}, 0, nil
 	}
 	if err != nil {
@@ -35,7 +35,7 @@
 }
 
 // raiseFloor records f unless a floor at least as high is there.
-func raiseFloor(ctx context.Context, store platform.Store, f Floor) error {
+func raiseFloor(ctx context.Context, store objectapi.Store, f Floor) error {
 	cur, version, err := readFloor(ctx, store)
 	if err != nil || cur.Number >= f.Number {
 		return err
--- a/process/release/follow.go
+++ b/process/release/follow.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Compile checks and builds a release and returns the function that puts it in
@@ -21,7 +21,7 @@
 // FollowerOptions configure a Follower; zero values get defaults.
 type FollowerOptions struct {
 	Host    string // name of this entry host
-	Store   platform.Store
+	Store   objectapi.Store
 	Clock   clock.Clock
 	Rand    clock.Rand
 	Compile Compile
--- a/process/release/follow_test.go
+++ b/process/release/follow_test.go
@@ -15,7 +15,7 @@
 
 	standin "bilberrydale/internal/standin/platform"
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // TestMain fixes the seed of the property tests: every run takes the same path.
@@ -128,16 +128,16 @@
 	hosts    []*Follower
 	highest  []uint64
 	past     []Release
-	heads    []platform.Object
+	heads    []objectapi.Object
 }
 
 // lagging is the platform with a head as it was some time ago.
 type lagging struct {
-	platform.Store
-	head platform.Object
+	objectapi.Store
+	head objectapi.Object
 }
 
-func (l *lagging) Get(ctx context.Context, key string) (platform.Object, error) {
+func (l *lagging) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if key == HeadKey && l.head.Version > 0 {
 		return l.head, nil
 	}
--- a/process/release/publish.go
+++ b/process/release/publish.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // Validator checks merged rows; it returns an error that names every fault.
@@ -18,7 +18,7 @@
 // Publisher accepts change sets into the head object. It is used by the
 // operators' command; any number of publishers may race.
 type Publisher struct {
-	Store    platform.Store
+	Store    objectapi.Store
 	Validate Validator
 	Clock    clock.Clock
 	Rand     clock.Rand
@@ -45,14 +45,14 @@
 }
 
 // store is the platform, with patience for its call rate.
-func (p *Publisher) store() platform.Store {
-	return platform.Patient{Store: p.Store, Clock: p.Clock, Rand: p.Rand}
+func (p *Publisher) store() objectapi.Store {
+	return objectapi.Patient{Store: p.Store, Clock: p.Clock, Rand: p.Rand}
 }
 
 // base is the state that a commit builds on.
 type base struct {
 	head Head
-	obj  platform.Object
+	obj  objectapi.Object
 	rel  Release
 }
 
@@ -70,7 +70,7 @@
 }
 
 // complete reads the rows of head and checks it against the floor.
-func (p *Publisher) complete(ctx context.Context, head Head, obj platform.Object) (base, error) {
+func (p *Publisher) complete(ctx context.Context, head Head, obj objectapi.Object) (base, error) {
 	rel, err := loadParts(ctx, p.store(), head)
 	if err != nil {
 		return base{}, err
@@ -155,7 +155,7 @@
 		}
 		if head.Number < ref.Number {
 			if p.fence(ctx, obj) == nil {
-				return platform.ErrConflict
+				return objectapi.ErrConflict
 			}
 			continue
 		}
@@ -169,7 +169,7 @@
 		if accepted.ID == ref.ID {
 			return nil
 		}
-		return platform.ErrConflict
+		return objectapi.ErrConflict
 	}
 	return cause
 }
@@ -178,7 +178,7 @@
 // still under way, sent before the fence and built on an earlier version, can
 // then no longer take effect: what was read before the fence is final. nil and
 // ErrConflict both say that the head has a newer version than obj.
-func (p *Publisher) fence(ctx context.Context, obj platform.Object) error {
+func (p *Publisher) fence(ctx context.Context, obj objectapi.Object) error {
 	if obj.Version == 0 {
 		obj.Value = []byte("{}") // a head that names no release
 	}
--- a/process/release/publish_test.go
+++ b/process/release/publish_test.go
@@ -13,7 +13,7 @@
 
 	standin "bilberrydale/internal/standin/platform"
 	"bilberrydale/process/clock"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // joined is a small validator: a row "routes/x" holds the name of a pool, and
@@ -32,7 +32,7 @@
 	return nil
 }
 
-func publisher(store platform.Store, seed uint64) *Publisher {
+func publisher(store objectapi.Store, seed uint64) *Publisher {
 	return &Publisher{Store: store, Validate: joined, Clock: clock.System{}, Rand: clock.NewSeeded(seed)}
 }
 
@@ -56,7 +56,7 @@
 // losing loses the answer of the next write of key after its effect, and runs
 // meanwhile before the writer hears of it.
 type losing struct {
-	platform.Store
+	objectapi.Store
 	key       string
 	meanwhile func()
 	once      sync.Once
@@ -69,7 +69,7 @@
 		l.once.Do(func() { lost = true })
 		if lost {
 			l.meanwhile()
-			return 0, platform.ErrUnknownOutcome
+			return 0, objectapi.ErrUnknownOutcome
 		}
 	}
 	return v, err
@@ -101,7 +101,7 @@
 	}
 }
 
-func objects2head(ctx context.Context, store platform.Store) (Release, error) {
+func objects2head(ctx context.Context, store objectapi.Store) (Release, error) {
 	rel, _, err := publisher(store, 9).Head(ctx)
 	return rel, err
 }
@@ -277,7 +277,7 @@
 
 // before runs a step before the first write of key.
 type before struct {
-	platform.Store
+	objectapi.Store
 	key  string
 	run  func()
 	once sync.Once
@@ -315,13 +315,13 @@
 
 // dying refuses every write of key.
 type dying struct {
-	platform.Store
+	objectapi.Store
 	key string
 }
 
 func (d *dying) Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
 	if key == d.key {
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	}
 	return d.Store.Put(ctx, key, value, expect)
 }
--- a/process/release/queue.go
+++ b/process/release/queue.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 const (
@@ -51,7 +51,7 @@
 	q := &queued{p: p, set: set, since: since, key: queuePrefix + set.ID}
 	e := entry{Set: set, Since: since, Expires: p.Clock.Now().Add(queueLife)}
 	err := p.putNew(ctx, q.key, e)
-	if errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, objectapi.ErrTooLarge) {
 		return p.alone(ctx, set)
 	}
 	if err != nil {
@@ -68,7 +68,7 @@
 		if done {
 			return rel, err
 		}
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, objectapi.ErrConflict) {
 			last = err
 		}
 	}
@@ -101,7 +101,7 @@
 		return Release{}, false, err
 	}
 	if q.leaveToOthers(len(sets), try) {
-		return Release{}, false, platform.ErrConflict
+		return Release{}, false, objectapi.ErrConflict
 	}
 	b, err := q.p.complete(ctx, head, obj)
 	if errors.Is(err, ErrBehind) {
@@ -119,11 +119,11 @@
 		return q.withdraw(ctx, err)
 	}
 	rel, err := q.p.commit(ctx, b, g)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objectapi.ErrUnknownOutcome) {
 		return Release{}, true, fmt.Errorf("%w: %w", ErrPending, err)
 	}
 	if err != nil {
-		return Release{}, errors.Is(err, platform.ErrTooLarge), err
+		return Release{}, errors.Is(err, objectapi.ErrTooLarge), err
 	}
 	q.remove(ctx)
 	return rel, true, nil
@@ -155,7 +155,7 @@
 		if err == nil {
 			return rel, nil
 		}
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, objectapi.ErrUnknownOutcome) {
 			return Release{}, fmt.Errorf("%w: %w", ErrPending, err)
 		}
 		last = err
@@ -264,14 +264,14 @@
 	if err == nil {
 		err = q.p.store().Delete(ctx, q.key, obj.Version)
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return Release{}, false, err
 	}
 	head, obj, err := readHead(ctx, q.p.store())
 	if err == nil {
 		err = q.p.fence(ctx, obj)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectapi.ErrConflict) {
 		head, _, err = readHead(ctx, q.p.store())
 	}
 	if err != nil {
--- a/process/release/release.go
+++ b/process/release/release.go
@@ -22,8 +22,8 @@
 	FloorKey    = "bilberry/floor"
 	queuePrefix = "bilberry/queue/"
 	partPrefix  = "bilberry/releases/"
-	// maxPart leaves room below platform.MaxValue for the JSON around rows.
-	maxPart = 900 << 10
+	// maxPart leaves room below objectapi.MaxValue for the JSON around rows.
+	maxPart = 690 << 10
 )
 
 // Errors of publishing. Use errors.Is.
--- a/process/release/spread_bench_test.go
+++ b/process/release/spread_bench_test.go
@@ -15,7 +15,7 @@
 
 	"bilberrydale/process/clock"
 	"bilberrydale/process/member"
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 // The benchmarks measure one accepted change per iteration, on in-process hosts
@@ -71,7 +71,7 @@
 
 // acceptClock is the publisher's store; it notes when the head was written.
 type acceptClock struct {
-	platform.Store
+	objectapi.Store
 	at time.Time
 }
 
--- a/process/release/watch.go
+++ b/process/release/watch.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"bilberrydale/process/platform"
+	"bilberrydale/process/objectapi"
 )
 
 const maxWatchBackoff = time.Second
@@ -89,7 +89,7 @@
 	return nil
 }
 
-func (f *Follower) takeHeads(ctx context.Context, objs []platform.Object, seen *atomic.Uint64) error {
+func (f *Follower) takeHeads(ctx context.Context, objs []objectapi.Object, seen *atomic.Uint64) error {
 	for _, o := range objs {
 		head, err := decodeHead(o)
 		if err == nil {
@@ -190,7 +190,7 @@
 		return
 	}
 	err := raiseFloor(ctx, f.opts.Store, Floor{Number: number, Hash: hash, Host: f.opts.Host})
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, objectapi.ErrConflict) {
 		f.setFault(faultPlatform, err)
 	}
 }
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -14,8 +14,8 @@
 
 	"bilberrydale/process/clock"
 	"bilberrydale/process/member"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
-	"bilberrydale/process/platform"
 	"bilberrydale/process/server"
 )
 
@@ -63,7 +63,7 @@
 	// Targets returns the backend servers of all domains.
 	Targets func() []Target
 	// Hosts reads the platform's list; may be nil.
-	Hosts func(ctx context.Context) ([]platform.Host, error)
+	Hosts func(ctx context.Context) ([]objectapi.Host, error)
 
 	Interval  time.Duration // between polls; default 1 s
 	Owners    int           // hosts of the domain that poll one server; default 2
--- a/process/report/report_test.go
+++ b/process/report/report_test.go
@@ -16,9 +16,9 @@
 	"bilberrydale/connection/serverprobe"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/member"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/peer/peertest"
-	"bilberrydale/process/platform"
 	"bilberrydale/process/report"
 	"bilberrydale/process/server"
 )
@@ -78,7 +78,7 @@
 	g     Gomega
 	net   *peertest.Network
 	mu    sync.Mutex
-	list  []platform.Host
+	list  []objectapi.Host
 	err   error
 	hosts map[string]*siteHost
 
@@ -117,7 +117,7 @@
 	h.monitor = member.New(member.Options{Link: link, Clock: sys, Rand: rnd, Interval: interval, Seeds: func() []string { return []string{"h0-0"} }})
 	h.watcher = report.New(report.Options{
 		Link: link, View: h.monitor, Monitor: h.monitor, Clock: sys, Rand: rnd, Prober: prober{s.backends, name}, Interval: interval,
-		Hosts: func(context.Context) ([]platform.Host, error) {
+		Hosts: func(context.Context) ([]objectapi.Host, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return s.list, s.err
@@ -165,7 +165,7 @@
 func TestLeavingServerIsKnownEverywhereWhileThePlatformIsDown(t *testing.T) {
 	s := newSite(t, 3, 3, 2)
 	s.mu.Lock()
-	s.err = platform.ErrUnavailable
+	s.err = objectapi.ErrUnavailable
 	s.mu.Unlock()
 	s.everywhere("s1-0", (*server.State).Usable, true)
 	s.set(func() { s.reports["s1-0:1"] = report.Report{Leaving: true} })
@@ -180,7 +180,7 @@
 func TestTheListAddsSignsAndDoesNotUndoOthers(t *testing.T) {
 	s := newSite(t, 2, 2, 1)
 	s.mu.Lock()
-	s.list = []platform.Host{{Name: "s0-0", Address: "s0-0:1", State: platform.HostLeaving}, {Name: "s1-0", State: platform.HostLive}}
+	s.list = []objectapi.Host{{Name: "s0-0", Address: "s0-0:1", State: objectapi.HostLeaving}, {Name: "s1-0", State: objectapi.HostLive}}
 	s.mu.Unlock()
 	s.set(func() { s.reports["s1-0:1"] = report.Report{Leaving: true} })
 	s.everywhere("s0-0", (*server.State).Usable, false)
@@ -284,7 +284,7 @@
 func TestDomainCutFromPeersAndPlatformGoesOnAndHeals(t *testing.T) {
 	s := newSite(t, 2, 3, 1)
 	s.mu.Lock()
-	s.err = platform.ErrUnavailable
+	s.err = objectapi.ErrUnavailable
 	s.mu.Unlock()
 	pairs := func(do func(a, b string)) {
 		for i := range 3 {
--- a/process/report/signs.go
+++ b/process/report/signs.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"bilberrydale/process/member"
+	"bilberrydale/process/objectapi"
 	"bilberrydale/process/peer"
-	"bilberrydale/process/platform"
 )
 
 // sign is what hosts tell each other of one backend server. Version rises with
@@ -153,7 +153,7 @@
 	if err != nil {
 		return
 	}
-	byKey := make(map[string]platform.Host, 2*len(hosts))
+	byKey := make(map[string]objectapi.Host, 2*len(hosts))
 	for _, h := range hosts {
 		byKey[h.Name], byKey[h.Address] = h, h
 	}
@@ -166,7 +166,7 @@
 	}
 	w.seeds = w.seeds[:0:0]
 	for _, h := range hosts {
-		if !servers[h.Name] && !servers[h.Address] && h.State == platform.HostLive && hasPort(h.Address) {
+		if !servers[h.Name] && !servers[h.Address] && h.State == objectapi.HostLive && hasPort(h.Address) {
 			w.seeds = append(w.seeds, h.Address)
 		}
 	}
@@ -177,7 +177,7 @@
 			h, ok = byKey[k.target.State.Name]
 		}
 		if ok {
-			w.listed(k, h.State == platform.HostLeaving)
+			w.listed(k, h.State == objectapi.HostLeaving)
 		}
 	}
 }
