A reader that lost the platform says so at once, the next host stands in, and waits follow the platform's bounds

A watch waited at the reader to its end before it told that the reader's knowledge was too old, and a watch of 0.8 s makes that 2.2 s. Then each host of the region asked the store itself.

A reader now ends the wait when its knowledge gets too old; the next host in order is asked in its place and given half a second to notice; the waits are shares of the bounds in the settings (0.6 s where servers have to be dropped in 2.5 s, 0.96 s at 4 s).

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,21 +18,49 @@
 	"bilberrydale/version/plan"
 )
 
-// Waits of the watches. The configuration's bounds how old the knowledge of API
-// keys gets while all is well; the servers' how long a silent connection hides
-// that a server leaves; both stay well within the bounds of the platform. Hosts
-// tell each other when they come and leave; their list only has to be right in
-// the end.
+// Waits of the watches, as shares of the platform's bounds for what they tell: a
+// change is learned of at the latest a wait after the host that asks for others
+// lost the platform, and relayRoom, another question to its substitute and a
+// pause later, 1.2 to 1.4 s in all. Each watch is a call that the platform counts.
 const (
-	configWait  = 500 * time.Millisecond
-	serversWait = 800 * time.Millisecond
-	hostsWait   = 2 * time.Second
-	answerWait  = 700 * time.Millisecond // beyond the watch's own wait
+	configShare  = 0.2
+	serversShare = 0.24
+	leastWait    = 200 * time.Millisecond
+	longestWait  = 2 * time.Second
+	// hostsWait: hosts tell each other when they come and leave; their list only
+	// has to be right in the end.
+	hostsWait  = 2 * time.Second
+	answerWait = 700 * time.Millisecond // beyond the watch's own wait
 )
 
+// Bounds that hold where the settings give none, those of the deployments today.
+const (
+	defaultConfigBound = 2500 * time.Millisecond
+	defaultDrainBound  = 2500 * time.Millisecond
+)
+
+func watchWait(bound time.Duration, share float64) time.Duration {
+	return min(max(time.Duration(share*float64(bound)), leastWait), longestWait)
+}
+
+// configWait is the wait of a watch on the configuration: the bound of its
+// coming into force or that of a revoked key, whichever is shorter.
+func (h *Host) configWait() time.Duration {
+	bound := cmp.Or(h.set.ConfigBound, defaultConfigBound)
+	if h.set.StrictRevoke {
+		bound = min(bound, h.set.RevokeBound-keysMargin)
+	}
+	return watchWait(bound, configShare)
+}
+
+func (h *Host) serversWait() time.Duration {
+	return watchWait(cmp.Or(h.set.DrainBound, defaultDrainBound), serversShare)
+}
+
 // wireBeliefs makes the followers. They ask one host of the region, which asks
 // the platform.
 func (h *Host) wireBeliefs() {
+	configWait, serversWait := h.configWait(), h.serversWait()
 	h.config = follow.New(follow.Options[plan.Config]{
 		Source: relay(h, "config", configWait, platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
 		Wait: configWait, Answer: answerWait, Changed: h.configChanged,
@@ -57,31 +87,45 @@
 }
 
 // relayRoom is what another host's knowledge may be older than two of its
-// watches: the ways there and back, and a lost answer that is asked for again.
-const relayRoom = 600 * time.Millisecond
+// watches: the ways there and back, and a store that takes its time.
+const relayRoom = 500 * time.Millisecond
 
 func relay[T any](h *Host, kind string, wait time.Duration, direct follow.Source[T]) follow.Source[T] {
 	return &follow.Relay[T]{
-		Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, MaxAge: 2*wait + relayRoom, Reader: h.reader,
+		Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, MaxAge: 2*wait + relayRoom, Readers: h.readers,
 	}
 }
 
-// reader is the host of this region that asks the platform for the others; empty
-// if it is this one, or if the peers cannot be called yet.
-func (h *Host) reader() string {
+// maxReaders bounds the hosts that are asked before the platform: while the
+// platform turns a third of the hosts away, it turns away both in 1 of 8 cases.
+const maxReaders = 2
+
+// readers are the hosts of this region that ask the platform for the others, in
+// the order in which they stand in for each other. None if this host is the
+// first, or if the peers cannot be called yet.
+func (h *Host) readers() []string {
 	if h.secret.Load() == nil {
-		return ""
+		return nil
 	}
-	first := h.self
+	var first []peer.Identity
 	for _, id := range h.mesh.Peers() {
-		if id.Region == h.self.Region && peer.Before(id, first) {
-			first = id
+		if id.Region != h.self.Region || !peer.Before(id, h.self) {
+			continue
 		}
+		at, _ := slices.BinarySearchFunc(first, id, func(a, b peer.Identity) int {
+			if peer.Before(a, b) {
+				return -1
+			}
+			return 1
+		})
+		first = slices.Insert(first, at, id)
+		first = first[:min(len(first), maxReaders)]
 	}
-	if first.Host == h.self.Host {
-		return ""
+	names := make([]string, len(first))
+	for i, id := range first {
+		names[i] = id.Host
 	}
-	return first.Host
+	return names
 }
 
 // configProved moves the time up to which the configuration is confirmed. An
--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -260,3 +260,22 @@
 	p.store.PutConfig(p.config)
 	g.Eventually(func() int { return p.ask(h, "GET", "/status/1", "").status }, "20s").Should(Equal(http.StatusOK))
 }
+
+// The waits of watches follow the platform's bounds, so that what a host believes
+// is in time even when the host that asks for it is cut off, and so that the
+// platform is not asked more often than its bounds call for.
+func TestWaitsFollowTheBoundsOfThePlatform(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ config, drain, revoke, wantConfig, wantServers time.Duration }{
+		{2500 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second, 500 * time.Millisecond, 600 * time.Millisecond},
+		{4 * time.Second, 4 * time.Second, 5 * time.Second, 720 * time.Millisecond, 960 * time.Millisecond},
+		{0, 0, 5 * time.Second, 500 * time.Millisecond, 600 * time.Millisecond},
+		{time.Minute, time.Minute, time.Minute, longestWait, longestWait},
+		{100 * time.Millisecond, 100 * time.Millisecond, 5 * time.Second, leastWait, leastWait},
+	} {
+		g := NewWithT(t)
+		h := &Host{set: platform.Settings{ConfigBound: c.config, DrainBound: c.drain, RevokeBound: c.revoke, StrictRevoke: true}}
+		g.Expect(h.configWait()).To(Equal(c.wantConfig))
+		g.Expect(h.serversWait()).To(Equal(c.wantServers))
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -18,7 +18,7 @@
 	Stopping      bool          `json:"stopping"`
 	Config        int64         `json:"config_version"`
 	ConfigAge     float64       `json:"config_age_ms"` // since it was last confirmed
-	Reader        string        `json:"reader"`        // host that is asked for the platform; empty: none
+	Readers       []string      `json:"readers"`       // hosts that are asked for the platform, the first one first
 	StageByRegion bool          `json:"stage_work_by_region"`
 	StageWaiting  int           `json:"stage_work_waiting"`
 	StageLate     int           `json:"stage_work_waiting_late"`
@@ -44,7 +44,7 @@
 	waiting, late := h.stages.Waiting()
 	s := hostState{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Ready: h.isReady(), Stopping: h.stopping.Load(),
-		ConfigAge: ms(age), Reader: h.reader(), StageByRegion: h.batchers.split.Load(),
+		ConfigAge: ms(age), Readers: h.readers(), StageByRegion: h.batchers.split.Load(),
 		StageWaiting: waiting, StageLate: late,
 	}
 	if p := h.plan.Load(); p != nil {
--- /dev/null
+++ b/process/follow/history.go
@@ -0,0 +1,93 @@
+package follow
+
+import (
+	"sync"
+	"time"
+)
+
+// history is what a follower tells others: its copy, the changes of late, and
+// when it last made sure of them.
+type history[T any] struct {
+	mu      sync.Mutex
+	objects map[string]Object[T]
+	from    Revision
+	batches []batch[T]
+	oldest  Revision // changes up to here are no longer kept
+	proved  time.Time
+	changed chan struct{} // closed at each change
+}
+
+type batch[T any] struct {
+	at      Revision
+	objects []Object[T]
+}
+
+// keptBatches bounds the changes of late; who needs older ones lists again.
+const keptBatches = 256
+
+func (h *history[T]) reset(objects []Object[T], from Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.objects = make(map[string]Object[T], len(objects))
+	for _, o := range objects {
+		h.objects[o.Name] = o
+	}
+	h.from, h.oldest, h.batches = from, from, nil
+	h.wake()
+}
+
+func (h *history[T]) add(objects []Object[T], at Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range objects {
+		if o.Deleted {
+			delete(h.objects, o.Name)
+		} else {
+			h.objects[o.Name] = o
+		}
+	}
+	h.from = at
+	h.batches = append(h.batches, batch[T]{at, objects})
+	if len(h.batches) > keptBatches {
+		h.oldest = h.batches[0].at
+		h.batches = h.batches[1:]
+	}
+	h.wake()
+}
+
+// wake is called with h.mu held.
+func (h *history[T]) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *history[T]) prove(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.proved) {
+		h.proved = at
+	}
+}
+
+// list returns the copy; ok is false before the first list.
+func (h *history[T]) list() (objects []Object[T], from Revision, proved time.Time, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.objects {
+		objects = append(objects, o)
+	}
+	return objects, h.from, h.proved, h.objects != nil
+}
+
+// since returns the changes after from, and a channel that is closed at the
+// next change. gone tells that they are no longer kept.
+func (h *history[T]) since(from Revision) (objects []Object[T], at Revision, proved time.Time, next chan struct{}, gone bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.batches {
+		if b.at > from {
+			objects = append(objects, b.objects...)
+		}
+	}
+	return objects, h.from, h.proved, h.changed, h.objects == nil || from < h.oldest
+}
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -47,6 +47,7 @@
 	value string
 	rev   Revision
 	calls int
+	waits []time.Duration // of the watches
 }
 
 func (a *api) List(context.Context, string) (Answer[string], error) {
@@ -56,10 +57,11 @@
 	return Answer[string]{Objects: []Object[string]{object("a", a.rev, a.value)}, AsOf: a.rev}, nil
 }
 
-func (a *api) Watch(_ context.Context, from Revision, _ time.Duration) (Answer[string], error) {
+func (a *api) Watch(_ context.Context, from Revision, wait time.Duration) (Answer[string], error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.calls++
+	a.waits = append(a.waits, wait)
 	if a.rev > from {
 		return Answer[string]{Objects: []Object[string]{object("a", a.rev, a.value)}, AsOf: a.rev}, nil
 	}
@@ -98,7 +100,7 @@
 	}
 	r.reader = newFollower(r.api, r.now)
 	r.reader.Serve(r.wire, "k")
-	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, MaxAge: maxAge, Reader: func() string { return "reader" }}
+	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, MaxAge: maxAge, Readers: func() []string { return []string{"reader"} }}
 	return r
 }
 
@@ -152,19 +154,93 @@
 	r.g.Expect(r.api.count()).To(Equal(1))
 }
 
+// The reader does not answer in the time for a question. What is left of it is
+// used to ask the platform, with a watch that is shorter by what was spent.
+func TestReaderThatDoesNotAnswerLeavesTimeForThePlatform(t *testing.T) {
+	r := newRelayed(t)
+	r.wire.down = errors.New("no answer")
+	r.wire.slow = func() { r.now.Advance(700 * time.Millisecond) }
+	_, err := r.relay.Watch(t.Context(), 5, time.Second)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.waits).To(Equal([]time.Duration{300 * time.Millisecond}))
+}
+
 // The reader answers only after all the time for the question, or never. The
 // next question goes to the platform.
 func TestReaderThatTakesItsTimeIsPassedOver(t *testing.T) {
 	r := newRelayed(t)
-	r.wire.down = errors.New("no answer")
-	r.wire.slow = func() { r.now.Advance(quickAnswer + time.Millisecond) }
-	_, err := r.relay.List(t.Context(), "")
+	ctx, cancel := context.WithCancel(t.Context())
+	r.wire.down, r.wire.slow = errors.New("no answer"), cancel
+	_, err := r.relay.List(ctx, "")
 	r.g.Expect(err).To(MatchError(errRelay))
 	_, err = r.relay.List(t.Context(), "")
 	r.g.Expect(err).NotTo(HaveOccurred())
 	r.g.Expect(r.api.count()).To(Equal(1))
 }
 
+// The reader loses the platform while a watch of another host waits at it. A
+// server that leaves now is learned of only when that host turns elsewhere, so
+// the reader answers as soon as its knowledge is too old, not when the wait ends.
+func TestWaitAtAReaderEndsWhenItsKnowledgeIsTooOld(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(maxAge - 100*time.Millisecond)
+	r.api.value, r.api.rev = "2", 6 // which the reader does not see
+	got := make(chan Answer[string], 1)
+	go func() {
+		a, _ := r.relay.Watch(context.Background(), 5, time.Hour)
+		got <- a
+	}()
+	r.g.Eventually(r.now.Waiters, "10s").Should(Equal(1))
+	r.now.Advance(101 * time.Millisecond)
+	var a Answer[string]
+	r.g.Eventually(got, "10s").Should(Receive(&a))
+	r.g.Expect(a.Objects).To(HaveLen(1), "from the platform")
+}
+
+// The reader has lost the platform. The other hosts turn to the next one in
+// order, which asks the platform for them: a third of a fleet that is cut off
+// would otherwise bring all of the rest to the store. The substitute finds out at
+// the same time as they do and is given a moment.
+func TestNextHostStandsInForTheReader(t *testing.T) {
+	r := newRelayed(t)
+	second := newFollower(r.api, r.now)
+	substitute := &wire{handlers: map[peer.Method]peer.Handler{}}
+	second.Serve(substitute, "k")
+	r.relay.Link = byHost{"reader": r.wire, "second": substitute}
+	r.relay.Readers = func() []string { return []string{"reader", "second"} }
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.g.Expect(r.step(second)).To(Succeed())
+	r.now.Advance(maxAge + time.Millisecond)
+	calls := r.api.count()
+
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errTooOld), "both are asked, the second is waited for")
+	r.now.Advance(substituteWait / 2)
+	r.g.Expect(r.step(second)).To(Succeed())
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(calls+1), "the second host's own")
+
+	r.now.Advance(maxAge + time.Millisecond)
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errTooOld))
+	r.now.Advance(substituteWait)
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(calls+2), "asked itself: the second cannot tell, either")
+}
+
+// byHost is a link to several hosts.
+type byHost map[string]*wire
+
+func (b byHost) Self() peer.Identity              { return peer.Identity{Host: "asking"} }
+func (b byHost) Peers() []peer.Identity           { return nil }
+func (b byHost) Handle(peer.Method, peer.Handler) {}
+func (b byHost) Call(ctx context.Context, host string, m peer.Method, in, out any) error {
+	return b[host].Call(ctx, host, m, in, out)
+}
+
 // The reader has just started, as all others have, and knows nothing yet. It is
 // waited for; the platform is asked only when that takes long.
 func TestReaderThatHasNotListedIsWaitedFor(t *testing.T) {
--- /dev/null
+++ b/process/follow/serve.go
@@ -0,0 +1,110 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bilberrydale/process/peer"
+)
+
+// relayRequest asks another host for what it follows.
+type relayRequest struct {
+	List   bool
+	From   Revision
+	WaitMS int64
+	// MaxAgeUS ends the wait as soon as the answering host's knowledge is older;
+	// 0: never.
+	MaxAgeUS int64
+}
+
+type relayObject[T any] struct {
+	Name     string
+	Revision Revision
+	Value    T
+	Deleted  bool
+	Fault    string
+}
+
+type relayAnswer[T any] struct {
+	Objects []relayObject[T]
+	AsOf    Revision
+	AgeUS   int64 // of the answering host's own knowledge, as it answers
+	Gone    bool
+	Ready   bool
+}
+
+func relayMethod(kind string) peer.Method { return peer.Method("follow." + kind) }
+
+// Serve answers other hosts from this follower's copy. It is called before the
+// link starts.
+func (f *Follower[T]) Serve(link peer.Link, kind string) {
+	link.Handle(relayMethod(kind), func(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
+		var q relayRequest
+		if err := peer.Unmarshal(payload, &q); err != nil {
+			return nil, err
+		}
+		if q.List {
+			return peer.Marshal(f.relayList())
+		}
+		return peer.Marshal(f.relayWatch(ctx, q))
+	})
+}
+
+func (f *Follower[T]) relayList() relayAnswer[T] {
+	objects, from, proved, ok := f.history.list()
+	return relayAnswer[T]{Objects: encode(objects), AsOf: from, AgeUS: f.age(proved), Ready: ok}
+}
+
+func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) relayAnswer[T] {
+	end := f.opts.Clock.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
+	for {
+		objects, at, proved, next, gone := f.history.since(q.From)
+		now, until := f.opts.Clock.Now(), end
+		if q.MaxAgeUS > 0 {
+			until = earlier(end, proved.Add(time.Duration(q.MaxAgeUS+1)*time.Microsecond))
+		}
+		if len(objects) > 0 || gone || !now.Before(until) {
+			return relayAnswer[T]{Objects: encode(objects), AsOf: at, AgeUS: f.age(proved), Gone: gone, Ready: true}
+		}
+		select {
+		case <-next:
+		case <-f.opts.Clock.After(until.Sub(now)):
+		case <-ctx.Done():
+			return relayAnswer[T]{}
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (f *Follower[T]) age(proved time.Time) int64 {
+	return f.opts.Clock.Now().Sub(proved).Microseconds()
+}
+
+func encode[T any](objects []Object[T]) []relayObject[T] {
+	out := make([]relayObject[T], len(objects))
+	for i, o := range objects {
+		out[i] = relayObject[T]{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+		if o.Err != nil {
+			out[i].Fault = o.Err.Error()
+		}
+	}
+	return out
+}
+
+func decode[T any](objects []relayObject[T]) []Object[T] {
+	out := make([]Object[T], len(objects))
+	for i, o := range objects {
+		out[i] = Object[T]{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
+		if o.Fault != "" {
+			out[i].Err = errors.New(o.Fault)
+		}
+	}
+	return out
+}
