--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -63,51 +63,6 @@
 	b.configure()
 }
 
-// A region's stage work is a matter of its own where there are servers enough:
-// with fewer in all, regions of two servers would share too few calls, and with
-// less than two in a region each loss of one would stop it.
-const (
-	leastServers       = 12 // of each service, in all regions
-	leastRegionServers = 2
-)
-
-// updateRegions decides where stage work is collected: in each region by itself
-// where all have servers enough, so that no result and no message crosses
-// regions and no host has to know all work; otherwise at one place for all. It
-// is called with b.mu held.
-func (b *batchers) updateRegions(p *plan.Plan, view *directory.View) {
-	split := true
-	for _, name := range p.ServiceNames() {
-		if p.Service(name).Batch == nil {
-			continue
-		}
-		count := map[string]int{}
-		for _, region := range b.host.set.Regions {
-			count[region] = 0
-		}
-		for _, s := range view.Servers(name) {
-			count[b.host.set.Regions[s.Domain]]++
-		}
-		all := 0
-		for _, n := range count {
-			split = split && n >= leastRegionServers
-			all += n
-		}
-		split = split && all >= leastServers
-	}
-	if b.split.Swap(split) != split {
-		b.host.log.Info("stage work", "outcome", "place of collection changed", "by_region", split, "config", p.Version)
-	}
-}
-
-// stageRegion implements the choice of updateRegions for one failure domain.
-func (h *Host) stageRegion(domain string) string {
-	if !h.batchers.split.Load() {
-		return ""
-	}
-	return h.set.Regions[domain]
-}
-
 // configure puts the plan and the servers in force. It is called with b.mu held.
 func (b *batchers) configure() {
 	p := b.plan
@@ -139,23 +94,6 @@
 	}
 }
 
-// serversOf returns the servers that this host may give work to: those of its
-// region where each has its own collection, so that two hosts do not fill the
-// same server.
-func (b *batchers) serversOf(view *directory.View, service string) []*directory.Server {
-	all := view.Servers(service)
-	if !b.split.Load() {
-		return all
-	}
-	var out []*directory.Server
-	for _, s := range all {
-		if b.host.set.Regions[s.Domain] == b.host.self.Region {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // stageCalls sends the batchers' calls; it implements batcher.Backend.
 type stageCalls Host
 
