--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -23,8 +23,10 @@
 	// empty: none.
 	Near      string
 	NearBytes int64
-	Exclude   func(*directory.Server) bool
-	Now       time.Time
+	// Busy is the cost of a failure domain whose stage work waits; nil: none.
+	Busy    func(domain string) time.Duration
+	Exclude func(*directory.Server) bool
+	Now     time.Time
 }
 
 const (
@@ -99,6 +101,9 @@
 	if q.Near != "" && s.Domain != q.Near {
 		c += min(time.Duration(float64(nearTime)*float64(q.NearBytes)/1e6), maxNear)
 	}
+	if q.Busy != nil {
+		c += q.Busy(s.Domain)
+	}
 	if s.Avoided(q.Now) {
 		c += avoidCost
 	}
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -101,6 +101,32 @@
 	g.Expect(away).To(BeNumerically("~", 40, 10))
 }
 
+// Stage work waits in the client's own region, as where its clients send twice
+// their usual. Requests that share little go to the next region; those that share
+// much stay with their server, whose memory saves more than the wait costs.
+func TestBusyRegionIsLeftByWhatIsFreeToGo(t *testing.T) {
+	g := NewWithT(t)
+	q := Query{Servers: servers(4), Distance: from("x"), Affinity: "part", SharedTokens: 200, Now: now}
+	q.Busy = func(domain string) time.Duration {
+		if domain == "x" {
+			return 60 * time.Millisecond
+		}
+		return 0
+	}
+	g.Expect(Choose(q).Domain).NotTo(Equal("x"))
+	for i := range 60 {
+		q.Affinity, q.SharedTokens, q.Busy = fmt.Sprint(i), 5000, nil
+		home := Choose(q)
+		q.Busy = func(domain string) time.Duration {
+			if domain == home.Domain {
+				return 60 * time.Millisecond
+			}
+			return 0
+		}
+		g.Expect(Choose(q)).To(BeIdenticalTo(home))
+	}
+}
+
 func TestAffinitiesSpreadOverServers(t *testing.T) {
 	g := NewWithT(t)
 	list := servers(4)
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -26,7 +26,8 @@
 
 	mu        sync.Mutex
 	admission *Admission
-	again     bool // a call to pump is due
+	again     bool          // a call to pump is due
+	meanWait  time.Duration // mean wait of the last requests to be begun
 }
 
 // NewCoordinator returns a coordinator without work.
@@ -49,6 +50,7 @@
 	offered := k.clock.Now()
 	t, err := k.wait(ctx, r)
 	began := k.clock.Now()
+	k.noteWait(began.Sub(offered))
 	var inputs []Input
 	if err == nil {
 		inputs, err = k.work(ctx, t)
@@ -63,6 +65,24 @@
 	return inputs, err
 }
 
+// waitShare is the weight of the newest request in the mean wait: the last ten or
+// twenty count, a fraction of a second under load.
+const waitShare = 0.08
+
+func (k *Coordinator) noteWait(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.meanWait += time.Duration(waitShare * float64(d-k.meanWait))
+}
+
+// Wait returns the mean time that the last requests waited to be begun, those
+// that were refused included.
+func (k *Coordinator) Wait() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.meanWait
+}
+
 func inputGone(err error) bool {
 	var failed *Error
 	return errors.As(err, &failed) && failed.Reason == batcher.InputGone
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -41,6 +41,7 @@
 	Reason  batcher.Reason
 	Stage   int
 	ReadyMS int64
+	WaitMS  int64 // mean wait of requests at the host that did the work
 }
 
 type cancelRequest struct {
@@ -69,6 +70,7 @@
 	leaving  bool                // this host stops
 	met      chan struct{}       // closed once the other hosts are known
 	last     map[string]string   // owner that was logged, by region
+	waits    map[string]waitNews // by region
 }
 
 // Link is what a Pool needs of the peers.
@@ -91,7 +93,7 @@
 func NewPool(link Link, c clock.Clock, local *Coordinator, region func(domain string) string, log PoolLog) *Pool {
 	p := &Pool{
 		link: link, clock: c, local: local, region: region, log: log,
-		suspects: map[string]suspect{}, greeted: map[string]uint64{}, left: map[string]uint64{}, running: map[workKey]*shared{}, last: map[string]string{}, met: make(chan struct{}),
+		suspects: map[string]suspect{}, greeted: map[string]uint64{}, left: map[string]uint64{}, running: map[workKey]*shared{}, last: map[string]string{}, waits: map[string]waitNews{}, met: make(chan struct{}),
 	}
 	link.Handle(methodRun, p.serveRun)
 	link.Handle(methodCancel, p.serveCancel)
@@ -122,6 +124,7 @@
 			continue
 		}
 		p.trust(owner)
+		p.noteWait(region, time.Duration(a.WaitMS)*time.Millisecond)
 		switch a.Reason {
 		case "":
 			return Made{Inputs: a.Inputs, Owner: owner}, nil
@@ -132,6 +135,7 @@
 		}
 	}
 	inputs, err := p.local.Run(ctx, r)
+	p.noteWait(region, p.local.Wait())
 	return Made{Inputs: inputs}, err
 }
 
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -184,6 +184,27 @@
 	g.Expect(second.made() + third.made()).To(BeZero())
 }
 
+// Requests wait at the host that does the stage work of a region. A host that
+// gives it work learns of the wait with each answer; the news fades, so that a
+// region that is left alone for its waits is tried again.
+func TestHostsLearnWhereStageWorkWaits(t *testing.T) {
+	g, first, _, third := three(t)
+	g.Expect(third.pool.Wait("x")).To(BeZero())
+	for range 100 {
+		first.shop.k.noteWait(time.Second)
+	}
+	_, err := third.run("r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(third.pool.Wait("x")).To(BeNumerically(">", 500*time.Millisecond))
+	g.Expect(third.pool.Wait("y")).To(BeZero())
+	third.pool.mu.Lock()
+	news := third.pool.waits["x"]
+	news.at = news.at.Add(-5 * waitHalfLife)
+	third.pool.waits["x"] = news
+	third.pool.mu.Unlock()
+	g.Expect(third.pool.Wait("x")).To(BeNumerically("<", 50*time.Millisecond))
+}
+
 // The first host is lost. The next one takes the work, and the first is asked
 // again only after a while.
 func TestLostHostIsReplacedByTheNext(t *testing.T) {
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -68,6 +68,7 @@
 	go func() {
 		defer cancel()
 		work.answer = p.do(ctx, q)
+		work.answer.WaitMS = p.local.Wait().Milliseconds()
 		close(work.done)
 		time.AfterFunc(keptAnswer, func() {
 			p.mu.Lock()
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -47,13 +47,15 @@
 func (t tried) exclude(s *directory.Server) bool { return t[s.ID] }
 
 // choose returns the server for the next attempt; nil: there is none.
-func (x *exchange) choose(t tried) *directory.Server {
+func (x *exchange) choose(t tried) *directory.Server { return balance.Choose(x.query(t)) }
+
+func (x *exchange) query(t tried) balance.Query {
 	affinity, tokens := x.affinity()
-	return balance.Choose(balance.Query{
+	return balance.Query{
 		Servers: x.opts.Directory.View().Servers(x.service), Distance: x.opts.Distance,
 		Affinity: affinity, SharedTokens: tokens, Near: x.near, NearBytes: x.nearBytes,
 		Exclude: t.exclude, Now: x.opts.Clock.Now(),
-	})
+	}
 }
 
 // affinity names the longest part of the prompt that other requests share: all
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bilberrydale/process/balance"
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/kind"
 	"bilberrydale/process/stages"
@@ -97,14 +98,29 @@
 }
 
 // likelyDomain is where the request will run if nothing changes: its inputs are
-// best made there.
+// best made there. Where stage work waits, a part of the requests goes elsewhere.
 func (x *exchange) likelyDomain() string {
-	if s := x.choose(nil); s != nil {
+	q := x.query(nil)
+	part := 2 * x.opts.Rand.Float64()
+	q.Busy = func(domain string) time.Duration {
+		return time.Duration(part * float64(min(x.opts.Pool.Wait(domain), maxBusyWait)) / busyDivisor)
+	}
+	if s := balance.Choose(q); s != nil {
 		return s.Domain
 	}
 	return x.opts.Domain
 }
 
+const (
+	// maxBusyWait: a longer wait tells no more; all requests that can go
+	// elsewhere do.
+	maxBusyWait = 400 * time.Millisecond
+	// busyDivisor makes a wait a cost: at the longest wait four of five requests
+	// whose server is free to choose go to another region, 40 ms away there and
+	// back, at a quarter of it one of five. All at once would only move the wait.
+	busyDivisor = 4
+)
+
 // domainOf is the failure domain that holds most of the results, and how much.
 func (x *exchange) domainOf(m stages.Made) (domain string, most int64) {
 	view := x.opts.Directory.View()
