--- a/process/stages/owner.go
+++ b/process/stages/owner.go
@@ -28,7 +28,7 @@
 // these each host of a fleet would name another owner for seconds, which fill the
 // same servers. The answer's connection tells which process is there now.
 func (p *Pool) findOwner(ctx context.Context, region string) string {
-	for range 2 * maxOwners {
+	for failed := 0; failed < maxOwners; {
 		owner, known := p.owner(region)
 		if owner.Host == p.link.Self().Host {
 			return ""
@@ -36,11 +36,14 @@
 		if known {
 			return owner.Host
 		}
-		if err := p.greet(ctx, owner.Host); err != nil && ctx.Err() == nil {
-			p.distrust(owner.Host, err)
-		} else if err != nil {
+		err := p.greet(ctx, owner.Host)
+		if ctx.Err() != nil {
 			return owner.Host // the request is over; asking tells the caller
 		}
+		if err != nil {
+			failed++
+			p.distrust(owner.Host, err)
+		}
 	}
 	return ""
 }
