--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test fmt demo bench overhead replay faults
+.PHONY: build test fmt demo bench overhead replay faults soak
 
 build:
 	go build ./...
@@ -39,3 +39,11 @@
 # Replays the stated traces on the decision code: make replay SEED=7 OUT=f.json
 replay:
 	go run ./cmd/replay --seed=$(SEED) $(if $(OUT),--out=$(OUT))
+
+# Real daemons as processes on this machine under random faults from outside; RUNS
+# runs of N requests, each with the next seed after SEED. KEEP is a folder for the
+# logs of runs that broke a promise.
+KEEP ?=
+soak:
+	go test -count=1 -timeout 4h -run 'TestSoak$$' -v ./internal/soak \
+		-soak.seed=$(SEED) -soak.runs=$(RUNS) -soak.requests=$(N) -soak.keep=$(KEEP)
