One loopback relay for the fault run and the soak

Both had their own. internal/relay has what either could do: delay, hold in one or both directions, refuse, reset, forget; the soak's did not close connections whose two directions had ended. Its tests are new; the assertions of the fault run and the soak are as they were.

--- a/internal/faultrun/backend_test.go
+++ b/internal/faultrun/backend_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bilberrydale/connection/backend"
+	"bilberrydale/internal/relay"
 )
 
 // backendServer is a backend server behind a relay. It executes whole and streamed
@@ -21,7 +22,7 @@
 type backendServer struct {
 	name        string
 	ledger      *Ledger
-	relay       *relay
+	relay       *relay.Relay
 	refuse      atomic.Bool
 	fail        atomic.Bool
 	cross       atomic.Bool
@@ -37,6 +38,12 @@
 	before      map[string]string // the last answer of another request, for crossing
 }
 
+// die ends the server's connections and refuses new ones, as a crash does.
+func (s *backendServer) die() {
+	s.relay.Refuse(true)
+	s.relay.Reset()
+}
+
 // work is the body of every operation.
 type work struct {
 	Token string `json:"token"`
@@ -55,7 +62,12 @@
 	mux.HandleFunc("POST /stream", s.stream)
 	h := httptest.NewServer(mux)
 	t.Cleanup(h.Close)
-	s.relay = newRelay(t, h.Listener.Addr().String())
+	r, err := relay.New(h.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	s.relay = r
 	return s
 }
 
@@ -81,7 +93,7 @@
 	}
 	if p := s.poison.Load().(string); p != "" && strings.Contains(string(body), p) {
 		s.deaths.Add(1)
-		s.relay.setDown(true)
+		s.die()
 		panic(http.ErrAbortHandler)
 	}
 	if gate := s.gate.Load(); gate != nil && r.URL.Path != "/whole" {
@@ -140,7 +152,7 @@
 	enc := json.NewEncoder(w)
 	for off := from; off < len(text); off += chunkBytes {
 		if s.dieInStream.Load() && off > len(text)/2 {
-			s.relay.refuse()
+			s.relay.Refuse(true)
 			panic(http.ErrAbortHandler)
 		}
 		if (s.cut.Load() || s.cutStream.Load()) && off > len(text)/2 && from == 0 {
--- a/internal/faultrun/faults_test.go
+++ b/internal/faultrun/faults_test.go
@@ -209,22 +209,26 @@
 	case PlatformSlow:
 		platform(standin.Faults{Delay: 30 * time.Millisecond})
 	case KillServer:
-		srv.relay.setDown(on)
+		if on {
+			srv.die()
+		} else {
+			srv.relay.Refuse(false)
+		}
 	case FreezeServer:
 		if on {
-			srv.relay.freeze()
+			srv.relay.Hold(false)
 		} else {
-			srv.relay.unfreeze()
+			srv.relay.Release()
 		}
 	case ResetConns:
-		srv.relay.reset()
+		srv.relay.Reset()
 	case SilentConns:
 		if on {
-			srv.relay.forget(false)
+			srv.relay.Forget(false)
 		}
 	case LoseAnswers:
 		if on {
-			srv.relay.forget(true)
+			srv.relay.Forget(true)
 		}
 	case RefuseWork:
 		srv.refuse.Store(on)
--- a/internal/faultrun/world_test.go
+++ b/internal/faultrun/world_test.go
@@ -108,7 +108,7 @@
 func (w *world) tables() table.Tables {
 	pool := table.Pool{Name: "all", Kind: table.Service, Slots: 64}
 	for _, s := range w.servers {
-		pool.Servers = append(pool.Servers, table.Server{Name: s.name, Address: s.relay.address(), Domain: "d", Region: "r"})
+		pool.Servers = append(pool.Servers, table.Server{Name: s.name, Address: s.relay.Address(), Domain: "d", Region: "r"})
 	}
 	stage := func(name, path string, repeatable, stream bool) table.Stage {
 		return table.Stage{Name: name, Pool: "all", Path: path, Budget: table.Duration(budget), Repeatable: repeatable, Stream: stream}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// echo answers each line with the same line until its client ends.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type client struct {
+	g *WithT
+	net.Conn
+	lines chan string // closed at the end of the connection
+}
+
+func dial(t *testing.T, r *Relay) *client {
+	g := NewWithT(t)
+	c, err := net.Dial("tcp", r.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	out := &client{g, c, make(chan string, 16)}
+	go func() {
+		defer close(out.lines)
+		for s := bufio.NewScanner(c); s.Scan(); {
+			out.lines <- s.Text()
+		}
+	}()
+	return out
+}
+
+func (c *client) say(text string) {
+	_, err := c.Write([]byte(text + "\n"))
+	c.g.Expect(err).NotTo(HaveOccurred())
+}
+
+func (c *client) hears(text string) { c.g.Eventually(c.lines, "10s").Should(Receive(Equal(text))) }
+func (c *client) ended()            { c.g.Eventually(c.lines, "10s").Should(BeClosed()) }
+
+func start(t *testing.T) (*WithT, *Relay) {
+	g := NewWithT(t)
+	r, err := New(echo(t))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(r.Close)
+	return g, r
+}
+
+func TestBytesAndEndsPass(t *testing.T) {
+	_, r := start(t)
+	c := dial(t, r)
+	c.say("a")
+	c.hears("a")
+	c.g.Expect(c.Conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	c.ended()
+}
+
+func TestHeldBytesPassAfterRelease(t *testing.T) {
+	_, r := start(t)
+	c := dial(t, r)
+	for _, answersOnly := range []bool{false, true} {
+		r.Hold(answersOnly)
+		c.say("a")
+		c.g.Consistently(c.lines, 20*time.Millisecond).ShouldNot(Receive())
+		r.Release()
+		c.hears("a")
+	}
+	r.Hold(true)
+	r.Heal()
+	c.ended()
+}
+
+func TestRefusalSparesOpenConnections(t *testing.T) {
+	_, r := start(t)
+	old := dial(t, r)
+	old.say("a")
+	old.hears("a")
+	r.Refuse(true)
+	dial(t, r).ended()
+	old.say("b")
+	old.hears("b")
+	r.Heal()
+	c := dial(t, r)
+	c.say("c")
+	c.hears("c")
+	r.Reset()
+	c.ended()
+}
+
+// A connection is forgotten: what is sent on it vanishes and nobody is told, while
+// a new one works.
+func TestForgottenConnectionStaysSilent(t *testing.T) {
+	g, r := start(t)
+	c := dial(t, r)
+	c.say("a")
+	c.hears("a")
+	r.Forget(false)
+	c.say("b")
+	g.Eventually(r.Lost, "10s").Should(BeEquivalentTo(1))
+	fresh := dial(t, r)
+	fresh.say("c")
+	fresh.hears("c")
+	g.Expect(c.lines).NotTo(Receive())
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bilberrydale/internal/relay"
 )
 
 // fault is one disturbance; it lasts until it returns.
@@ -54,23 +56,22 @@
 }
 
 // relayFault disturbs the connections of a relay for a while.
-func relayFault(p *place, r *rand.Rand, x *relay) {
+func relayFault(p *place, r *rand.Rand, x *relay.Relay) {
 	switch r.IntN(5) {
 	case 0:
-		x.resetAll()
+		x.Reset()
 	case 1:
-		delay := someTime(r, 20, 300)
-		x.disturb(func(x *relay) { x.delay = delay })
+		x.Delay(someTime(r, 20, 300))
 	case 2:
-		x.disturb(func(x *relay) { x.silent, x.there = true, true })
+		x.Hold(false)
 	case 3:
-		x.disturb(func(x *relay) { x.silent = true })
+		x.Hold(true)
 	case 4:
-		x.disturb(func(x *relay) { x.refuse = true })
-		x.resetAll()
+		x.Refuse(true)
+		x.Reset()
 	}
 	p.log.more(some(r, 25, 300))
-	x.heal()
+	x.Heal()
 }
 
 // storeFault disturbs the store itself.
--- a/internal/soak/place_test.go
+++ b/internal/soak/place_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"bilberrydale/internal/relay"
 	"bilberrydale/platform/platformtest"
 	"bilberrydale/version/plan"
 )
@@ -45,7 +46,7 @@
 type host struct {
 	name, ip string
 	settings string
-	relay    *relay // to the store
+	relay    *relay.Relay // to the store
 	log      *os.File
 	// restarting is held while the process is ended and started again.
 	restarting sync.Mutex
@@ -59,7 +60,7 @@
 // backend is a backend server behind a relay.
 type backend struct {
 	*platformtest.Server
-	relay *relay
+	relay *relay.Relay
 }
 
 func newPlace(t *testing.T, binary string, hosts int, base int) *place {
@@ -88,10 +89,10 @@
 func (p *place) addServer(service string) {
 	s := platformtest.NewServer(fmt.Sprintf("%s-%d", service, len(p.servers)), service)
 	p.t.Cleanup(s.HTTP.Close)
-	r, err := newRelay(s.Address())
+	r, err := relay.New(s.Address())
 	p.must(err)
-	p.t.Cleanup(r.stop)
-	s.Listed = r.address()
+	p.t.Cleanup(r.Close)
+	s.Listed = r.Address()
 	b := &backend{s, r}
 	p.servers = append(p.servers, b)
 	s.SetHandle(func(w http.ResponseWriter, q *http.Request) bool { return p.serve(b, w, q) })
@@ -192,13 +193,13 @@
 
 func (p *place) addHost(binary string, i, base int) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 10+base/200, 1+base%200, 10+i)
-	r, err := newRelay(strings.TrimPrefix(p.web.URL, "http://"))
+	r, err := relay.New(strings.TrimPrefix(p.web.URL, "http://"))
 	p.must(err)
-	p.t.Cleanup(r.stop)
+	p.t.Cleanup(r.Close)
 	h := &host{name: fmt.Sprintf("front-%d", i), ip: ip, relay: r, settings: filepath.Join(p.dir, fmt.Sprintf("host-%d.json", i))}
 	data, err := platformtest.HostSettings{
 		Name: h.name, IP: ip, Domain: "a", Region: "r", Callers: ip + ":8625", Ready: ip + ":8621",
-		FirstPort: 7740, LastPort: 7755, StoreAddress: r.address(), StopBound: stopBound, RevokeBound: revokeBound,
+		FirstPort: 7740, LastPort: 7755, StoreAddress: r.Address(), StopBound: stopBound, RevokeBound: revokeBound,
 		Heartbeat: 1200 * time.Millisecond, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 200,
 	}.JSON()
 	p.must(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,10 +110,10 @@
 	p.store.SetBefore(nil)
 	p.store.SetSilent(false)
 	for _, h := range p.hosts {
-		h.relay.heal()
+		h.relay.Heal()
 	}
 	for _, b := range p.servers {
-		b.relay.heal()
+		b.relay.Heal()
 		p.list(b, false)
 	}
 }
