--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -334,6 +334,10 @@
 	if !p.t.Failed() || *keepFlag == "" {
 		return
 	}
+	if err := os.MkdirAll(*keepFlag, 0o700); err != nil {
+		p.t.Logf("logs not kept: %v", err)
+		return
+	}
 	for _, h := range p.hosts {
 		data, err := os.ReadFile(h.log.Name())
 		if err == nil {
