A data race in giving out calls; tests of seven more safeguards that had none

The race detector found it under the new test of a stopping host: the end of one call moves the expected end of the next, which that call's own goroutine read without the lock. A call could be given up too early or too late. It is read under the lock now.

Tests for what turned no test red when it was taken away: a stage server that breaks a call off is passed over; lists and watches by way of another host prove no more than that host knows (keys would be honoured for too long otherwise); a stopping host gives back what waits; stage work waits for the other hosts to be known; a server that does not answer counts as slow; last chances keep to their part; a stream that breaks off speaks against its server.

--- a/edge/requests_test.go
+++ b/edge/requests_test.go
@@ -265,6 +265,8 @@
 	g.Expect(r.err).NotTo(HaveOccurred())
 	g.Expect(r.body).To(Equal("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"))
 	g.Expect(p.runs("model")).To(HaveLen(2))
+	avoided := func(id string) bool { return h.directory.View().Server(id).Avoided(h.clock.Now()) }
+	g.Expect(avoided("model-1")).NotTo(Equal(avoided("model-2")), "the one that broke off")
 
 	r = p.ask(h, "POST", "/stream/stream/1", "x")
 	g.Expect(r.err).To(HaveOccurred(), "the answer must not end as complete")
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -143,7 +143,10 @@
 func (b *Batcher) run(ctx context.Context, c *Call) {
 	// Twice the expected time tells a slow or silent server from the ordinary
 	// spread; what it still makes is freed when it arrives.
-	bound := c.FreeAt.Sub(b.clock.Now()) + c.Expect + patience
+	b.mu.Lock()
+	freeAt := c.FreeAt // moves with the end of the call before
+	b.mu.Unlock()
+	bound := freeAt.Sub(b.clock.Now()) + c.Expect + patience
 	lost := time.AfterFunc(bound, func() { b.ended(c, Answer{Err: context.DeadlineExceeded}, true) })
 	a := b.backend.Run(ctx, c)
 	lost.Stop()
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -265,6 +265,21 @@
 	b.g.Expect(byServer["e"]).To(BeNumerically("<", 24), "%v", byServer)
 }
 
+// A server's call is given up after two seconds without an answer. How long it
+// takes is not known, but that long at least: it counts as slow, and the next job
+// waits for the other server, which is busy for a moment.
+func TestServerThatDoesNotAnswerCountsAsSlow(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x", "b": "x"})
+	b.submit("1", 14, 10*time.Second, "x")
+	b.submit("2", 14, 10*time.Second, "x")
+	calls := b.next()
+	b.g.Expect(calls).To(HaveLen(2))
+	b.now = b.now.Add(2 * time.Second)
+	b.q.Ended(calls[0], Answer{Err: errors.New("no answer")}, b.now)
+	b.g.Expect(b.q.servers[calls[0].Server.ID].slow).To(BeNumerically("~", 2/0.45, 0.1))
+	b.g.Expect(b.q.servers[calls[1].Server.ID].slow).To(BeNumerically("==", 1))
+}
+
 // Two domains have servers of the same speed. Work is made in the domain where
 // it is needed while there is a server for it, and elsewhere when there is not.
 func TestWorkStaysInItsDomainWhileThatHasServers(t *testing.T) {
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -260,6 +260,41 @@
 	r.g.Expect(r.api.count()).To(Equal(2), "the reader's own list")
 }
 
+// A host lists by way of a reader that has not heard from the platform for a while.
+// What the list proves is as old as the reader's knowledge: a key that was taken
+// away since would be honoured for too long otherwise.
+func TestListProvesNoMoreThanTheReaderKnows(t *testing.T) {
+	r := newRelayed(t)
+	known := r.now.Now()
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(1500 * time.Millisecond)
+	var proved []time.Time
+	f := newFollower(r.relay, r.now)
+	f.opts.Proved = func(at time.Time) { proved = append(proved, at) }
+	r.g.Expect(r.step(f)).To(Succeed())
+	r.g.Expect(proved).To(HaveLen(1))
+	r.g.Expect(proved[0]).To(BeTemporally("~", known, time.Millisecond))
+}
+
+// A watch by way of a reader brings a change. It proves what the reader knew when
+// it answered, which is older than the question.
+func TestWatchProvesNoMoreThanTheReaderKnows(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	f := newFollower(r.relay, r.now)
+	r.g.Expect(r.step(f)).To(Succeed())
+	r.api.value, r.api.rev = "2", 6
+	known := r.now.Now()
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(1500 * time.Millisecond)
+	var proved []time.Time
+	f.opts.Proved = func(at time.Time) { proved = append(proved, at) }
+	r.g.Expect(r.step(f)).To(Succeed())
+	r.g.Expect(f.objects["a"].Value).To(Equal("2"))
+	r.g.Expect(proved).To(HaveLen(1))
+	r.g.Expect(proved[0]).To(BeTemporally("~", known, time.Millisecond))
+}
+
 // The asking host has seen a newer state than the reader has. A list of the
 // reader would bring back what has gone.
 func TestListThatIsOlderIsRefused(t *testing.T) {
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -127,6 +127,22 @@
 	l.g.Expect(served).To(BeNumerically(">=", 20), "of 100")
 }
 
+// The service has as much work as it may, and a burst of requests has its last
+// chance at one moment. They take the part that is kept for such, not more: begun
+// all at once none of them would end in time, and those that can be on time would
+// wait behind them.
+func TestLastChancesKeepToTheirPart(t *testing.T) {
+	s := sheet()
+	l := newLine(t, map[string]Service{"s": s})
+	l.a.underWay["s"] = int(s.bound(0, 0))
+	for i := range 200 {
+		l.offer(fmt.Sprint("late-", i), 1, 4, 0, 1300*time.Millisecond)
+	}
+	l.a.Next(l.now)
+	kept := lastChanceShare * s.bound(0, 0)
+	l.g.Expect(float64(4 * len(l.begun))).To(BeNumerically("~", kept, 4))
+}
+
 // A request that cannot be of use any more is rejected when that is known, not
 // when its deadline has passed.
 func TestHopelessRequestIsRejectedAtOnce(t *testing.T) {
--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -15,8 +15,8 @@
 	"bilberrydale/process/directory"
 )
 
-// workshop is a coordinator over real batchers whose servers are in memory.
-type workshop struct {
+// fixture is a coordinator over real batchers whose servers are in memory.
+type fixture struct {
 	g        *WithT
 	k        *Coordinator
 	batchers map[string]*batcher.Batcher
@@ -29,7 +29,7 @@
 }
 
 type backend struct {
-	w       *workshop
+	w       *fixture
 	service string
 }
 
@@ -77,8 +77,8 @@
 func (quiet) OwnerChanged(string, string, uint64)      {}
 func (quiet) OwnerFailed(string, time.Duration, error) {}
 
-func newWorkshop(t *testing.T) *workshop {
-	w := &workshop{g: NewWithT(t), batchers: map[string]*batcher.Batcher{}}
+func newFixture(t *testing.T) *fixture {
+	w := &fixture{g: NewWithT(t), batchers: map[string]*batcher.Batcher{}}
 	opts := batcher.Options{MaxItems: 8, CallTime: 10 * time.Millisecond, ItemTime: time.Millisecond, ResultTTL: time.Second}
 	for _, service := range []string{"floor", "portal"} {
 		b := batcher.New(service, opts, backend{w, service}, clock.System{}, quiet{})
@@ -92,7 +92,7 @@
 	return w
 }
 
-func (w *workshop) freedCount() int {
+func (w *fixture) freedCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.freed)
@@ -109,7 +109,7 @@
 }
 
 func TestEachStageGetsAllResultsOfTheStageBefore(t *testing.T) {
-	w := newWorkshop(t)
+	w := newFixture(t)
 	inputs, err := w.k.Run(t.Context(), chain("r"))
 	w.g.Expect(err).NotTo(HaveOccurred())
 	w.g.Expect(inputs).To(HaveLen(3))
@@ -122,7 +122,7 @@
 }
 
 func TestStagesThatAreLeftOutCostNothing(t *testing.T) {
-	w := newWorkshop(t)
+	w := newFixture(t)
 	r := chain("r")
 	r.Stages[0].Items = 0
 	r.Stages[1].Items = 0
@@ -135,7 +135,7 @@
 // The server that holds the first stage's results crashes before the second has
 // used them. The work is done again, once.
 func TestLostInputsAreMadeAgain(t *testing.T) {
-	w := newWorkshop(t)
+	w := newFixture(t)
 	lost := true
 	w.fail = func(service string, _ batcher.Item) batcher.Reason {
 		if service == "portal" && lost {
@@ -163,7 +163,7 @@
 // An item fails on every server. The request gets its outcome, what was made for
 // it is given up, and the room that it took is there for others.
 func TestFailedWorkLeavesNothingBehind(t *testing.T) {
-	w := newWorkshop(t)
+	w := newFixture(t)
 	w.fail = func(service string, item batcher.Item) batcher.Reason {
 		if service == "portal" && item.Piece == 1 {
 			return batcher.Failed
@@ -185,7 +185,7 @@
 // The client leaves while its items are being made. They are given up when they
 // are there, and nothing more is begun for it.
 func TestCancelledWorkIsGivenUp(t *testing.T) {
-	w := newWorkshop(t)
+	w := newFixture(t)
 	w.hold = make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -31,7 +31,7 @@
 	calls  int
 	// listed are hosts as an old list tells of them; a call to one corrects it.
 	listed map[string]peer.Identity
-	shop   *workshop
+	fix    *fixture
 	pool   *Pool
 }
 
@@ -97,9 +97,15 @@
 }
 
 func (x *net) add(t *testing.T, id peer.Identity) *node {
-	n := &node{net: x, self: id, handlers: map[peer.Method]peer.Handler{}, shop: newWorkshop(t)}
-	n.pool = NewPool(n, clock.System{}, n.shop.k, func(domain string) string { return domain }, quiet{})
+	n := x.start(t, id)
 	n.pool.Met()
+	return n
+}
+
+// start adds a host that does not know the others yet.
+func (x *net) start(t *testing.T, id peer.Identity) *node {
+	n := &node{net: x, self: id, handlers: map[peer.Method]peer.Handler{}, fix: newFixture(t)}
+	n.pool = NewPool(n, clock.System{}, n.fix.k, func(domain string) string { return domain }, quiet{})
 	x.mu.Lock()
 	x.hosts[id.Host] = n
 	x.mu.Unlock()
@@ -108,9 +114,9 @@
 
 // madeAt returns how many items a host had made.
 func (n *node) made() int {
-	n.shop.mu.Lock()
-	defer n.shop.mu.Unlock()
-	return len(n.shop.calls)
+	n.fix.mu.Lock()
+	defer n.fix.mu.Unlock()
+	return len(n.fix.calls)
 }
 
 func three(t *testing.T) (*WithT, *node, *node, *node) {
@@ -163,6 +169,27 @@
 	g.Expect(second.made() + third.made()).To(BeZero())
 }
 
+// A host has just started and does not know the others. A request that came now
+// would have its stages run here, as at all hosts of a fleet that starts at once;
+// it waits until the others are known.
+func TestStageWorkWaitsForTheOtherHosts(t *testing.T) {
+	x := &net{hosts: map[string]*node{}}
+	last := x.start(t, peer.Identity{Host: "last", Incarnation: 2, Region: "x"})
+	g := NewWithT(t)
+	done := make(chan Made, 1)
+	go func() {
+		made, _ := last.run("r")
+		done <- made
+	}()
+	first := x.add(t, peer.Identity{Host: "first", Incarnation: 1, Region: "x"})
+	last.pool.Met()
+	var made Made
+	g.Eventually(done, "10s").Should(Receive(&made))
+	g.Expect(made.Owner).To(Equal("first"))
+	g.Expect(first.made()).To(Equal(5))
+	g.Expect(last.made()).To(BeZero())
+}
+
 // All hosts lost power and start again, in another order than before. The list
 // that each has read still tells of some processes before that, of others for each
 // host. By these the hosts would name three different owners, which fill the same
@@ -191,7 +218,7 @@
 	g, first, _, third := three(t)
 	g.Expect(third.pool.Wait("x")).To(BeZero())
 	for range 100 {
-		first.shop.k.noteWait(time.Second)
+		first.fix.k.noteWait(time.Second)
 	}
 	_, err := third.run("r")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -225,16 +252,16 @@
 // goes to the next host, also that of a host which missed the notice.
 func TestStoppingHostFinishesWhatItHasBegun(t *testing.T) {
 	g, first, second, third := three(t)
-	first.shop.hold = make(chan struct{})
+	first.fix.hold = make(chan struct{})
 	begun := make(chan error)
 	go func() {
 		_, err := second.run("begun")
 		begun <- err
 	}()
 	g.Eventually(func() int {
-		first.shop.k.mu.Lock()
-		defer first.shop.k.mu.Unlock()
-		return first.shop.k.admission.underWay["floor"]
+		first.fix.k.mu.Lock()
+		defer first.fix.k.mu.Unlock()
+		return first.fix.k.admission.underWay["floor"]
 	}, "10s").Should(Equal(2))
 	first.pool.Leave()
 	third.pool.mu.Lock()
@@ -245,15 +272,15 @@
 	_, err = first.run("own")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(second.made()).To(Equal(10))
-	close(first.shop.hold)
+	close(first.fix.hold)
 	g.Eventually(begun, "10s").Should(Receive(BeNil()))
 }
 
 // The client of another host leaves. The work is given up where it is done.
 func TestCancelReachesTheHostThatDoesTheWork(t *testing.T) {
 	g, first, _, third := three(t)
-	first.shop.hold = make(chan struct{})
-	defer close(first.shop.hold)
+	first.fix.hold = make(chan struct{})
+	defer close(first.fix.hold)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	go func() {
@@ -261,9 +288,9 @@
 		done <- err
 	}()
 	under := func() int {
-		first.shop.k.mu.Lock()
-		defer first.shop.k.mu.Unlock()
-		return first.shop.k.admission.underWay["floor"]
+		first.fix.k.mu.Lock()
+		defer first.fix.k.mu.Unlock()
+		return first.fix.k.admission.underWay["floor"]
 	}
 	g.Eventually(under, "10s").Should(Equal(2))
 	cancel()
@@ -271,6 +298,42 @@
 	g.Eventually(under, "10s").Should(BeZero())
 }
 
+// The first host is told to stop while requests of others wait there to be begun.
+// It gives them back at once, and the next host has their work done: they would
+// wait for its end in vain otherwise.
+func TestStoppingHostGivesBackWhatWaits(t *testing.T) {
+	g, first, second, third := three(t)
+	first.fix.hold = make(chan struct{})
+	const requests = 200
+	ended := make(chan error, requests)
+	for i := range requests {
+		go func() {
+			_, err := third.run(fmt.Sprint(i))
+			ended <- err
+		}()
+	}
+	waiting := func() int {
+		onTime, late := first.pool.Waiting()
+		return onTime + late
+	}
+	g.Eventually(func() int {
+		first.pool.mu.Lock()
+		defer first.pool.mu.Unlock()
+		return len(first.pool.running)
+	}, "10s").Should(Equal(requests))
+	g.Eventually(waiting, "10s").Should(BeNumerically(">", 0))
+	left := waiting()
+	first.pool.Leave()
+	for range left {
+		g.Eventually(ended, "10s").Should(Receive(BeNil()))
+	}
+	g.Expect(second.made()).To(BeNumerically(">=", 5*left))
+	close(first.fix.hold)
+	for range requests - left {
+		g.Eventually(ended, "10s").Should(Receive(BeNil()))
+	}
+}
+
 func TestWorkWithACycleIsRefused(t *testing.T) {
 	g, _, _, third := three(t)
 	r := chain("r")
