--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -181,6 +181,7 @@
 		made, _ := last.run("r")
 		done <- made
 	}()
+	g.Consistently(last.made, "100ms").Should(BeZero())
 	first := x.add(t, peer.Identity{Host: "first", Incarnation: 1, Region: "x"})
 	last.pool.Met()
 	var made Made
