What streams were learned to take can no longer refuse a route for good

Cause, from soak seed 2305 (3 of 16 runs, logs kept): streams that ran over a pause of the process taught that streams of their route take longer than clients wait. The time that is kept for the stream then took all of the client's, each request with stages was refused on arrival (0.1 ms, 4 s left), no stream ended, and nothing new was learned: the daemon refused the route for the whole minute that the harness waits.

At most half of the client's time is kept for the stream now, so that requests are tried and the mean comes back. The test was seen red; the seed stays in the soak.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,7 +33,8 @@
 
 // failedOnce are seeds that failed, each with its cause. They stay.
 var failedOnce = []uint64{
-	907, // with 900 requests: SIGHUP reached a process that had just started, which it ended
+	907,  // with 900 requests: SIGHUP reached a process that had just started, which it ended
+	2305, // with 700 requests, 3 of 16 runs: after streams over a pause a route's requests were refused on arrival for good
 }
 
 // Clients send requests of four kinds, keeping connections until they are
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -69,13 +69,20 @@
 	}
 	takes := x.times.expect(x.route.Name)
 	r.AimBy = x.aim.Add(-takes.first)
-	r.DieBy = x.start.Add(x.patience()).Add(-takes.first)
-	if end := x.deadline.Add(-takes.total()); end.Before(r.DieBy) {
+	r.DieBy = x.start.Add(x.patience() - min(takes.first, x.patience()/reserveDivisor))
+	wait := x.deadline.Sub(x.start)
+	if end := x.deadline.Add(-min(takes.total(), wait/reserveDivisor)); end.Before(r.DieBy) {
 		r.DieBy = end
 	}
 	return r
 }
 
+// reserveDivisor: at most half of a client's time is kept for the stream. What
+// streams take is learned from those that end; streams that ran while the process
+// was stopped for some seconds once taught more than the whole deadline, every
+// request of the route was refused on arrival, and nothing new was ever learned.
+const reserveDivisor = 2
+
 // items is the number of items of a stage; a stage that the client does not
 // mention has one.
 func (x *exchange) items(stage int) int {
--- a/request/gateway/streamtime_test.go
+++ b/request/gateway/streamtime_test.go
@@ -26,23 +26,47 @@
 	g.Expect(f.expect("other")).To(Equal(streamTimeStart))
 }
 
-// The streams of a route take 3.4 s at most. Stage work of a request whose client
-// leaves after 4 s is of use for half a second; with a longer deadline it is for as
-// long as clients wait for a first event.
-func TestStageWorkLeavesTheTimeOfTheStream(t *testing.T) {
-	g := NewWithT(t)
-	now := time.Unix(1000, 0)
+// staged returns a request with stages that arrived now, before streams of its
+// route that have taken as long as told.
+func staged(now time.Time, wait time.Duration, took streamTime) *exchange {
 	gw := New(Options{Directory: directory.New(), Clock: clock.NewManual(now), Rand: clock.NewSeeded(1)})
 	for range 60 {
-		gw.times.note("r", streamTime{first: 400 * time.Millisecond, rest: 2 * time.Second})
+		gw.times.note("r", took)
 	}
-	takes := gw.times.expect("r")
-	x := &exchange{
-		Gateway: gw, start: now, aim: now.Add(2 * time.Second), deadline: now.Add(4 * time.Second),
+	return &exchange{
+		Gateway: gw, start: now, aim: now.Add(2 * time.Second), deadline: now.Add(wait),
 		route: &plan.Route{Name: "r", TargetLatency: 2 * time.Second, Stages: []plan.Stage{{Service: "s"}}},
 	}
+}
+
+// The streams of a route take 3.4 s at most. Stage work of a request whose client
+// leaves after 7 s is of use for 3.6 s; with a longer deadline it is for as long as
+// clients wait for a first event.
+func TestStageWorkLeavesTheTimeOfTheStream(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := staged(now, 7*time.Second, streamTime{first: 400 * time.Millisecond, rest: 2 * time.Second})
+	takes := x.times.expect("r")
 	g.Expect(x.stageRequest().DieBy).To(Equal(x.deadline.Add(-takes.total())))
 	g.Expect(x.stageRequest().AimBy).To(Equal(x.aim.Add(-takes.first)))
 	x.deadline = now.Add(time.Minute)
 	g.Expect(x.stageRequest().DieBy).To(Equal(now.Add(8*time.Second - takes.first)))
 }
+
+// The process was stopped for seconds while streams ran, and they seemed to take
+// longer than clients wait. Every request of the route would be refused on arrival,
+// no stream would end any more, and nothing new would be learned: half of the
+// client's time is left for the stages whatever streams took.
+func TestRequestsAreServedAfterStreamsThatSeemedEndless(t *testing.T) {
+	for name, took := range map[string]streamTime{
+		"to the first event": {first: 20 * time.Second}, "behind it": {rest: 20 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			x := staged(now, 4*time.Second, took)
+			NewWithT(t).Expect(x.stageRequest().DieBy).To(BeTemporally(">=", now.Add(2*time.Second)))
+			x.deadline = now.Add(time.Minute)
+			NewWithT(t).Expect(x.stageRequest().DieBy).To(BeTemporally(">=", now.Add(4*time.Second)))
+		})
+	}
+}
