A decision of admission asks each service once

Cause: while requests wait, each arrival and each end of a stage had the host that does the stage work ask the batchers, under their locks and over all servers, several times for each waiting request. 250 waiting requests of three stages took 1.36 ms a look, some 300 times a second, of a host with 0.4 of a core.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -16,6 +16,10 @@
 // that will miss their aim can no longer be told from those that need not.
 type Admission struct {
 	services func(name string) (Service, bool)
+	// known are the services as they were when the present decision began. Asking
+	// for them anew for each waiting request made an overloaded host spend its
+	// whole processor on looking at the requests that waited.
+	known    map[string]Service
 	underWay map[string]int // items begun and not finished, by service
 	// lateUnderWay are those of requests that were late when they began.
 	lateUnderWay map[string]int
@@ -36,16 +40,30 @@
 	Took       []time.Duration // by each stage, once the work is done
 
 	late bool
-	cost float64 // seconds of all servers of its services
+	cost float64       // seconds of all servers of its services
+	path time.Duration // that its stages take once it is begun, as last looked at
 }
 
 // NewAdmission returns an admission; services tells what is known of a service.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{services: services, underWay: map[string]int{}, lateUnderWay: map[string]int{}}
+	return &Admission{services: services, known: map[string]Service{}, underWay: map[string]int{}, lateUnderWay: map[string]int{}}
+}
+
+// service returns what is known of a service; false: there is none of that name.
+func (a *Admission) service(name string) (Service, bool) {
+	if s, ok := a.known[name]; ok {
+		return s, true
+	}
+	s, ok := a.services(name)
+	if ok {
+		a.known[name] = s
+	}
+	return s, ok
 }
 
 // Offer adds a request that wants to be begun.
 func (a *Admission) Offer(t *Ticket) {
+	clear(a.known)
 	t.cost = a.cost(t.Request)
 	a.onTime = insert(a.onTime, t, func(x, y *Ticket) bool { return x.density() > y.density() })
 }
@@ -70,7 +88,7 @@
 func (a *Admission) cost(r *Request) float64 {
 	var sum float64
 	for _, s := range r.Stages {
-		if svc, ok := a.services(s.Service); ok && s.Items > 0 && svc.Rate > 0 {
+		if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.Rate > 0 {
 			sum += float64(s.Items) / svc.Rate
 		}
 	}
@@ -113,6 +131,7 @@
 
 // Next begins and rejects requests as it is right at now.
 func (a *Admission) Next(now time.Time) {
+	clear(a.known)
 	a.sort(now)
 	b := &blocked{rate: map[string]bool{}, room: map[string]int64{}}
 	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request) })
@@ -135,7 +154,7 @@
 const lastChanceTime = 700 * time.Millisecond
 
 func (a *Admission) lastChance(t *Ticket, now time.Time) bool {
-	return now.Add(a.latePath(t.Request) + lastChanceTime).After(t.Request.DieBy)
+	return now.Add(t.latePath() + lastChanceTime).After(t.Request.DieBy)
 }
 
 // lateFactor is how much longer the stages of a late request may take: it runs
@@ -143,14 +162,12 @@
 // time, a third of them were not finished, and their work was lost.
 const lateFactor = 1.5
 
-func (a *Admission) latePath(r *Request) time.Duration {
-	return time.Duration(lateFactor * float64(a.path(r)))
-}
+func (t *Ticket) latePath() time.Duration { return time.Duration(lateFactor * float64(t.path)) }
 
 // fitsLate tells whether the part that is kept for last chances has room.
 func (a *Admission) fitsLate(r *Request) bool {
 	for i, s := range r.Stages {
-		svc, ok := a.services(s.Service)
+		svc, ok := a.service(s.Service)
 		if !ok || s.Items == 0 {
 			continue
 		}
@@ -166,7 +183,7 @@
 // rejects those that can no longer be of use.
 func (a *Admission) sort(now time.Time) {
 	a.onTime = a.keep(a.onTime, now, func(t *Ticket) bool {
-		if !now.Add(a.path(t.Request)).After(t.Request.AimBy) {
+		if !now.Add(t.path).After(t.Request.AimBy) {
 			return true
 		}
 		t.late = true
@@ -180,9 +197,10 @@
 func (a *Admission) keep(list []*Ticket, now time.Time, stay func(*Ticket) bool) []*Ticket {
 	kept := list[:0]
 	for _, t := range list {
-		needs := a.path(t.Request)
+		t.path = a.path(t.Request)
+		needs := t.path
 		if t.late {
-			needs = a.latePath(t.Request)
+			needs = t.latePath()
 		}
 		if now.Add(needs).After(t.Request.DieBy) {
 			t.Rejected(batcher.Late)
@@ -204,7 +222,7 @@
 // at once: waiting would only take the time in which another try may succeed.
 func (a *Admission) unserved(r *Request) bool {
 	for _, s := range r.Stages {
-		if svc, ok := a.services(s.Service); ok && s.Items > 0 && svc.Listed == 0 {
+		if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.Listed == 0 {
 			return true
 		}
 	}
@@ -219,7 +237,7 @@
 		for _, after := range s.After {
 			ends[i] = max(ends[i], ends[after])
 		}
-		if svc, ok := a.services(s.Service); ok && s.Items > 0 {
+		if svc, ok := a.service(s.Service); ok && s.Items > 0 {
 			ends[i] += svc.call() + callWait
 		}
 		longest = max(longest, ends[i])
@@ -257,7 +275,7 @@
 		if s.Items == 0 {
 			continue
 		}
-		svc, ok := a.services(s.Service)
+		svc, ok := a.service(s.Service)
 		if !ok {
 			continue // the batcher tells what is wrong with it
 		}
@@ -284,10 +302,12 @@
 // BeginAgain counts the work of a request once more that has to be repeated;
 // false: it can be of no use any more.
 func (a *Admission) BeginAgain(t *Ticket, now time.Time) bool {
-	if now.Add(a.path(t.Request)).After(t.Request.DieBy) {
+	clear(a.known)
+	t.path = a.path(t.Request)
+	if now.Add(t.path).After(t.Request.DieBy) {
 		return false
 	}
-	t.late = t.late || now.Add(a.path(t.Request)).After(t.Request.AimBy)
+	t.late = t.late || now.Add(t.path).After(t.Request.AimBy)
 	a.count(t)
 	return true
 }
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -198,3 +198,24 @@
 	l.g.Expect(l.rejected).To(Equal(map[string]batcher.Reason{"needs it": batcher.NoServer}))
 	l.g.Expect(l.begun).To(Equal([]string{"does not"}))
 }
+
+// The pattern: an overload in which 250 requests wait at the host that does the
+// stage work, and each end of a stage has it look at all of them. What that costs
+// may not grow with the state of the services times the requests that wait: the
+// host had no processor left for the calls, and its servers stood idle.
+func TestEachDecisionAsksAServiceOnce(t *testing.T) {
+	asked := 0
+	l := newLine(t, nil)
+	l.a = NewAdmission(func(string) (Service, bool) { asked++; return sheet(), true })
+	for i := range 250 {
+		l.offer(fmt.Sprint(i), 1, 4, time.Duration(i%4)*time.Second, 10*time.Second)
+	}
+	for range 10 {
+		asked = 0
+		l.a.Next(l.now)
+		l.g.Expect(asked).To(Equal(1))
+		l.now = l.now.Add(20 * time.Millisecond)
+	}
+	onTime, late := l.a.Waiting()
+	l.g.Expect(onTime + late).To(BeNumerically(">", 100))
+}
--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -3,11 +3,66 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"bilberrydale/process/batcher"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/directory"
 	"bilberrydale/process/peer"
 )
 
+// BenchmarkNextUnderOverload is what each look at the waiting requests costs the
+// host that does the stage work while it is overloaded: it looks several hundred
+// times a second, at each arrival and each end of a stage.
+func BenchmarkNextUnderOverload(b *testing.B) {
+	for _, waiting := range []int{20, 250, 1000} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			k := overloaded(waiting)
+			now := time.Now()
+			b.ReportAllocs()
+			for b.Loop() {
+				k.admission.Next(now)
+			}
+			if onTime, late := k.admission.Waiting(); onTime+late == 0 {
+				b.Fatal("nothing waits")
+			}
+		})
+	}
+}
+
+// overloaded is a coordinator whose requests of three stages find all servers busy.
+func overloaded(waiting int) *Coordinator {
+	services := map[string]*batcher.Batcher{}
+	for _, name := range []string{"encode", "retrieve", "rank"} {
+		opts := batcher.Options{MaxItems: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond, RoomBytes: 40 << 20}
+		b := batcher.New(name, opts, nil, clock.System{}, quiet{})
+		dir := directory.New()
+		var servers []directory.Entry
+		for i := range 5 {
+			servers = append(servers, directory.Entry{ID: fmt.Sprint(name, i), Service: name})
+		}
+		dir.Replace(servers)
+		b.Configure(opts, dir.View().Servers(name), func(*directory.Server) time.Duration { return 0 })
+		for range 20 {
+			b.Submit(&batcher.Job{Items: make([]batcher.Item, 4), ItemBytes: 60_000, AimBy: time.Now(), DieBy: time.Now().Add(time.Hour)})
+		}
+		services[name] = b
+	}
+	k := NewCoordinator(func(name string) *batcher.Batcher { return services[name] }, clock.System{}, quiet{})
+	for i := range waiting {
+		aim := time.Now().Add(time.Duration(i%2) * time.Hour) // half of them are late
+		k.admission.Offer(&Ticket{Begin: func() {}, Request: &Request{
+			ID: fmt.Sprint(i), Worth: float64(i), AimBy: aim, DieBy: time.Now().Add(2 * time.Hour),
+			Stages: []Stage{
+				{Service: "encode", Items: 2, ItemBytes: 3_000_000},
+				{Service: "retrieve", Items: 8, ItemBytes: 60_000, After: []int{0}},
+				{Service: "rank", Items: 16, ItemBytes: 6_000, After: []int{1}},
+			},
+		}})
+	}
+	return k
+}
+
 // BenchmarkOwner is what each staged request pays to find the host that does the
 // stage work, at the number of hosts to design for.
 func BenchmarkOwner(b *testing.B) {
