Hosts know of the platform's return within 0.3 s

Cause: a question that was sent into a silence of the platform's store is never answered. A host asked again only when its time was over: 1.2 s for a watch, 2.5 s for a list, and a watch without news then waited once more for its proof. Nothing else is sent into the silence. A reader's first proof ends the waits of the hosts that ask it.

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -15,6 +15,7 @@
 	"bilberrydale/process/directory"
 	"bilberrydale/process/follow"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/reach"
 	"bilberrydale/version/plan"
 )
 
@@ -60,6 +61,7 @@
 // wireBeliefs makes the followers. They ask one host of the region, which asks
 // the platform.
 func (h *Host) wireBeliefs() {
+	h.reach = reach.New(reach.Options{Probe: h.store.Probe, Clock: h.boot, Rand: h.rand, Changed: h.silenceChanged})
 	configWait, serversWait := h.configWait(), h.serversWait()
 	h.config = follow.New(follow.Options[plan.Config]{
 		Source: relay(h, "config", configWait, platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
@@ -92,7 +94,8 @@
 
 func relay[T any](h *Host, kind string, wait time.Duration, direct follow.Source[T]) follow.Source[T] {
 	return &follow.Relay[T]{
-		Kind: kind, Link: h.mesh, Direct: direct, Clock: h.boot, MaxAge: 2*wait + relayRoom, Readers: h.readers,
+		Kind: kind, Link: h.mesh, Direct: follow.Through(h.reach, direct), Clock: h.boot, MaxAge: 2*wait + relayRoom,
+		Silent: h.reach.Silent, Readers: h.readers,
 	}
 }
 
@@ -256,7 +259,9 @@
 		if _, err := rand.Read(offer[:]); err != nil {
 			return err
 		}
-		secret, err := platform.PeerSecret(ctx, h.store, hex.EncodeToString(offer[:]))
+		secret, err := reach.Ask(ctx, h.reach, 0, func(ctx context.Context, _ bool) (string, error) {
+			return platform.PeerSecret(ctx, h.store, hex.EncodeToString(offer[:]))
+		})
 		if err != nil {
 			return err
 		}
@@ -317,6 +322,17 @@
 	})
 }
 
+// silenceChanged logs that the platform's object API has fallen silent for this
+// host, or answers again.
+func (h *Host) silenceChanged(silent bool, after time.Duration) {
+	if silent {
+		h.meter.Add("platform_silences", 1)
+		h.log.Warn("platform", "outcome", "silent; probed until it answers", "after_ms", after.Milliseconds())
+		return
+	}
+	h.log.Info("platform", "outcome", "answers again", "after_ms", after.Milliseconds())
+}
+
 func (h *Host) lost(what string, err error) {
 	h.meter.Add("dependency_lost", 1)
 	h.log.Warn("dependency lost", "what", what, "err", err)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -27,6 +27,7 @@
 	"bilberrydale/process/inforce"
 	"bilberrydale/process/meter"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/reach"
 	"bilberrydale/process/record"
 	"bilberrydale/process/stages"
 	"bilberrydale/request/gateway"
@@ -62,6 +63,7 @@
 	config     *follow.Follower[plan.Config]
 	servers    *follow.Follower[directory.Entry]
 	entryHosts *follow.Follower[peer.Identity]
+	reach      *reach.Reach
 	confirmed  atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
 	upstream   *upstream.Client
 	budget     *budget.Shared
@@ -280,7 +282,7 @@
 		g.Go(func() error { return serve(s.server, s.on) })
 	}
 	for _, actor := range []func(context.Context) error{
-		h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload, h.prune,
+		h.reach.Run, h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload, h.prune,
 	} {
 		g.Go(func() error { return actor(gctx) })
 	}
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -104,9 +104,10 @@
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		began := f.opts.Clock.Now()
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			f.pause(ctx)
+			f.pause(ctx, began)
 		}
 	}
 	return nil
@@ -241,9 +242,13 @@
 	}
 }
 
-func (f *Follower[T]) pause(ctx context.Context) {
-	d := min(minPause<<min(f.tries, 5), maxPause)
-	f.wait(ctx, time.Duration((0.5+f.opts.Rand.Float64()/2)*float64(d)))
+// pause keeps failed steps apart. A step that waited for its failure has been kept
+// apart by that: whoever it waited for tells as soon as there is news.
+func (f *Follower[T]) pause(ctx context.Context, began time.Time) {
+	d := time.Duration((0.5 + f.opts.Rand.Float64()/2) * float64(min(minPause<<min(f.tries, 5), maxPause)))
+	if left := d - f.opts.Clock.Now().Sub(began); left > 0 {
+		f.wait(ctx, left)
+	}
 }
 
 func (f *Follower[T]) wait(ctx context.Context, d time.Duration) {
--- a/process/follow/history.go
+++ b/process/follow/history.go
@@ -22,6 +22,9 @@
 	objects []Object[T]
 }
 
+// staleAfter without a proof tells a lost source from the pace of the watches.
+const staleAfter = time.Second
+
 // keptBatches bounds the changes of late; who needs older ones lists again.
 const keptBatches = 256
 
@@ -64,6 +67,9 @@
 func (h *history[T]) prove(at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if at.Sub(h.proved) > staleAfter {
+		h.wake() // other hosts may wait for just this
+	}
 	if at.After(h.proved) {
 		h.proved = at
 	}
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -22,6 +22,8 @@
 	// MaxAge of the other host's knowledge. What a watch proves is as old as the
 	// watch when that is answered, and twice as old before the next one is.
 	MaxAge time.Duration
+	// Silent reports whether the object API is known not to answer this host.
+	Silent func() bool
 	// Readers returns the hosts to ask, the best one first; this host is not
 	// among them. None: this host is the one that asks the object API.
 	Readers func() []string
@@ -57,6 +59,7 @@
 	errRelay   = errors.New("follow: the other host cannot tell")
 	errUnready = errors.New("it knows nothing yet")
 	errTooOld  = errors.New("its knowledge is too old")
+	errSilent  = errors.New("follow: neither the other hosts nor the object API can tell")
 )
 
 // List implements Source.
@@ -84,9 +87,8 @@
 		return direct(ctx, 0)
 	}
 	asked := r.Clock.Now()
-	if asked.Before(r.pausing) {
-		q.MaxAgeUS = 0 // the reader tells when it knows again; nobody else can be asked
-	}
+	// While nobody else can be asked, the reader tells when it knows again.
+	q.UntilFresh = asked.Before(r.pausing)
 	for i, host := range readers {
 		if asked.Before(r.passed[host]) {
 			continue
@@ -140,8 +142,14 @@
 }
 
 // askDirect asks the object API; if that fails, the other hosts come first again.
-func (r *Relay[T]) askDirect(ctx context.Context, spent time.Duration, direct func(context.Context, time.Duration) (Answer[T], error)) (Answer[T], error) {
-	a, err := direct(ctx, spent)
+func (r *Relay[T]) askDirect(ctx context.Context, spent time.Duration, direct func(context.Context, time.Duration) (Answer[T], error)) (a Answer[T], err error) {
+	if r.Silent() {
+		// Waiting for its return here would leave the readers unheard, and have
+		// the whole fleet ask it at once.
+		err = errSilent
+	} else {
+		a, err = direct(ctx, spent)
+	}
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		clear(r.passed)
 		r.pausing = r.Clock.Now().Add(directPause)
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -100,7 +100,7 @@
 	}
 	r.reader = newFollower(r.api, r.now)
 	r.reader.Serve(r.wire, "k")
-	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, MaxAge: maxAge, Readers: func() []string { return []string{"reader"} }}
+	r.relay = &Relay[string]{Kind: "k", Link: r.wire, Direct: r.api, Clock: r.now, MaxAge: maxAge, Silent: func() bool { return false }, Readers: func() []string { return []string{"reader"} }}
 	return r
 }
 
@@ -347,3 +347,43 @@
 func (f failing) Watch(context.Context, Revision, time.Duration) (Answer[string], error) {
 	return Answer[string]{}, f.err
 }
+
+// The pattern: the platform is away for the reader as for all, and back after some
+// seconds in which nothing changed. A host that waits at the reader is told by the
+// reader's first proof, and not when its wait is over.
+func TestReaderTellsAtOnceThatItKnowsAgain(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(maxAge + time.Millisecond)
+	r.relay.Direct = failing{r.api, errors.New("down")}
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(HaveOccurred())
+	type result struct {
+		a   Answer[string]
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		a, err := r.relay.Watch(t.Context(), 5, time.Hour)
+		done <- result{a, err}
+	}()
+	r.g.Eventually(r.now.Waiters, "10s").Should(Equal(1))
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	var got result
+	r.g.Eventually(done, "10s").Should(Receive(&got))
+	r.g.Expect(got.err).NotTo(HaveOccurred())
+	r.g.Expect(got.a.Age).To(BeZero())
+}
+
+// The platform is silent for all hosts. One that has a reader sends nothing into the
+// silence: it stays with the reader, and a fleet does not ask at once on its return.
+func TestSilentPlatformIsLeftToTheReader(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.now.Advance(maxAge + time.Millisecond)
+	r.relay.Silent = func() bool { return true }
+	calls := r.api.count()
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errSilent))
+	r.g.Expect(r.api.count()).To(Equal(calls))
+}
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -13,9 +13,10 @@
 	List   bool
 	From   Revision
 	WaitMS int64
-	// MaxAgeUS ends the wait as soon as the answering host's knowledge is older;
-	// 0: never.
-	MaxAgeUS int64
+	// MaxAgeUS ends the wait as soon as the answering host's knowledge is older. With
+	// UntilFresh the wait ends as soon as it is not.
+	MaxAgeUS   int64
+	UntilFresh bool
 }
 
 type relayObject[T any] struct {
@@ -61,8 +62,12 @@
 	for {
 		objects, at, proved, next, gone := f.history.since(q.From)
 		now, until := f.opts.Clock.Now(), end
-		if q.MaxAgeUS > 0 {
-			until = earlier(end, proved.Add(time.Duration(q.MaxAgeUS+1)*time.Microsecond))
+		stale := proved.Add(time.Duration(q.MaxAgeUS+1) * time.Microsecond)
+		switch {
+		case !q.UntilFresh:
+			until = earlier(end, stale)
+		case stale.After(now):
+			until = now
 		}
 		if len(objects) > 0 || gone || !now.Before(until) {
 			return relayAnswer[T]{Objects: encode(objects), AsOf: at, AgeUS: f.age(proved), Gone: gone, Ready: true}
--- /dev/null
+++ b/process/follow/through.go
@@ -0,0 +1,32 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"bilberrydale/process/reach"
+)
+
+// Through returns a source that asks s as reach.Ask does: its questions wait while
+// the object API is silent, and one that was lost in the silence is asked again.
+func Through[T any](r *reach.Reach, s Source[T]) Source[T] { return through[T]{r, s} }
+
+type through[T any] struct {
+	reach  *reach.Reach
+	source Source[T]
+}
+
+// List implements Source.
+func (t through[T]) List(ctx context.Context, after string) (Answer[T], error) {
+	return reach.Ask(ctx, t.reach, 0, func(ctx context.Context, _ bool) (Answer[T], error) { return t.source.List(ctx, after) })
+}
+
+// Watch implements Source.
+func (t through[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error) {
+	return reach.Ask(ctx, t.reach, wait, func(ctx context.Context, late bool) (Answer[T], error) {
+		if late {
+			return t.source.Watch(ctx, from, 0) // what matters now is the proof that nothing has changed
+		}
+		return t.source.Watch(ctx, from, wait)
+	})
+}
--- /dev/null
+++ b/process/reach/reach.go
@@ -0,0 +1,237 @@
+// Package reach finds out, for everything in a process that asks the platform's
+// object API, when the API answers again after it has fallen silent.
+//
+// A question that was sent into the silence is never answered, even once the API
+// is back. Without a probe a process therefore stays without the platform for as
+// long as its questions may wait, and one that started meanwhile serves nobody for
+// seconds after the API's return.
+package reach
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/objectapi"
+)
+
+// Options of a Reach; all are required.
+type Options struct {
+	// Probe asks the API something small on a connection of its own. An error other
+	// than objectapi.ErrNoAnswer is an answer, too.
+	Probe func(ctx context.Context) error
+	Clock clock.Clock
+	Rand  clock.Rand
+	// Changed tells that the API has fallen silent, or answers again after a time.
+	Changed func(silent bool, after time.Duration)
+}
+
+// Reach tells whether the API answers. Run is called once; the other methods are
+// safe for concurrent use.
+type Reach struct {
+	opts     Options
+	suspects chan struct{}
+
+	mu      sync.Mutex
+	silence *silence // nil while the API answers
+}
+
+// silence lasts from a question that got no answer to the next answer.
+type silence struct {
+	since time.Time
+	// proved is set once a probe has got no answer either: until then it may be
+	// that just the one question takes its time, or was lost with its connection.
+	proved bool
+	over   chan struct{} // closed at the end
+}
+
+// New returns a Reach that takes the API for answering.
+func New(opts Options) *Reach {
+	return &Reach{opts: opts, suspects: make(chan struct{}, 1)}
+}
+
+const (
+	// patience is how long an answer may be overdue before the API is probed. A
+	// slow API answers within some 200 ms.
+	patience = 400 * time.Millisecond
+	// probeEvery is the pause between probes, and so how late the end of a silence
+	// is noticed. A probe is sent whether the one before was answered or not: that
+	// one was lost if it was sent into the silence.
+	probeEvery = 250 * time.Millisecond
+	// probeBound is the time for one probe's answer; a slow API takes part of it.
+	probeBound = time.Second
+)
+
+// Silent reports whether the API is known to be silent.
+func (r *Reach) Silent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silence != nil && r.silence.proved
+}
+
+// Run probes the API whenever a question goes unanswered, until ctx ends.
+func (r *Reach) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.suspects:
+		}
+		r.probe(ctx)
+	}
+}
+
+// probe asks until something is answered.
+func (r *Reach) probe(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	for {
+		s := r.present()
+		if s == nil {
+			return
+		}
+		go r.ask(ctx, s)
+		pause := time.Duration((0.8 + 0.4*r.opts.Rand.Float64()) * float64(probeEvery))
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.over:
+			return
+		case <-r.opts.Clock.After(pause):
+		}
+		r.prove(s)
+	}
+}
+
+func (r *Reach) ask(ctx context.Context, s *silence) {
+	ctx, cancel := context.WithTimeout(ctx, probeBound)
+	defer cancel()
+	if err := r.opts.Probe(ctx); ctx.Err() == nil && !errors.Is(err, objectapi.ErrNoAnswer) {
+		r.end(s)
+	}
+}
+
+func (r *Reach) present() *silence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silence
+}
+
+// prove notes that a probe has got no answer.
+func (r *Reach) prove(s *silence) {
+	r.mu.Lock()
+	first := r.silence == s && !s.proved
+	s.proved = s.proved || first
+	r.mu.Unlock()
+	if first {
+		r.opts.Changed(true, r.opts.Clock.Now().Sub(s.since))
+	}
+}
+
+// end notes an answer: silence s is over; nil: whichever there is.
+func (r *Reach) end(s *silence) {
+	r.mu.Lock()
+	if r.silence == nil || s != nil && r.silence != s {
+		r.mu.Unlock()
+		return
+	}
+	ended := r.silence
+	r.silence = nil
+	close(ended.over)
+	r.mu.Unlock()
+	if ended.proved {
+		r.opts.Changed(false, r.opts.Clock.Now().Sub(ended.since))
+	}
+}
+
+// suspect has the API probed and returns the silence.
+func (r *Reach) suspect() *silence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silence == nil {
+		r.silence = &silence{since: r.opts.Clock.Now(), over: make(chan struct{})}
+		select {
+		case r.suspects <- struct{}{}:
+		default: // Run has not looked at the one before yet
+		}
+	}
+	return r.silence
+}
+
+// await blocks while the API is known to be silent, and tells whether it was.
+func (r *Reach) await(ctx context.Context) (late bool, err error) {
+	s := r.present()
+	if s == nil || !r.Silent() {
+		return false, nil
+	}
+	select {
+	case <-s.over:
+		return true, nil
+	case <-ctx.Done():
+		return true, errors.Join(objectapi.ErrUnavailable, objectapi.ErrNoAnswer, ctx.Err())
+	}
+}
+
+// note takes what a question's end tells of the API: any answer ends a silence.
+func (r *Reach) note(err error) {
+	if !errors.Is(err, objectapi.ErrNoAnswer) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		r.end(nil)
+	}
+}
+
+// outcome is what became of one question.
+type outcome[T any] struct {
+	answer T
+	err    error
+}
+
+// Question asks the API something that may be asked more than once. late tells that
+// the API has just answered again after a silence.
+type Question[T any] func(ctx context.Context, late bool) (T, error)
+
+// Ask asks a question that is expected to be answered after wait. It waits while the
+// API is silent. A question that is overdue when the API is found to answer was sent
+// into a silence, most likely: it is asked once more, and the first answer counts.
+func Ask[T any](ctx context.Context, r *Reach, wait time.Duration, question Question[T]) (T, error) {
+	late, err := r.await(ctx)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan outcome[T], 2)
+	send(ctx, question, late, answers)
+	o, ok := receive(answers, r.opts.Clock.After(wait+patience))
+	if !ok {
+		o, ok = receive(answers, r.suspect().over)
+	}
+	if !ok {
+		send(ctx, question, true, answers)
+		o = <-answers
+		if errors.Is(o.err, objectapi.ErrNoAnswer) {
+			o = <-answers
+		}
+	}
+	r.note(o.err)
+	return o.answer, o.err
+}
+
+func send[T any](ctx context.Context, question Question[T], late bool, to chan<- outcome[T]) {
+	go func() {
+		answer, err := question(ctx, late)
+		to <- outcome[T]{answer, err}
+	}()
+}
+
+// receive waits for an outcome; false: until came first.
+func receive[T, S any](answers <-chan outcome[T], until <-chan S) (outcome[T], bool) {
+	select {
+	case o := <-answers:
+		return o, true
+	case <-until:
+		return outcome[T]{}, false
+	}
+}
--- /dev/null
+++ b/process/reach/reach_test.go
@@ -0,0 +1,191 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/objectapi"
+)
+
+// api is an object API that falls silent: what is asked of it then gets no answer,
+// also not later.
+type api struct {
+	mu     sync.Mutex
+	silent bool
+	takes  time.Duration
+	asked  int
+	probed int
+	err    error // of its answers
+	late   bool  // as the last question was told
+}
+
+func (a *api) set(silent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = silent
+}
+
+func (a *api) refuse(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.err = err
+}
+
+func (a *api) answer(ctx context.Context, count *int) error {
+	a.mu.Lock()
+	*count++
+	silent, takes, err := a.silent, a.takes, a.err
+	a.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errors.Join(objectapi.ErrNoAnswer, ctx.Err())
+	}
+	select {
+	case <-time.After(takes):
+		return err
+	case <-ctx.Done():
+		return errors.Join(objectapi.ErrNoAnswer, ctx.Err())
+	}
+}
+
+// count reads one of the counts.
+func (a *api) count(of *int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return *of
+}
+
+func (a *api) question(ctx context.Context, late bool) (string, error) {
+	a.mu.Lock()
+	a.late = late
+	a.mu.Unlock()
+	return "yes", a.answer(ctx, &a.asked)
+}
+
+type fixture struct {
+	*WithT
+	api   *api
+	reach *Reach
+	heard []bool // what Changed told; read after synctest.Wait
+}
+
+// run calls f in a bubble of simulated time.
+func run(t *testing.T, f func(x *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &fixture{WithT: NewWithT(t), api: &api{takes: 4 * time.Millisecond}}
+		x.reach = New(Options{
+			Probe: func(ctx context.Context) error { return x.api.answer(ctx, &x.api.probed) },
+			Clock: clock.System{}, Rand: clock.NewSeeded(1),
+			Changed: func(silent bool, _ time.Duration) { x.heard = append(x.heard, silent) },
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = x.reach.Run(ctx) }()
+		f(x)
+		stop()
+		synctest.Wait()
+	})
+}
+
+func (x *fixture) ask(bound, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	_, err := Ask(ctx, x.reach, wait, x.api.question)
+	return err
+}
+
+// The pattern: a host asks while the API is silent, as one does that starts then.
+// The API is back after two seconds. The question itself is lost; the host knows
+// all the same within 0.3 s of the return, and not when its question's time ends.
+func TestQuestionOfASilenceIsAnsweredSoonAfterIt(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.set(true)
+		time.AfterFunc(2*time.Second, func() { x.api.set(false) })
+		began := time.Now()
+		x.Expect(x.ask(10*time.Second, 0)).To(Succeed())
+		x.Expect(time.Since(began)).To(BeNumerically("~", 2150*time.Millisecond, 155*time.Millisecond))
+		synctest.Wait()
+		x.Expect(x.heard).To(Equal([]bool{true, false}))
+		x.Expect(x.api.count(&x.api.asked)).To(Equal(2))
+		x.Expect(x.api.late).To(BeTrue())
+		x.Expect(x.ask(time.Second, 0)).To(Succeed())
+		x.Expect(x.api.late).To(BeFalse())
+	})
+}
+
+// The pattern: the API is back 0.2 s after a question was lost, before it was known
+// to be silent. The first probe is answered, and the question asked again then: it
+// does not wait for an answer that will not come.
+func TestQuestionOfTheLastMomentOfASilence(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.set(true)
+		time.AfterFunc(200*time.Millisecond, func() { x.api.set(false) })
+		began := time.Now()
+		x.Expect(x.ask(2500*time.Millisecond, 0)).To(Succeed())
+		x.Expect(time.Since(began)).To(BeNumerically("<", 450*time.Millisecond))
+		synctest.Wait()
+		x.Expect(x.heard).To(BeEmpty())
+	})
+}
+
+// While the API is known to be silent nothing but probes is sent to it. A question's
+// own bound holds, and the next one after the return is asked at once.
+func TestNothingIsAskedOfASilentAPI(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.set(true)
+		x.Expect(x.ask(time.Second, 0)).To(MatchError(objectapi.ErrNoAnswer))
+		x.Expect(x.reach.Silent()).To(BeTrue())
+		asked := x.api.count(&x.api.asked)
+		x.Expect(x.ask(time.Second, 0)).To(MatchError(objectapi.ErrNoAnswer))
+		x.Expect(x.api.count(&x.api.asked)).To(Equal(asked))
+		x.Expect(x.api.count(&x.api.probed)).To(BeNumerically("<=", 8))
+		x.api.set(false)
+		began := time.Now()
+		x.Expect(x.ask(time.Second, 0)).To(Succeed())
+		x.Expect(time.Since(began)).To(BeNumerically("<", 310*time.Millisecond))
+		x.Expect(x.reach.Silent()).To(BeFalse())
+	})
+}
+
+// The API answers slowly, a second each. Its questions are answered as they would
+// be without probes: none is given up and asked again, and nobody is told of a loss
+// that is none for longer than one answer takes.
+func TestSlowAnswersAreAwaited(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.takes = time.Second
+		for range 3 {
+			began := time.Now()
+			x.Expect(x.ask(3*time.Second, 0)).To(Succeed())
+			x.Expect(time.Since(began)).To(BeNumerically("<=", 1400*time.Millisecond))
+		}
+		x.Expect(x.api.count(&x.api.asked)).To(BeNumerically("<=", 4))
+	})
+}
+
+// A watch has nothing to tell for its whole wait. That is no silence.
+func TestWatchThatWaitsIsNotProbed(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.takes = 2 * time.Second
+		x.Expect(x.ask(5*time.Second, 2*time.Second)).To(Succeed())
+		x.Expect(x.api.count(&x.api.probed)).To(BeZero())
+	})
+}
+
+// A refusal is an answer: the API is there, and refuses the question itself.
+func TestRefusalEndsASilence(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.set(true)
+		x.Expect(x.ask(time.Second, 0)).To(HaveOccurred())
+		x.api.set(false)
+		x.api.refuse(objectapi.ErrRateLimited)
+		x.Expect(x.ask(time.Second, 0)).To(MatchError(objectapi.ErrRateLimited))
+		x.Expect(x.reach.Silent()).To(BeFalse())
+	})
+}
