As much stage work is begun as fills the calls; late requests wait for no part of it

Hypothesis: what is begun is bounded below what fills the calls. Change: the bound counts full calls (it took them as 0.6 full), and requests that are late already use all of it (they kept to 0.6; on time ones overtake them in the batchers' queues anyway).

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -135,19 +135,14 @@
 	a.sort(now)
 	b := &blocked{rate: map[string]bool{}, room: map[string]int64{}}
 	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request) })
-	a.onTime = a.begin(a.onTime, func(t *Ticket) bool { return a.fits(t, onTimeShare, b) })
-	a.late = a.begin(a.late, func(t *Ticket) bool { return a.fits(t, lateShare, b) })
+	a.onTime = a.begin(a.onTime, func(t *Ticket) bool { return a.fits(t, b) })
+	a.late = a.begin(a.late, func(t *Ticket) bool { return a.fits(t, b) })
 }
 
-// Shares of the bound on items under way. Late requests keep away from the
-// last part of it, so that one that can still be on time finds room at once.
-// Those whose last chance has come get a part for themselves: an overload would
-// otherwise turn requests of the least worth away for as long as it lasts.
-const (
-	onTimeShare     = 1.0
-	lateShare       = 0.6
-	lastChanceShare = 0.35
-)
+// lastChanceShare of the bound on items under way is for late requests whose last
+// chance has come: an overload would otherwise turn requests of the least worth
+// away for as long as it lasts.
+const lastChanceShare = 0.35
 
 // lastChanceTime before its latest begin, a late request takes what is kept
 // for such requests.
@@ -268,7 +263,7 @@
 // fits tells whether all services of a request have room for it. A request that
 // does not fit keeps the services that it lacks for itself: others behind it
 // would take each bit of room before it.
-func (a *Admission) fits(t *Ticket, share float64, b *blocked) bool {
+func (a *Admission) fits(t *Ticket, b *blocked) bool {
 	fits := true
 	r := t.Request
 	for i, s := range r.Stages {
@@ -280,13 +275,13 @@
 			continue // the batcher tells what is wrong with it
 		}
 		depth, used := r.depth(i), a.underWay[s.Service]
-		if b.rate[s.Service] || used > 0 && float64(used+s.Items) > share*svc.bound(depth, s.ItemBytes) {
+		if b.rate[s.Service] || used > 0 && float64(used+s.Items) > svc.bound(depth, s.ItemBytes) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, false
 			b.rate[s.Service] = true
 		}
 		need := int64(s.Items) * s.ItemBytes
-		if depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need, share)) {
+		if depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need)) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, true
 			b.room[s.Service] = max(b.room[s.Service], need)
--- a/process/stages/bound.go
+++ b/process/stages/bound.go
@@ -12,12 +12,8 @@
 	batcher.Capacity
 }
 
-const (
-	// fullness of the calls that a request is expected to share.
-	fullness = 0.6
-	// callWait is the usual wait for a server, with the way there and back.
-	callWait = 60 * time.Millisecond
-)
+// callWait is the usual wait for a server, with the way there and back.
+const callWait = 60 * time.Millisecond
 
 // bound is how many items of a service may be under way at a stage of some
 // depth: what its servers finish in the time from the begin of a request to the
@@ -36,9 +32,11 @@
 	return rate * under.Seconds()
 }
 
-// call is the time of one call that is as full as usual.
+// call is the time of a full call. With fewer items under way than full calls hold,
+// a service never makes what it could: in an overload its servers stood idle for a
+// quarter of their time while requests waited to be begun.
 func (s Service) call() time.Duration {
-	return s.CallTime + time.Duration(fullness*float64(s.MaxItems))*s.ItemTime
+	return s.CallTime + time.Duration(s.MaxItems)*s.ItemTime
 }
 
 // freeing is the time from the use of a result to its room being free.
@@ -47,12 +45,12 @@
 // full tells whether a first stage lacks room for results of need bytes. Its servers
 // keep results until the request runs; items that wait for room there would
 // hold up all behind them.
-func (s Service) full(need int64, share float64) bool {
+func (s Service) full(need int64) bool {
 	if s.RoomAll <= 0 {
 		return false
 	}
 	lent := int64(roomLent * float64(s.RoomAll))
-	return need > s.Room+lent-int64((1-share)*float64(s.RoomAll)) && s.Room < s.RoomAll
+	return need > s.Room+lent && s.Room < s.RoomAll
 }
 
 // roomLent is room that is given away before it is free, so that a server finds
