Items and the room of their results are bounded apart

Hypothesis: items with small results use up the bound that the room of large ones sets. Seen in a replay of three encode servers and a burst of drafts (load_test's place): the bound of requests with results of 3 MB fell to 31 items, of which half were items of 8 KB, while calls held 5.9 of 8 items; with ten times the room 6.9. Change: what is under way is counted in items and in bytes, with a bound for each.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -20,9 +20,9 @@
 	// for them anew for each waiting request made an overloaded host spend its
 	// whole processor on looking at the requests that waited.
 	known    map[string]Service
-	underWay map[string]int // items begun and not finished, by service
-	// lateUnderWay are those of requests that were late when they began.
-	lateUnderWay map[string]int
+	underWay map[string]amount // begun and not finished, by service
+	// lateUnderWay is that of requests that were late when they began.
+	lateUnderWay map[string]amount
 	onTime       []*Ticket
 	late         []*Ticket
 }
@@ -46,7 +46,7 @@
 
 // NewAdmission returns an admission; services tells what is known of a service.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{services: services, known: map[string]Service{}, underWay: map[string]int{}, lateUnderWay: map[string]int{}}
+	return &Admission{services: services, known: map[string]Service{}, underWay: map[string]amount{}, lateUnderWay: map[string]amount{}}
 }
 
 // service returns what is known of a service; false: there is none of that name.
@@ -118,11 +118,11 @@
 	a.onTime, a.late = nil, nil
 }
 
-// Finished notes that items of a service are no longer under way.
-func (a *Admission) Finished(service string, items int, late bool) {
-	a.underWay[service] = max(a.underWay[service]-items, 0)
+// Finished notes that a stage's items are no longer under way.
+func (a *Admission) Finished(s Stage, late bool) {
+	a.underWay[s.Service] = a.underWay[s.Service].without(s)
 	if late {
-		a.lateUnderWay[service] = max(a.lateUnderWay[service]-items, 0)
+		a.lateUnderWay[s.Service] = a.lateUnderWay[s.Service].without(s)
 	}
 }
 
@@ -167,7 +167,7 @@
 			continue
 		}
 		used := a.lateUnderWay[s.Service]
-		if used > 0 && float64(used+s.Items) > lastChanceShare*svc.bound(r.depth(i), s.ItemBytes) {
+		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), lastChanceShare) {
 			return false
 		}
 	}
@@ -275,7 +275,7 @@
 			continue // the batcher tells what is wrong with it
 		}
 		depth, used := r.depth(i), a.underWay[s.Service]
-		if b.rate[s.Service] || used > 0 && float64(used+s.Items) > svc.bound(depth, s.ItemBytes) {
+		if b.rate[s.Service] || used.items > 0 && used.with(s).over(svc.bound(depth), 1) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, false
 			b.rate[s.Service] = true
@@ -314,9 +314,9 @@
 
 func (a *Admission) count(t *Ticket) {
 	for _, s := range t.Request.Stages {
-		a.underWay[s.Service] += s.Items
+		a.underWay[s.Service] = a.underWay[s.Service].with(s)
 		if t.late {
-			a.lateUnderWay[s.Service] += s.Items
+			a.lateUnderWay[s.Service] = a.lateUnderWay[s.Service].with(s)
 		}
 	}
 }
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -57,7 +57,7 @@
 	const step = 20 * time.Millisecond
 	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(step) {
 		for range min(3, len(l.underWay)) { // 150 a second
-			l.a.Finished("s", 1, l.underWay[0])
+			l.a.Finished(Stage{Service: "s", Items: 1}, l.underWay[0])
 			l.underWay = l.underWay[1:]
 		}
 		l.a.Next(l.now)
@@ -134,12 +134,12 @@
 func TestLastChancesKeepToTheirPart(t *testing.T) {
 	s := sheet()
 	l := newLine(t, map[string]Service{"s": s})
-	l.a.underWay["s"] = int(s.bound(0, 0))
+	l.a.underWay["s"] = s.bound(0)
 	for i := range 200 {
 		l.offer(fmt.Sprint("late-", i), 1, 4, 0, 1300*time.Millisecond)
 	}
 	l.a.Next(l.now)
-	kept := lastChanceShare * s.bound(0, 0)
+	kept := lastChanceShare * float64(s.bound(0).items)
 	l.g.Expect(float64(4 * len(l.begun))).To(BeNumerically("~", kept, 4))
 }
 
@@ -166,6 +166,23 @@
 	l.g.Expect(l.begun).To(Equal([]string{"1"}))
 }
 
+// The pattern: a service has many items with small results under way, and room for a
+// dozen large ones, all of it free. Requests with large results are begun: what the
+// small ones take of the servers' time is no lack of room.
+func TestSmallResultsDoNotUseUpTheRoomOfLargeOnes(t *testing.T) {
+	s := sheet()
+	s.RoomAll, s.Room = 48_000_000, 48_000_000
+	l := newLine(t, map[string]Service{"s": s})
+	l.a.underWay["s"] = amount{items: 60, bytes: 60 * 8_000}
+	for i := range 10 {
+		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ItemBytes: 3_000_000}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(9 * time.Second)}
+		l.a.Offer(&Ticket{Request: r, Begin: func() { l.begun = append(l.begun, r.ID) }, Rejected: func(batcher.Reason) {}})
+	}
+	l.a.Next(l.now)
+	l.g.Expect(len(l.begun)).To(BeNumerically(">=", 6), "as many as there is room for")
+	l.g.Expect(len(l.begun)).To(BeNumerically("<", 10), "the room bounds what is begun")
+}
+
 func TestWithdrawnRequestIsNotBegun(t *testing.T) {
 	l := newLine(t, map[string]Service{"s": sheet()})
 	r := &Request{ID: "1", Stages: []Stage{{Service: "s", Items: 1}}, AimBy: l.now.Add(time.Second), DieBy: l.now.Add(time.Second)}
--- a/process/stages/bound.go
+++ b/process/stages/bound.go
@@ -15,21 +15,37 @@
 // callWait is the usual wait for a server, with the way there and back.
 const callWait = 60 * time.Millisecond
 
-// bound is how many items of a service may be under way at a stage of some
-// depth: what its servers finish in the time from the begin of a request to the
-// end of that stage.
-func (s Service) bound(depth int, itemBytes int64) float64 {
-	rate := s.Rate
-	if s.RoomAll > 0 && itemBytes > 0 {
-		// A result holds its room until the stage behind has used it.
-		hold := 2*s.call() + callWait + freeing
-		rate = min(rate, float64(s.RoomAll)/float64(itemBytes)/hold.Seconds())
-	}
+// amount is work of one service: items and the size of their results.
+type amount struct {
+	items int
+	bytes int64
+}
+
+func (a amount) with(s Stage) amount {
+	return amount{a.items + s.Items, a.bytes + int64(s.Items)*s.ItemBytes}
+}
+
+func (a amount) without(s Stage) amount {
+	return amount{max(a.items-s.Items, 0), max(a.bytes-int64(s.Items)*s.ItemBytes, 0)}
+}
+
+// over tells whether it is more than a share of a bound.
+func (a amount) over(bound amount, share float64) bool {
+	return float64(a.items) > share*float64(bound.items) || bound.bytes > 0 && float64(a.bytes) > share*float64(bound.bytes)
+}
+
+// bound is how much of a service may be under way at a stage of some depth: what
+// its servers finish in the time from the begin of a request to the end of that
+// stage. Items and the room of their results have a bound each (bytes of 0: none):
+// items with small results would otherwise use up what large ones leave of the time.
+func (s Service) bound(depth int) amount {
 	under := time.Duration(depth+1) * (s.call() + callWait)
 	if depth == 0 {
 		under += s.call() // so that a full call waits when a server is free
 	}
-	return rate * under.Seconds()
+	// A result holds its room until the stage behind has used it.
+	hold := 2*s.call() + callWait + freeing
+	return amount{int(s.Rate * under.Seconds()), int64(float64(s.RoomAll) * under.Seconds() / hold.Seconds())}
 }
 
 // call is the time of a full call. With fewer items under way than full calls hold,
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -144,7 +144,7 @@
 // release is called with k.mu held.
 func (k *Coordinator) release(list []Stage, late bool) {
 	for _, s := range list {
-		k.admission.Finished(s.Service, s.Items, late)
+		k.admission.Finished(s, late)
 	}
 }
 
