How long engines read a token is learned from first events

Hypothesis: the constant of 18 us a token, that of the first two deployments, has requests leave the engines that hold their shared parts too soon where engines read 32 tokens a millisecond. Change: each host learns it by service, from the time to the first event over the tokens that the engine had to read; the tokens from which affinity counts in whole follow from it (27 ms of reading, as 1,500 tokens were).

--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -19,6 +19,8 @@
 	// while it is not fuller than others. Empty: none.
 	Affinity     string
 	SharedTokens int
+	// TokenTime is how long a server reads a token of a prompt.
+	TokenTime time.Duration
 	// Near is the failure domain that holds the request's inputs, of NearBytes;
 	// empty: none.
 	Near      string
@@ -39,19 +41,15 @@
 	// shareCost is the cost of one request beside which a request runs, for
 	// servers that share their speed among their requests.
 	shareCost = 2 * time.Millisecond
-	// tokenTime is what a token of a shared prompt part saves that need not be
-	// read again: engines read 50 to 60 tokens a millisecond.
-	tokenTime = 18 * time.Microsecond
 	// affinityGain is what a shared part in an engine's memory is worth beside
 	// the time of its reading. It outweighs the way there and back between
 	// regions: a part that two regions read takes memory and time at both, and
 	// the streams that run beside the reading pause.
 	affinityGain = 45 * time.Millisecond
-	// wholeGain is the number of shared tokens from which that gain is whole. Less
-	// is read sooner than a message goes to another region and back, and streams
-	// that stay pay no way between regions: a fifth fewer bytes cross regions than
-	// with a whole gain for each part, for three in ten more tokens of shared parts read again.
-	wholeGain = 1500
+	// wholeGain is the reading time of a shared part from which that gain is whole.
+	// Less is read sooner than a message goes to another region and back, and
+	// streams that stay pay no way between regions.
+	wholeGain = 27 * time.Millisecond
 	// leastShared tokens make affinity worth anything.
 	leastShared = 100
 	// nearTime is what it is worth for each megabyte of inputs to run where
@@ -88,8 +86,9 @@
 
 // gain is what the time is worth that the home of the shared part saves.
 func (q *Query) gain() time.Duration {
-	part := min(float64(q.SharedTokens)/wholeGain, 1)
-	return time.Duration(part*float64(affinityGain)) + time.Duration(q.SharedTokens)*tokenTime
+	reading := time.Duration(q.SharedTokens) * q.TokenTime
+	part := min(float64(reading)/float64(wholeGain), 1)
+	return time.Duration(part*float64(affinityGain)) + reading
 }
 
 func (q *Query) cost(s *directory.Server) time.Duration {
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -12,6 +12,9 @@
 
 var now = time.Unix(1000, 0)
 
+// tokenTime of engines that read 55 tokens a millisecond.
+const tokenTime = 18 * time.Microsecond
+
 // servers lists some servers in each of three regions.
 func servers(each int) []*directory.Server {
 	d := directory.New()
@@ -69,7 +72,7 @@
 	list := servers(4)
 	homes := map[string]bool{}
 	for _, home := range []string{"x", "y", "z"} {
-		s := Choose(Query{Servers: list, Distance: from(home), Affinity: "part", SharedTokens: 5000, Now: now})
+		s := Choose(Query{Servers: list, Distance: from(home), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
 		homes[s.ID] = true
 	}
 	g.Expect(homes).To(HaveLen(1))
@@ -78,7 +81,7 @@
 			s.Inflight.Store(100)
 		}
 	}
-	s := Choose(Query{Servers: list, Distance: from("x"), Affinity: "part", SharedTokens: 5000, Now: now})
+	s := Choose(Query{Servers: list, Distance: from("x"), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
 	g.Expect(homes).NotTo(HaveKey(s.ID))
 	g.Expect(s.Domain).To(Equal("x"))
 }
@@ -91,7 +94,7 @@
 	list := servers(4)
 	away := 0
 	for i := range 60 {
-		q := Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 200, Now: now}
+		q := Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 200, TokenTime: tokenTime, Now: now}
 		g.Expect(Choose(q).Domain).To(Equal("x"))
 		q.SharedTokens = 5000
 		if Choose(q).Domain != "x" {
@@ -106,7 +109,7 @@
 // much stay with their server, whose memory saves more than the wait costs.
 func TestBusyRegionIsLeftByWhatIsFreeToGo(t *testing.T) {
 	g := NewWithT(t)
-	q := Query{Servers: servers(4), Distance: from("x"), Affinity: "part", SharedTokens: 200, Now: now}
+	q := Query{Servers: servers(4), Distance: from("x"), Affinity: "part", SharedTokens: 200, TokenTime: tokenTime, Now: now}
 	q.Busy = func(domain string) time.Duration {
 		if domain == "x" {
 			return 60 * time.Millisecond
@@ -132,7 +135,7 @@
 	list := servers(4)
 	byServer := map[string]int{}
 	for i := range 600 {
-		byServer[Choose(Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 5000, Now: now}).ID]++
+		byServer[Choose(Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 5000, TokenTime: tokenTime, Now: now}).ID]++
 	}
 	g.Expect(byServer).To(HaveLen(12))
 	for id, n := range byServer {
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -53,7 +53,7 @@
 	affinity, tokens := x.affinity()
 	return balance.Query{
 		Servers: x.opts.Directory.View().Servers(x.service), Distance: x.opts.Distance,
-		Affinity: affinity, SharedTokens: tokens, Near: x.near, NearBytes: x.nearBytes,
+		Affinity: affinity, SharedTokens: tokens, TokenTime: x.reads.token(x.service), Near: x.near, NearBytes: x.nearBytes,
 		Exclude: t.exclude, Now: x.opts.Clock.Now(),
 	}
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -56,6 +56,7 @@
 type Gateway struct {
 	opts  Options
 	times streamTimes
+	reads readTimes
 }
 
 // New returns a gateway.
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -100,10 +100,21 @@
 	if !x.begun {
 		x.begin(a)
 	}
-	x.times.note(x.route.Name, streamTime{first: x.firstAt.Sub(x.start) - x.rec.StageTook, rest: now.Sub(x.firstAt)})
+	x.noteTimes(now)
 	return nil
 }
 
+// noteTimes learns from a stream that has ended.
+func (x *exchange) noteTimes(end time.Time) {
+	first := x.firstAt.Sub(x.start) - x.rec.StageTook
+	x.times.note(x.route.Name, streamTime{first: first, rest: end.Sub(x.firstAt)})
+	if x.client.InputTokens > 0 && x.rec.Attempts == 1 {
+		// What is shared has been read before, mostly.
+		_, shared := x.affinity()
+		x.reads.note(x.service, max(x.client.InputTokens-shared, 0), first)
+	}
+}
+
 // Silence after which a stream that may go on elsewhere does. The first event
 // waits for the reading of prompts; later ones come every few milliseconds, and
 // a pause of this length is already late.
