The host that does the stage work chooses where requests run

Hypothesis: hosts see too little of each other's requests to keep long prompts apart. Each of nine hosts sends a ninth of the requests, and two engines that hold popular parts were behind by 1.5 to 2.4 s throughout a burst. Change: requests bring the servers that they may go to (the first two of their part, two near ones) and what they have to read; the host that does their stage work, by which all of them come, counts what each server still has to read until the first event, and which servers have read a part in the last 20 s, and chooses when the results are there. A wait counts whole only where it would make the request late.

--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,29 +67,75 @@
 
 // Choose returns the cheapest server, or nil if there is none.
 func Choose(q Query) *directory.Server {
-	var best *directory.Server
-	var bestCost time.Duration
+	var best Choice
 	home := q.home()
 	for _, s := range q.Servers {
 		if q.Exclude != nil && q.Exclude(s) {
 			continue
 		}
-		c := q.cost(s)
-		if s == home {
-			c -= q.gain()
+		if c := q.choice(s, home); best.Server == nil || q.before(c, best) {
+			best = c
 		}
-		if best == nil || c < bestCost || c == bestCost && q.tie(s) > q.tie(best) {
-			best, bestCost = s, c
+	}
+	return best.Server
+}
+
+// Choice is a server that a request may go to.
+type Choice struct {
+	Server *directory.Server
+	// Cost against other servers; in that of a Rank no home has its gain.
+	Cost time.Duration
+	Home bool // the shared part's requests prefer it
+}
+
+// Rank returns servers to choose from: the home of the shared part, the next one in
+// its place, and the cheapest others, n at most in all.
+func Rank(q Query, n int) []Choice {
+	home, next := q.homes()
+	var homes, others []Choice
+	for _, s := range q.Servers {
+		if q.Exclude != nil && q.Exclude(s) {
+			continue
+		}
+		c := Choice{Server: s, Cost: q.cost(s), Home: s == home}
+		if s == home || s == next {
+			homes = append(homes, c)
+			continue
+		}
+		i := len(others)
+		for i > 0 && q.before(c, others[i-1]) {
+			i--
+		}
+		if i < n {
+			others = slices.Insert(others, i, c)
+			others = others[:min(len(others), n)]
 		}
 	}
-	return best
+	return append(homes, others[:min(len(others), n-len(homes))]...)
 }
 
-// gain is what the time is worth that the home of the shared part saves.
-func (q *Query) gain() time.Duration {
-	reading := time.Duration(q.SharedTokens) * q.TokenTime
-	part := min(float64(reading)/float64(wholeGain), 1)
-	return time.Duration(part*float64(affinityGain)) + reading
+func (q *Query) choice(s, home *directory.Server) Choice {
+	c := Choice{Server: s, Cost: q.cost(s), Home: s == home}
+	if c.Home {
+		c.Cost -= q.Gain()
+	}
+	return c
+}
+
+func (q *Query) before(a, b Choice) bool {
+	return a.Cost < b.Cost || a.Cost == b.Cost && q.tie(a.Server) > q.tie(b.Server)
+}
+
+// Reading is how long the shared part takes to read.
+func (q *Query) Reading() time.Duration { return time.Duration(q.SharedTokens) * q.TokenTime }
+
+// Gain is what a server is worth that has read the shared part.
+func (q *Query) Gain() time.Duration {
+	if q.Affinity == "" || q.SharedTokens < leastShared {
+		return 0
+	}
+	part := min(float64(q.Reading())/float64(wholeGain), 1)
+	return time.Duration(part*float64(affinityGain)) + q.Reading()
 }
 
 func (q *Query) cost(s *directory.Server) time.Duration {
@@ -123,23 +170,30 @@
 	return load
 }
 
-// home is the server that requests with the same affinity prefer: the first by
-// hashing, so that every host names the same one.
+// home is the server that requests with the same affinity prefer.
 func (q *Query) home() *directory.Server {
+	home, _ := q.homes()
+	return home
+}
+
+// homes are the first two servers by hashing, so that every host names the same.
+func (q *Query) homes() (home, next *directory.Server) {
 	if q.Affinity == "" || q.SharedTokens < leastShared {
-		return nil
+		return nil, nil
 	}
-	var home *directory.Server
-	var best uint64
+	var first, second uint64
 	for _, s := range q.Servers {
 		if s.Avoided(q.Now) {
 			continue
 		}
-		if h := q.tie(s); home == nil || h > best {
-			home, best = s, h
+		switch h := q.tie(s); {
+		case home == nil || h > first:
+			home, next, first, second = s, home, h, first
+		case next == nil || h > second:
+			next, second = s, h
 		}
 	}
-	return home
+	return home, next
 }
 
 // tie spreads equal servers differently for each thing asked about.
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -169,3 +169,20 @@
 	q.Now = at.Add(6 * time.Second)
 	g.Expect(Choose(q).ID).To(Equal("y-0"))
 }
+
+// The servers to choose from hold the first two of the shared part, wherever they
+// are, so that all hosts name the same ones, and near servers for the rest.
+func TestRankNamesTheHomesOfThePartAndNearServers(t *testing.T) {
+	g := NewWithT(t)
+	homes := map[string]bool{}
+	for _, region := range []string{"x", "y", "z"} {
+		list := Rank(Query{Servers: servers(4), Distance: from(region), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now}, 4)
+		g.Expect(list).To(HaveLen(4))
+		g.Expect(list[0].Home != list[1].Home).To(BeTrue(), "one of the two is the first")
+		homes[list[0].Server.ID], homes[list[1].Server.ID] = true, true
+		g.Expect(list[2].Server.Domain).To(Equal(region))
+		g.Expect(list[3].Server.Domain).To(Equal(region))
+	}
+	g.Expect(homes).To(HaveLen(2))
+	g.Expect(Rank(Query{Servers: servers(1), Distance: from("x"), Now: now}, 4)).To(HaveLen(3))
+}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -24,6 +24,8 @@
 	clock    clock.Clock
 	log      Log
 
+	readings readings
+
 	mu        sync.Mutex
 	admission *Admission
 	again     bool          // a call to pump is due
@@ -45,8 +47,9 @@
 	return Service{b.Options(), b.Capacity()}, true
 }
 
-// Run has the results of a request made. The error is an *Error or ctx's.
-func (k *Coordinator) Run(ctx context.Context, r *Request) ([]Input, error) {
+// Run has the results of a request made and chooses where it runs. The error is an
+// *Error or ctx's.
+func (k *Coordinator) Run(ctx context.Context, r *Request) (Made, error) {
 	offered := k.clock.Now()
 	t, err := k.wait(ctx, r)
 	began := k.clock.Now()
@@ -61,8 +64,13 @@
 		inputs, err = k.work(ctx, t)
 	}
 	onTime, lateWaiting := k.Waiting()
-	k.log.StageWork(t, began.Sub(offered), k.clock.Now().Sub(offered), err, onTime, lateWaiting)
-	return inputs, err
+	now := k.clock.Now()
+	k.log.StageWork(t, began.Sub(offered), now.Sub(offered), err, onTime, lateWaiting)
+	if err != nil {
+		return Made{}, err
+	}
+	target := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, r.Targets)
+	return Made{Inputs: inputs, Target: target, ID: r.ID, Round: r.Round}, nil
 }
 
 // waitShare is the weight of the newest request in the mean wait: the last ten or
@@ -475,6 +483,12 @@
 	w.k.free(made...)
 }
 
+// done gives up the results of a request, whose prompt was read or will not be.
+func (k *Coordinator) done(m Made) {
+	k.readings.done(m.Target, workKey{m.ID, m.Round})
+	k.free(m.Inputs...)
+}
+
 // free gives up results at their servers.
 func (k *Coordinator) free(list ...Input) {
 	for _, in := range list {
--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -110,10 +110,10 @@
 
 func TestEachStageGetsAllResultsOfTheStageBefore(t *testing.T) {
 	w := newFixture(t)
-	inputs, err := w.k.Run(t.Context(), chain("r"))
+	made, err := w.k.Run(t.Context(), chain("r"))
 	w.g.Expect(err).NotTo(HaveOccurred())
-	w.g.Expect(inputs).To(HaveLen(3))
-	w.g.Expect(inputs[2].Handle).To(Equal("portal-r-1-2"))
+	w.g.Expect(made.Inputs).To(HaveLen(3))
+	w.g.Expect(made.Inputs[2].Handle).To(Equal("portal-r-1-2"))
 	w.g.Expect(w.calls).To(Equal([]string{
 		"floor key []", "floor key []",
 		"portal  [floor-r-0-0 floor-r-0-1]", "portal  [floor-r-0-0 floor-r-0-1]", "portal  [floor-r-0-0 floor-r-0-1]",
@@ -126,9 +126,9 @@
 	r := chain("r")
 	r.Stages[0].Items = 0
 	r.Stages[1].Items = 0
-	inputs, err := w.k.Run(t.Context(), r)
+	made, err := w.k.Run(t.Context(), r)
 	w.g.Expect(err).NotTo(HaveOccurred())
-	w.g.Expect(inputs).To(BeEmpty())
+	w.g.Expect(made.Inputs).To(BeEmpty())
 	w.g.Expect(w.calls).To(BeEmpty())
 }
 
@@ -144,9 +144,9 @@
 		}
 		return ""
 	}
-	inputs, err := w.k.Run(t.Context(), chain("r"))
+	made, err := w.k.Run(t.Context(), chain("r"))
 	w.g.Expect(err).NotTo(HaveOccurred())
-	w.g.Expect(inputs).To(HaveLen(3))
+	w.g.Expect(made.Inputs).To(HaveLen(3))
 
 	w.fail = func(service string, _ batcher.Item) batcher.Reason {
 		if service == "portal" {
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -220,16 +220,16 @@
 func serve(ctx context.Context, k *Coordinator, c caller, q *Request) became {
 	ctx, cancel := context.WithDeadline(ctx, q.DieBy)
 	defer cancel()
-	inputs, err := k.Run(ctx, q)
+	made, err := k.Run(ctx, q)
 	switch {
 	case err != nil:
 		return refused
 	case time.Now().After(q.AimBy):
-		defer k.free(inputs...)
+		defer k.free(made.Inputs...)
 		return late
 	}
 	time.Sleep(c.hold)
-	k.free(inputs...)
+	k.free(made.Inputs...)
 	return onTime
 }
 
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -26,19 +26,22 @@
 // runRequest asks another host for stage work. Times are from now: the clocks
 // of two hosts do not agree.
 type runRequest struct {
-	ID     string
-	Round  int
-	Key    string
-	Domain string
-	Stages []Stage
-	AimMS  int64
-	DieMS  int64
-	Worth  float64
+	ID      string
+	Round   int
+	Key     string
+	Domain  string
+	Stages  []Stage
+	AimMS   int64
+	DieMS   int64
+	Worth   float64
+	Targets []Target
+	Prompt  Prompt
 }
 
 // runAnswer is the outcome; Reason is empty if there are Inputs.
 type runAnswer struct {
 	Inputs  []Input
+	Target  string
 	Reason  batcher.Reason
 	Stage   int
 	ReadyMS int64
@@ -131,16 +134,16 @@
 		p.noteWait(region, time.Duration(a.WaitMS)*time.Millisecond)
 		switch a.Reason {
 		case "":
-			return Made{Inputs: a.Inputs, Owner: owner}, nil
+			return Made{Inputs: a.Inputs, Owner: owner, Target: a.Target, ID: r.ID, Round: r.Round}, nil
 		case moved:
 			p.setLeft(owner) // its answer came before its notice
 		default:
 			return Made{}, &Error{Stage: a.Stage, Reason: a.Reason, Ready: time.Duration(a.ReadyMS) * time.Millisecond}
 		}
 	}
-	inputs, err := p.local.Run(ctx, r)
+	made, err := p.local.Run(ctx, r)
 	p.noteWait(region, p.local.Wait())
-	return Made{Inputs: inputs}, err
+	return made, err
 }
 
 // meetBound is how long requests wait for the other hosts to be known after a
@@ -277,7 +280,7 @@
 func (p *Pool) request(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
-		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, Stages: r.Stages, Worth: r.Worth,
+		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
 		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
 	}
 }
@@ -308,29 +311,30 @@
 	return peer.Marshal(nil)
 }
 
-// Free gives up results that are no longer needed. It returns at once.
+// Free gives up results that are no longer needed, once the request has read them or
+// has ended. It returns at once.
 func (p *Pool) Free(m Made) {
-	if len(m.Inputs) == 0 {
+	if len(m.Inputs) == 0 && m.Target == "" {
 		return
 	}
 	if m.Owner == "" {
-		p.local.free(m.Inputs...)
+		p.local.done(m)
 		return
 	}
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), tellBound)
 		defer stop()
-		if err := p.link.Call(ctx, m.Owner, methodFree, freeRequest{m.Inputs}, nil); err != nil {
+		if err := p.link.Call(ctx, m.Owner, methodFree, m, nil); err != nil {
 			p.local.free(m.Inputs...)
 		}
 	}()
 }
 
 func (p *Pool) serveFree(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
-	var q freeRequest
-	if err := peer.Unmarshal(payload, &q); err != nil {
+	var m Made
+	if err := peer.Unmarshal(payload, &m); err != nil {
 		return nil, err
 	}
-	p.local.free(q.Inputs...)
+	p.local.done(m)
 	return peer.Marshal(nil)
 }
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -342,3 +342,27 @@
 	g.Expect(check(r.Stages)).To(MatchError(errBadStages))
 	g.Expect(third.pool.findOwner(t.Context(), "x")).To(Equal("first"))
 }
+
+// Two hosts send requests that share a part. The host that does their stage work
+// chooses their servers: the second goes elsewhere while the first one's prompt is
+// being read, though neither host knows of the other's.
+func TestOwnerChoosesWhereTheRequestsOfAllHostsRun(t *testing.T) {
+	g, first, second, third := three(t)
+	run := func(n *node, id string) Made {
+		r := chain(id)
+		r.Prompt, r.Targets = Prompt{Own: time.Second}, []Target{{ID: "a"}, {ID: "b", Cost: 100 * time.Millisecond}}
+		made, err := n.pool.Run(t.Context(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(made.Owner).To(Equal("first"))
+		return made
+	}
+	one, two := run(second, "one"), run(third, "two")
+	g.Expect([]string{one.Target, two.Target}).To(Equal([]string{"a", "b"}))
+	second.pool.Free(one)
+	third.pool.Free(two)
+	g.Eventually(func() int {
+		first.fix.k.readings.mu.Lock()
+		defer first.fix.k.readings.mu.Unlock()
+		return len(first.fix.k.readings.byServer)
+	}, "10s").Should(BeZero())
+}
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -27,8 +27,6 @@
 // silent connection is noticed and opened again within that time.
 const keptAnswer = 3 * time.Second
 
-type freeRequest struct{ Inputs []Input }
-
 func (p *Pool) serveRun(ctx context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
 	var q runRequest
 	if err := peer.Unmarshal(payload, &q); err != nil {
@@ -81,15 +79,15 @@
 
 func (p *Pool) do(ctx context.Context, q *runRequest) runAnswer {
 	now := p.clock.Now()
-	inputs, err := p.local.Run(ctx, &Request{
-		ID: q.ID, Round: q.Round, Key: q.Key, Domain: q.Domain, Stages: q.Stages, Worth: q.Worth,
+	made, err := p.local.Run(ctx, &Request{
+		ID: q.ID, Round: q.Round, Key: q.Key, Domain: q.Domain, Stages: q.Stages, Worth: q.Worth, Targets: q.Targets, Prompt: q.Prompt,
 		AimBy: now.Add(time.Duration(q.AimMS) * time.Millisecond),
 		DieBy: now.Add(time.Duration(q.DieMS) * time.Millisecond),
 	})
 	var failed *Error
 	switch {
 	case err == nil:
-		return runAnswer{Inputs: inputs}
+		return runAnswer{Inputs: made.Inputs, Target: made.Target}
 	case errors.As(err, &failed):
 		return runAnswer{Reason: failed.Reason, Stage: failed.Stage, ReadyMS: failed.Ready.Milliseconds()}
 	default: // of ctx: the time is over, or the request
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -33,6 +33,10 @@
 	// target latency; DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
 	Worth        float64 // of the whole request, relative to others
+	// Targets are the servers on which the request may run, of which one is chosen
+	// when the results are there, and Prompt is what it will read.
+	Targets []Target
+	Prompt  Prompt
 }
 
 // last returns the indexes of the stages that no other stage follows.
@@ -52,6 +56,15 @@
 	return out
 }
 
+// ResultBytes is the approximate size of the results that the request needs to run.
+func (r *Request) ResultBytes() int64 {
+	var sum int64
+	for _, i := range r.last() {
+		sum += int64(r.Stages[i].Items) * r.Stages[i].ItemBytes
+	}
+	return sum
+}
+
 // depth is the number of stages before a stage, on the longest chain.
 func (r *Request) depth(i int) int {
 	d := 0
@@ -77,6 +90,9 @@
 type Made struct {
 	Inputs []Input
 	Owner  string // empty: this host
+	Target string // id of the server to run on; empty: none was chosen
+	ID     string // of the request
+	Round  int
 }
 
 // Handles returns the names of the results.
--- /dev/null
+++ b/process/stages/target.go
@@ -0,0 +1,163 @@
+package stages
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Target is a backend server on which a request may run once its results are made.
+type Target struct {
+	ID   string
+	Cost time.Duration // of running there, what it has read and has to read apart
+	// Home is the server that is likely to have read the shared part of the prompt
+	// if nothing is known of it.
+	Home bool
+}
+
+// Prompt is what a server reads of a request.
+type Prompt struct {
+	Part   string        // the part that other requests share; empty: none
+	Gain   time.Duration // that a server is worth that has read the part
+	Shared time.Duration // that the part takes to read
+	Own    time.Duration // that the rest takes
+}
+
+// readings are the prompts that servers read and have read, of the requests whose
+// stage work was done here. All hosts' requests come by this one: each host by itself
+// sees too few of them to tell that a server has three long prompts to read, or where
+// else a part was read when its home was busy; and what servers report comes after
+// the fact.
+type readings struct {
+	mu       sync.Mutex
+	byServer map[string][]reading
+	byPart   map[string][]holder
+}
+
+// reading is a prompt that was given to a server and whose answer has not begun.
+type reading struct {
+	request workKey
+	takes   time.Duration
+	since   time.Time
+}
+
+// holder is a server that has read a part.
+type holder struct {
+	server string
+	at     time.Time // of the last request with the part
+}
+
+const (
+	// lostReading is when a prompt no longer counts though nobody told that it was
+	// read: the host that would have told is gone, or its message is.
+	lostReading = 3 * time.Second
+	// partKept is how long a server keeps what it has read: the memory of engines
+	// holds a minute's prompts, less under bursts.
+	partKept = 20 * time.Second
+	// maxParts bounds the parts that are remembered.
+	maxParts = 8192
+)
+
+const (
+	// waitWeight is what a wait costs that does not make its request late: others
+	// wait behind it, and its results fill their servers' room meanwhile.
+	waitWeight = 0.3
+	// slackShare of the time to a request's aim may be spent on waiting: what a
+	// server still has to read is only estimated.
+	slackShare = 0.5
+)
+
+// waitCost is what a wait costs a request that has some time left to its aim. The
+// whole wait counts only where it would make the request late: a part that is read
+// again elsewhere takes another server's time.
+func waitCost(wait, slack time.Duration) time.Duration {
+	cost := time.Duration(waitWeight * float64(wait))
+	if over := wait - time.Duration(slackShare*float64(slack)); slack > 0 && over > 0 {
+		cost += time.Duration((1 - waitWeight) * float64(over))
+	}
+	return cost
+}
+
+// choose returns the cheapest of the targets for a request with some time left to its
+// aim, and counts its prompt there; empty: there are none.
+func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holders := r.holders(now, p.Part)
+	best, takes, least := "", time.Duration(0), time.Duration(0)
+	for _, t := range list {
+		cost, reading := t.Cost+waitCost(r.wait(now, t.ID), slack), p.Own
+		if has(holders, t) {
+			cost -= p.Gain
+		} else {
+			reading += p.Shared
+		}
+		if best == "" || cost < least {
+			best, takes, least = t.ID, reading, cost
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	r.set(best, append(r.byServer[best], reading{request, takes, now}))
+	r.hold(now, p.Part, holders, best)
+	return best
+}
+
+func has(holders []holder, t Target) bool {
+	if len(holders) == 0 {
+		return t.Home
+	}
+	return slices.ContainsFunc(holders, func(h holder) bool { return h.server == t.ID })
+}
+
+// holders returns the servers that have read a part. It is called with r.mu held.
+func (r *readings) holders(now time.Time, part string) []holder {
+	return slices.DeleteFunc(r.byPart[part], func(h holder) bool { return now.Sub(h.at) >= partKept })
+}
+
+// hold notes that a server reads a part. It is called with r.mu held.
+func (r *readings) hold(now time.Time, part string, holders []holder, server string) {
+	if part == "" {
+		return
+	}
+	if r.byPart == nil || len(r.byPart) >= maxParts {
+		r.byPart = map[string][]holder{}
+	}
+	holders = slices.DeleteFunc(holders, func(h holder) bool { return h.server == server })
+	r.byPart[part] = append(holders, holder{server, now})
+}
+
+// wait is how long a server reads what it was given. It is called with r.mu held.
+func (r *readings) wait(now time.Time, server string) time.Duration {
+	list := r.byServer[server]
+	for len(list) > 0 && now.Sub(list[0].since) >= lostReading {
+		list = list[1:]
+	}
+	r.set(server, list)
+	var sum time.Duration
+	for _, one := range list {
+		sum += one.takes
+	}
+	return sum
+}
+
+// done notes that a prompt was read, or will not be.
+func (r *readings) done(server string, request workKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := slices.DeleteFunc(r.byServer[server], func(one reading) bool { return one.request == request })
+	r.set(server, list)
+}
+
+// set is called with r.mu held.
+func (r *readings) set(server string, list []reading) {
+	switch {
+	case len(list) == 0:
+		delete(r.byServer, server)
+	case r.byServer == nil:
+		r.byServer = map[string][]reading{server: list}
+	default:
+		r.byServer[server] = list
+	}
+}
--- /dev/null
+++ b/process/stages/target_test.go
@@ -0,0 +1,103 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// draft is a prompt that shares a long part with others.
+var draft = Prompt{Part: "part", Gain: 240 * time.Millisecond, Shared: 200 * time.Millisecond, Own: 100 * time.Millisecond}
+
+var homeAndNext = []Target{{ID: "home", Home: true}, {ID: "next"}}
+
+// tight leaves no time to wait without being late.
+const tight = time.Millisecond
+
+func key(i int) workKey { return workKey{id: fmt.Sprint(i)} }
+
+// The pattern: a shared part is asked for many times within a moment, by clients of
+// many hosts, none of which sees the others' requests. Its home gets as many as take
+// less time than reading the part anew elsewhere. From then on two servers have it,
+// and share its requests.
+func TestHotPartSpreadsOnceItsHomeIsBehind(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	var chosen []string
+	for i := range 8 {
+		chosen = append(chosen, r.choose(now, key(i), tight, draft, homeAndNext))
+	}
+	g.Expect(chosen).To(Equal([]string{"home", "home", "home", "next", "home", "next", "home", "next"}))
+	for i := range chosen {
+		r.done(chosen[i], key(i))
+	}
+	g.Expect(r.choose(now, key(8), tight, draft, homeAndNext)).To(Equal("home"), "it has caught up")
+}
+
+// The home of a part has three prompts to read. A request that has time enough waits
+// for it, since reading the part anew would take another server's time; one whose aim
+// is near does not, and one that is late already does not take that time either.
+func TestRequestsWaitForTheHomeWhileTheirAimAllows(t *testing.T) {
+	for slack, want := range map[time.Duration]string{
+		2 * time.Second: "home", 100 * time.Millisecond: "next", -time.Second: "home",
+	} {
+		now := time.Unix(1000, 0)
+		var r readings
+		for i := range 3 {
+			r.choose(now, key(i), time.Second, draft, homeAndNext)
+		}
+		NewWithT(t).Expect(r.choose(now, key(4), slack, draft, homeAndNext)).To(Equal(want), "%s", slack)
+	}
+}
+
+// A server that read a part some time ago may have given it up. The part's home is
+// the one to ask again.
+func TestPartsAreForgottenAfterAWhile(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	r.choose(now, key(1), tight, draft, []Target{{ID: "next"}})
+	r.done("next", key(1))
+	g.Expect(r.choose(now, key(2), tight, draft, homeAndNext)).To(Equal("next"))
+	r.done("next", key(2))
+	g.Expect(r.choose(now.Add(partKept), key(3), tight, draft, homeAndNext)).To(Equal("home"))
+}
+
+// The pattern: one server reads more slowly than the others. Its prompts count until
+// they are read, however long it was thought to take: what can go elsewhere does.
+func TestSlowReaderGetsLess(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	chat, list := Prompt{Own: 50 * time.Millisecond}, []Target{{ID: "slow"}, {ID: "next", Cost: 40 * time.Millisecond}}
+	g.Expect(r.choose(now, key(1), tight, chat, list)).To(Equal("slow"))
+	now = now.Add(time.Second)
+	g.Expect(r.choose(now, key(2), tight, chat, list)).To(Equal("next"))
+	r.done("next", key(2))
+	r.done("slow", key(1))
+	g.Expect(r.choose(now, key(3), tight, chat, list)).To(Equal("slow"))
+}
+
+// The host that would tell that a prompt was read has lost power. Its prompts do not
+// keep requests away for good, and nothing of them is kept.
+func TestPromptsOfALostHostAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	for i := range 9 {
+		r.choose(now, key(i), tight, draft, homeAndNext)
+	}
+	now = now.Add(lostReading)
+	g.Expect(r.choose(now, key(10), tight, draft, homeAndNext)).To(Equal("home"))
+	r.done("home", key(10))
+	r.wait(now, "next")
+	g.Expect(r.byServer).To(BeEmpty())
+}
+
+func TestChoiceWithoutTargets(t *testing.T) {
+	var r readings
+	NewWithT(t).Expect(r.choose(time.Unix(1000, 0), key(1), tight, draft, nil)).To(BeEmpty())
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -47,7 +47,22 @@
 func (t tried) exclude(s *directory.Server) bool { return t[s.ID] }
 
 // choose returns the server for the next attempt; nil: there is none.
-func (x *exchange) choose(t tried) *directory.Server { return balance.Choose(x.query(t)) }
+func (x *exchange) choose(t tried) *directory.Server {
+	if s := x.chosen(t); s != nil {
+		return s
+	}
+	return balance.Choose(x.query(t))
+}
+
+// chosen is the server that was chosen with the request's results, as long as nothing
+// speaks against it; nil: choose another.
+func (x *exchange) chosen(t tried) *directory.Server {
+	s := x.opts.Directory.View().Server(x.target)
+	if s == nil || s.Draining || s.Service != x.service || t[s.ID] || s.Avoided(x.opts.Clock.Now()) {
+		return nil
+	}
+	return s
+}
 
 func (x *exchange) query(t tried) balance.Query {
 	affinity, tokens := x.affinity()
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -102,6 +102,7 @@
 	made      stages.Made // inputs that are not yet freed
 	round     int         // how often the inputs were made again
 	inputs    []string
+	target    string // server chosen for the first attempt; empty: none
 	near      string // failure domain that holds most of the inputs
 	nearBytes int64
 	rec       Record
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -32,6 +32,7 @@
 	}
 	x.made = made
 	x.inputs = made.Handles()
+	x.target = made.Target
 	x.near, x.nearBytes = x.domainOf(made)
 	return nil
 }
@@ -67,6 +68,7 @@
 	for i, s := range x.route.Stages {
 		r.Stages[i] = stages.Stage{Service: s.Service, After: s.After, ItemBytes: s.ResultBytes, Items: x.items(i)}
 	}
+	x.setTargets(r)
 	takes := x.times.expect(x.route.Name)
 	r.AimBy = x.aim.Add(-takes.first)
 	r.DieBy = x.start.Add(x.patience() - min(takes.first, x.patience()/reserveDivisor))
@@ -77,6 +79,25 @@
 	return r
 }
 
+// maxTargets is the number of servers to choose from: two for the shared part and two
+// near ones.
+const maxTargets = 4
+
+// setTargets names the servers on which the request may run, for the host that does
+// its stage work to choose from.
+func (x *exchange) setTargets(r *stages.Request) {
+	if len(x.client.Parts) == 0 {
+		return // nothing is read that others would wait for
+	}
+	q := x.query(nil)
+	q.Near, q.NearBytes = r.Domain, r.ResultBytes()
+	for _, c := range balance.Rank(q, maxTargets) {
+		r.Targets = append(r.Targets, stages.Target{ID: c.Server.ID, Cost: c.Cost, Home: c.Home})
+	}
+	own := max(x.client.InputTokens-q.SharedTokens, 0)
+	r.Prompt = stages.Prompt{Part: q.Affinity, Gain: q.Gain(), Shared: q.Reading(), Own: time.Duration(own) * q.TokenTime}
+}
+
 // reserveDivisor: at most half of a client's time is kept for the stream. What
 // streams take is learned from those that end; streams that ran while the process
 // was stopped for some seconds once taught more than the whole deadline, every
