Where results lie counts where they were made, not where they were wanted

The host that does the stage work adds to each server's cost what lies in other failure domains; hosts took their own guess of before the work.

--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -145,7 +145,7 @@
 		c += time.Duration(over) * fullCost
 	}
 	if q.Near != "" && s.Domain != q.Near {
-		c += min(time.Duration(float64(nearTime)*float64(q.NearBytes)/1e6), maxNear)
+		c += AwayCost(q.NearBytes)
 	}
 	if q.Busy != nil {
 		c += q.Busy(s.Domain)
@@ -160,6 +160,12 @@
 	return c
 }
 
+// AwayCost is what it costs a request that so many bytes of its inputs lie in other
+// failure domains.
+func AwayCost(bytes int64) time.Duration {
+	return min(time.Duration(float64(nearTime)*float64(bytes)/1e6), maxNear)
+}
+
 // Load is the number of requests at a server: this host's, or all as the
 // server last said, whichever is more.
 func Load(s *directory.Server, now time.Time) int {
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Made{}, err
 	}
-	target := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, r.Targets)
+	target := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, near(r.Targets, inputs))
 	return Made{Inputs: inputs, Target: target, ID: r.ID, Round: r.Round}, nil
 }
 
@@ -422,7 +422,7 @@
 
 func (w *work) input(stage int, r batcher.Result) Input {
 	s := &w.r.Stages[stage]
-	return Input{Handle: r.Handle, ServerID: r.ServerID, Service: s.Service, Bytes: s.ItemBytes}
+	return Input{Handle: r.Handle, ServerID: r.ServerID, Service: s.Service, Bytes: s.ItemBytes, Domain: r.Domain}
 }
 
 // finishIfDone is called with w.mu held.
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -56,15 +56,6 @@
 	return out
 }
 
-// ResultBytes is the approximate size of the results that the request needs to run.
-func (r *Request) ResultBytes() int64 {
-	var sum int64
-	for _, i := range r.last() {
-		sum += int64(r.Stages[i].Items) * r.Stages[i].ItemBytes
-	}
-	return sum
-}
-
 // depth is the number of stages before a stage, on the longest chain.
 func (r *Request) depth(i int) int {
 	d := 0
@@ -84,6 +75,7 @@
 	ServerID string // which holds it
 	Service  string
 	Bytes    int64
+	Domain   string `msgpack:"-"` // of the server; known where the work was done
 }
 
 // Made are the results that a request needs, and the host that knows of them.
--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -4,17 +4,36 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bilberrydale/process/balance"
 )
 
 // Target is a backend server on which a request may run once its results are made.
 type Target struct {
-	ID   string
-	Cost time.Duration // of running there, what it has read and has to read apart
+	ID     string
+	Domain string        // failure domain
+	Cost   time.Duration // of running there, but for results, reading and what was read
 	// Home is the server that is likely to have read the shared part of the prompt
 	// if nothing is known of it.
 	Home bool
 }
 
+// near returns the targets with what it costs each that results lie in other failure
+// domains.
+func near(list []Target, inputs []Input) []Target {
+	var all int64
+	at := map[string]int64{}
+	for _, in := range inputs {
+		all += in.Bytes
+		at[in.Domain] += in.Bytes
+	}
+	out := slices.Clone(list)
+	for i := range out {
+		out[i].Cost += balance.AwayCost(all - at[out[i].Domain])
+	}
+	return out
+}
+
 // Prompt is what a server reads of a request.
 type Prompt struct {
 	Part   string        // the part that other requests share; empty: none
--- a/process/stages/target_test.go
+++ b/process/stages/target_test.go
@@ -101,3 +101,13 @@
 	var r readings
 	NewWithT(t).Expect(r.choose(time.Unix(1000, 0), key(1), tight, draft, nil)).To(BeEmpty())
 }
+
+// Results of 3 MB lie in one failure domain. What a server elsewhere costs for them is
+// known only once they are made, wherever that was.
+func TestLargeResultsDrawTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	inputs := []Input{{Bytes: 3_000_000, Domain: "x"}, {Bytes: 6_000, Domain: "y"}}
+	list := near([]Target{{ID: "a", Domain: "x", Cost: time.Millisecond}, {ID: "b", Domain: "y"}}, inputs)
+	g.Expect(list[0].Cost).To(BeNumerically("<", 2*time.Millisecond))
+	g.Expect(list[1].Cost).To(Equal(60 * time.Millisecond))
+}
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -90,9 +90,8 @@
 		return // nothing is read that others would wait for
 	}
 	q := x.query(nil)
-	q.Near, q.NearBytes = r.Domain, r.ResultBytes()
 	for _, c := range balance.Rank(q, maxTargets) {
-		r.Targets = append(r.Targets, stages.Target{ID: c.Server.ID, Cost: c.Cost, Home: c.Home})
+		r.Targets = append(r.Targets, stages.Target{ID: c.Server.ID, Domain: c.Server.Domain, Cost: c.Cost, Home: c.Home})
 	}
 	own := max(x.client.InputTokens-q.SharedTokens, 0)
 	r.Prompt = stages.Prompt{Part: q.Affinity, Gain: q.Gain(), Shared: q.Reading(), Own: time.Duration(own) * q.TokenTime}
