--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -38,6 +38,8 @@
 	HeldBy     string
 	HeldByRoom bool
 	Took       []time.Duration // by each stage, once the work is done
+	Target     string          // server chosen to run on, once the work is done
+	TargetWait time.Duration   // for other prompts there
 
 	late bool
 	cost float64       // seconds of all servers of its services
--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -98,29 +98,31 @@
 }
 
 // choose returns the cheapest of the targets for a request with some time left to its
-// aim, and counts its prompt there; empty: there are none.
-func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) string {
+// aim, and how long the request waits there; empty: there are none. Its prompt counts
+// there from now on.
+func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) (server string, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holders := r.holders(now, p.Part)
-	best, takes, least := "", time.Duration(0), time.Duration(0)
+	var takes, least time.Duration
 	for _, t := range list {
-		cost, reading := t.Cost+waitCost(r.wait(now, t.ID), slack), p.Own
+		waits, reading := r.wait(now, t.ID), p.Own
+		cost := t.Cost + waitCost(waits, slack)
 		if has(holders, t) {
 			cost -= p.Gain
 		} else {
 			reading += p.Shared
 		}
-		if best == "" || cost < least {
-			best, takes, least = t.ID, reading, cost
+		if server == "" || cost < least {
+			server, wait, takes, least = t.ID, waits, reading, cost
 		}
 	}
-	if best == "" {
-		return ""
+	if server == "" {
+		return "", 0
 	}
-	r.set(best, append(r.byServer[best], reading{request, takes, now}))
-	r.hold(now, p.Part, holders, best)
-	return best
+	r.set(server, append(r.byServer[server], reading{request, takes, now}))
+	r.hold(now, p.Part, holders, server)
+	return server, wait
 }
 
 func has(holders []holder, t Target) bool {
--- a/process/stages/target_test.go
+++ b/process/stages/target_test.go
@@ -16,6 +16,12 @@
 // tight leaves no time to wait without being late.
 const tight = time.Millisecond
 
+// choose has a request placed and returns where.
+func choose(r *readings, now time.Time, i int, slack time.Duration, p Prompt, list []Target) string {
+	server, _ := r.choose(now, key(i), slack, p, list)
+	return server
+}
+
 func key(i int) workKey { return workKey{id: fmt.Sprint(i)} }
 
 // The pattern: a shared part is asked for many times within a moment, by clients of
@@ -28,13 +34,13 @@
 	var r readings
 	var chosen []string
 	for i := range 8 {
-		chosen = append(chosen, r.choose(now, key(i), tight, draft, homeAndNext))
+		chosen = append(chosen, choose(&r, now, i, tight, draft, homeAndNext))
 	}
 	g.Expect(chosen).To(Equal([]string{"home", "home", "home", "next", "home", "next", "home", "next"}))
 	for i := range chosen {
 		r.done(chosen[i], key(i))
 	}
-	g.Expect(r.choose(now, key(8), tight, draft, homeAndNext)).To(Equal("home"), "it has caught up")
+	g.Expect(choose(&r, now, 8, tight, draft, homeAndNext)).To(Equal("home"), "it has caught up")
 }
 
 // The home of a part has three prompts to read. A request that has time enough waits
@@ -47,9 +53,9 @@
 		now := time.Unix(1000, 0)
 		var r readings
 		for i := range 3 {
-			r.choose(now, key(i), time.Second, draft, homeAndNext)
+			choose(&r, now, i, time.Second, draft, homeAndNext)
 		}
-		NewWithT(t).Expect(r.choose(now, key(4), slack, draft, homeAndNext)).To(Equal(want), "%s", slack)
+		NewWithT(t).Expect(choose(&r, now, 4, slack, draft, homeAndNext)).To(Equal(want), "%s", slack)
 	}
 }
 
@@ -59,11 +65,11 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	var r readings
-	r.choose(now, key(1), tight, draft, []Target{{ID: "next"}})
+	choose(&r, now, 1, tight, draft, []Target{{ID: "next"}})
 	r.done("next", key(1))
-	g.Expect(r.choose(now, key(2), tight, draft, homeAndNext)).To(Equal("next"))
+	g.Expect(choose(&r, now, 2, tight, draft, homeAndNext)).To(Equal("next"))
 	r.done("next", key(2))
-	g.Expect(r.choose(now.Add(partKept), key(3), tight, draft, homeAndNext)).To(Equal("home"))
+	g.Expect(choose(&r, now.Add(partKept), 3, tight, draft, homeAndNext)).To(Equal("home"))
 }
 
 // The pattern: one server reads more slowly than the others. Its prompts count until
@@ -73,12 +79,12 @@
 	now := time.Unix(1000, 0)
 	var r readings
 	chat, list := Prompt{Own: 50 * time.Millisecond}, []Target{{ID: "slow"}, {ID: "next", Cost: 40 * time.Millisecond}}
-	g.Expect(r.choose(now, key(1), tight, chat, list)).To(Equal("slow"))
+	g.Expect(choose(&r, now, 1, tight, chat, list)).To(Equal("slow"))
 	now = now.Add(time.Second)
-	g.Expect(r.choose(now, key(2), tight, chat, list)).To(Equal("next"))
+	g.Expect(choose(&r, now, 2, tight, chat, list)).To(Equal("next"))
 	r.done("next", key(2))
 	r.done("slow", key(1))
-	g.Expect(r.choose(now, key(3), tight, chat, list)).To(Equal("slow"))
+	g.Expect(choose(&r, now, 3, tight, chat, list)).To(Equal("slow"))
 }
 
 // The host that would tell that a prompt was read has lost power. Its prompts do not
@@ -88,10 +94,10 @@
 	now := time.Unix(1000, 0)
 	var r readings
 	for i := range 9 {
-		r.choose(now, key(i), tight, draft, homeAndNext)
+		choose(&r, now, i, tight, draft, homeAndNext)
 	}
 	now = now.Add(lostReading)
-	g.Expect(r.choose(now, key(10), tight, draft, homeAndNext)).To(Equal("home"))
+	g.Expect(choose(&r, now, 10, tight, draft, homeAndNext)).To(Equal("home"))
 	r.done("home", key(10))
 	r.wait(now, "next")
 	g.Expect(r.byServer).To(BeEmpty())
@@ -99,7 +105,7 @@
 
 func TestChoiceWithoutTargets(t *testing.T) {
 	var r readings
-	NewWithT(t).Expect(r.choose(time.Unix(1000, 0), key(1), tight, draft, nil)).To(BeEmpty())
+	NewWithT(t).Expect(choose(&r, time.Unix(1000, 0), 1, tight, draft, nil)).To(BeEmpty())
 }
 
 // Results of 3 MB lie in one failure domain. What a server elsewhere costs for them is
