A host that begins to do the stage work asks servers for their room

Hypothesis: after a loss of power stage servers keep results of before for 4 s, which nobody can name; the host that takes over fills them blindly. Change: a host that has given no work for as long as results are kept asks each server of a service for its room, once, and again every 0.25 s while the server holds more than is known; so does one whose item found no room. Servers tell whole megabytes; up to one more is believed. The open finding of items without room after a loss of power is traced with this.

--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// Room implements batcher.Backend.
+func (c *stageCalls) Room(ctx context.Context, s *directory.Server) (int64, error) {
+	answer, err := c.upstream.Do(ctx, s.Address, platform.StageReport(s.ID))
+	if err != nil {
+		c.log.Warn("stage server", "outcome", "did not tell its room", "server", s.ID, "err", err)
+		return 0, err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, maxStageAnswer))
+	answer.Close()
+	if err != nil {
+		return 0, err
+	}
+	free, err := platform.DecodeStageReport(answer.Status, body)
+	if !(*Host)(c).limits.allow(err != nil, c.clock.Now()) {
+		return free, err
+	}
+	c.log.Info("stage server", "outcome", "told its room", "server", s.ID, "free_bytes_at_most", free, "err", err)
+	return free, err
+}
+
 // Free implements batcher.Backend.
 func (c *stageCalls) Free(ctx context.Context, s *directory.Server, handles []string) error {
 	q, err := platform.StageFree(s.ID, handles)
--- a/process/batcher/batcher.go
+++ b/process/batcher/batcher.go
@@ -16,6 +16,9 @@
 	Run(ctx context.Context, c *Call) Answer
 	// Free tells a server that results are no longer needed.
 	Free(ctx context.Context, s *directory.Server, handles []string) error
+	// Room asks a server for the most room for results that it may have left, in
+	// bytes.
+	Room(ctx context.Context, s *directory.Server) (int64, error)
 }
 
 // Log receives what a Batcher decides.
@@ -117,7 +120,11 @@
 		}
 		calls, again := b.queue.Next(now)
 		waiting := b.queue.Waiting()
+		unsure := b.queue.Unsure(now)
 		b.mu.Unlock()
+		for _, s := range unsure {
+			go b.askRoom(ctx, s)
+		}
 		for _, c := range calls {
 			b.log.CallSent(b.service, c, waiting)
 			go b.run(ctx, c)
@@ -193,6 +200,21 @@
 	f.bytes += bytes
 }
 
+// roomBound is the time for a server to tell its room; it is asked again soon.
+const roomBound = 300 * time.Millisecond
+
+// askRoom asks a server how much of its room is left.
+func (b *Batcher) askRoom(ctx context.Context, s *directory.Server) {
+	ctx, cancel := context.WithTimeout(ctx, roomBound)
+	defer cancel()
+	free, err := b.backend.Room(ctx, s)
+	now := b.clock.Now()
+	b.mu.Lock()
+	b.queue.RoomTold(s.ID, free, err == nil, now)
+	b.mu.Unlock()
+	b.wake()
+}
+
 // freeBound: a result that could not be freed in this time frees itself soon.
 const freeBound = time.Second
 
--- a/process/batcher/batcher_test.go
+++ b/process/batcher/batcher_test.go
@@ -26,6 +26,7 @@
 	return a
 }
 
+func (calls) Room(context.Context, *directory.Server) (int64, error)  { return sheet.RoomBytes, nil }
 func (calls) Free(context.Context, *directory.Server, []string) error { return nil }
 
 type quiet struct{}
--- a/process/batcher/outcome.go
+++ b/process/batcher/outcome.go
@@ -123,6 +123,7 @@
 		// freed would only be refused again.
 		s.room = max(s.held()-c.bytes+made, int64(leastRoom*float64(q.opts.RoomBytes)))
 		s.fullTil = now.Add(fullPause)
+		s.ask = true
 	}
 	s.inCalls -= c.bytes
 	if made > 0 {
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -14,6 +14,7 @@
 	opts    Options
 	waiting []*Job // with items that are not in a call, by AimBy
 	servers map[string]*server
+	worked  time.Time // when a job last came
 }
 
 // NewQueue returns a queue without servers.
@@ -29,6 +30,9 @@
 	inCalls int64   // bytes of results that present calls make
 	results []heldResults
 	room    int64     // for results, as the server has shown; 0: as configured
+	foreign int64     // bytes of results that nobody here knows of, as the server has told
+	ask     bool      // it has to be asked for its room
+	askAt   time.Time // not before
 	fullTil time.Time // the server said that it has no room
 	oneWay  time.Duration
 }
@@ -73,6 +77,7 @@
 
 // Submit adds a job.
 func (q *Queue) Submit(j *Job, now time.Time) {
+	q.begin(now)
 	j.since = now
 	j.next = make([]int, len(j.Items))
 	for i := range j.next {
--- a/process/batcher/room.go
+++ b/process/batcher/room.go
@@ -1,6 +1,10 @@
 package batcher
 
-import "time"
+import (
+	"time"
+
+	"bilberrydale/process/directory"
+)
 
 // roomShare of the configured room is filled: sizes of results are approximate.
 const roomShare = 0.96
@@ -32,6 +36,67 @@
 	}
 }
 
+const (
+	// askEvery is the pause between two questions for the room of a server that
+	// holds results of others: they go within seconds.
+	askEvery = 250 * time.Millisecond
+	// leastForeign of the configured room is no sign of others' results: sizes are
+	// approximate, and what a server tells is some hundred milliseconds old.
+	leastForeign = 0.15
+)
+
+// begin has all servers asked for their room if this queue has given no work for so
+// long that it knows nothing of their results. After a loss of power servers hold for
+// seconds what nobody can name any more; calls sent into that came back without
+// results, and the requests behind them waited for nothing.
+func (q *Queue) begin(now time.Time) {
+	if q.opts.RoomBytes > 0 && now.Sub(q.worked) > q.opts.ResultTTL {
+		for _, s := range q.servers {
+			s.ask = true
+		}
+	}
+	q.worked = now
+}
+
+// Unsure returns the servers to be asked for their room now; RoomTold takes their
+// answers.
+func (q *Queue) Unsure(now time.Time) []*directory.Server {
+	var out []*directory.Server
+	for _, s := range q.servers {
+		if s.ask && !now.Before(s.askAt) && !s.Avoided(now) {
+			s.ask, s.askAt = false, now.Add(askEvery)
+			out = append(out, s.Server)
+		}
+	}
+	return out
+}
+
+// RoomTold takes the room that a server has left, if it was told. What it holds beyond
+// the results that are known here was made for others, or before a loss of power.
+func (q *Queue) RoomTold(serverID string, free int64, told bool, now time.Time) {
+	s := q.servers[serverID]
+	if s == nil || !told {
+		return // a server that fails is found out by its calls
+	}
+	s.expire(now)
+	s.foreign = 0
+	known := int64(0)
+	for _, r := range s.results {
+		known += r.bytes
+	}
+	for _, c := range s.calls {
+		if !now.Before(c.StartBy) {
+			known += c.bytes
+		}
+	}
+	foreign := q.opts.RoomBytes - free - known
+	if float64(foreign) < leastForeign*float64(q.opts.RoomBytes) {
+		return
+	}
+	s.foreign, s.room = foreign, 0
+	s.ask = true
+}
+
 // heldResults are results of one call at a server.
 type heldResults struct {
 	until time.Time // when the server frees them by itself
@@ -40,7 +105,7 @@
 
 // held is the size of the results that a server keeps or is making.
 func (s *server) held() int64 {
-	sum := s.inCalls
+	sum := s.inCalls + s.foreign
 	for _, r := range s.results {
 		sum += r.bytes
 	}
--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -68,6 +68,8 @@
 	return nil
 }
 
+func (backend) Room(context.Context, *directory.Server) (int64, error) { return 0, nil }
+
 type quiet struct{}
 
 func (quiet) CallSent(string, *batcher.Call, int)                            {}
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -85,6 +85,14 @@
 	return a
 }
 
+// Room implements batcher.Backend.
+func (b plantBackend) Room(_ context.Context, s *directory.Server) (int64, error) {
+	time.Sleep(2 * b.plant.servers[s.ID].oneWay)
+	b.plant.mu.Lock()
+	defer b.plant.mu.Unlock()
+	return b.plant.servers[s.ID].room, nil
+}
+
 // Free implements batcher.Backend.
 func (b plantBackend) Free(_ context.Context, s *directory.Server, handles []string) error {
 	to := b.plant.servers[s.ID]
