Streams that are late are read behind others at the engines

Change: a stream that is sent too late for its aim says so with the engines' own priority (8 of 9); one that has begun does not.

--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/kind"
+	"bilberrydale/version/plan"
 )
 
 // attempt is one send of the request to one backend server.
@@ -98,7 +99,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Method != http.MethodGet,
 		Header: platform.EncodeServer(x.r.Header, platform.ServerRequest{
-			ServerID: s.ID, Account: x.account, Deadline: left, Inputs: x.inputs, LastEvent: lastEvent, Priority: -1,
+			ServerID: s.ID, Account: x.account, Deadline: left, Inputs: x.inputs, LastEvent: lastEvent, Priority: x.rank(now),
 		}),
 	}
 	var timer *time.Timer
@@ -127,6 +128,26 @@
 	return a, nil
 }
 
+const (
+	// lateRank is the priority at an engine of a stream that is late already: it is
+	// read behind those that can still be on time.
+	lateRank = 8
+	// noRank leaves the priority to the engine.
+	noRank = -1
+)
+
+// rank is the request's priority at its server, as it is sent at now. A stream that
+// has begun keeps its place: its client has waited for the beginning.
+func (x *exchange) rank(now time.Time) int {
+	if x.route.Kind != plan.Stream || x.begun {
+		return noRank
+	}
+	if now.Add(x.times.expect(x.route.Name).first).After(x.aim) {
+		return lateRank
+	}
+	return noRank
+}
+
 // silentTime without a byte tells of the server, also when it was the request's
 // deadline that ended the wait; less may just be a request that came late.
 const silentTime = 500 * time.Millisecond
--- a/request/gateway/attempt_test.go
+++ b/request/gateway/attempt_test.go
@@ -29,3 +29,19 @@
 	x.target = "gone"
 	g.Expect(x.choose(tried{}).ID).To(Equal("a"))
 }
+
+// The pattern: in a burst, streams that are late already and streams that can still be
+// on time meet at an engine. The late ones say that they may be read last. One that has
+// begun, or that has no aim to lose, does not.
+func TestLateStreamsAreReadBehindOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := staged(now, 10*time.Second, streamTime{first: 400 * time.Millisecond})
+	x.route.Kind = plan.Stream
+	g.Expect(x.rank(now.Add(time.Second))).To(Equal(noRank))
+	g.Expect(x.rank(now.Add(1700 * time.Millisecond))).To(Equal(lateRank))
+	x.begun = true
+	g.Expect(x.rank(now.Add(1700 * time.Millisecond))).To(Equal(noRank))
+	x.begun, x.route.Kind = false, plan.Safe
+	g.Expect(x.rank(now.Add(time.Hour))).To(Equal(noRank))
+}
