A host that heard from its reader again waits for changes as before

Found by reading the diff: with the wait that ends with the reader's first proof, a host went on asking so for up to two seconds after the return, and was answered at once each time: hundreds of questions a second between two hosts. What keeps direct questions apart now ends with the first answer. A report that breaks off is logged, and its connection not kept.

--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/directory"
@@ -149,17 +150,25 @@
 		c.log.Warn("stage server", "outcome", "did not tell its room", "server", s.ID, "err", err)
 		return 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxStageAnswer))
-	answer.Close()
+	free, err := readRoom(answer)
 	if err != nil {
+		c.log.Warn("stage server", "outcome", "did not tell its room", "server", s.ID, "err", err)
 		return 0, err
 	}
-	free, err := platform.DecodeStageReport(answer.Status, body)
-	if !(*Host)(c).limits.allow(err != nil, c.clock.Now()) {
-		return free, err
+	if c.limits.allow(false, c.clock.Now()) {
+		c.log.Info("stage server", "outcome", "told its room", "server", s.ID, "free_bytes_at_most", free)
 	}
-	c.log.Info("stage server", "outcome", "told its room", "server", s.ID, "free_bytes_at_most", free, "err", err)
-	return free, err
+	return free, nil
+}
+
+func readRoom(answer *upstream.Answer) (int64, error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maxStageAnswer))
+	if err != nil {
+		answer.Discard()
+		return 0, err
+	}
+	answer.Close()
+	return platform.DecodeStageReport(answer.Status, body)
 }
 
 // Free implements batcher.Backend.
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -96,6 +96,8 @@
 		a, err := r.askReader(ctx, host, q)
 		if err == nil || errors.Is(err, ErrHistoryGone) {
 			delete(r.silent, host)
+			// It knows again: the next question waits for changes as usual.
+			r.pausing = time.Time{}
 			return a, err
 		}
 		if !r.passOver(host, i > 0, err) || ctx.Err() != nil {
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -373,6 +373,14 @@
 	r.g.Eventually(done, "10s").Should(Receive(&got))
 	r.g.Expect(got.err).NotTo(HaveOccurred())
 	r.g.Expect(got.a.Age).To(BeZero())
+	// From then on it waits for changes again: answers without news at each question
+	// would keep both hosts busy with each other.
+	go func() {
+		a, err := r.relay.Watch(t.Context(), 5, time.Hour)
+		done <- result{a, err}
+	}()
+	r.g.Eventually(r.now.Waiters, "10s").Should(Equal(2), "beside the wait that was ended by the proof")
+	r.g.Expect(done).NotTo(Receive())
 }
 
 // The platform is silent for all hosts. One that has a reader sends nothing into the
