A host that begins asks its region's reader, and the store only for itself

Ruled out: probing (none), renewal (there is none).

Change: a host learns of the others first and asks a stronger one of its region for configuration and servers; a reader that has not listed yet has them wait. The secret, its own entry of before and the first list of hosts may be seconds old: any copy of the store tells them, at a tenth of the price and outside its rate, except where the whole system starts for the first time, when such answers would be empty. Answers with changes of servers and hosts are followed by a short pause.

A test of 100 hosts that begin at once lists once.

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -34,6 +34,14 @@
 	answerWait = 700 * time.Millisecond // beyond the watch's own wait
 )
 
+// Pauses after a change. Servers are replaced and hosts are restarted by dozens:
+// without a pause each of them is an answer of the platform for each region, and of
+// the readers for each host.
+const (
+	serversSettleShare = 0.03 // of the platform's bound for servers that leave
+	hostsSettle        = 500 * time.Millisecond
+)
+
 // Bounds that hold where the settings give none, those of the deployments today.
 const (
 	defaultConfigBound = 2500 * time.Millisecond
@@ -54,8 +62,21 @@
 	return watchWait(bound, configShare)
 }
 
-func (h *Host) serversWait() time.Duration {
-	return watchWait(cmp.Or(h.set.DrainBound, defaultDrainBound), serversShare)
+func (h *Host) drainBound() time.Duration { return cmp.Or(h.set.DrainBound, defaultDrainBound) }
+
+func (h *Host) serversWait() time.Duration { return watchWait(h.drainBound(), serversShare) }
+
+func (h *Host) serversSettle() time.Duration {
+	return time.Duration(serversSettleShare * float64(h.drainBound()))
+}
+
+// hostSource reads the entry hosts. Where the whole system starts for the first time,
+// a list of some seconds ago would be empty.
+func (h *Host) hostSource() follow.Source[peer.Identity] {
+	if h.set.FirstStart {
+		return platform.HostSource(h.store)
+	}
+	return platform.HostSourceAtStart(h.store)
 }
 
 // wireBeliefs makes the followers. They ask one host of the region, which asks
@@ -72,14 +93,14 @@
 	})
 	h.servers = follow.New(follow.Options[directory.Entry]{
 		Source: relay(h, "servers", serversWait, platform.ServerSource(h.store)), Clock: h.boot, Rand: h.rand,
-		Wait: serversWait, Answer: answerWait, Changed: h.serversChanged,
+		Wait: serversWait, Answer: answerWait, Settle: h.serversSettle(), Changed: h.serversChanged,
 		Proved:   func(time.Time) {},
 		Lost:     func(err error) { h.lost("list of backend servers", err) },
 		Regained: func(d time.Duration) { h.regained("list of backend servers", d) },
 	})
 	h.entryHosts = follow.New(follow.Options[peer.Identity]{
-		Source: relay(h, "hosts", hostsWait, platform.HostSource(h.store)), Clock: h.boot, Rand: h.rand,
-		Wait: hostsWait, Answer: answerWait, Changed: h.hostsChanged,
+		Source: relay(h, "hosts", hostsWait, h.hostSource()), Clock: h.boot, Rand: h.rand,
+		Wait: hostsWait, Answer: answerWait, Settle: hostsSettle, Changed: h.hostsChanged,
 		Proved: func(time.Time) {}, Lost: func(err error) { h.lost("list of entry hosts", err) },
 		Regained: func(d time.Duration) { h.regained("list of entry hosts", d) },
 	})
@@ -110,9 +131,10 @@
 	if h.secret.Load() == nil {
 		return nil
 	}
+	begins := h.begins()
 	var first []peer.Identity
 	for _, id := range h.mesh.Peers() {
-		if id.Region != h.self.Region || !peer.Before(id, h.self) {
+		if id.Region != h.self.Region || !peer.Before(id, h.self) || begins && id.Share <= h.self.Share {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(first, id, func(a, b peer.Identity) int {
@@ -131,6 +153,29 @@
 	return names
 }
 
+// begins reports whether this host still has to get the configuration and the
+// servers. It asks only hosts stronger than itself then: after a loss of power the
+// platform's list tells of processes that are gone, and by their ages the strong
+// hosts would all wait for each other.
+func (h *Host) begins() bool { return h.plan.Load() == nil || h.directory.View().Count() == 0 }
+
+// meetPatience is how long a host that has just begun waits for the list of entry
+// hosts before it asks the platform for everything itself.
+const meetPatience = 2 * hostsSettle
+
+// onceMet runs an actor once the other hosts are known, or cannot be had soon: what
+// they know is not asked of the platform by each host of a fleet that starts.
+func (h *Host) onceMet(actor func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		select {
+		case <-h.met:
+		case <-h.clock.After(meetPatience):
+		case <-ctx.Done():
+		}
+		return actor(ctx)
+	}
+}
+
 // configProved moves the time up to which the configuration is confirmed. An
 // answer by way of another host may be older than one that came before it.
 func (h *Host) configProved(at time.Time) {
@@ -246,11 +291,23 @@
 		Refused: func(address string, cause error) { h.log.Warn("peer refused", "address", address, "err", cause) },
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.entryHosts.Run(ctx) })
+	g.Go(func() error { h.awaitOthers(ctx); return h.entryHosts.Run(ctx) })
 	g.Go(func() error { return server.Run(ctx, h.listeners.peers) })
 	return g.Wait()
 }
 
+// awaitOthers lets the hosts of a system that starts for the first time register
+// themselves before they are listed: otherwise each of them is told of each other one.
+func (h *Host) awaitOthers(ctx context.Context) {
+	if !h.set.FirstStart {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-h.clock.After(hostsSettle):
+	}
+}
+
 func (h *Host) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*answerWait)
 	defer cancel()
@@ -260,14 +317,17 @@
 			return err
 		}
 		secret, err := reach.Ask(ctx, h.reach, 0, func(ctx context.Context, _ bool) (string, error) {
-			return platform.PeerSecret(ctx, h.store, hex.EncodeToString(offer[:]))
+			return platform.PeerSecret(ctx, h.store, hex.EncodeToString(offer[:]), h.set.FirstStart)
 		})
 		if err != nil {
 			return err
 		}
 		h.secret.Store(&secret)
 	}
-	return platform.RegisterHost(ctx, h.store, h.self)
+	_, err := reach.Ask(ctx, h.reach, 0, func(ctx context.Context, _ bool) (struct{}, error) {
+		return struct{}{}, platform.RegisterHost(ctx, h.store, h.self, h.set.FirstStart)
+	})
+	return err
 }
 
 func (h *Host) hostsChanged(objects map[string]follow.Object[peer.Identity], why string) {
@@ -282,6 +342,7 @@
 	}
 	before := h.listed.Swap(&listed)
 	if before == nil {
+		close(h.met)
 		h.stages.Hello()
 		h.stages.Met()
 		return
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,7 @@
 	// unreadable: the newest configuration could not be read, so that the keys of
 	// the one in force cannot be confirmed.
 	unreadable atomic.Bool
+	met    chan struct{} // closed once the platform has listed the entry hosts
 	// listed are the hosts as the platform last listed them; nil: not yet.
 	listed atomic.Pointer[map[string]follow.Object[peer.Identity]]
 
@@ -98,7 +99,7 @@
 	h := &Host{
 		opts: opts, set: set, clock: clock.System{}, boot: clock.Boot{}, rand: clock.SystemRand{},
 		out: record.NewWriter(opts.Out), meter: meter.New(), store: platform.NewStore(set.StoreAddress),
-		directory: directory.New(), told: make(chan struct{}),
+		directory: directory.New(), told: make(chan struct{}), met: make(chan struct{}),
 	}
 	h.log = record.New(h.out, set.Host)
 	h.limits = newRecordLimits()
@@ -282,7 +283,7 @@
 		g.Go(func() error { return serve(s.server, s.on) })
 	}
 	for _, actor := range []func(context.Context) error{
-		h.reach.Run, h.config.Run, h.servers.Run, h.joinPeers, h.sweep, h.reload, h.prune,
+		h.reach.Run, h.onceMet(h.config.Run), h.onceMet(h.servers.Run), h.joinPeers, h.sweep, h.reload, h.prune,
 	} {
 		g.Go(func() error { return actor(gctx) })
 	}
--- /dev/null
+++ b/edge/readers_test.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/directory"
+	"bilberrydale/process/peer"
+	"bilberrydale/version/plan"
+)
+
+// known returns a host that is not running and knows other hosts of its region: weak and
+// strong ones, of this start or an earlier one.
+func known(t *testing.T, share float64, others ...peer.Identity) *Host {
+	t.Helper()
+	p := newPlace(t)
+	set := p.settings("front-1")
+	set.ProcessorShare = share
+	h, err := New(Options{Settings: set, Out: io.Discard})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(h.closeListeners)
+	secret := "secret"
+	h.secret.Store(&secret)
+	for i, id := range others {
+		id.Host, id.Region, id.Address = fmt.Sprintf("other-%d", i+1), "r", "127.0.0.1:1"
+		h.mesh.Learn(id)
+	}
+	return h
+}
+
+func (h *Host) haveBegun() {
+	h.plan.Store(plan.Compile(plan.Config{Version: 1}))
+	h.directory.Replace([]directory.Entry{{ID: "s"}})
+}
+
+// Guards against strong hosts that wait for each other after a loss of power: by the
+// platform's list each of them is younger than the processes before the loss.
+func TestHostThatBeginsWaitsForStrongerOnesOnly(t *testing.T) {
+	g := NewWithT(t)
+	before := []peer.Identity{{Share: 0.8, Incarnation: 1}, {Share: 0.8, Incarnation: 2}}
+	strong := known(t, 0.8, before...)
+	g.Expect(strong.readers()).To(BeEmpty())
+	strong.haveBegun()
+	g.Expect(strong.readers()).To(Equal([]string{"other-1", "other-2"}))
+
+	weak := known(t, 0.2, before...)
+	g.Expect(weak.readers()).To(Equal([]string{"other-1", "other-2"}))
+}
--- /dev/null
+++ b/process/follow/begin_test.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+)
+
+// Guards against a fleet that starts together and has each host list thousands of
+// servers at the platform, beyond its rate: they wait at their reader, which is about to
+// list them.
+func TestFleetThatBeginsListsOnce(t *testing.T) {
+	const hosts = 100
+	r := newRelayed(t)
+	answers := make(chan Answer[string], hosts)
+	for range hosts {
+		relay := *r.relay
+		go func() {
+			a, err := relay.List(context.Background(), "")
+			if err != nil {
+				t.Errorf("list by way of the reader: %v", err)
+			}
+			answers <- a
+		}()
+	}
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	for range hosts {
+		r.g.Expect((<-answers).Objects).To(Equal([]Object[string]{object("a", 5, "1")}))
+	}
+	r.g.Expect(r.api.count()).To(Equal(1))
+}
+
+// Guards against a process that begins at the full price of a list, and against taking
+// later lists, which have to be exact, from some seconds ago.
+func TestOnlyTheFirstListMayBeOld(t *testing.T) {
+	g := NewWithT(t)
+	old, exact := &api{value: "old", rev: 3}, &api{value: "new", rev: 9}
+	source := Begin[string](old, exact)
+	f := newFollower(source, clock.NewManual(time.Unix(1000, 0)))
+	g.Expect(f.step(t.Context())).To(Succeed())
+	g.Expect(f.objects["a"].Value).To(Equal("old"))
+	g.Expect(f.step(t.Context())).To(Succeed())
+	g.Expect(f.objects["a"].Value).To(Equal("new"))
+
+	f.listed = false // as after lost history
+	g.Expect(f.step(t.Context())).To(Succeed())
+	g.Expect(f.objects["a"].Value).To(Equal("new"))
+	g.Expect(old.count()).To(Equal(1))
+	g.Expect(exact.count()).To(Equal(2))
+}
+
+// Guards against missing the changes between two pages that came from copies of the
+// store which were not equally far.
+func TestListIsAsOldAsItsOldestPage(t *testing.T) {
+	g := NewWithT(t)
+	_, _, _, lost := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 10, next: "a"},
+		step{objects: []Object[string]{object("b", 4, "1")}, asOf: 8},
+		wanted(8),
+	)
+	g.Expect(lost).To(BeEmpty())
+}
+
+// Guards against an answer of the platform for each of dozens of servers that are
+// replaced one after the other.
+func TestChangesThatComeTogetherAreOneAnswer(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.NewManual(time.Unix(1000, 0))
+	source := &api{value: "1", rev: 5}
+	f := newFollower(source, now)
+	f.opts.Settle = 200 * time.Millisecond
+	g.Expect(f.step(t.Context())).To(Succeed())
+	source.value, source.rev = "2", 6
+	watched := make(chan error, 1)
+	go func() { watched <- f.step(t.Context()) }()
+	g.Eventually(source.count, "30s", "1ms").Should(Equal(2))
+	g.Consistently(watched, "20ms").ShouldNot(Receive())
+	g.Eventually(func() bool {
+		now.Advance(f.opts.Settle)
+		return len(watched) > 0
+	}, "30s", "1ms").Should(BeTrue())
+	g.Expect(<-watched).To(Succeed())
+}
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -65,6 +65,9 @@
 	Wait time.Duration
 	// Answer bounds the wait for an answer beyond Wait.
 	Answer time.Duration
+	// Settle is the pause after an answer with changes, so that changes that come
+	// one after the other come in one answer; 0: none.
+	Settle time.Duration
 	// Changed is called with the whole copy after each list or change.
 	Changed func(objects map[string]Object[T], why string)
 	// Proved is called when an answer has shown that the copy held everything
@@ -89,7 +92,7 @@
 // New returns a follower with an empty copy.
 func New[T any](opts Options[T]) *Follower[T] {
 	f := &Follower[T]{opts: opts, objects: map[string]Object[T]{}}
-	f.history.changed = make(chan struct{})
+	f.history.changed, f.history.listed = make(chan struct{}), make(chan struct{})
 	return f
 }
 
@@ -118,9 +121,9 @@
 	if !f.listed {
 		return f.list(ctx, sent)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.opts.Wait+f.opts.Answer)
+	bounded, cancel := context.WithTimeout(ctx, f.opts.Wait+f.opts.Answer)
 	defer cancel()
-	a, err := f.opts.Source.Watch(ctx, f.from, f.opts.Wait)
+	a, err := f.opts.Source.Watch(bounded, f.from, f.opts.Wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
 		return nil
@@ -128,25 +131,32 @@
 	if err != nil {
 		return err
 	}
-	defer f.answered(sent.Add(-a.Age))
+	if len(a.Objects) > 0 {
+		f.change(a)
+	}
+	f.answered(sent.Add(-a.Age))
+	if len(a.Objects) > 0 && f.opts.Settle > 0 {
+		f.wait(ctx, f.opts.Settle)
+	}
+	return nil
+}
+
+// change takes the changes that a watch brought.
+func (f *Follower[T]) change(a Answer[T]) {
 	// The watch goes on from the last answer that held changes, never from the
 	// state that an empty answer names: a watch to which a disturbed store
 	// delivered nothing would otherwise skip the changes made meanwhile for good.
-	if len(a.Objects) == 0 {
-		return nil
-	}
 	for _, c := range a.Objects {
 		f.apply(c)
 	}
 	f.from = max(f.from, a.AsOf)
 	f.history.add(a.Objects, f.from)
 	f.opts.Changed(f.objects, "watch")
-	return nil
 }
 
 // pages reads a list to its end. A page that was refused is asked for again:
 // beginning anew would cost all pages before it once more. AsOf is that of the
-// first page: changes between the pages come again with the watch.
+// oldest page: changes between the pages come again with the watch.
 func (f *Follower[T]) pages(ctx context.Context) (all Answer[T], err error) {
 	after, refused := "", 0
 	for first := true; ; first = false {
@@ -159,9 +169,10 @@
 		if err != nil {
 			return all, err
 		}
-		if first {
-			all.AsOf, all.Age = page.AsOf, page.Age
+		if first || page.AsOf < all.AsOf {
+			all.AsOf = page.AsOf
 		}
+		all.Age = max(all.Age, page.Age)
 		all.Objects = append(all.Objects, page.Objects...)
 		if after = page.Next; after == "" {
 			return all, nil
--- a/process/follow/history.go
+++ b/process/follow/history.go
@@ -15,6 +15,7 @@
 	oldest  Revision // changes up to here are no longer kept
 	proved  time.Time
 	changed chan struct{} // closed at each change
+	listed  chan struct{} // closed at the first list
 }
 
 type batch[T any] struct {
@@ -35,6 +36,11 @@
 	for _, o := range objects {
 		h.objects[o.Name] = o
 	}
+	select {
+	case <-h.listed:
+	default:
+		close(h.listed)
+	}
 	h.from, h.oldest, h.batches = from, from, nil
 	h.wake()
 }
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -68,7 +68,7 @@
 	if after != "" {
 		return direct(ctx, 0) // only the object API gives a part of a list
 	}
-	return r.ask(ctx, relayRequest{List: true}, direct)
+	return r.ask(ctx, relayRequest{List: true, WaitMS: unreadyWait.Milliseconds()}, direct)
 }
 
 // Watch implements Source.
@@ -100,7 +100,7 @@
 			r.pausing = time.Time{}
 			return a, err
 		}
-		if !r.passOver(host, i > 0, err) || ctx.Err() != nil {
+		if !r.passOver(host, i > 0, asked, err) || ctx.Err() != nil {
 			return a, err
 		}
 	}
@@ -108,8 +108,8 @@
 }
 
 // passOver decides whether the next host is asked in place of one that could not
-// answer; false: this one is waited for.
-func (r *Relay[T]) passOver(host string, substitute bool, cause error) bool {
+// answer a question of some time; false: this one is waited for.
+func (r *Relay[T]) passOver(host string, substitute bool, asked time.Time, cause error) bool {
 	now := r.Clock.Now()
 	var patience time.Duration
 	switch {
@@ -121,8 +121,8 @@
 	if patience > 0 {
 		since, waiting := r.silent[host]
 		if !waiting {
-			since = now
-			note(&r.silent, host, now)
+			since = asked
+			note(&r.silent, host, asked)
 		}
 		if now.Sub(since) < patience {
 			return false
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -10,8 +10,9 @@
 
 // relayRequest asks another host for what it follows.
 type relayRequest struct {
-	List   bool
-	From   Revision
+	List bool
+	From Revision
+	// WaitMS bounds the wait for a change, or for the first list.
 	WaitMS int64
 	// MaxAgeUS ends the wait as soon as the answering host's knowledge is older. With
 	// UntilFresh the wait ends as soon as it is not.
@@ -46,13 +47,20 @@
 			return nil, err
 		}
 		if q.List {
-			return peer.Marshal(f.relayList())
+			return peer.Marshal(f.relayList(ctx, q))
 		}
 		return peer.Marshal(f.relayWatch(ctx, q))
 	})
 }
 
-func (f *Follower[T]) relayList() relayAnswer[T] {
+// relayList waits for the first list: a fleet that starts together asks its readers
+// before they know anything.
+func (f *Follower[T]) relayList(ctx context.Context, q relayRequest) relayAnswer[T] {
+	select {
+	case <-f.history.listed:
+	case <-f.opts.Clock.After(time.Duration(q.WaitMS) * time.Millisecond):
+	case <-ctx.Done():
+	}
 	objects, from, proved, ok := f.history.list()
 	return relayAnswer[T]{Objects: encode(objects), AsOf: from, AgeUS: f.age(proved), Ready: ok}
 }
