A region keeps its knowledge while the store loses its history or its reader restarts

Change: age counts from the question's arrival at the reader; after a watch that is overdue the reader lists, and tells its region what changed between the lists; hosts that stop are no readers; up to four hosts stand in for each other in order, two where they do not answer at all; a reset connection has the store probed, and hosts that are told by others probe it once in two seconds.

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -82,7 +82,7 @@
 // wireBeliefs makes the followers. They ask one host of the region, which asks
 // the platform.
 func (h *Host) wireBeliefs() {
-	h.reach = reach.New(reach.Options{Probe: h.store.Probe, Clock: h.boot, Rand: h.rand, Changed: h.silenceChanged})
+	h.reach = reach.New(reach.Options{Probe: h.store.Probe, Clock: h.boot, Rand: h.rand, Changed: h.silenceChanged, Waited: func() bool { return len(h.readers()) == 0 }})
 	configWait, serversWait := h.configWait(), h.serversWait()
 	h.config = follow.New(follow.Options[plan.Config]{
 		Source: relay(h, "config", configWait, platform.ConfigSource(h.store)), Clock: h.boot, Rand: h.rand,
@@ -120,9 +120,10 @@
 	}
 }
 
-// maxReaders bounds the hosts that are asked before the platform: while the
-// platform turns a third of the hosts away, it turns away both in 1 of 8 cases.
-const maxReaders = 2
+// maxReaders bounds the hosts that are asked before the platform. Where it turns all of
+// them away, each host of the region asks for itself: of two, a third of the hosts being
+// turned away, in 1 of 9 cases, of four in 1 of 81.
+const maxReaders = 4
 
 // readers are the hosts of this region that ask the platform for the others, in
 // the order in which they stand in for each other. None if this host is the
@@ -134,7 +135,7 @@
 	begins := h.begins()
 	var first []peer.Identity
 	for _, id := range h.mesh.Peers() {
-		if id.Region != h.self.Region || !peer.Before(id, h.self) || begins && id.Share <= h.self.Share {
+		if id.Region != h.self.Region || !peer.Before(id, h.self) || begins && id.Share <= h.self.Share || h.stages.Left(id) {
 			continue
 		}
 		at, _ := slices.BinarySearchFunc(first, id, func(a, b peer.Identity) int {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,7 +77,7 @@
 	// unreadable: the newest configuration could not be read, so that the keys of
 	// the one in force cannot be confirmed.
 	unreadable atomic.Bool
-	met    chan struct{} // closed once the platform has listed the entry hosts
+	met        chan struct{} // closed once the platform has listed the entry hosts
 	// listed are the hosts as the platform last listed them; nil: not yet.
 	listed atomic.Pointer[map[string]follow.Object[peer.Identity]]
 
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -49,3 +49,14 @@
 	weak := known(t, 0.2, before...)
 	g.Expect(weak.readers()).To(Equal([]string{"other-1", "other-2"}))
 }
+
+// Guards against a region that goes on asking a host which stops, and has nobody to ask
+// once it has stopped.
+func TestReaderThatStopsIsNotAsked(t *testing.T) {
+	g := NewWithT(t)
+	h := known(t, 0.2, peer.Identity{Share: 0.8, Incarnation: 1}, peer.Identity{Share: 0.8, Incarnation: 2})
+	h.haveBegun()
+	_, err := h.mesh.Dispatch(t.Context(), h.mesh.Peers()[0], "stages.leave", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.readers()).To(Equal([]string{"other-2"}))
+}
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -30,6 +30,7 @@
 	AsOf    Revision
 	// Age is how long before the question the source itself had last made sure
 	// of what it says; 0 for the object API, which answers from its own state.
+	// Below 0: it made sure while the question waited there.
 	Age time.Duration
 	// Next is the name after which a list goes on; empty: this is its end.
 	Next string
@@ -209,18 +210,40 @@
 		// By way of another host; taking it would bring back what has gone.
 		return errOlder
 	}
+	before, again := f.objects, f.from > 0
 	f.objects = make(map[string]Object[T], len(a.Objects))
 	for _, o := range a.Objects {
 		f.objects[o.Name] = o
 	}
 	f.from = a.AsOf
 	f.listed = true
-	f.history.reset(a.Objects, f.from)
+	if again {
+		f.history.add(changes(before, f.objects, f.from), f.from)
+	} else {
+		f.history.reset(a.Objects, f.from)
+	}
 	f.opts.Changed(f.objects, "list")
 	f.answered(sent.Add(-a.Age))
 	return nil
 }
 
+// changes are what made one copy into a later one of a revision. Hosts that ask this one
+// get these after lost history, and not the whole list again.
+func changes[T any](before, after map[string]Object[T], at Revision) []Object[T] {
+	var out []Object[T]
+	for name, o := range after {
+		if had, ok := before[name]; !ok || had.Revision != o.Revision {
+			out = append(out, o)
+		}
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			out = append(out, Object[T]{Name: name, Revision: at, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (f *Follower[T]) apply(c Object[T]) {
 	if c.Revision > f.from {
 		f.from = c.Revision
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -28,22 +28,31 @@
 	// among them. None: this host is the one that asks the object API.
 	Readers func() []string
 
-	passed  map[string]time.Time // hosts that could not tell, and until when they are passed over
-	silent  map[string]time.Time // hosts that know nothing yet, and since when they are waited for
-	pausing time.Time            // the object API is not asked before
+	passed  map[string]passedOver // hosts that could not tell
+	silent  map[string]time.Time  // hosts that know nothing yet, and since when they are waited for
+	pausing time.Time             // the object API is not asked before
+}
+
+// passedOver is a host that is not asked for a while.
+type passedOver struct {
+	until   time.Time
+	unheard int // 1: it did not answer
 }
 
 const (
+	// maxUnheard: where so many hosts do not answer, the next ones are not tried: this
+	// host is cut off, most likely, and each would take a second to find that out.
+	maxUnheard = 2
 	// relayPassOver is how long a host that could not answer is passed over.
 	relayPassOver = 2 * time.Second
 	// relayAnswerTime is the time for another host's answer beyond the wait that it
 	// was asked for: the way there and back between regions, ten times over.
 	// What is left of a question's time is for the object API.
 	relayAnswerTime = 400 * time.Millisecond
-	// substituteWait is how long the next host is waited for that takes the place
-	// of one without the object API: it finds that out at the same time as this
-	// one, and one question later it knows.
-	substituteWait = 500 * time.Millisecond
+	// substituteWait is how long each further host in order is waited for that may take
+	// the place of one without the object API: it finds that out at the same time as
+	// this one, and one question later it knows.
+	substituteWait = 300 * time.Millisecond
 	// directPause is kept between direct questions while both the other host and
 	// the object API fail: a whole fleet that asks a store which is down, or back
 	// just now, costs it its rate. The other host goes on asking and tells.
@@ -89,58 +98,82 @@
 	asked := r.Clock.Now()
 	// While nobody else can be asked, the reader tells when it knows again.
 	q.UntilFresh = asked.Before(r.pausing)
+	var waiting error // for a host that may know in a moment
+	unheard := 0      // hosts that did not answer at all
 	for i, host := range readers {
-		if asked.Before(r.passed[host]) {
+		if over := r.passed[host]; asked.Before(over.until) {
+			unheard += over.unheard
 			continue
 		}
+		if unheard >= maxUnheard {
+			break
+		}
 		a, err := r.askReader(ctx, host, q)
 		if err == nil || errors.Is(err, ErrHistoryGone) {
-			delete(r.silent, host)
+			clear(r.silent)
 			// It knows again: the next question waits for changes as usual.
 			r.pausing = time.Time{}
 			return a, err
 		}
-		if !r.passOver(host, i > 0, asked, err) || ctx.Err() != nil {
+		if ctx.Err() != nil || r.Clock.Now().Before(r.pausing) {
 			return a, err
 		}
+		if r.waitFor(host, patience(err, i, len(readers)), asked) {
+			waiting = err
+			if errors.Is(err, errUnready) {
+				break
+			}
+			continue
+		}
+		delete(r.silent, host)
+		over := passedOver{until: r.Clock.Now().Add(relayPassOver)}
+		if !errors.Is(err, errTooOld) && !errors.Is(err, errUnready) {
+			over.unheard = 1
+		}
+		unheard += over.unheard
+		note(&r.passed, host, over)
+		if errors.Is(err, errUnready) {
+			break // the next ones have begun no sooner; a wait for each would be too long
+		}
+	}
+	if waiting != nil {
+		return Answer[T]{}, waiting
 	}
 	return r.askDirect(ctx, r.Clock.Now().Sub(asked), direct)
 }
 
-// passOver decides whether the next host is asked in place of one that could not
-// answer a question of some time; false: this one is waited for.
-func (r *Relay[T]) passOver(host string, substitute bool, asked time.Time, cause error) bool {
-	now := r.Clock.Now()
-	var patience time.Duration
+// patience is how long the i-th of some readers is waited for that could not answer.
+// The further a host is behind in their order, the longer it waits: each of those
+// before it gets its moment to ask the object API for all.
+func patience(cause error, i, readers int) time.Duration {
 	switch {
 	case errors.Is(cause, errUnready):
-		patience = unreadyWait
-	case substitute && errors.Is(cause, errTooOld):
-		patience = substituteWait
-	}
-	if patience > 0 {
-		since, waiting := r.silent[host]
-		if !waiting {
-			since = asked
-			note(&r.silent, host, asked)
-		}
-		if now.Sub(since) < patience {
-			return false
-		}
+		return unreadyWait
+	case errors.Is(cause, errTooOld) && i > 0:
+		return time.Duration(readers-1) * substituteWait
 	}
-	if now.Before(r.pausing) {
+	return 0
+}
+
+// waitFor tells whether a host that could not answer a question of some time is still
+// waited for.
+func (r *Relay[T]) waitFor(host string, patience time.Duration, asked time.Time) bool {
+	if patience == 0 {
 		return false
 	}
-	delete(r.silent, host)
-	note(&r.passed, host, now.Add(relayPassOver))
-	return true
+	since, waiting := r.silent[host]
+	if !waiting {
+		since = asked
+		note(&r.silent, host, asked)
+	}
+	return r.Clock.Now().Sub(since) < patience
 }
 
-func note(m *map[string]time.Time, host string, at time.Time) {
+func note[T any](m *map[string]T, host string, what T) {
 	if *m == nil {
-		*m = map[string]time.Time{}
+		*m = map[string]T{}
 	}
-	(*m)[host] = at
+	(*m)[host] = what
 }
 
 // askDirect asks the object API; if that fails, the other hosts come first again.
@@ -178,7 +211,10 @@
 	case age > r.MaxAge:
 		err = fmt.Errorf("%w: %s", errTooOld, age)
 	default:
-		return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: max(age, 0)}, nil
+		// From the question's arrival there, not from the answer: the wait in between is
+		// no part of how old the knowledge is.
+		held := time.Duration(got.HeldUS) * time.Microsecond
+		return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: age - held}, nil
 	}
 	return a, fmt.Errorf("%w: %s: %w", errRelay, reader, err)
 }
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -399,3 +399,112 @@
 	r.g.Expect(err).To(MatchError(errSilent))
 	r.g.Expect(r.api.count()).To(Equal(calls))
 }
+
+// Guards against a wait for each of the readers of a fleet that has just begun: the
+// platform is asked once the first of them had its time.
+func TestOnlyOneUnreadyReaderIsWaitedFor(t *testing.T) {
+	r := newRelayed(t)
+	r.relay.Readers = func() []string { return []string{"reader", "reader", "reader"} }
+	listed := make(chan error, 1)
+	go func() {
+		_, err := r.relay.List(context.Background(), "")
+		listed <- err
+	}()
+	r.g.Eventually(r.now.Waiters, "30s", "1ms").Should(Equal(1), "at the reader")
+	r.now.Advance(unreadyWait)
+	r.g.Eventually(listed, "30s").Should(Receive(BeNil()))
+	r.g.Expect(r.api.count()).To(Equal(1))
+}
+
+// The pattern: the platform turns a third of the hosts away, among them the first readers
+// of a region. Guards against all other hosts bringing their questions to it: the third
+// reader asks for them while they still wait.
+func TestThirdReaderStandsInForTwo(t *testing.T) {
+	r := newRelayed(t)
+	third := newFollower(r.api, r.now)
+	link := &wire{handlers: map[peer.Method]peer.Handler{}}
+	third.Serve(link, "k")
+	second := newFollower(r.api, r.now)
+	away := &wire{handlers: map[peer.Method]peer.Handler{}}
+	second.Serve(away, "k")
+	r.relay.Link = byHost{"reader": r.wire, "second": away, "third": link}
+	r.relay.Readers = func() []string { return []string{"reader", "second", "third"} }
+	for _, f := range []*Follower[string]{r.reader, second, third} {
+		r.g.Expect(r.step(f)).To(Succeed())
+	}
+	r.now.Advance(maxAge + time.Millisecond)
+	calls := r.api.count()
+	_, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errTooOld))
+	r.now.Advance(2*substituteWait - time.Millisecond)
+	r.g.Expect(r.step(third)).To(Succeed())
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(r.api.count()).To(Equal(calls+1), "the third host's own")
+}
+
+// The pattern: a host asks its reader, which asks its own, and each waits for changes.
+// Guards against counting the wait at the reader as age of what it tells, by which all
+// hosts of a region took its knowledge for too old when it was not.
+func TestWaitAtAReaderIsNoAge(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	type result struct {
+		a   Answer[string]
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		a, err := r.relay.Watch(context.Background(), 5, time.Second)
+		done <- result{a, err}
+	}()
+	r.g.Eventually(r.now.Waiters, "30s", "1ms").Should(Equal(1))
+	r.now.Advance(600 * time.Millisecond)
+	r.g.Expect(r.step(r.reader)).To(Succeed()) // proves what was there 600 ms after the question
+	r.now.Advance(400 * time.Millisecond)
+	got := <-done
+	r.g.Expect(got.err).NotTo(HaveOccurred())
+	r.g.Expect(got.a.Age).To(Equal(-600 * time.Millisecond))
+}
+
+// The pattern: the platform has lost its history and hundreds of servers are listed.
+// Guards against sending the whole list to each host of the region again: the reader
+// lists and tells what has changed.
+func TestLostHistoryIsTheReadersAlone(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.reader.listed = false // as a watch that found its history gone leaves it
+	r.api.value, r.api.rev = "2", 9
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	a, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Objects).To(Equal([]Object[string]{object("a", 9, "2")}))
+	a, err = r.relay.Watch(t.Context(), 9, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Objects).To(BeEmpty())
+}
+
+func TestChangesBetweenTwoLists(t *testing.T) {
+	g := NewWithT(t)
+	before := map[string]Object[string]{"same": object("same", 1, "x"), "other": object("other", 2, "x"), "gone": object("gone", 3, "x")}
+	after := map[string]Object[string]{"same": object("same", 1, "x"), "other": object("other", 7, "y"), "new": object("new", 8, "z")}
+	g.Expect(changes(before, after, 9)).To(ConsistOf(
+		object("other", 7, "y"), object("new", 8, "z"), Object[string]{Name: "gone", Revision: 9, Deleted: true},
+	))
+}
+
+// Guards against a host that is cut off from its region finding that out from each of four
+// readers, one second after the other, while its keys grow too old.
+func TestHostThatIsCutOffAsksThePlatform(t *testing.T) {
+	r := newRelayed(t)
+	asked := 0
+	r.wire.down, r.wire.slow = errors.New("cut"), func() { asked++ }
+	r.relay.Readers = func() []string { return []string{"reader", "second", "third", "fourth"} }
+	r.relay.Link = byHost{"reader": r.wire, "second": r.wire, "third": r.wire, "fourth": r.wire}
+	for range 2 {
+		_, err := r.relay.Watch(t.Context(), 5, 0)
+		r.g.Expect(err).NotTo(HaveOccurred())
+	}
+	r.g.Expect(asked).To(Equal(maxUnheard))
+	r.g.Expect(r.api.count()).To(Equal(2))
+}
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -32,6 +32,7 @@
 	Objects []relayObject[T]
 	AsOf    Revision
 	AgeUS   int64 // of the answering host's own knowledge, as it answers
+	HeldUS  int64 // from the question's arrival to the answer
 	Gone    bool
 	Ready   bool
 }
@@ -46,10 +47,14 @@
 		if err := peer.Unmarshal(payload, &q); err != nil {
 			return nil, err
 		}
+		arrived := f.opts.Clock.Now()
+		answer := f.relayWatch
 		if q.List {
-			return peer.Marshal(f.relayList(ctx, q))
+			answer = f.relayList
 		}
-		return peer.Marshal(f.relayWatch(ctx, q))
+		a := answer(ctx, q)
+		a.HeldUS = f.age(arrived)
+		return peer.Marshal(a)
 	})
 }
 
--- a/process/follow/through.go
+++ b/process/follow/through.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"bilberrydale/process/reach"
 )
 
+// errUnheard has the follower list again.
+var errUnheard = fmt.Errorf("%w: the watch was not answered in time", ErrHistoryGone)
+
 // Through returns a source that asks s as reach.Ask does: its questions wait while
-// the object API is silent, and one that was lost in the silence is asked again.
+// the object API is silent. After a list that was lost in the silence another is asked
+// for, and after a watch the follower lists again.
 func Through[T any](r *reach.Reach, s Source[T]) Source[T] { return through[T]{r, s} }
 
 type through[T any] struct {
@@ -25,7 +30,9 @@
 func (t through[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error) {
 	return reach.Ask(ctx, t.reach, wait, func(ctx context.Context, late bool) (Answer[T], error) {
 		if late {
-			return t.source.Watch(ctx, from, 0) // what matters now is the proof that nothing has changed
+			// What matters now is the proof that nothing has changed. A store that loses
+			// its history may leave watches unanswered for seconds, and answers a list.
+			return Answer[T]{}, errUnheard
 		}
 		return t.source.Watch(ctx, from, wait)
 	})
--- /dev/null
+++ b/process/follow/through_test.go
@@ -0,0 +1,47 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/reach"
+)
+
+// deaf is a source that answers lists and leaves watches unanswered, as a store does that
+// loses its history.
+type deaf struct{ api }
+
+func (d *deaf) Watch(ctx context.Context, _ Revision, _ time.Duration) (Answer[string], error) {
+	<-ctx.Done()
+	return Answer[string]{}, ctx.Err()
+}
+
+// Guards against knowledge that grows too old while a store answers all but watches: the
+// reader of a region asked for watches that were not answered, and all its hosts refused
+// their keys.
+func TestUnansweredWatchIsFollowedByAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := reach.New(reach.Options{
+			Probe: func(context.Context) error { return nil }, Clock: clock.System{}, Rand: clock.NewSeeded(1),
+			Waited: func() bool { return true }, Changed: func(bool, time.Duration) {},
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = r.Run(ctx) }()
+		source := &deaf{api: api{value: "1", rev: 5}}
+		f := newFollower(Through[string](r, source), clock.System{})
+		g.Expect(f.step(ctx)).To(Succeed())
+		began := time.Now()
+		for source.count() < 2 {
+			g.Expect(f.step(ctx)).To(Succeed())
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<", f.opts.Wait+time.Second/2), "in simulated time")
+		stop()
+		synctest.Wait()
+	})
+}
--- a/process/reach/reach.go
+++ b/process/reach/reach.go
@@ -24,6 +24,9 @@
 	Probe func(ctx context.Context) error
 	Clock clock.Clock
 	Rand  clock.Rand
+	// Waited tells whether nobody else will tell this process when the API answers
+	// again: it is probed at its full pace then.
+	Waited func() bool
 	// Changed tells that the API has fallen silent, or answers again after a time.
 	Changed func(silent bool, after time.Duration)
 }
@@ -60,6 +63,9 @@
 	// is noticed. A probe is sent whether the one before was answered or not: that
 	// one was lost if it was sent into the silence.
 	probeEvery = 250 * time.Millisecond
+	// probeSeldom is the pause where another process tells: hundreds that probe would
+	// be the larger part of what the API is asked.
+	probeSeldom = 2 * time.Second
 	// probeBound is the time for one probe's answer; a slow API takes part of it.
 	probeBound = time.Second
 )
@@ -93,15 +99,26 @@
 			return
 		}
 		go r.ask(ctx, s)
-		pause := time.Duration((0.8 + 0.4*r.opts.Rand.Float64()) * float64(probeEvery))
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.over:
+		if !r.pause(ctx, s, probeEvery) {
 			return
-		case <-r.opts.Clock.After(pause):
 		}
 		r.prove(s)
+		if !r.opts.Waited() && !r.pause(ctx, s, probeSeldom-probeEvery) {
+			return
+		}
+	}
+}
+
+// pause waits for about d; false: the silence is over.
+func (r *Reach) pause(ctx context.Context, s *silence, d time.Duration) bool {
+	d = time.Duration((0.8 + 0.4*r.opts.Rand.Float64()) * float64(d))
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.over:
+		return false
+	case <-r.opts.Clock.After(d):
+		return true
 	}
 }
 
@@ -205,6 +222,10 @@
 	answers := make(chan outcome[T], 2)
 	send(ctx, question, late, answers)
 	o, ok := receive(answers, r.opts.Clock.After(wait+patience))
+	if ok && errors.Is(o.err, objectapi.ErrNoAnswer) {
+		// Its connection was refused or reset: what others ask would fare no better.
+		r.suspect()
+	}
 	if !ok {
 		o, ok = receive(answers, r.suspect().over)
 	}
--- a/process/reach/reach_test.go
+++ b/process/reach/reach_test.go
@@ -74,6 +74,7 @@
 	api   *api
 	reach *Reach
 	heard []bool // what Changed told; read after synctest.Wait
+	told  bool   // another process tells of the return
 }
 
 // run calls f in a bubble of simulated time.
@@ -83,7 +84,7 @@
 		x.reach = New(Options{
 			Probe: func(ctx context.Context) error { return x.api.answer(ctx, &x.api.probed) },
 			Clock: clock.System{}, Rand: clock.NewSeeded(1),
-			Changed: func(silent bool, _ time.Duration) { x.heard = append(x.heard, silent) },
+			Waited: func() bool { return !x.told }, Changed: func(silent bool, _ time.Duration) { x.heard = append(x.heard, silent) },
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
@@ -189,3 +190,33 @@
 		x.Expect(x.reach.Silent()).To(BeFalse())
 	})
 }
+
+// Guards against hundreds of hosts that probe a silent API four times a second each,
+// though their readers tell them of its return.
+func TestHostsThatAreToldProbeSeldom(t *testing.T) {
+	probes := func(told bool) (n int) {
+		run(t, func(x *fixture) {
+			x.told = told
+			x.api.set(true)
+			x.Expect(x.ask(10*time.Second, 0)).To(MatchError(objectapi.ErrNoAnswer))
+			n = x.api.count(&x.api.probed)
+		})
+		return n
+	}
+	NewWithT(t).Expect(probes(false)).To(BeNumerically(">", 30))
+	NewWithT(t).Expect(probes(true)).To(BeNumerically("<", 10))
+}
+
+// Guards against a fleet that asks an API which resets its connections as often as it
+// can: the first question that fails so has it probed, and others wait.
+func TestResetsCountAsSilence(t *testing.T) {
+	run(t, func(x *fixture) {
+		x.api.refuse(objectapi.ErrNoAnswer)
+		x.Expect(x.ask(time.Second, 0)).To(MatchError(objectapi.ErrNoAnswer))
+		time.Sleep(2 * probeEvery)
+		x.Expect(x.reach.Silent()).To(BeTrue())
+		x.api.refuse(nil)
+		time.Sleep(2 * probeEvery)
+		x.Expect(x.reach.Silent()).To(BeFalse())
+	})
+}
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -267,6 +267,13 @@
 	return peer.Marshal(nil)
 }
 
+// Left tells whether a host has said that it stops.
+func (p *Pool) Left(id peer.Identity) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.left[id.Host] == id.Incarnation
+}
+
 func (p *Pool) setLeft(host string) {
 	for _, id := range p.link.Peers() {
 		if id.Host == host {
