--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
+	"bilberrydale/process/balance"
 	"bilberrydale/process/budget"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
@@ -113,7 +114,7 @@
 	h.wirePeers()
 	h.wireBeliefs()
 	h.batchers = newBatchers(h)
-	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.clock, h), h.stageRegion, h)
+	h.stages = stages.NewPool(h.mesh, h.clock, stages.NewCoordinator(h.batchers.get, h.stageTarget, h.clock, h), h.stageRegion, h)
 	h.budget = budget.New(budget.Options{
 		Ratio: set.RetryRatio, Window: set.RetryWindow, Slack: set.RetrySlack, Clock: h.clock,
 		Hosts: func() int { return len(h.mesh.Peers()) + 1 + spareHosts },
@@ -350,13 +351,25 @@
 	otherRegions = 20 * time.Millisecond
 )
 
-func (h *Host) distance(domain string) time.Duration {
+func (h *Host) distance(domain string) time.Duration { return h.between(h.set.Domain, domain) }
+
+func (h *Host) between(a, b string) time.Duration {
 	switch {
-	case domain == h.set.Domain:
+	case a == b:
 		return sameDomain
-	case h.set.Regions[domain] == h.set.Regions[h.set.Domain]:
+	case h.set.Regions[a] == h.set.Regions[b]:
 		return sameRegion
 	default:
 		return otherRegions
 	}
 }
+
+// stageTarget returns a backend server as a target of requests from a failure domain.
+func (h *Host) stageTarget(id, from string) (stages.Target, bool) {
+	s, now := h.directory.View().Server(id), h.clock.Now()
+	if s == nil || s.Draining || s.Avoided(now) {
+		return stages.Target{}, false
+	}
+	q := balance.Query{Distance: func(domain string) time.Duration { return h.between(from, domain) }, Now: now}
+	return stages.Target{ID: id, Domain: s.Domain, Cost: q.Cost(s)}, true
+}
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -97,7 +97,7 @@
 		if q.Exclude != nil && q.Exclude(s) {
 			continue
 		}
-		c := Choice{Server: s, Cost: q.cost(s), Home: s == home}
+		c := Choice{Server: s, Cost: q.Cost(s), Home: s == home}
 		if s == home || s == next {
 			homes = append(homes, c)
 			continue
@@ -115,7 +115,7 @@
 }
 
 func (q *Query) choice(s, home *directory.Server) Choice {
-	c := Choice{Server: s, Cost: q.cost(s), Home: s == home}
+	c := Choice{Server: s, Cost: q.Cost(s), Home: s == home}
 	if c.Home {
 		c.Cost -= q.Gain()
 	}
@@ -138,7 +138,8 @@
 	return time.Duration(part*float64(affinityGain)) + q.Reading()
 }
 
-func (q *Query) cost(s *directory.Server) time.Duration {
+// Cost is what a request costs at a server, but for what was read there before.
+func (q *Query) Cost(s *directory.Server) time.Duration {
 	load := Load(s, q.Now)
 	c := 2*q.Distance(s.Domain) + time.Duration(load)*shareCost
 	if over := load + 1 - s.Slots; over > 0 {
--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -48,7 +48,7 @@
 		}
 		services[name] = b
 	}
-	k := NewCoordinator(func(name string) *batcher.Batcher { return services[name] }, clock.System{}, quiet{})
+	k := NewCoordinator(func(name string) *batcher.Batcher { return services[name] }, noServers, clock.System{}, quiet{})
 	for i := range waiting {
 		aim := time.Now().Add(time.Duration(i%2) * time.Hour) // half of them are late
 		k.admission.Offer(&Ticket{Begin: func() {}, Request: &Request{
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 // Batchers returns the batcher of a service, or nil.
 type Batchers func(service string) *batcher.Batcher
 
+// Servers returns a backend server as a target of a request that a host of some failure
+// domain runs; false: it is of no use now.
+type Servers func(id, from string) (Target, bool)
+
 // Log receives what a Coordinator decides.
 type Log interface {
 	StageWork(t *Ticket, waited, took time.Duration, err error, onTime, lateWaiting int)
@@ -21,10 +26,14 @@
 // Coordinator runs stage work on this host, its own and that of others.
 type Coordinator struct {
 	batchers Batchers
+	servers  Servers
 	clock    clock.Clock
 	log      Log
 
 	readings readings
+	// tell passes on that a server has read a shared part which others would not expect
+	// there.
+	tell func(heldPart)
 
 	mu        sync.Mutex
 	admission *Admission
@@ -33,8 +42,8 @@
 }
 
 // NewCoordinator returns a coordinator without work.
-func NewCoordinator(batchers Batchers, c clock.Clock, log Log) *Coordinator {
-	k := &Coordinator{batchers: batchers, clock: c, log: log}
+func NewCoordinator(batchers Batchers, servers Servers, c clock.Clock, log Log) *Coordinator {
+	k := &Coordinator{batchers: batchers, servers: servers, clock: c, log: log, tell: func(heldPart) {}}
 	k.admission = NewAdmission(k.service)
 	return k
 }
@@ -66,7 +75,7 @@
 	onTime, lateWaiting := k.Waiting()
 	now := k.clock.Now()
 	if err == nil {
-		t.Target, t.TargetWait = k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, near(r.Targets, inputs))
+		k.choose(t, now, inputs)
 	}
 	k.log.StageWork(t, began.Sub(offered), now.Sub(offered), err, onTime, lateWaiting)
 	if err != nil {
@@ -75,6 +84,33 @@
 	return Made{Inputs: inputs, Target: t.Target, ID: r.ID, Round: r.Round}, nil
 }
 
+// choose sets the server on which a request runs.
+func (k *Coordinator) choose(t *Ticket, now time.Time, inputs []Input) {
+	r := t.Request
+	targets := k.withHolders(now, r)
+	c := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, near(targets, inputs))
+	t.Target, t.TargetWait = c.server, c.wait
+	if c.unexpected && r.Prompt.Shared >= leastTold {
+		k.tell(heldPart{Part: r.Prompt.Part, Server: c.server})
+	}
+}
+
+// withHolders returns the targets of a request and the servers that are known to have read
+// its shared part. Its own host named the part's home and servers near itself; without
+// these, a part that a busy home did not read was read once more by each failure domain.
+func (k *Coordinator) withHolders(now time.Time, r *Request) []Target {
+	out := r.Targets
+	for _, id := range k.readings.known(now, r.Prompt.Part) {
+		if slices.ContainsFunc(out, func(t Target) bool { return t.ID == id }) {
+			continue
+		}
+		if t, ok := k.servers(id, r.From); ok {
+			out = append(slices.Clip(out), t)
+		}
+	}
+	return out
+}
+
 // waitShare is the weight of the newest request in the mean wait: the last ten or
 // twenty count, a fraction of a second under load.
 const waitShare = 0.08
--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -90,7 +90,7 @@
 		go func() { _ = b.Run(t.Context()) }()
 		w.batchers[service] = b
 	}
-	w.k = NewCoordinator(func(s string) *batcher.Batcher { return w.batchers[s] }, clock.System{}, quiet{})
+	w.k = NewCoordinator(func(s string) *batcher.Batcher { return w.batchers[s] }, noServers, clock.System{}, quiet{})
 	return w
 }
 
--- /dev/null
+++ b/process/stages/holds_test.go
@@ -0,0 +1,74 @@
+package stages
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/peer"
+)
+
+// noServers knows no backend servers.
+func noServers(string, string) (Target, bool) { return Target{}, false }
+
+// The pattern: a part's home was busy, and a server far from most hosts has read the part.
+// Guards against reading it once more for each failure domain whose hosts name other
+// servers near themselves.
+func TestServerThatHasReadAPartIsATargetForAll(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	w := newFixture(t)
+	w.k.servers = func(id, from string) (Target, bool) {
+		return Target{ID: id, Cost: 40 * time.Millisecond}, from == "x" && id == "far"
+	}
+	w.k.readings.heard(now, heldPart{"part", "far"})
+	w.k.readings.heard(now, heldPart{"part", "lost"})
+	choose := func(part string) string {
+		ticket := &Ticket{Request: &Request{ID: part, From: "x", AimBy: now.Add(time.Second), Targets: homeAndNext, Prompt: draft}}
+		ticket.Request.Prompt.Part = part
+		w.k.choose(ticket, now, nil)
+		return ticket.Target
+	}
+	g.Expect(choose("part")).To(Equal("far"))
+	g.Expect(choose("another")).To(Equal("home"))
+	g.Expect(homeAndNext).To(HaveLen(2))
+}
+
+// The pattern: two regions ask for one part, and in the first its home is busy. Guards
+// against the second sending it to the home, which then reads what another server has.
+func TestRegionsTellEachOtherWhereAPartWasRead(t *testing.T) {
+	g := NewWithT(t)
+	x := &net{hosts: map[string]*node{}}
+	here := x.add(t, peer.Identity{Host: "here", Region: "r1", Domain: "r1", Share: 1, Incarnation: 1})
+	there := x.add(t, peer.Identity{Host: "there", Region: "r2", Domain: "r2", Share: 1, Incarnation: 1})
+	x.add(t, peer.Identity{Host: "beside", Region: "r2", Domain: "r2", Share: 0.5, Incarnation: 2})
+	now := time.Now()
+	for i, target := range []Target{{ID: "next"}, {ID: "home", Home: true}} {
+		ticket := &Ticket{Request: &Request{ID: target.ID, AimBy: now.Add(time.Second), Targets: []Target{target}, Prompt: draft}}
+		ticket.Request.Prompt.Part = []string{"moved", "at home"}[i]
+		here.fix.k.choose(ticket, now, nil)
+	}
+	g.Eventually(func() []string { return there.fix.k.readings.known(time.Now(), "moved") }, "30s").Should(Equal([]string{"next"}))
+	g.Expect(there.fix.k.readings.known(time.Now(), "at home")).To(BeEmpty(), "nobody needs to be told")
+}
+
+// Guards against a message whose size a busy region decides.
+func TestNewsOfPartsIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	x := &net{hosts: map[string]*node{}}
+	n := x.add(t, peer.Identity{Host: "here", Region: "r1", Domain: "r1", Share: 1, Incarnation: 1})
+	for range maxHolds + 10 {
+		n.pool.tellHolder(heldPart{"part", "s"})
+	}
+	n.pool.mu.Lock()
+	defer n.pool.mu.Unlock()
+	g.Expect(len(n.pool.news)).To(BeNumerically("<=", maxHolds))
+}
+
+func TestNewsThatCannotBeReadIsRefused(t *testing.T) {
+	n := (&net{hosts: map[string]*node{}}).add(t, peer.Identity{Host: "here"})
+	_, err := n.pool.serveHolds(context.Background(), peer.Identity{}, []byte("x"))
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -151,7 +151,7 @@
 		for name, s := range l.services {
 			batchers[name] = p.open(ctx, name, s)
 		}
-		k := NewCoordinator(func(s string) *batcher.Batcher { return batchers[s] }, clock.System{}, quiet{})
+		k := NewCoordinator(func(s string) *batcher.Batcher { return batchers[s] }, noServers, clock.System{}, quiet{})
 		out = map[string]*tally{}
 		var mu sync.Mutex
 		var running sync.WaitGroup
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -20,6 +20,7 @@
 	methodCancel peer.Method = "stages.cancel"
 	methodFree   peer.Method = "stages.free"
 	methodLeave  peer.Method = "stages.leave"
+	methodHolds  peer.Method = "stages.holds"
 	methodHello  peer.Method = "stages.hello"
 )
 
@@ -30,6 +31,7 @@
 	Round   int
 	Key     string
 	Domain  string
+	From    string
 	Stages  []Stage
 	AimMS   int64
 	DieMS   int64
@@ -77,6 +79,7 @@
 	leaving  bool                // this host stops
 	met      chan struct{}       // closed once the other hosts are known
 	last     map[string]string   // owner that was logged, by region
+	news     []heldPart          // not yet told to other regions
 }
 
 // Link is what a Pool needs of the peers.
@@ -106,6 +109,8 @@
 	link.Handle(methodCancel, p.serveCancel)
 	link.Handle(methodFree, p.serveFree)
 	link.Handle(methodLeave, p.serveLeave)
+	link.Handle(methodHolds, p.serveHolds)
+	local.tell = p.tellHolder
 	link.Handle(methodHello, func(context.Context, peer.Identity, []byte) ([]byte, error) { return peer.Marshal(nil) })
 	return p
 }
@@ -252,11 +257,13 @@
 
 // tell sends something that may be lost: who misses it finds out by the
 // platform's list.
-func (p *Pool) tell(host string, m peer.Method) {
+func (p *Pool) tell(host string, m peer.Method) { p.send(host, m, nil) }
+
+func (p *Pool) send(host string, m peer.Method, what any) {
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), tellBound)
 		defer stop()
-		_ = p.link.Call(ctx, host, m, nil, nil)
+		_ = p.link.Call(ctx, host, m, what, nil)
 	}()
 }
 
@@ -287,7 +294,7 @@
 func (p *Pool) request(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
-		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
+		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
 		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
 	}
 }
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -28,6 +28,7 @@
 	Round  int
 	Key    string // input of the stages that follow no other
 	Domain string // failure domain where the results will be used
+	From   string // failure domain of the host that runs the request
 	Stages []Stage
 	// AimBy is when the results have to be there for the request to keep its
 	// target latency; DieBy is when they are of no use any more.
--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -97,32 +97,58 @@
 	return cost
 }
 
+// choice is the server on which a request runs; empty: there is none.
+type choice struct {
+	server string
+	wait   time.Duration // for other prompts there
+	// unexpected: it reads the request's shared part, which nobody would know.
+	unexpected bool
+}
+
 // choose returns the cheapest of the targets for a request with some time left to its
-// aim, and how long the request waits there; empty: there are none. Its prompt counts
-// there from now on.
-func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) (server string, wait time.Duration) {
+// aim. Its prompt counts there from now on.
+func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holders := r.holders(now, p.Part)
+	var best choice
 	var takes, least time.Duration
 	for _, t := range list {
-		waits, reading := r.wait(now, t.ID), p.Own
+		waits, reading, held := r.wait(now, t.ID), p.Own, has(holders, t)
 		cost := t.Cost + waitCost(waits, slack)
-		if has(holders, t) {
+		if held {
 			cost -= p.Gain
 		} else {
 			reading += p.Shared
 		}
-		if server == "" || cost < least {
-			server, wait, takes, least = t.ID, waits, reading, cost
+		if best.server == "" || cost < least {
+			best, takes, least = choice{t.ID, waits, p.Part != "" && !held}, reading, cost
 		}
 	}
-	if server == "" {
-		return "", 0
+	if best.server == "" {
+		return best
 	}
-	r.set(server, append(r.byServer[server], reading{request, takes, now}))
-	r.hold(now, p.Part, holders, server)
-	return server, wait
+	r.set(best.server, append(r.byServer[best.server], reading{request, takes, now}))
+	r.hold(now, p.Part, holders, best.server)
+	return best
+}
+
+// known returns the servers that have read a part, as far as is known here.
+func (r *readings) known(now time.Time, part string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, h := range r.holders(now, part) {
+		out = append(out, h.server)
+	}
+	return out
+}
+
+// heard notes what another region's host has told of a server.
+func (r *readings) heard(now time.Time, h heldPart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hold(now, h.Part, r.holders(now, h.Part), h.Server)
 }
 
 func has(holders []holder, t Target) bool {
--- a/process/stages/target_test.go
+++ b/process/stages/target_test.go
@@ -18,8 +18,7 @@
 
 // choose has a request placed and returns where.
 func choose(r *readings, now time.Time, i int, slack time.Duration, p Prompt, list []Target) string {
-	server, _ := r.choose(now, key(i), slack, p, list)
-	return server
+	return r.choose(now, key(i), slack, p, list).server
 }
 
 func key(i int) workKey { return workKey{id: fmt.Sprint(i)} }
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -62,7 +62,7 @@
 
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
-		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), Worth: x.worth(),
+		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), From: x.opts.Domain, Worth: x.worth(),
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
