--- a/edge/beliefs_test.go
+++ b/edge/beliefs_test.go
@@ -145,6 +145,8 @@
 		g.Expect(line).To(MatchRegexp(`^[A-Za-z0-9_.-]+ -?[0-9.e+-]+$`))
 	}
 	g.Expect(text).To(ContainSubstring("request_status_p99_ms"))
+	g.Expect(text).To(MatchRegexp(`platform_calls_[a-z]+_get_stale 1\n`), "the secret, the entry and the hosts of before")
+	g.Expect(text).To(MatchRegexp(`platform_calls_[a-z]+_post 1\n`), "its own entry")
 }
 
 // A host was lost for good and its entry stays behind. The host that looks after
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -104,6 +104,7 @@
 	}
 	h.log = record.New(h.out, set.Host)
 	h.limits = newRecordLimits()
+	h.store.OnCall(h.countCall)
 	h.upstream = upstream.New(upstream.Options{
 		KeepAlive: func(header http.Header) time.Duration { return platform.DecodeServer(http.StatusOK, header).KeepAlive },
 		Opened:    func(string) { h.meter.Add("upstream_connections_opened", 1) },
--- a/edge/records.go
+++ b/edge/records.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
+	"bilberrydale/platform"
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/kind"
 	"bilberrydale/process/record"
@@ -147,6 +149,15 @@
 	}
 }
 
+// countCall counts a call to the platform's store, by what it asks for.
+func (h *Host) countCall(c platform.Call) {
+	name := "platform_calls_" + c.Kind + "_" + strings.ToLower(c.Method)
+	if c.Stale {
+		name += "_stale"
+	}
+	h.meter.Add(name, 1)
+}
+
 func (h *Host) gauges() {
 	h.meter.Gauge("requests_active", func() float64 { return float64(h.active.Load()) })
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.Open()) })
