--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -31,6 +31,8 @@
 	passed  map[string]passedOver // hosts that could not tell
 	silent  map[string]time.Time  // hosts that know nothing yet, and since when they are waited for
 	pausing time.Time             // the object API is not asked before
+	// standsIn is set while the object API answers this host in place of the readers.
+	standsIn bool
 }
 
 // passedOver is a host that is not asked for a while.
@@ -57,6 +59,8 @@
 	// the object API fail: a whole fleet that asks a store which is down, or back
 	// just now, costs it its rate. The other host goes on asking and tells.
 	directPause = 2 * time.Second
+	// allSpent is over the wait of any watch: none is left for a direct one.
+	allSpent = time.Hour
 	// unreadyWait is how long a host that knows nothing yet is waited for: it has
 	// just started, as a whole fleet may have. If all turned to the store then,
 	// hundreds would list thousands of servers beyond its rate, and none would
@@ -112,7 +116,7 @@
 		if err == nil || errors.Is(err, ErrHistoryGone) {
 			clear(r.silent)
 			// It knows again: the next question waits for changes as usual.
-			r.pausing = time.Time{}
+			r.pausing, r.standsIn = time.Time{}, false
 			return a, err
 		}
 		if ctx.Err() != nil || r.Clock.Now().Before(r.pausing) {
@@ -139,7 +143,13 @@
 	if waiting != nil {
 		return Answer[T]{}, waiting
 	}
-	return r.askDirect(ctx, r.Clock.Now().Sub(asked), direct)
+	spent := r.Clock.Now().Sub(asked)
+	if !r.standsIn {
+		// What is known here is as old as what the readers know, and others may wait for
+		// this host: it needs a proof, not the next change.
+		spent = allSpent
+	}
+	return r.askDirect(ctx, spent, direct)
 }
 
 // patience is how long the i-th of some readers is waited for that could not answer.
@@ -185,6 +195,7 @@
 	} else {
 		a, err = direct(ctx, spent)
 	}
+	r.standsIn = err == nil
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		clear(r.passed)
 		r.pausing = r.Clock.Now().Add(directPause)
