What a reader tells is proved as of the question's arrival, suspended or not

Found by reading before the landing: the wait at a reader was taken from two looks at the clock, so a reader suspended between them would have proved what it did not know, and keys taken away meanwhile would be honoured for that time. The reader tells how long before the question's arrival its knowledge was proved.

--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -224,8 +224,8 @@
 	default:
 		// From the question's arrival there, not from the answer: the wait in between is
 		// no part of how old the knowledge is.
-		held := time.Duration(got.HeldUS) * time.Microsecond
-		return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: age - held}, nil
+		before := time.Duration(got.BeforeUS) * time.Microsecond
+		return Answer[T]{Objects: decode(got.Objects), AsOf: got.AsOf, Age: before}, nil
 	}
 	return a, fmt.Errorf("%w: %s: %w", errRelay, reader, err)
 }
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -526,3 +526,31 @@
 	}
 	r.g.Expect(r.api.waits).To(Equal([]time.Duration{0, time.Second}))
 }
+
+// The pattern: a reader is suspended for seconds while it makes up its answer. Guards
+// against counting the suspension as a wait for news, by which keys that were taken away
+// meanwhile would be honoured for its length.
+func TestSuspensionOfAReaderIsNoWait(t *testing.T) {
+	r := newRelayed(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	_, _, proved, _ := r.reader.history.list()
+	slow := &suspending{Manual: r.now}
+	r.reader.opts.Clock = slow
+	r.relay.MaxAge = time.Hour
+	a, err := r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(a.Age).To(Equal(slow.read[0].Sub(proved)), "as old as when the question arrived")
+}
+
+// suspending is the clock of a process that is suspended after each look at it.
+type suspending struct {
+	*clock.Manual
+	read []time.Time
+}
+
+func (s *suspending) Now() time.Time {
+	now := s.Manual.Now()
+	s.read = append(s.read, now)
+	s.Advance(5 * time.Second)
+	return now
+}
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -32,9 +32,12 @@
 	Objects []relayObject[T]
 	AsOf    Revision
 	AgeUS   int64 // of the answering host's own knowledge, as it answers
-	HeldUS  int64 // from the question's arrival to the answer
-	Gone    bool
-	Ready   bool
+	// BeforeUS is from the last proof of that knowledge to the question's arrival; below 0:
+	// the proof came later. It does not depend on when the answer leaves: the host may be
+	// suspended meanwhile.
+	BeforeUS int64
+	Gone     bool
+	Ready    bool
 }
 
 func relayMethod(kind string) peer.Method { return peer.Method("follow." + kind) }
@@ -52,25 +55,26 @@
 		if q.List {
 			answer = f.relayList
 		}
-		a := answer(ctx, q)
-		a.HeldUS = f.age(arrived)
+		a, proved := answer(ctx, q)
+		a.AgeUS = f.age(proved)
+		a.BeforeUS = arrived.Sub(proved).Microseconds()
 		return peer.Marshal(a)
 	})
 }
 
 // relayList waits for the first list: a fleet that starts together asks its readers
 // before they know anything.
-func (f *Follower[T]) relayList(ctx context.Context, q relayRequest) relayAnswer[T] {
+func (f *Follower[T]) relayList(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time) {
 	select {
 	case <-f.history.listed:
 	case <-f.opts.Clock.After(time.Duration(q.WaitMS) * time.Millisecond):
 	case <-ctx.Done():
 	}
 	objects, from, proved, ok := f.history.list()
-	return relayAnswer[T]{Objects: encode(objects), AsOf: from, AgeUS: f.age(proved), Ready: ok}
+	return relayAnswer[T]{Objects: encode(objects), AsOf: from, Ready: ok}, proved
 }
 
-func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) relayAnswer[T] {
+func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time) {
 	end := f.opts.Clock.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
 	for {
 		objects, at, proved, next, gone := f.history.since(q.From)
@@ -83,13 +87,13 @@
 			until = now
 		}
 		if len(objects) > 0 || gone || !now.Before(until) {
-			return relayAnswer[T]{Objects: encode(objects), AsOf: at, AgeUS: f.age(proved), Gone: gone, Ready: true}
+			return relayAnswer[T]{Objects: encode(objects), AsOf: at, Gone: gone, Ready: true}, proved
 		}
 		select {
 		case <-next:
 		case <-f.opts.Clock.After(until.Sub(now)):
 		case <-ctx.Done():
-			return relayAnswer[T]{}
+			return relayAnswer[T]{}, proved
 		}
 	}
 }
