A host whose copy is newer than its reader's list keeps it and watches on

Cause: a host that had listed at one reader found another in its place that had just begun; a reader without a list answered a watch with 'history gone', and lists of a reader are as old as the last change, so the host's newer copy was never confirmed while nothing changed.

Change: a watch waits at a reader that has not listed yet; a copy that is newer than the list stays, and its watch goes on.

--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -207,7 +207,9 @@
 		return err
 	}
 	if a.AsOf < f.from {
-		// By way of another host; taking it would bring back what has gone.
+		// By way of another host; taking it would bring back what has gone. The copy here
+		// is newer and stays: that host may list no more for as long as nothing changes.
+		f.listed = true
 		return errOlder
 	}
 	before, again := f.objects, f.from > 0
--- a/process/follow/follow_test.go
+++ b/process/follow/follow_test.go
@@ -158,3 +158,20 @@
 	g.Expect(copies[0]).To(Equal(map[string]string{"a": "1", "b": "1"}))
 	g.Expect(lost).To(BeEmpty())
 }
+
+// The pattern: a whole region starts again, and a host that listed at one reader finds
+// another in its place that listed a moment before. Guards against asking that one for
+// lists for as long as nothing changes, with keys that cannot be confirmed meanwhile.
+func TestCopyThatIsNewerThanAListStays(t *testing.T) {
+	g := NewWithT(t)
+	s, copies, proved, lost := follow(t,
+		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 10},
+		step{err: ErrHistoryGone},
+		step{objects: []Object[string]{object("a", 3, "1")}, asOf: 8},
+		wanted(10),
+	)
+	g.Expect(s.asked[:4]).To(Equal([]string{"list", "watch", "list", "watch"}))
+	g.Expect(copies).To(HaveLen(1))
+	g.Expect(lost).To(Equal([]error{errOlder}))
+	g.Expect(proved).To(Equal(2))
+}
--- a/process/follow/history.go
+++ b/process/follow/history.go
@@ -91,15 +91,25 @@
 	return objects, h.from, h.proved, h.objects != nil
 }
 
-// since returns the changes after from, and a channel that is closed at the
-// next change. gone tells that they are no longer kept.
-func (h *history[T]) since(from Revision) (objects []Object[T], at Revision, proved time.Time, next chan struct{}, gone bool) {
+// news is what a history tells of the time after a revision.
+type news[T any] struct {
+	objects []Object[T]
+	at      Revision
+	proved  time.Time
+	next    chan struct{} // closed at the next change
+	listed  bool          // false: nothing is known yet
+	gone    bool          // the changes are no longer kept
+}
+
+func (h *history[T]) since(from Revision) news[T] {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	n := news[T]{at: h.from, proved: h.proved, next: h.changed, listed: h.objects != nil}
+	n.gone = n.listed && from < h.oldest
 	for _, b := range h.batches {
 		if b.at > from {
-			objects = append(objects, b.objects...)
+			n.objects = append(n.objects, b.objects...)
 		}
 	}
-	return objects, h.from, h.proved, h.changed, h.objects == nil || from < h.oldest
+	return n
 }
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -554,3 +554,24 @@
 	s.Advance(5 * time.Second)
 	return now
 }
+
+// Guards against taking a reader that has just begun for one that has lost its history:
+// the host would give up its newer copy for the reader's.
+func TestWatchAtAReaderThatHasNotListedWaits(t *testing.T) {
+	r := newRelayed(t)
+	watched := make(chan error, 1)
+	go func() {
+		a, err := r.relay.Watch(context.Background(), 5, time.Second)
+		if len(a.Objects) > 0 {
+			t.Errorf("objects before a change: %v", a.Objects)
+		}
+		watched <- err
+	}()
+	r.g.Eventually(r.now.Waiters, "30s", "1ms").Should(Equal(1))
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.g.Eventually(func() bool {
+		r.now.Advance(100 * time.Millisecond)
+		return len(watched) > 0
+	}, "30s", "1ms").Should(BeTrue())
+	r.g.Expect(<-watched).To(Succeed())
+}
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -77,23 +77,24 @@
 func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time) {
 	end := f.opts.Clock.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
 	for {
-		objects, at, proved, next, gone := f.history.since(q.From)
+		n := f.history.since(q.From)
 		now, until := f.opts.Clock.Now(), end
-		stale := proved.Add(time.Duration(q.MaxAgeUS+1) * time.Microsecond)
+		stale := n.proved.Add(time.Duration(q.MaxAgeUS+1) * time.Microsecond)
 		switch {
+		case !n.listed: // it is about to know
 		case !q.UntilFresh:
 			until = earlier(end, stale)
 		case stale.After(now):
 			until = now
 		}
-		if len(objects) > 0 || gone || !now.Before(until) {
-			return relayAnswer[T]{Objects: encode(objects), AsOf: at, Gone: gone, Ready: true}, proved
+		if len(n.objects) > 0 || n.gone || !now.Before(until) {
+			return relayAnswer[T]{Objects: encode(n.objects), AsOf: n.at, Gone: n.gone, Ready: n.listed}, n.proved
 		}
 		select {
-		case <-next:
+		case <-n.next:
 		case <-f.opts.Clock.After(until.Sub(now)):
 		case <-ctx.Done():
-			return relayAnswer[T]{}, proved
+			return relayAnswer[T]{}, n.proved
 		}
 	}
 }
