--- a/process/reach/reach.go
+++ b/process/reach/reach.go
@@ -20,7 +20,7 @@
 // Options of a Reach; all are required.
 type Options struct {
 	// Probe asks the API something small on a connection of its own. An error other
-	// than objectapi.ErrNoAnswer is an answer, too.
+	// than objectapi.ErrNoAnswer and ErrUnavailable is an answer, too.
 	Probe func(ctx context.Context) error
 	Clock clock.Clock
 	Rand  clock.Rand
@@ -125,7 +125,7 @@
 func (r *Reach) ask(ctx context.Context, s *silence) {
 	ctx, cancel := context.WithTimeout(ctx, probeBound)
 	defer cancel()
-	if err := r.opts.Probe(ctx); ctx.Err() == nil && !errors.Is(err, objectapi.ErrNoAnswer) {
+	if err := r.opts.Probe(ctx); ctx.Err() == nil && !down(err) {
 		r.end(s)
 	}
 }
@@ -191,9 +191,15 @@
 	}
 }
 
+// down tells whether a question's end says that the API serves nothing now. A refusal of
+// the question itself, for its rate or its content, is an answer.
+func down(err error) bool {
+	return errors.Is(err, objectapi.ErrNoAnswer) || errors.Is(err, objectapi.ErrUnavailable)
+}
+
 // note takes what a question's end tells of the API: any answer ends a silence.
 func (r *Reach) note(err error) {
-	if !errors.Is(err, objectapi.ErrNoAnswer) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	if !down(err) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 		r.end(nil)
 	}
 }
@@ -222,8 +228,9 @@
 	answers := make(chan outcome[T], 2)
 	send(ctx, question, late, answers)
 	o, ok := receive(answers, r.opts.Clock.After(wait+patience))
-	if ok && errors.Is(o.err, objectapi.ErrNoAnswer) {
-		// Its connection was refused or reset: what others ask would fare no better.
+	if ok && down(o.err) {
+		// Its connection was reset, or it was told that the API is not available: what
+		// others ask would fare no better.
 		r.suspect()
 	}
 	if !ok {
--- a/process/reach/reach_test.go
+++ b/process/reach/reach_test.go
@@ -207,16 +207,21 @@
 	NewWithT(t).Expect(probes(true)).To(BeNumerically("<", 10))
 }
 
-// Guards against a fleet that asks an API which resets its connections as often as it
-// can: the first question that fails so has it probed, and others wait.
-func TestResetsCountAsSilence(t *testing.T) {
-	run(t, func(x *fixture) {
-		x.api.refuse(objectapi.ErrNoAnswer)
-		x.Expect(x.ask(time.Second, 0)).To(MatchError(objectapi.ErrNoAnswer))
-		time.Sleep(2 * probeEvery)
-		x.Expect(x.reach.Silent()).To(BeTrue())
-		x.api.refuse(nil)
-		time.Sleep(2 * probeEvery)
-		x.Expect(x.reach.Silent()).To(BeFalse())
-	})
+// Guards against a fleet that asks an API which resets its connections, or says that it is
+// not available, as often as it can: the first question that fails so has it probed, and others wait.
+func TestResetsAndUnavailabilityCountAsSilence(t *testing.T) {
+	for _, failure := range []error{objectapi.ErrNoAnswer, objectapi.ErrUnavailable} {
+		run(t, func(x *fixture) {
+			x.api.refuse(failure)
+			x.Expect(x.ask(time.Second, 0)).To(MatchError(failure))
+			time.Sleep(2 * probeEvery)
+			x.Expect(x.reach.Silent()).To(BeTrue())
+			asked := x.api.count(&x.api.asked)
+			x.Expect(x.ask(time.Second, 0)).To(HaveOccurred())
+			x.Expect(x.api.count(&x.api.asked)).To(Equal(asked), "it waits for the probe")
+			x.api.refuse(nil)
+			time.Sleep(2 * probeEvery)
+			x.Expect(x.reach.Silent()).To(BeFalse())
+		})
+	}
 }
