--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -37,7 +37,10 @@
 
 // next returns the server for the next attempt, or nil if there must be none.
 func (x *exchange) next(ctx context.Context, t *tries) *directory.Server {
-	if !x.mayTry(ctx, t) {
+	if ctx.Err() != nil || t.refusals >= maxRefusals {
+		return nil
+	}
+	if t.runs > 0 && (!x.repeatable() || t.runs >= x.route.MaxAttempts) {
 		return nil
 	}
 	s := x.choose(t.seen)
@@ -52,14 +55,6 @@
 	return s
 }
 
-// mayTry tells whether there may be an attempt more.
-func (x *exchange) mayTry(ctx context.Context, t *tries) bool {
-	if ctx.Err() != nil || t.refusals >= maxRefusals {
-		return false
-	}
-	return t.runs == 0 || x.repeatable() && t.runs < x.route.MaxAttempts
-}
-
 // repeatable tells whether the request may run again after it may have run.
 func (x *exchange) repeatable() bool {
 	return x.route.Kind == plan.Safe || x.route.Kind == plan.Stream && x.route.Resumable
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -23,9 +23,7 @@
 	ctx, leave := x.untilStop(ctx)
 	defer leave()
 	made, err := x.opts.Pool.Run(ctx, r)
-	if !x.begun {
-		x.rec.StageTook = x.opts.Clock.Now().Sub(x.start)
-	}
+	x.rec.StageTook = x.opts.Clock.Now().Sub(x.start)
 	if err != nil && errors.Is(context.Cause(ctx), errStops) {
 		return &kind.Error{Kind: kind.Draining, Detail: errStops.Error(), RetryAfter: drainingRetry, Cause: err}
 	}
@@ -73,11 +71,7 @@
 	x.setTargets(r)
 	takes := x.times.expect(x.route.Name)
 	r.AimBy = x.aim.Add(-takes.first)
-	since := x.start
-	if x.begun {
-		since = x.opts.Clock.Now() // the client has its last event
-	}
-	r.DieBy = since.Add(x.patience() - min(takes.first, x.patience()/reserveDivisor))
+	r.DieBy = x.start.Add(x.patience() - min(takes.first, x.patience()/reserveDivisor))
 	wait := x.deadline.Sub(x.start)
 	if end := x.deadline.Add(-min(takes.total(), wait/reserveDivisor)); end.Before(r.DieBy) {
 		r.DieBy = end
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -24,12 +24,6 @@
 	st := &streaming{last: x.client.LastEvent}
 	remakes := 0
 	for {
-		if x.lacksInputs() && x.mayTry(ctx, t) {
-			// Another server would refuse the request without them.
-			if err := x.remake(ctx); err != nil {
-				return err
-			}
-		}
 		s := x.next(ctx, t)
 		if s == nil {
 			return x.endStream(t)
@@ -56,10 +50,6 @@
 // errInputsGone: a result that the request needs was lost; it has not run.
 var errInputsGone = fmt.Errorf("%w: an input is gone", errNotRun)
 
-// lacksInputs tells whether the request's results were given up, as they are once its
-// stream has begun.
-func (x *exchange) lacksInputs() bool { return len(x.inputs) > 0 && len(x.made.Inputs) == 0 }
-
 // remake runs the stages again.
 func (x *exchange) remake(ctx context.Context) error {
 	x.freeInputs()
