--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -1,5 +1,5 @@
 // Package capacity holds the system's size of two years from now and makes
-// tables of any part of it. Its benchmarks give the slopes of docs/CAPACITY.md.
+// tables of any part of it. Its benchmarks give their slopes.
 package capacity
 
 import (
