Relay: asking the readers and asking the object API are apart

No change of behaviour: the loop over the readers, the decision whom to pass over and the direct question stand in functions of their own; a direct question that must be answered at once says so in place of pretending that its time is spent.

--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -59,8 +59,6 @@
 	// the object API fail: a whole fleet that asks a store which is down, or back
 	// just now, costs it its rate. The other host goes on asking and tells.
 	directPause = 2 * time.Second
-	// allSpent is over the wait of any watch: none is left for a direct one.
-	allSpent = time.Hour
 	// unreadyWait is how long a host that knows nothing yet is waited for: it has
 	// just started, as a whole fleet may have. If all turned to the store then,
 	// hundreds would list thousands of servers beyond its rate, and none would
@@ -72,38 +70,64 @@
 	errRelay   = errors.New("follow: the other host cannot tell")
 	errUnready = errors.New("it knows nothing yet")
 	errTooOld  = errors.New("its knowledge is too old")
+	errNobody  = errors.New("no other host can tell")
 	errSilent  = errors.New("follow: neither the other hosts nor the object API can tell")
 )
 
 // List implements Source.
 func (r *Relay[T]) List(ctx context.Context, after string) (Answer[T], error) {
-	direct := func(ctx context.Context, _ time.Duration) (Answer[T], error) { return r.Direct.List(ctx, after) }
 	if after != "" {
-		return direct(ctx, 0) // only the object API gives a part of a list
+		return r.Direct.List(ctx, after) // only the object API gives a part of a list
 	}
-	return r.ask(ctx, relayRequest{List: true, WaitMS: unreadyWait.Milliseconds()}, direct)
+	q := relayRequest{List: true, WaitMS: unreadyWait.Milliseconds()}
+	return r.ask(ctx, q, func(ctx context.Context, _ time.Duration, _ bool) (Answer[T], error) {
+		return r.Direct.List(ctx, after)
+	})
 }
 
 // Watch implements Source.
 func (r *Relay[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Answer[T], error) {
 	q := relayRequest{From: from, WaitMS: wait.Milliseconds(), MaxAgeUS: r.MaxAge.Microseconds()}
-	return r.ask(ctx, q, func(ctx context.Context, spent time.Duration) (Answer[T], error) {
-		return r.Direct.Watch(ctx, from, max(wait-spent, 0))
+	return r.ask(ctx, q, func(ctx context.Context, spent time.Duration, atOnce bool) (Answer[T], error) {
+		left := max(wait-spent, 0)
+		if atOnce {
+			left = 0
+		}
+		return r.Direct.Watch(ctx, from, left)
 	})
 }
 
-// ask asks the readers in turn, or the object API while none of them can answer.
-// direct is given the time that was spent on them.
-func (r *Relay[T]) ask(ctx context.Context, q relayRequest, direct func(ctx context.Context, spent time.Duration) (Answer[T], error)) (Answer[T], error) {
+// direct asks the object API itself. spent is the time that went to others; with atOnce
+// the answer has to come without a wait for changes.
+type direct[T any] func(ctx context.Context, spent time.Duration, atOnce bool) (Answer[T], error)
+
+// ask asks the readers, or the object API while none of them can answer.
+func (r *Relay[T]) ask(ctx context.Context, q relayRequest, direct direct[T]) (Answer[T], error) {
 	readers := r.Readers()
 	if len(readers) == 0 {
-		return direct(ctx, 0)
+		return direct(ctx, 0, false)
 	}
 	asked := r.Clock.Now()
 	// While nobody else can be asked, the reader tells when it knows again.
 	q.UntilFresh = asked.Before(r.pausing)
-	var waiting error // for a host that may know in a moment
-	unheard := 0      // hosts that did not answer at all
+	a, err := r.askReaders(ctx, readers, q, asked)
+	switch {
+	case err == nil || errors.Is(err, ErrHistoryGone):
+		// They know again: the next question waits for changes as usual.
+		clear(r.silent)
+		r.pausing, r.standsIn = time.Time{}, false
+		return a, err
+	case errors.Is(err, errNobody):
+		return r.askDirect(ctx, r.Clock.Now().Sub(asked), direct)
+	}
+	return a, err
+}
+
+// askReaders asks the readers in turn; errNobody: none of them can tell, and none is
+// waited for.
+func (r *Relay[T]) askReaders(ctx context.Context, readers []string, q relayRequest, asked time.Time) (a Answer[T], err error) {
+	waiting := errNobody
+	unheard := 0 // hosts that did not answer at all
 	for i, host := range readers {
 		if over := r.passed[host]; asked.Before(over.until) {
 			unheard += over.unheard
@@ -113,43 +137,30 @@
 			break
 		}
 		a, err := r.askReader(ctx, host, q)
-		if err == nil || errors.Is(err, ErrHistoryGone) {
-			clear(r.silent)
-			// It knows again: the next question waits for changes as usual.
-			r.pausing, r.standsIn = time.Time{}, false
-			return a, err
-		}
-		if ctx.Err() != nil || r.Clock.Now().Before(r.pausing) {
+		if err == nil || errors.Is(err, ErrHistoryGone) || ctx.Err() != nil || r.Clock.Now().Before(r.pausing) {
 			return a, err
 		}
 		if r.waitFor(host, patience(err, i, len(readers)), asked) {
 			waiting = err
-			if errors.Is(err, errUnready) {
-				break
-			}
-			continue
+		} else {
+			unheard += r.passOver(host, err)
 		}
-		delete(r.silent, host)
-		over := passedOver{until: r.Clock.Now().Add(relayPassOver)}
-		if !errors.Is(err, errTooOld) && !errors.Is(err, errUnready) {
-			over.unheard = 1
-		}
-		unheard += over.unheard
-		note(&r.passed, host, over)
 		if errors.Is(err, errUnready) {
 			break // the next ones have begun no sooner; a wait for each would be too long
 		}
 	}
-	if waiting != nil {
-		return Answer[T]{}, waiting
-	}
-	spent := r.Clock.Now().Sub(asked)
-	if !r.standsIn {
-		// What is known here is as old as what the readers know, and others may wait for
-		// this host: it needs a proof, not the next change.
-		spent = allSpent
+	return a, waiting
+}
+
+// passOver has a host that could not answer passed over for a while. It returns 1 if the
+// host did not answer at all.
+func (r *Relay[T]) passOver(host string, cause error) (unheard int) {
+	if !errors.Is(cause, errTooOld) && !errors.Is(cause, errUnready) {
+		unheard = 1
 	}
-	return r.askDirect(ctx, spent, direct)
+	delete(r.silent, host)
+	note(&r.passed, host, passedOver{r.Clock.Now().Add(relayPassOver), unheard})
+	return unheard
 }
 
 // patience is how long the i-th of some readers is waited for that could not answer.
@@ -187,13 +198,15 @@
 }
 
 // askDirect asks the object API; if that fails, the other hosts come first again.
-func (r *Relay[T]) askDirect(ctx context.Context, spent time.Duration, direct func(context.Context, time.Duration) (Answer[T], error)) (a Answer[T], err error) {
+func (r *Relay[T]) askDirect(ctx context.Context, spent time.Duration, direct direct[T]) (a Answer[T], err error) {
 	if r.Silent() {
 		// Waiting for its return here would leave the readers unheard, and have
 		// the whole fleet ask it at once.
 		err = errSilent
 	} else {
-		a, err = direct(ctx, spent)
+		// The first time, what is known here is as old as what the readers know, and others
+		// may wait for this host: it needs a proof, not the next change.
+		a, err = direct(ctx, spent, !r.standsIn)
 	}
 	r.standsIn = err == nil
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
