--- a/process/follow/readers_test.go
+++ b/process/follow/readers_test.go
@@ -15,7 +15,8 @@
 // platform is asked once the first of them had its time.
 func TestOnlyOneUnreadyReaderIsWaitedFor(t *testing.T) {
 	r := newRelayed(t)
-	r.relay.Readers = func() []string { return []string{"reader", "reader", "reader"} }
+	r.relay.Link = byHost{"first": r.wire, "second": r.wire, "third": r.wire}
+	r.relay.Readers = func() []string { return []string{"first", "second", "third"} }
 	listed := make(chan error, 1)
 	go func() {
 		_, err := r.relay.List(context.Background(), "")
@@ -48,6 +49,9 @@
 	_, err := r.relay.Watch(t.Context(), 5, 0)
 	r.g.Expect(err).To(MatchError(errTooOld))
 	r.now.Advance(2*substituteWait - time.Millisecond)
+	_, err = r.relay.Watch(t.Context(), 5, 0)
+	r.g.Expect(err).To(MatchError(errTooOld), "the third still has its moment")
+	r.g.Expect(r.api.count()).To(Equal(calls))
 	r.g.Expect(r.step(third)).To(Succeed())
 	_, err = r.relay.Watch(t.Context(), 5, 0)
 	r.g.Expect(err).NotTo(HaveOccurred())
