--- a/entryhost/shell_test.go
+++ b/entryhost/shell_test.go
@@ -35,7 +35,9 @@
 	for _, name := range []string{backend.HeaderRequestID, backend.HeaderStage, backend.HeaderAttempt} {
 		w.Header().Set(name, r.Header.Get(name))
 	}
-	s.arrived <- r.Header.Clone()
+	if r.Header.Get(backend.HeaderRequestID) != "" { // no question for the server's load
+		s.arrived <- r.Header.Clone()
+	}
 	<-s.release
 	_, _ = w.Write([]byte(`"whole"`))
 }
