follow: a list or a change is told together with its proof

The reader's first list let waiting hosts go before the proof that came with it was noted. A host that asked in between read an age since the year 1, held the list for too old, passed the reader over and listed at the platform. The same with changes after a silence. Ruled out: the test (it counts what it should; the call is made by the product). TestNewsComesWithItsProof asks inside the moment between and was red before. Conclusion: content and proof change under one lock.

--- a/process/follow/begin_test.go
+++ b/process/follow/begin_test.go
@@ -34,6 +34,26 @@
 	r.g.Expect(r.api.count()).To(Equal(1))
 }
 
+// Guards against hosts that hold a list or a change for too old and ask the platform
+// themselves, as they were told of it before they were told how new it is.
+func TestNewsComesWithItsProof(t *testing.T) {
+	r := newRelayed(t)
+	asked, seen := 0, []string{}
+	r.reader.opts.Changed = func(map[string]Object[string], string) {
+		a, err := r.relay.List(t.Context(), "")
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(a.Age).To(BeZero())
+		asked, seen = r.api.count(), append(seen, a.Objects[0].Value)
+	}
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.g.Expect(asked).To(Equal(1), "the reader's own list")
+	r.api.value, r.api.rev = "2", 6
+	r.now.Advance(maxAge + time.Millisecond)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.g.Expect(asked).To(Equal(2), "and its watch")
+	r.g.Expect(seen).To(Equal([]string{"1", "2"}))
+}
+
 // Guards against a process that begins at the full price of a list, and against taking
 // later lists, which have to be exact, from some seconds ago.
 func TestOnlyTheFirstListMayBeOld(t *testing.T) {
--- a/process/follow/follow.go
+++ b/process/follow/follow.go
@@ -132,10 +132,11 @@
 	if err != nil {
 		return err
 	}
+	proved := sent.Add(-a.Age)
 	if len(a.Objects) > 0 {
-		f.change(a)
+		f.change(a, proved)
 	}
-	f.answered(sent.Add(-a.Age))
+	f.answered(proved)
 	if len(a.Objects) > 0 && f.opts.Settle > 0 {
 		f.wait(ctx, f.opts.Settle)
 	}
@@ -143,7 +144,7 @@
 }
 
 // change takes the changes that a watch brought.
-func (f *Follower[T]) change(a Answer[T]) {
+func (f *Follower[T]) change(a Answer[T], proved time.Time) {
 	// The watch goes on from the last answer that held changes, never from the
 	// state that an empty answer names: a watch to which a disturbed store
 	// delivered nothing would otherwise skip the changes made meanwhile for good.
@@ -151,7 +152,7 @@
 		f.apply(c)
 	}
 	f.from = max(f.from, a.AsOf)
-	f.history.add(a.Objects, f.from)
+	f.history.add(a.Objects, f.from, proved)
 	f.opts.Changed(f.objects, "watch")
 }
 
@@ -212,7 +213,7 @@
 		f.listed = true
 		return errOlder
 	}
-	before, again := f.objects, f.from > 0
+	before, again, proved := f.objects, f.from > 0, sent.Add(-a.Age)
 	f.objects = make(map[string]Object[T], len(a.Objects))
 	for _, o := range a.Objects {
 		f.objects[o.Name] = o
@@ -220,12 +221,12 @@
 	f.from = a.AsOf
 	f.listed = true
 	if again {
-		f.history.add(changes(before, f.objects, f.from), f.from)
+		f.history.add(changes(before, f.objects, f.from), f.from, proved)
 	} else {
-		f.history.reset(a.Objects, f.from)
+		f.history.reset(a.Objects, f.from, proved)
 	}
 	f.opts.Changed(f.objects, "list")
-	f.answered(sent.Add(-a.Age))
+	f.answered(proved)
 	return nil
 }
 
--- a/process/follow/history.go
+++ b/process/follow/history.go
@@ -29,9 +29,12 @@
 // keptBatches bounds the changes of late; who needs older ones lists again.
 const keptBatches = 256
 
-func (h *history[T]) reset(objects []Object[T], from Revision) {
+// reset and add take the proof along: a host that is told of a list or a change without
+// it would hold that for as old as the proof before, and turn to the object API itself.
+func (h *history[T]) reset(objects []Object[T], from Revision, proved time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.proved = later(h.proved, proved)
 	h.objects = make(map[string]Object[T], len(objects))
 	for _, o := range objects {
 		h.objects[o.Name] = o
@@ -45,9 +48,10 @@
 	h.wake()
 }
 
-func (h *history[T]) add(objects []Object[T], at Revision) {
+func (h *history[T]) add(objects []Object[T], at Revision, proved time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.proved = later(h.proved, proved)
 	for _, o := range objects {
 		if o.Deleted {
 			delete(h.objects, o.Name)
@@ -76,9 +80,14 @@
 	if at.Sub(h.proved) > staleAfter {
 		h.wake() // other hosts may wait for just this
 	}
-	if at.After(h.proved) {
-		h.proved = at
+	h.proved = later(h.proved, at)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // list returns the copy; ok is false before the first list.
