--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -117,6 +117,7 @@
 type caller struct {
 	name     string
 	perSec   func(at time.Duration) float64
+	rank     Rank
 	aim, die time.Duration
 	worth    func(r *rand.Rand) float64
 	hold     time.Duration // that its results are kept for it to run
@@ -128,6 +129,8 @@
 
 func (t tally) share() float64 { return float64(t.onTime) / float64(max(t.offered, 1)) }
 
+func (t tally) served() float64 { return float64(t.onTime+t.late) / float64(max(t.offered, 1)) }
+
 // load is a run of callers against a plant.
 type load struct {
 	services map[string]plantService
@@ -209,7 +212,7 @@
 func (c *caller) request(r *rand.Rand, n int) *Request {
 	now := time.Now()
 	return &Request{
-		ID: fmt.Sprint(c.name, n), Domain: []string{"x", "y", "z"}[r.IntN(3)], Worth: c.worth(r), Stages: c.stages(r),
+		ID: fmt.Sprint(c.name, n), Domain: []string{"x", "y", "z"}[r.IntN(3)], Worth: c.worth(r), Rank: c.rank, Stages: c.stages(r),
 		AimBy: now.Add(c.aim), DieBy: now.Add(c.die),
 	}
 }
