--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -116,9 +117,11 @@
 // caller is one kind of request.
 type caller struct {
 	name     string
+	like     string // kind whose stages and times it has
 	perSec   func(at time.Duration) float64
 	rank     Rank
 	aim, die time.Duration
+	mean     float64 // worth
 	worth    func(r *rand.Rand) float64
 	hold     time.Duration // that its results are kept for it to run
 	stages   func(r *rand.Rand) []Stage
@@ -137,6 +140,7 @@
 	callers  []caller
 	lasts    time.Duration
 	seed     uint64
+	naive    bool // all is begun as it comes
 }
 
 // clump is how many requests come at one moment, in the mean.
@@ -155,6 +159,13 @@
 			batchers[name] = p.open(ctx, name, s)
 		}
 		k := NewCoordinator(func(s string) *batcher.Batcher { return batchers[s] }, noServers, clock.System{}, quiet{})
+		if l.naive {
+			k.admission = NewAdmission(func(name string) (Service, bool) {
+				s, ok := k.service(name)
+				s.Rate, s.RoomAll = math.MaxInt32, 0
+				return s, ok
+			})
+		}
 		out = map[string]*tally{}
 		var mu sync.Mutex
 		var running sync.WaitGroup
