follow: lists are sent packed, made once for all that ask

Traced on a site of our own, the large one with eight times its servers (3,056), all killed at 34.07 s: hosts begin at 34.6, have the configuration in force by 35.03, and refuse for want of servers until 36.4: a hundred hosts of a region get 0.6 MB each from one, whose link takes 200 Mbit/s. Ruled out: the store's rate (the strong hosts have their lists within 0.3 s). Conclusion: a list is compressed when the first host asks, and sent as it is to the others until it changes. Earlier versions are answered as before.

--- a/process/follow/history.go
+++ b/process/follow/history.go
@@ -10,6 +10,8 @@
 type history[T any] struct {
 	mu      sync.Mutex
 	objects map[string]Object[T]
+	changes uint64 // how often objects changed
+	packed  packed
 	from    Revision
 	batches []batch[T]
 	oldest  Revision // changes up to here are no longer kept
@@ -45,6 +47,7 @@
 		close(h.listed)
 	}
 	h.from, h.oldest, h.batches = from, from, nil
+	h.changes++
 	h.wake()
 }
 
@@ -60,6 +63,7 @@
 		}
 	}
 	h.from = at
+	h.changes++
 	h.batches = append(h.batches, batch[T]{at, objects})
 	if len(h.batches) > keptBatches {
 		h.oldest = h.batches[0].at
@@ -94,10 +98,15 @@
 func (h *history[T]) list() (objects []Object[T], from Revision, proved time.Time, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.all(), h.from, h.proved, h.objects != nil
+}
+
+// all is called with h.mu held.
+func (h *history[T]) all() (objects []Object[T]) {
 	for _, o := range h.objects {
 		objects = append(objects, o)
 	}
-	return objects, h.from, h.proved, h.objects != nil
+	return objects
 }
 
 // news is what a history tells of the time after a revision.
--- a/process/follow/relay.go
+++ b/process/follow/relay.go
@@ -79,7 +79,7 @@
 	if after != "" {
 		return r.Direct.List(ctx, after) // only the object API gives a part of a list
 	}
-	q := relayRequest{List: true, WaitMS: unreadyWait.Milliseconds()}
+	q := relayRequest{List: true, WaitMS: unreadyWait.Milliseconds(), Packs: true}
 	return r.ask(ctx, q, func(ctx context.Context, _ time.Duration, _ bool) (Answer[T], error) {
 		return r.Direct.List(ctx, after)
 	})
@@ -227,6 +227,9 @@
 	if err == nil && got.Gone {
 		return a, ErrHistoryGone
 	}
+	if err == nil && len(got.Packed) > 0 {
+		got.Objects, err = unpack[T](got.Packed)
+	}
 	age := time.Duration(got.AgeUS) * time.Microsecond
 	switch {
 	case err != nil:
--- a/process/follow/relay_test.go
+++ b/process/follow/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,8 @@
 type wire struct {
 	handlers map[peer.Method]peer.Handler
 	down     error
-	slow     func() // runs with each call
+	slow     func()       // runs with each call
+	answered atomic.Int64 // bytes of the last answer
 }
 
 func (w *wire) Self() peer.Identity                  { return peer.Identity{Host: "asking"} }
@@ -38,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	w.answered.Store(int64(len(answer)))
 	return peer.Unmarshal(answer, out)
 }
 
--- a/process/follow/serve.go
+++ b/process/follow/serve.go
@@ -18,6 +18,8 @@
 	// UntilFresh the wait ends as soon as it is not.
 	MaxAgeUS   int64
 	UntilFresh bool
+	// Packs tells that the asking host takes a list in Packed; earlier versions do not.
+	Packs bool
 }
 
 type relayObject[T any] struct {
@@ -38,6 +40,7 @@
 	BeforeUS int64
 	Gone     bool
 	Ready    bool
+	Packed   []byte // a list, in place of Objects
 }
 
 func relayMethod(kind string) peer.Method { return peer.Method("follow." + kind) }
@@ -55,7 +58,10 @@
 		if q.List {
 			answer = f.relayList
 		}
-		a, proved := answer(ctx, q)
+		a, proved, err := answer(ctx, q)
+		if err != nil {
+			return nil, err
+		}
 		a.AgeUS = f.age(proved)
 		a.BeforeUS = arrived.Sub(proved).Microseconds()
 		return peer.Marshal(a)
@@ -64,17 +70,21 @@
 
 // relayList waits for the first list: a fleet that starts together asks its readers
 // before they know anything.
-func (f *Follower[T]) relayList(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time) {
+func (f *Follower[T]) relayList(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time, err error) {
 	select {
 	case <-f.history.listed:
 	case <-f.opts.Clock.After(time.Duration(q.WaitMS) * time.Millisecond):
 	case <-ctx.Done():
 	}
+	if q.Packs {
+		list, from, proved, ok, err := f.history.pack()
+		return relayAnswer[T]{Packed: list, AsOf: from, Ready: ok}, proved, err
+	}
 	objects, from, proved, ok := f.history.list()
-	return relayAnswer[T]{Objects: encode(objects), AsOf: from, Ready: ok}, proved
+	return relayAnswer[T]{Objects: encode(objects), AsOf: from, Ready: ok}, proved, nil
 }
 
-func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time) {
+func (f *Follower[T]) relayWatch(ctx context.Context, q relayRequest) (a relayAnswer[T], proved time.Time, err error) {
 	end := f.opts.Clock.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
 	for {
 		n := f.history.since(q.From)
@@ -88,13 +98,13 @@
 			until = now
 		}
 		if len(n.objects) > 0 || n.gone || !now.Before(until) {
-			return relayAnswer[T]{Objects: encode(n.objects), AsOf: n.at, Gone: n.gone, Ready: n.listed}, n.proved
+			return relayAnswer[T]{Objects: encode(n.objects), AsOf: n.at, Gone: n.gone, Ready: n.listed}, n.proved, nil
 		}
 		select {
 		case <-n.next:
 		case <-f.opts.Clock.After(until.Sub(now)):
 		case <-ctx.Done():
-			return relayAnswer[T]{}, n.proved
+			return relayAnswer[T]{}, n.proved, nil
 		}
 	}
 }
