--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -61,7 +61,7 @@
 	return s, ok
 }
 
-// Offer adds a request that wants to be begun.
+// Offer adds a request that wants to be begun, at now.
 func (a *Admission) Offer(t *Ticket, now time.Time) {
 	clear(a.known)
 	t.cost, t.path = a.cost(t.Request), a.path(t.Request)
@@ -82,6 +82,7 @@
 
 func (t *Ticket) inTime(now time.Time) bool { return !now.Add(t.path).After(t.Request.AimBy) }
 
+// ask notes what a request that can be on time asks of its services.
 func (a *Admission) ask(t *Ticket, now time.Time) {
 	for _, s := range t.Request.Stages {
 		a.of(s.Service).of(t.rank()).asked.add(float64(s.Items), now)
--- a/process/stages/drawn_test.go
+++ b/process/stages/drawn_test.go
@@ -20,6 +20,9 @@
 	drawnCount = flag.Uint64("stages.draws", 12, "drawn loads to play")
 )
 
+// drawnKept are seeds in which urgent requests were once served less often than others.
+var drawnKept = []uint64{15, 31, 35, 71, 88, 94}
+
 // draw is a place and a load that nobody has chosen: a few services of a few servers each,
 // kinds of requests that need some of them one after the other, and more or less than can
 // be served of them.
@@ -199,7 +202,11 @@
 func TestDrawnLoads(t *testing.T) {
 	g := NewWithT(t)
 	mine, naive := 0.0, 0.0
+	seeds := slices.Clone(drawnKept)
 	for seed := *drawnFirst; seed < *drawnFirst+*drawnCount; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		l := draw(seed)
 		out, _ := l.run(t)
 		most := l.most(out)
@@ -208,6 +215,6 @@
 		g.Expect(l.inversions(out)).To(BeEmpty(), "seed %d", seed)
 		mine, naive = mine+own, naive+other
 	}
-	t.Logf("of what could be earned at most: %.3f, naively %.3f", mine/float64(*drawnCount), naive/float64(*drawnCount))
+	t.Logf("of what could be earned at most: %.3f, naively %.3f", mine/float64(len(seeds)), naive/float64(len(seeds)))
 	g.Expect(mine).To(BeNumerically(">", naive))
 }
--- a/process/stages/rank_test.go
+++ b/process/stages/rank_test.go
@@ -49,6 +49,15 @@
 	g.Expect(chats.share()).To(BeNumerically(">", ownShare))
 }
 
+// Guards against starving the less urgent where the urgent alone ask for more than there
+// is: as much as their own share is served, though most of it late.
+func TestUrgentFloodLeavesTheOthersTheirShare(t *testing.T) {
+	l := shortage()
+	l.callers[1].perSec = steady(40) // answers ask for a third more than there is
+	out := l.several(t)
+	NewWithT(t).Expect(out["chat"].served()).To(BeNumerically(">", ownShare))
+}
+
 // Guards against an urgent request that waits for the servers because less urgent ones,
 // which came while none was there, have all that may be under way.
 func TestUrgentRequestsFindRoom(t *testing.T) {
