stages: a tenth at the last chance only while a shortage lasts; calls go by aim again

A call by the nearest aim makes all in time that can be; by rank it makes the urgent early and others late.

--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -26,10 +26,9 @@
 	// is what crosses domains if they are made elsewhere.
 	Domain    string
 	AwayBytes int64
-	// AimBy is when the results should be there: the jobs of a rank are served in this order.
+	// AimBy is when the results should be there: jobs are served in this order.
 	// DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
-	Rank         int // of urgency; 0 is the most urgent
 	// ItemBytes is the approximate size of one result.
 	ItemBytes int64
 	// Done is called once for each item with its result or the reason why
@@ -44,14 +43,6 @@
 	held      bool // waits for a server of its own failure domain
 }
 
-// before is the order in which jobs are served.
-func (j *Job) before(other *Job) bool {
-	if j.Rank != other.Rank {
-		return j.Rank < other.Rank
-	}
-	return j.AimBy.Before(other.AimBy)
-}
-
 // Reason tells why an item has no result; empty: it has one.
 type Reason string
 
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -12,7 +12,7 @@
 // use; Batcher guards it.
 type Queue struct {
 	opts    Options
-	waiting []*Job // with items that are not in a call, in the order of Job.before
+	waiting []*Job // with items that are not in a call, by AimBy
 	servers map[string]*server
 	worked  time.Time // when a job last came
 }
@@ -87,7 +87,7 @@
 }
 
 func (q *Queue) insert(j *Job) {
-	i := sort.Search(len(q.waiting), func(i int) bool { return j.before(q.waiting[i]) })
+	i := sort.Search(len(q.waiting), func(i int) bool { return j.AimBy.Before(q.waiting[i].AimBy) })
 	q.waiting = append(q.waiting, nil)
 	copy(q.waiting[i+1:], q.waiting[i:])
 	q.waiting[i] = j
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -85,7 +85,9 @@
 // ask notes what a request that can be on time asks of its services.
 func (a *Admission) ask(t *Ticket, now time.Time) {
 	for _, s := range t.Request.Stages {
-		a.of(s.Service).of(t.rank()).asked.add(float64(s.Items), now)
+		w := a.of(s.Service)
+		w.asked.add(float64(s.Items), now)
+		w.of(t.rank()).asked.add(float64(s.Items), now)
 	}
 }
 
@@ -93,7 +95,7 @@
 func (a *Admission) of(service string) *ranked {
 	w := a.work[service]
 	if w == nil {
-		w = &ranked{}
+		w = &ranked{asked: pace{over: lastingTime}}
 		a.work[service] = w
 	}
 	return w
@@ -163,15 +165,19 @@
 	clear(a.known)
 	a.sort(now)
 	b := &blocked{now: now, rate: map[string]Rank{}, room: map[string]int64{}}
-	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request) })
+	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request, now) })
 	a.onTime = a.begin(a.onTime, func(t *Ticket) bool { return a.fits(t, b) })
 	a.late = a.begin(a.late, func(t *Ticket) bool { return a.fits(t, b) })
 }
 
-// lastChanceShare of the bound on items under way is for late requests whose last
-// chance has come: an overload would otherwise turn all of them away for as long as it
-// lasts. It is small, as an answer that comes in time is worth several late ones.
-const lastChanceShare = 0.1
+const (
+	// lastChanceShare of the bound on items under way is for late requests whose last
+	// chance has come: an overload would otherwise turn all of them away.
+	lastChanceShare = 0.35
+	// lastingShare is that while a shortage lasts: an answer that comes in time is worth
+	// several late ones, and for each of these another one would be late.
+	lastingShare = 0.1
+)
 
 // lastChanceTime before its latest begin, a late request takes what is kept
 // for such requests.
@@ -189,14 +195,18 @@
 func (t *Ticket) latePath() time.Duration { return time.Duration(lateFactor * float64(t.path)) }
 
 // fitsLate tells whether the part that is kept for last chances has room.
-func (a *Admission) fitsLate(r *Request) bool {
+func (a *Admission) fitsLate(r *Request, now time.Time) bool {
 	for i, s := range r.Stages {
 		svc, ok := a.service(s.Service)
 		if !ok || s.Items == 0 {
 			continue
 		}
-		used := a.of(s.Service).of(lateRank).used
-		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), lastChanceShare) {
+		w, share := a.of(s.Service), lastChanceShare
+		if w.asked.rate(now) > svc.Rate {
+			share = lastingShare
+		}
+		used := w.of(lateRank).used
+		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), share) {
 			return false
 		}
 	}
--- a/process/stages/rank.go
+++ b/process/stages/rank.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -27,7 +28,10 @@
 }
 
 // ranked is the work of one service by rank, in their order. Few ranks are in use.
-type ranked struct{ list []rankWork }
+type ranked struct {
+	list  []rankWork
+	asked pace // as of a rank, of all, over a longer time
+}
 
 type rankWork struct {
 	rank  Rank
@@ -75,23 +79,31 @@
 	return sum
 }
 
-// pace is a mean of events a second, of which the last paceTime counts most.
+// pace is a mean of events a second, of which those of the last time that it is made for
+// count most.
 type pace struct {
-	sum float64
-	at  time.Time
+	over time.Duration // 0: askedTime
+	sum  float64
+	at   time.Time
 }
 
-// paceTime is long enough for some dozen requests and short enough to follow a burst.
-const paceTime = time.Second
+const (
+	// askedTime is long enough for some dozen requests and short enough to follow a burst.
+	askedTime = time.Second
+	// lastingTime tells a shortage that lasts from a burst of some seconds.
+	lastingTime = 10 * time.Second
+)
 
 func (p *pace) add(n float64, now time.Time) { p.sum, p.at = p.left(now)+n, now }
 
-func (p *pace) rate(now time.Time) float64 { return p.left(now) / paceTime.Seconds() }
+func (p *pace) rate(now time.Time) float64 { return p.left(now) / p.time().Seconds() }
 
 func (p *pace) left(now time.Time) float64 {
-	return p.sum * math.Exp(-now.Sub(p.at).Seconds()/paceTime.Seconds())
+	return p.sum * math.Exp(-now.Sub(p.at).Seconds()/p.time().Seconds())
 }
 
+func (p *pace) time() time.Duration { return cmp.Or(p.over, askedTime) }
+
 // ownShare of what a rank asks for is begun in time whatever the ranks before it ask for:
 // an operator who calls some requests more urgent does not mean that the others get
 // nothing for as long as a shortage lasts.
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -102,7 +102,7 @@
 	domain, away := w.domain(i)
 	return &batcher.Job{
 		Items: items, Domain: domain, AwayBytes: away, ItemBytes: s.ItemBytes,
-		Rank: int(w.rank), AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
+		AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
 		Done: func(p int, r batcher.Result) { w.item(i, p, r) },
 	}
 }
