--- a/process/stages/drawn_test.go
+++ b/process/stages/drawn_test.go
@@ -196,6 +196,14 @@
 	return urgent.served() < other.served()-servedBound || urgent.share() < other.share()-inTimeBound
 }
 
+// Guards against the last but one of four ranks being served less often than the last where
+// they get their own shares only.
+func TestDrawnLoadOfFourRanks(t *testing.T) {
+	l := draw(123)
+	out, _ := l.run(t)
+	NewWithT(t).Expect(l.inversions(out)).To(BeEmpty())
+}
+
 // The pattern: loads that nobody has chosen. Guards against decisions that suit the
 // deployments they were made on only: requests that are served less often than less urgent
 // ones of the same stages, and work that earns less than if all were begun as it comes.
--- a/process/stages/rank_test.go
+++ b/process/stages/rank_test.go
@@ -15,6 +15,7 @@
 // urgent and ask for two thirds of what there is; the chats, of the same size, are not.
 func shortage() load {
 	l := fourStages()
+	l.lasts = 3 * lastingTime
 	opts := func(items int, item time.Duration, room int64) batcher.Options {
 		return batcher.Options{MaxItems: items, CallTime: 90 * time.Millisecond, ItemTime: item, RoomBytes: room, ResultTTL: 4 * time.Second}
 	}
@@ -136,3 +137,25 @@
 	l.g.Expect(l.begun).To(HaveLen(1), "the first of a rank is its own share")
 	l.g.Expect(l.begun).NotTo(ContainElement("many items"))
 }
+
+// Guards against a shortage that lasts in which a third of the servers' time goes to late
+// requests, and against a burst after which they are turned away.
+func TestLastChancesAreFewWhileAShortageLasts(t *testing.T) {
+	begun := func(lasts time.Duration) (late int) {
+		l := newLine(t, map[string]Service{"s": sheet()})
+		for range int(lasts / (20 * time.Millisecond)) { // twice what the servers make
+			l.offer("in time", 1, 6, time.Second, 9*time.Second)
+			l.a.Next(l.now)
+			l.pass(20 * time.Millisecond)
+		}
+		for i := range 200 {
+			l.offer(fmt.Sprint("late-", i), 1, 1, 0, 1300*time.Millisecond)
+		}
+		l.a.Next(l.now)
+		return l.a.of("s").of(lateRank).used.items
+	}
+	bound := float64(sheet().bound(0).items)
+	g := NewWithT(t)
+	g.Expect(float64(begun(3 * time.Second))).To(BeNumerically("~", lastChanceShare*bound, 2))
+	g.Expect(float64(begun(30 * time.Second))).To(BeNumerically("<=", lastingShare*bound))
+}
