--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -174,8 +174,8 @@
 	// lastChanceShare of the bound on items under way is for late requests whose last
 	// chance has come: an overload would otherwise turn all of them away.
 	lastChanceShare = 0.35
-	// lastingShare is that while a shortage lasts: an answer that comes in time is worth
-	// several late ones, and for each of these another one would be late.
+	// lastingShare takes its place while a shortage lasts: an answer in time is worth
+	// several late ones, and each of these would make another one late.
 	lastingShare = 0.1
 )
 
--- a/process/stages/rank.go
+++ b/process/stages/rank.go
@@ -11,7 +11,8 @@
 // priority of the client account before that of the route.
 type Rank int
 
-// MakeRank joins the priorities, 0 to 9 each, of a client account and of a route.
+// MakeRank joins the priorities, 0 to 9 each, of a client account and of a route. An account
+// without one has the route's.
 func MakeRank(account, route int) Rank {
 	return Rank(10*min(max(account, 0), 9) + min(max(route, 0), 9))
 }
@@ -30,7 +31,7 @@
 // ranked is the work of one service by rank, in their order. Few ranks are in use.
 type ranked struct {
 	list  []rankWork
-	asked pace // as of a rank, of all, over a longer time
+	asked pace // items a second of all ranks, over lastingTime
 }
 
 type rankWork struct {
@@ -79,11 +80,10 @@
 	return sum
 }
 
-// pace is a mean of events a second, of which those of the last time that it is made for
-// count most.
+// pace is a mean of events a second, in which older ones count for less and less.
 type pace struct {
-	over time.Duration // 0: askedTime
-	sum  float64
+	over time.Duration // after which an event counts for 1/e; 0: askedTime
+	sum  float64       // of the events, as they counted at that time
 	at   time.Time
 }
 
