--- a/edge/records.go
+++ b/edge/records.go
@@ -107,7 +107,7 @@
 	}
 	kv := []any{
 		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.HeldBy,
-		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "rank", int(t.Request.Rank), "stages_ms", stageTimes(t.Took),
+		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageTimes(t.Took),
 		"target", t.Target, "target_wait_ms", ms(t.TargetWait),
 	}
 	if err != nil {
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -19,10 +19,12 @@
 	// known are the services as they were when the present decision began. Asking
 	// for them anew for each waiting request made an overloaded host spend its
 	// whole processor on looking at the requests that waited.
-	known  map[string]Service
-	work   map[string]*ranked // by service
-	onTime []*Ticket
-	late   []*Ticket
+	known    map[string]Service
+	underWay map[string]amount // begun and not finished, by service
+	// lateUnderWay is that of requests that were late when they began.
+	lateUnderWay map[string]amount
+	onTime       []*Ticket
+	late         []*Ticket
 }
 
 // Ticket is a request that waits to be begun, or is under way.
@@ -46,7 +48,7 @@
 
 // NewAdmission returns an admission; services tells what is known of a service.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{services: services, known: map[string]Service{}, work: map[string]*ranked{}}
+	return &Admission{services: services, known: map[string]Service{}, underWay: map[string]amount{}, lateUnderWay: map[string]amount{}}
 }
 
 // service returns what is known of a service; false: there is none of that name.
@@ -61,44 +63,11 @@
 	return s, ok
 }
 
-// Offer adds a request that wants to be begun, at now.
-func (a *Admission) Offer(t *Ticket, now time.Time) {
+// Offer adds a request that wants to be begun.
+func (a *Admission) Offer(t *Ticket) {
 	clear(a.known)
-	t.cost, t.path = a.cost(t.Request), a.path(t.Request)
-	if t.inTime(now) {
-		a.ask(t, now)
-	}
-	a.onTime = insert(a.onTime, t, comesFirst)
-}
-
-// comesFirst is the order in which requests are begun: the operator's ranks, and within a
-// rank what earns most for the servers' time.
-func comesFirst(x, y *Ticket) bool {
-	if x.rank() != y.rank() {
-		return x.rank() < y.rank()
-	}
-	return x.density() > y.density()
-}
-
-func (t *Ticket) inTime(now time.Time) bool { return !now.Add(t.path).After(t.Request.AimBy) }
-
-// ask notes what a request that can be on time asks of its services.
-func (a *Admission) ask(t *Ticket, now time.Time) {
-	for _, s := range t.Request.Stages {
-		w := a.of(s.Service)
-		w.asked.add(float64(s.Items), now)
-		w.of(t.rank()).asked.add(float64(s.Items), now)
-	}
-}
-
-// of is the work of a service.
-func (a *Admission) of(service string) *ranked {
-	w := a.work[service]
-	if w == nil {
-		w = &ranked{asked: pace{over: lastingTime}}
-		a.work[service] = w
-	}
-	return w
+	t.cost = a.cost(t.Request)
+	a.onTime = insert(a.onTime, t, func(x, y *Ticket) bool { return x.density() > y.density() })
 }
 
 func insert(list []*Ticket, t *Ticket, before func(a, b *Ticket) bool) []*Ticket {
@@ -152,9 +121,11 @@
 }
 
 // Finished notes that a stage's items are no longer under way.
-func (a *Admission) Finished(s Stage, rank Rank) {
-	w := a.of(s.Service).of(rank)
-	w.used = w.used.without(s)
+func (a *Admission) Finished(s Stage, late bool) {
+	a.underWay[s.Service] = a.underWay[s.Service].without(s)
+	if late {
+		a.lateUnderWay[s.Service] = a.lateUnderWay[s.Service].without(s)
+	}
 }
 
 // Waiting returns the number of requests that wait to be begun.
@@ -164,20 +135,16 @@
 func (a *Admission) Next(now time.Time) {
 	clear(a.known)
 	a.sort(now)
-	b := &blocked{now: now, rate: map[string]Rank{}, room: map[string]int64{}}
-	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request, now) })
+	b := &blocked{rate: map[string]bool{}, room: map[string]int64{}}
+	a.late = a.begin(a.late, func(t *Ticket) bool { return a.lastChance(t, now) && a.fitsLate(t.Request) })
 	a.onTime = a.begin(a.onTime, func(t *Ticket) bool { return a.fits(t, b) })
 	a.late = a.begin(a.late, func(t *Ticket) bool { return a.fits(t, b) })
 }
 
-const (
-	// lastChanceShare of the bound on items under way is for late requests whose last
-	// chance has come: an overload would otherwise turn all of them away.
-	lastChanceShare = 0.35
-	// lastingShare takes its place while a shortage lasts: an answer in time is worth
-	// several late ones, and each of these would make another one late.
-	lastingShare = 0.1
-)
+// lastChanceShare of the bound on items under way is for late requests whose last
+// chance has come: an overload would otherwise turn requests of the least worth
+// away for as long as it lasts.
+const lastChanceShare = 0.35
 
 // lastChanceTime before its latest begin, a late request takes what is kept
 // for such requests.
@@ -195,18 +162,14 @@
 func (t *Ticket) latePath() time.Duration { return time.Duration(lateFactor * float64(t.path)) }
 
 // fitsLate tells whether the part that is kept for last chances has room.
-func (a *Admission) fitsLate(r *Request, now time.Time) bool {
+func (a *Admission) fitsLate(r *Request) bool {
 	for i, s := range r.Stages {
 		svc, ok := a.service(s.Service)
 		if !ok || s.Items == 0 {
 			continue
 		}
-		w, share := a.of(s.Service), lastChanceShare
-		if w.asked.rate(now) > svc.Rate {
-			share = lastingShare
-		}
-		used := w.of(lateRank).used
-		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), share) {
+		used := a.lateUnderWay[s.Service]
+		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), lastChanceShare) {
 			return false
 		}
 	}
@@ -217,7 +180,7 @@
 // rejects those that can no longer be of use.
 func (a *Admission) sort(now time.Time) {
 	a.onTime = a.keep(a.onTime, now, func(t *Ticket) bool {
-		if t.inTime(now) {
+		if !now.Add(t.path).After(t.Request.AimBy) {
 			return true
 		}
 		t.late = true
@@ -293,10 +256,9 @@
 	return kept
 }
 
-// blocked are services for which a request waits that comes first.
+// blocked are services for which a request of more worth waits.
 type blocked struct {
-	now  time.Time
-	rate map[string]Rank  // of that request
+	rate map[string]bool
 	room map[string]int64 // bytes that it needs
 }
 
@@ -314,11 +276,11 @@
 		if !ok {
 			continue // the batcher tells what is wrong with it
 		}
-		depth := r.depth(i)
-		if !a.inShare(t, s, svc, svc.bound(depth), b) {
+		depth, used := r.depth(i), a.underWay[s.Service]
+		if b.rate[s.Service] || used.items > 0 && used.with(s).over(svc.bound(depth), 1) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, false
-			b.rate[s.Service] = t.rank()
+			b.rate[s.Service] = true
 		}
 		need := int64(s.Items) * s.ItemBytes
 		if depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need)) {
@@ -354,7 +316,9 @@
 
 func (a *Admission) count(t *Ticket) {
 	for _, s := range t.Request.Stages {
-		w := a.of(s.Service).of(t.rank())
-		w.used = w.used.with(s)
+		a.underWay[s.Service] = a.underWay[s.Service].with(s)
+		if t.late {
+			a.lateUnderWay[s.Service] = a.lateUnderWay[s.Service].with(s)
+		}
 	}
 }
--- a/process/stages/bound.go
+++ b/process/stages/bound.go
@@ -25,8 +25,6 @@
 	return amount{a.items + s.Items, a.bytes + int64(s.Items)*s.ItemBytes}
 }
 
-func (a amount) plus(b amount) amount { return amount{a.items + b.items, a.bytes + b.bytes} }
-
 func (a amount) without(s Stage) amount {
 	return amount{max(a.items-s.Items, 0), max(a.bytes-int64(s.Items)*s.ItemBytes, 0)}
 }
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -167,7 +167,7 @@
 		Rejected: func(reason batcher.Reason) { rejected <- reason },
 	}
 	k.mu.Lock()
-	k.admission.Offer(t, k.clock.Now())
+	k.admission.Offer(t)
 	k.mu.Unlock()
 	k.pump()
 	select {
@@ -180,7 +180,7 @@
 	k.mu.Lock()
 	waiting := k.admission.Withdraw(t)
 	if !waiting && len(begun) > 0 {
-		k.release(r.Stages, t.rank())
+		k.release(r.Stages, t.late)
 	}
 	k.mu.Unlock()
 	k.pump()
@@ -188,9 +188,9 @@
 }
 
 // release is called with k.mu held.
-func (k *Coordinator) release(list []Stage, rank Rank) {
+func (k *Coordinator) release(list []Stage, late bool) {
 	for _, s := range list {
-		k.admission.Finished(s, rank)
+		k.admission.Finished(s, late)
 	}
 }
 
@@ -220,13 +220,13 @@
 
 // work runs the stages of a request that was begun.
 func (k *Coordinator) work(ctx context.Context, t *Ticket) ([]Input, error) {
-	r := t.Request
+	r, late := t.Request, t.late
 	w := &work{
-		k: k, r: r, rank: t.rank(), aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
+		k: k, r: r, late: late, aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
 		began: make([]time.Time, len(r.Stages)), took: make([]time.Duration, len(r.Stages)),
 		over: make(chan struct{}),
 	}
-	if t.late {
+	if late {
 		w.aim = k.clock.Now().Add(lateAllowance)
 	}
 	w.begin()
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -36,7 +36,6 @@
 	AimMS   int64
 	DieMS   int64
 	Worth   float64
-	Rank    Rank
 	Targets []Target
 	Prompt  Prompt
 }
@@ -295,7 +294,7 @@
 func (p *Pool) request(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
-		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Stages: r.Stages, Worth: r.Worth, Rank: r.Rank, Targets: r.Targets, Prompt: r.Prompt,
+		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
 		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
 	}
 }
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -33,8 +33,7 @@
 	// AimBy is when the results have to be there for the request to keep its
 	// target latency; DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
-	Worth        float64 // of the whole request, relative to others of its rank
-	Rank         Rank
+	Worth        float64 // of the whole request, relative to others
 	// Targets are the servers on which the request may run, of which one is chosen
 	// when the results are there, and Prompt is what it will read.
 	Targets []Target
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -11,7 +11,7 @@
 type work struct {
 	k       *Coordinator
 	r       *Request
-	rank    Rank // as it was begun
+	late    bool
 	aim     time.Time
 	over    chan struct{}
 	inputs  []Input
@@ -185,7 +185,7 @@
 	w.submit(next)
 	w.freeUsed(stage)
 	w.k.mu.Lock()
-	w.k.release(w.r.Stages[stage:stage+1], w.rank)
+	w.k.release(w.r.Stages[stage:stage+1], w.late)
 	w.k.mu.Unlock()
 	w.k.pump()
 }
@@ -263,7 +263,7 @@
 	w.mu.Unlock()
 	w.k.free(made...)
 	w.k.mu.Lock()
-	w.k.release(rest, w.rank)
+	w.k.release(rest, w.late)
 	w.k.mu.Unlock()
 	w.k.pump()
 }
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -62,7 +62,7 @@
 
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
-		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), From: x.opts.Domain, Worth: x.size(), Rank: stages.MakeRank(x.priority, x.route.Priority),
+		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), From: x.opts.Domain, Worth: x.worth(),
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
@@ -171,10 +171,15 @@
 	return domain, most
 }
 
-// size estimates what a request is worth relative to others of its rank. In that of a
-// generation, a generated token counts as ten that are read.
-func (x *exchange) size() float64 {
-	return max(float64(x.client.InputTokens+10*x.client.MaxOutput), 1)
+// urgency weighs requests by priority: an urgent one counts for more than its
+// size alone, one of the last rank for less.
+var urgency = []float64{2, 1.2, 0.7, 0.5}
+
+// worth estimates what a request is worth relative to others. A generation is
+// worth its size, in which a generated token counts as ten that are read.
+func (x *exchange) worth() float64 {
+	size := float64(x.client.InputTokens + 10*x.client.MaxOutput)
+	return max(size, 1) * urgency[min(max(x.priority, 0), len(urgency)-1)]
 }
 
 // Waits after which a client may come back. A stage that is too full now is
