--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -104,6 +104,7 @@
 		Proved: func(time.Time) {}, Lost: func(err error) { h.lost("list of entry hosts", err) },
 		Regained: func(d time.Duration) { h.regained("list of entry hosts", d) },
 	})
+	h.wireEvacuations()
 	h.entryHosts.Serve(h.mesh, "hosts")
 	h.config.Serve(h.mesh, "config")
 	h.servers.Serve(h.mesh, "servers")
@@ -234,9 +235,11 @@
 			h.log.Warn("backend server", "outcome", "entry left out", "id", name, "revision", o.Revision, "err", o.Err)
 			continue
 		}
-		entries = append(entries, o.Value)
+		e := o.Value
+		e.Region = h.set.Regions[e.Domain]
+		entries = append(entries, e)
 	}
-	h.directory.Replace(entries)
+	h.directory.Replace(entries, h.clock.Now())
 	h.logServers(before, h.directory.View(), why)
 	h.batchers.updateServers()
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/budget"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/follow"
 	"bilberrydale/process/inforce"
@@ -64,13 +65,18 @@
 	config     *follow.Follower[plan.Config]
 	servers    *follow.Follower[directory.Entry]
 	entryHosts *follow.Follower[peer.Identity]
-	reach      *reach.Reach
-	confirmed  atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
-	upstream   *upstream.Client
-	budget     *budget.Shared
-	batchers   *batchers
-	stages     *stages.Pool
-	gateway    *gateway.Gateway
+	// evacuations is nil where the platform knows none.
+	evacuations *follow.Follower[platform.Evacuation]
+	// evacuationsKnown is set once they have been listed.
+	evacuationsKnown atomic.Bool
+	cold             *coldstart.Gate
+	reach            *reach.Reach
+	confirmed        atomic.Int64 // of the configuration, boot clock, nanoseconds; 0: never
+	upstream         *upstream.Client
+	budget           *budget.Shared
+	batchers         *batchers
+	stages           *stages.Pool
+	gateway          *gateway.Gateway
 
 	self   peer.Identity
 	mesh   *peer.Mesh
@@ -120,9 +126,10 @@
 		Ratio: set.RetryRatio, Window: set.RetryWindow, Slack: set.RetrySlack, Clock: h.clock,
 		Hosts: func() int { return len(h.mesh.Peers()) + 1 + spareHosts },
 	})
+	h.cold = coldstart.New(set.Host, h.knownHosts)
 	h.gateway = gateway.New(gateway.Options{
 		Domain: set.Domain, Distance: h.distance, Plan: &h.plan, Directory: h.directory, Upstream: h.upstream,
-		Pool: h.stages, Budget: h.budget, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
+		Pool: h.stages, Budget: h.budget, Cold: h.cold, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
 		Closing: h.stopping.Load, RefuseLong: h.refuseLong.Load,
 		Stopping: h.told, StopEnd: func() time.Time { return *h.stopEnd.Load() }, Log: h.logRequest,
 	})
@@ -131,6 +138,18 @@
 	return h, nil
 }
 
+// knownHosts returns the names of all entry hosts; none before the others are known.
+func (h *Host) knownHosts() []string {
+	if h.listed.Load() == nil {
+		return nil
+	}
+	names := []string{h.self.Host}
+	for _, id := range h.mesh.Peers() {
+		names = append(names, id.Host)
+	}
+	return names
+}
+
 // spareHosts may join before this host knows of them; the retry budget's part
 // of each is taken as if they were there.
 const spareHosts = 3
@@ -284,9 +303,13 @@
 	}{{h.callers, h.listeners.callers}, {h.ready, h.listeners.ready}, {h.metrics, h.listeners.metrics}} {
 		g.Go(func() error { return serve(s.server, s.on) })
 	}
-	for _, actor := range []func(context.Context) error{
+	actors := []func(context.Context) error{
 		h.reach.Run, h.onceMet(h.config.Run), h.onceMet(h.servers.Run), h.joinPeers, h.sweep, h.reload, h.prune,
-	} {
+	}
+	if h.evacuations != nil {
+		actors = append(actors, h.onceMet(h.evacuations.Run))
+	}
+	for _, actor := range actors {
 		g.Go(func() error { return actor(gctx) })
 	}
 	h.batchers.start(gctx, g)
@@ -365,12 +388,13 @@
 	}
 }
 
-// stageTarget returns a backend server as a target of requests from a failure domain.
-func (h *Host) stageTarget(id, from string) (stages.Target, bool) {
+// stageTarget returns a backend server as a target of a request; false: it is of no use
+// now, or not allowed.
+func (h *Host) stageTarget(id string, r *stages.Request) (stages.Target, bool) {
 	s, now := h.directory.View().Server(id), h.clock.Now()
-	if s == nil || s.Draining || s.Avoided(now) {
+	if s == nil || !s.Takes() || !r.Allowed.Allows(s.Region) || s.Avoided(now) {
 		return stages.Target{}, false
 	}
-	q := balance.Query{Distance: func(domain string) time.Duration { return h.between(from, domain) }, Now: now}
+	q := balance.Query{Distance: func(domain string) time.Duration { return h.between(r.From, domain) }, Now: now}
 	return stages.Target{ID: id, Domain: s.Domain, Cost: q.Cost(s)}, true
 }
--- /dev/null
+++ b/edge/evacuations.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"slices"
+	"time"
+
+	"bilberrydale/platform"
+	"bilberrydale/process/follow"
+)
+
+// evacuationsShare is the wait of the watch on evacuations, as a share of the platform's
+// bound for them: a host has to learn of one also after its reader lost the platform.
+const evacuationsShare = 0.24
+
+// wireEvacuations makes the follower of evacuations, where the platform knows them. They
+// reach hosts in the same way as the list of backend servers does.
+func (h *Host) wireEvacuations() {
+	if h.set.EvacuateBound <= 0 {
+		return
+	}
+	wait := watchWait(h.set.EvacuateBound, evacuationsShare)
+	h.evacuations = follow.New(follow.Options[platform.Evacuation]{
+		Source: relay(h, "evacuations", wait, platform.EvacuationSource(h.store)), Clock: h.boot, Rand: h.rand,
+		Wait: wait, Answer: answerWait, Changed: h.evacuationsChanged,
+		Proved:   func(time.Time) {},
+		Lost:     func(err error) { h.lost("evacuations", err) },
+		Regained: func(d time.Duration) { h.regained("evacuations", d) },
+	})
+	h.evacuations.Serve(h.mesh, "evacuations")
+}
+
+func (h *Host) evacuationsChanged(objects map[string]follow.Object[platform.Evacuation], why string) {
+	before := h.directory.View()
+	domains := make([]string, 0, len(objects))
+	for domain := range objects {
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains)
+	h.directory.Evacuate(domains, h.clock.Now())
+	h.evacuationsKnown.Store(true)
+	after := h.directory.View()
+	for domain := range h.set.Regions {
+		switch was, is := before.Evacuated(domain), after.Evacuated(domain); {
+		case is && !was:
+			h.log.Info("failure domain", "outcome", "evacuated; its backend servers get no new work", "domain", domain, "by", why)
+		case was && !is:
+			h.log.Info("failure domain", "outcome", "evacuation taken back", "domain", domain, "by", why)
+		}
+	}
+	h.batchers.updateServers()
+}
--- a/edge/place_test.go
+++ b/edge/place_test.go
@@ -115,11 +115,18 @@
 	return s
 }
 
+// serveIn starts one more backend server in a failure domain and lists it.
+func (p *place) serveIn(id, service, domain string) *platformtest.Server {
+	s := p.serve(id, service)
+	p.store.PutServer(s, domain, false)
+	return s
+}
+
 func (p *place) settings(name string) platform.Settings {
 	return platform.Settings{
-		Host: name, IP: "127.0.0.1", Domain: "a", Regions: map[string]string{"a": "r"},
+		Host: name, IP: "127.0.0.1", Domain: "a", Regions: map[string]string{"a": "r", "b": "q", "c": "r"},
 		Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", StoreAddress: p.address,
-		RevokeBound: 5 * time.Second, StrictRevoke: true, StopBound: cmp.Or(p.stopBound, 5*time.Second),
+		RevokeBound: 5 * time.Second, EvacuateBound: 5 * time.Second, StrictRevoke: true, StopBound: cmp.Or(p.stopBound, 5*time.Second),
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 500, Heartbeat: time.Second,
 	}
 }
--- a/edge/readers_test.go
+++ b/edge/readers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -33,7 +34,7 @@
 
 func (h *Host) haveBegun() {
 	h.plan.Store(plan.Compile(plan.Config{Version: 1}))
-	h.directory.Replace([]directory.Entry{{ID: "s"}})
+	h.directory.Replace([]directory.Entry{{ID: "s"}}, time.Now())
 }
 
 // Guards against strong hosts that wait for each other after a loss of power: by the
--- a/edge/regions_test.go
+++ b/edge/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -40,14 +41,14 @@
 	h := &Host{set: platform.Settings{Regions: map[string]string{"a": "x", "b": "y"}}, self: peer.Identity{Region: "x"}}
 	b := newBatchers(h)
 	b.split.Store(true)
-	dir := directory.New()
+	dir, now := directory.New(), time.Unix(1000, 0)
 	entry := func(id, domain string) directory.Entry {
 		return directory.Entry{ID: id, Service: "s", Address: id + ":1", Domain: domain}
 	}
-	dir.Replace([]directory.Entry{entry("near", "a"), entry("far", "b")})
+	dir.Replace([]directory.Entry{entry("near", "a"), entry("far", "b")}, now)
 	g.Expect(b.serversOf(dir.View(), "s")).To(HaveLen(1))
-	dir.Replace([]directory.Entry{entry("far", "b")})
+	dir.Replace([]directory.Entry{entry("far", "b")}, now)
 	g.Expect(b.serversOf(dir.View(), "s")).To(HaveLen(1))
-	dir.Replace(nil)
+	dir.Replace(nil, now)
 	g.Expect(b.serversOf(dir.View(), "s")).To(BeEmpty())
 }
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -31,6 +31,11 @@
 	if h.stopping.Load() || h.plan.Load() == nil || h.directory.View().Count() == 0 || !h.batchers.ready.Load() {
 		return false
 	}
+	// A host that was ready before it knew of an evacuation sent its first requests
+	// to the servers that were to get none.
+	if h.evacuations != nil && !h.evacuationsKnown.Load() {
+		return false
+	}
 	// The configuration is in force a moment before it counts as confirmed: a
 	// host that was ready between the two refused the keys of its first requests.
 	confirmed, age := h.keysFresh()
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,6 +8,7 @@
 
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
+	"bilberrydale/version/plan"
 )
 
 // hostState is what the process believes, for operators.
@@ -23,6 +24,7 @@
 	StageWaiting  int           `json:"stage_work_waiting"`
 	StageLate     int           `json:"stage_work_waiting_late"`
 	Peers         []string      `json:"peers"`
+	Evacuated     []string      `json:"evacuated"` // failure domains that get no work
 	Servers       []serverState `json:"servers"`
 }
 
@@ -33,6 +35,7 @@
 	Address  string  `json:"address"`
 	Domain   string  `json:"domain"`
 	Unused   string  `json:"unused,omitempty"` // empty: it is used
+	Cold     bool    `json:"cold,omitempty"`   // it gets no more than it bears while it is cold
 	Inflight int64   `json:"inflight"`
 	Load     int     `json:"load"`
 	Errors   float64 `json:"errors"` // share of late answers that were failures
@@ -47,15 +50,23 @@
 		ConfigAge: ms(age), Readers: h.readers(), StageByRegion: h.batchers.split.Load(),
 		StageWaiting: waiting, StageLate: late,
 	}
-	if p := h.plan.Load(); p != nil {
+	p := h.plan.Load()
+	if p != nil {
 		s.Config = p.Version
 	}
+	view := h.directory.View()
+	for domain := range h.set.Regions {
+		if view.Evacuated(domain) {
+			s.Evacuated = append(s.Evacuated, domain)
+		}
+	}
+	sort.Strings(s.Evacuated)
 	for _, id := range h.mesh.Peers() {
 		s.Peers = append(s.Peers, id.Host)
 	}
-	for _, srv := range h.directory.View().All() {
+	for _, srv := range view.All() {
 		s.Servers = append(s.Servers, serverState{
-			ID: srv.ID, Service: srv.Service, Address: srv.Address, Domain: srv.Domain, Unused: unused(srv, now),
+			ID: srv.ID, Service: srv.Service, Address: srv.Address, Domain: srv.Domain, Unused: unused(srv, now), Cold: isCold(p, srv, now),
 			Inflight: srv.Inflight.Load(), Load: balance.Load(srv, now), Errors: srv.Errors(now),
 		})
 	}
@@ -67,12 +78,23 @@
 	switch {
 	case s.Draining:
 		return "it leaves"
+	case s.Evacuated:
+		return "its failure domain is evacuated"
 	case s.Avoided(now):
 		return "it did not answer a moment ago"
 	}
 	return ""
 }
 
+// isCold reports whether what a server gets is bounded because it may be cold.
+func isCold(p *plan.Plan, s *directory.Server, now time.Time) bool {
+	if p == nil {
+		return false
+	}
+	service := p.Service(s.Service)
+	return service != nil && service.Cold.PerSecond > 0 && s.Cold(now, service.Cold.Cold)
+}
+
 func (h *Host) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	// Who asked may have gone; there is nobody else to tell.
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -13,7 +13,7 @@
 
 // Query is what a choice depends on.
 type Query struct {
-	Servers  []*directory.Server
+	Servers  directory.Candidates
 	Distance func(domain string) time.Duration // one way
 	// Affinity names the part of the prompt that requests share, of SharedTokens
 	// tokens with those before it. They go to the same server, wherever it is,
@@ -69,7 +69,7 @@
 func Choose(q Query) *directory.Server {
 	var best Choice
 	home := q.home()
-	for _, s := range q.Servers {
+	for s := range q.Servers.All() {
 		if q.Exclude != nil && q.Exclude(s) {
 			continue
 		}
@@ -93,7 +93,7 @@
 func Rank(q Query, n int) []Choice {
 	home, next := q.homes()
 	var homes, others []Choice
-	for _, s := range q.Servers {
+	for s := range q.Servers.All() {
 		if q.Exclude != nil && q.Exclude(s) {
 			continue
 		}
@@ -189,7 +189,7 @@
 		return nil, nil
 	}
 	var first, second uint64
-	for _, s := range q.Servers {
+	for s := range q.Servers.All() {
 		if s.Avoided(q.Now) {
 			continue
 		}
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"bilberrydale/process/directory"
+	"bilberrydale/process/residency"
 )
 
 var now = time.Unix(1000, 0)
@@ -16,7 +18,7 @@
 const tokenTime = 18 * time.Microsecond
 
 // servers lists some servers in each of three regions.
-func servers(each int) []*directory.Server {
+func servers(each int) directory.Candidates {
 	d := directory.New()
 	var entries []directory.Entry
 	for _, domain := range []string{"x", "y", "z"} {
@@ -24,8 +26,8 @@
 			entries = append(entries, directory.Entry{ID: fmt.Sprintf("%s-%d", domain, i), Service: "s", Domain: domain, Slots: 6})
 		}
 	}
-	d.Replace(entries)
-	return d.View().Servers("s")
+	d.Replace(entries, now)
+	return d.View().Candidates("s", residency.Set{})
 }
 
 func from(home string) func(string) time.Duration {
@@ -39,8 +41,9 @@
 
 func TestNearServersServeWhileTheyHaveSlots(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(1)
-	q := Query{Servers: list, Distance: from("y"), Now: now}
+	fleet := servers(1)
+	list := slices.Collect(fleet.All())
+	q := Query{Servers: fleet, Distance: from("y"), Now: now}
 	g.Expect(Choose(q).ID).To(Equal("y-0"))
 	list[1].Load(6, 3, now)
 	g.Expect(Choose(q).Domain).NotTo(Equal("y"), "three wait there already")
@@ -52,8 +55,9 @@
 // tried again after a while.
 func TestFailedServerIsAvoidedForAWhile(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(1)
-	q := Query{Servers: list, Distance: from("y"), Now: now}
+	fleet := servers(1)
+	list := slices.Collect(fleet.All())
+	q := Query{Servers: fleet, Distance: from("y"), Now: now}
 	list[1].Failed(now)
 	g.Expect(Choose(q).Domain).NotTo(Equal("y"))
 	q.Now = now.Add(time.Second)
@@ -69,10 +73,11 @@
 // All send them to the same server, until that is much fuller than others.
 func TestSharedPromptsMeetAtOneServer(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(4)
+	fleet := servers(4)
+	list := slices.Collect(fleet.All())
 	homes := map[string]bool{}
 	for _, home := range []string{"x", "y", "z"} {
-		s := Choose(Query{Servers: list, Distance: from(home), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
+		s := Choose(Query{Servers: fleet, Distance: from(home), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
 		homes[s.ID] = true
 	}
 	g.Expect(homes).To(HaveLen(1))
@@ -81,7 +86,7 @@
 			s.Inflight.Store(100)
 		}
 	}
-	s := Choose(Query{Servers: list, Distance: from("x"), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
+	s := Choose(Query{Servers: fleet, Distance: from("x"), Affinity: "part", SharedTokens: 5000, TokenTime: tokenTime, Now: now})
 	g.Expect(homes).NotTo(HaveKey(s.ID))
 	g.Expect(s.Domain).To(Equal("x"))
 }
@@ -91,10 +96,10 @@
 // and where their inputs lie; the drafts meet at one server.
 func TestShortSharedPartsStayInTheRegion(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(4)
+	fleet := servers(4)
 	away := 0
 	for i := range 60 {
-		q := Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 200, TokenTime: tokenTime, Now: now}
+		q := Query{Servers: fleet, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 200, TokenTime: tokenTime, Now: now}
 		g.Expect(Choose(q).Domain).To(Equal("x"))
 		q.SharedTokens = 5000
 		if Choose(q).Domain != "x" {
@@ -132,10 +137,10 @@
 
 func TestAffinitiesSpreadOverServers(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(4)
+	fleet := servers(4)
 	byServer := map[string]int{}
 	for i := range 600 {
-		byServer[Choose(Query{Servers: list, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 5000, TokenTime: tokenTime, Now: now}).ID]++
+		byServer[Choose(Query{Servers: fleet, Distance: from("x"), Affinity: fmt.Sprint(i), SharedTokens: 5000, TokenTime: tokenTime, Now: now}).ID]++
 	}
 	g.Expect(byServer).To(HaveLen(12))
 	for id, n := range byServer {
@@ -145,8 +150,8 @@
 
 func TestLargeInputsDrawTheRequest(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(1)
-	q := Query{Servers: list, Distance: from("x"), Near: "z", NearBytes: 2_000_000, Now: now}
+	fleet := servers(1)
+	q := Query{Servers: fleet, Distance: from("x"), Near: "z", NearBytes: 2_000_000, Now: now}
 	g.Expect(Choose(q).Domain).To(Equal("z"))
 	q.NearBytes = 10_000
 	g.Expect(Choose(q).Domain).To(Equal("x"))
@@ -156,7 +161,8 @@
 // on a day with a grey server. Requests go to another region until it is better.
 func TestServerThatFailsManyAnswersIsPassedOver(t *testing.T) {
 	g := NewWithT(t)
-	list := servers(1)
+	fleet := servers(1)
+	list := slices.Collect(fleet.All())
 	at := now
 	for i := range 60 {
 		for k, s := range list {
@@ -164,7 +170,7 @@
 		}
 		at = at.Add(10 * time.Millisecond)
 	}
-	q := Query{Servers: list, Distance: from("y"), Now: at}
+	q := Query{Servers: fleet, Distance: from("y"), Now: at}
 	g.Expect(Choose(q).Domain).NotTo(Equal("y"))
 	q.Now = at.Add(6 * time.Second)
 	g.Expect(Choose(q).ID).To(Equal("y-0"))
--- a/process/balance/bench_test.go
+++ b/process/balance/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrydale/process/directory"
+	"bilberrydale/process/residency"
 )
 
 // BenchmarkChoose is what each attempt pays to find its server, with and without
@@ -19,9 +20,9 @@
 				for i := range n {
 					list = append(list, directory.Entry{ID: fmt.Sprint("model-", i), Service: "model", Domain: fmt.Sprint("z", i%3), Slots: 8})
 				}
-				d.Replace(list)
+				d.Replace(list, time.Unix(1000, 0))
 				q := Query{
-					Servers: d.View().Servers("model"), Distance: func(string) time.Duration { return time.Millisecond },
+					Servers: d.View().Candidates("model", residency.Set{}), Distance: func(string) time.Duration { return time.Millisecond },
 					Affinity: affinity, SharedTokens: 800, Now: time.Unix(1000, 0),
 				}
 				b.ReportAllocs()
--- a/process/batcher/batcher_test.go
+++ b/process/batcher/batcher_test.go
@@ -42,7 +42,7 @@
 	dir := directory.New()
 	dir.Replace([]directory.Entry{
 		{ID: "broken", Service: "s", Domain: "x"}, {ID: "busy", Service: "s", Domain: "x"}, {ID: "sound", Service: "s", Domain: "y"},
-	})
+	}, time.Now())
 	b := New("s", sheet, calls{
 		"broken": {Err: errors.New("cut")}, "busy": {Err: errors.New("full"), Busy: true}, "sound": {},
 	}, clock.System{}, quiet{})
--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -61,8 +61,8 @@
 
 // others tells whether there is a server that has not failed on the job.
 func (q *Queue) others(j *Job) bool {
-	for id := range q.servers {
-		if !j.failedOn[id] {
+	for id, s := range q.servers {
+		if !j.failedOn[id] && j.Allowed.Allows(s.Region) {
 			return true
 		}
 	}
@@ -120,8 +120,12 @@
 	q.waiting = kept
 }
 
-// take is how many items of a job a call (nil: an empty one) to a server takes.
+// take is how many items of a job a call (nil: an empty one) to a server takes; none to
+// one in a region that the job does not allow.
 func (q *Queue) take(c *Call, s *server, j *Job) int {
+	if !j.Allowed.Allows(s.Region) {
+		return 0
+	}
 	items, bytes := 0, int64(0)
 	if c != nil {
 		items, bytes = len(c.Items), c.bytes
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"bilberrydale/process/residency"
 )
 
 // Item is one piece of work of a stage. It may be made more than once.
@@ -26,6 +28,8 @@
 	// is what crosses domains if they are made elsewhere.
 	Domain    string
 	AwayBytes int64
+	// Allowed are the regions in which the items may be made.
+	Allowed residency.Set
 	// AimBy is when the results should be there: jobs are served in this order.
 	// DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -200,6 +200,8 @@
 			j.end(Cancelled)
 		case now.Add(least).After(j.DieBy):
 			j.end(Late)
+		case !q.served(j):
+			j.end(NoServer)
 		default:
 			kept = append(kept, j)
 		}
@@ -208,6 +210,20 @@
 	q.waiting = kept
 }
 
+// served tells whether some server may take a job, now or later. A service without any
+// server is told of by Fail.
+func (q *Queue) served(j *Job) bool {
+	if !j.Allowed.Bounded() {
+		return true
+	}
+	for _, s := range q.servers {
+		if j.Allowed.Allows(s.Region) {
+			return true
+		}
+	}
+	return false
+}
+
 // end gives all waiting items their outcome.
 func (j *Job) end(r Reason) {
 	items := j.next
@@ -228,9 +244,10 @@
 
 // Capacity is what the servers of a service can do now.
 type Capacity struct {
-	Listed  int     // servers
-	Servers int     // of these, that are not avoided
-	Rate    float64 // items a second in full calls
+	Listed  int      // servers
+	Regions []string // of these servers
+	Servers int      // of these, that are not avoided
+	Rate    float64  // items a second in full calls
 	// Room is what is left for results, in bytes, beside those of the items that
 	// already wait; it may be negative. RoomAll is all room; 0: not bounded.
 	Room, RoomAll int64
@@ -241,6 +258,9 @@
 	c := Capacity{Listed: len(q.servers)}
 	full := q.opts.expected(q.opts.MaxItems).Seconds()
 	for _, s := range q.servers {
+		if !slices.Contains(c.Regions, s.Region) {
+			c.Regions = append(c.Regions, s.Region)
+		}
 		if !s.Avoided(now) {
 			c.Servers++
 			c.Rate += float64(q.opts.slots()*q.opts.MaxItems) / (full * s.slow)
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -47,10 +47,10 @@
 	}
 	var entries []directory.Entry
 	for id, domain := range servers {
-		entries = append(entries, directory.Entry{ID: id, Service: "s", Domain: domain, Address: id + ":1"})
+		entries = append(entries, directory.Entry{ID: id, Service: "s", Domain: domain, Region: "region of " + domain, Address: id + ":1"})
 		b.slow[id] = 1
 	}
-	b.dir.Replace(entries)
+	b.dir.Replace(entries, b.now)
 	b.list()
 	return b
 }
@@ -294,7 +294,7 @@
 		b.g.Expect(b.done[fmt.Sprintf("%d-x/0", i)].ServerID).To(Equal("a"))
 		b.g.Expect(b.done[fmt.Sprintf("%d-y/0", i)].ServerID).To(Equal("b"))
 	}
-	b.dir.Replace([]directory.Entry{{ID: "b", Service: "s", Domain: "y", Address: "b:1"}})
+	b.dir.Replace([]directory.Entry{{ID: "b", Service: "s", Domain: "y", Address: "b:1"}}, b.now)
 	b.list()
 	b.submit("far", 1, time.Second, "x")
 	b.run(time.Second, 0)
--- /dev/null
+++ b/process/batcher/regions_test.go
@@ -0,0 +1,57 @@
+package batcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bilberrydale/process/residency"
+)
+
+// Guards against a result that is made in a region which its request does not allow: calls
+// are shared by many requests, servers fail, and a job may have no server at all.
+func TestItemsAreMadeWhereTheirRequestsAllow(t *testing.T) {
+	domains := []string{"x", "y", "z"}
+	rapid.Check(t, func(rt *rapid.T) {
+		servers := map[string]string{}
+		for i := range rapid.IntRange(1, 6).Draw(rt, "servers") {
+			servers[fmt.Sprint("s", i)] = rapid.SampledFrom(domains).Draw(rt, "domain")
+		}
+		b := newBench(t, sheet, servers)
+		allowed := map[string]residency.Set{}
+		for i := range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+			id := fmt.Sprint("job", i)
+			for _, domain := range rapid.SliceOfNDistinct(rapid.SampledFrom(domains), 0, 2, rapid.ID).Draw(rt, "allowed") {
+				set := allowed[id]
+				set.Route = append(set.Route, "region of "+domain)
+				allowed[id] = set
+			}
+			j := b.submit(id, rapid.IntRange(1, 20).Draw(rt, "items"), time.Second, rapid.SampledFrom(domains).Draw(rt, "home"))
+			j.Allowed = allowed[id]
+		}
+		for range 30 {
+			for _, c := range b.next() {
+				for _, part := range c.Items {
+					if !part.Job.Allowed.Allows(c.Server.Region) {
+						rt.Fatalf("%s, bound to %v, in %s", part.Job.Items[0].RequestID, part.Job.Allowed, c.Server.Region)
+					}
+				}
+				if rapid.Bool().Draw(rt, "fails") {
+					b.q.Ended(c, Answer{Err: fmt.Errorf("cut")}, b.now)
+				}
+			}
+			b.now = b.now.Add(20 * time.Millisecond)
+		}
+		for id, set := range allowed {
+			served := false
+			for _, domain := range servers {
+				served = served || set.Allows("region of "+domain)
+			}
+			if r, done := b.done[id+"/0"]; !served && (!done || r.Reason != NoServer) {
+				rt.Fatalf("%s has no server and was told %+v, %t", id, r, done)
+			}
+		}
+	})
+}
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -4,11 +4,14 @@
 package directory
 
 import (
+	"iter"
 	"math"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/process/residency"
 )
 
 // Entry is one backend server as the platform lists it.
@@ -17,6 +20,7 @@
 	Service  string
 	Address  string // host:port
 	Domain   string // failure domain
+	Region   string // of the failure domain
 	Version  string // of its software
 	Slots    int
 	Draining bool
@@ -29,8 +33,16 @@
 type Server struct {
 	Entry
 	*State
+	// Evacuated tells that the operators want no work sent to its failure domain.
+	Evacuated bool
+	// OpenSince is when the last evacuation of its failure domain was taken back;
+	// zero: none was.
+	OpenSince time.Time
 }
 
+// Takes reports whether the server may get new work.
+func (s *Server) Takes() bool { return !s.Draining && !s.Evacuated }
+
 // State is what this host has seen of a backend server.
 type State struct {
 	Inflight atomic.Int64 // requests of this host at the server
@@ -38,6 +50,8 @@
 	running, waiting atomic.Int64
 	loadAt           atomic.Int64 // nanoseconds of the clock passed in; 0: never
 	avoidUntil       atomic.Int64
+	failedAt         atomic.Int64 // nanoseconds; 0: never
+	coldUntil        atomic.Int64 // nanoseconds, as the list told; 0: it is not cold
 	failures         atomic.Int64 // in a row
 	gone             atomic.Bool
 
@@ -59,6 +73,7 @@
 	n := min(s.failures.Add(1), 8)
 	d := min(minAvoid<<(n-1), maxAvoid)
 	s.avoidUntil.Store(now.Add(d).UnixNano())
+	s.failedAt.Store(now.UnixNano())
 }
 
 // Succeeded notes an answer.
@@ -108,6 +123,16 @@
 // Avoided reports whether the server failed a short time ago.
 func (s *State) Avoided(now time.Time) bool { return s.avoidUntil.Load() > now.UnixNano() }
 
+// Cold reports whether a server that stays cold for a time after its start may be so
+// now: the list says so, or it failed a moment ago and may have started again, or its
+// failure domain was evacuated until a moment ago. The list tells of a start only with
+// the server's next heartbeat.
+func (s *Server) Cold(now time.Time, after time.Duration) bool {
+	recent := func(at int64) bool { return at > 0 && now.UnixNano()-at < int64(after) }
+	return s.coldUntil.Load() > now.UnixNano() || recent(s.failedAt.Load()) ||
+		!s.OpenSince.IsZero() && recent(s.OpenSince.UnixNano())
+}
+
 // Load notes the server's own report of its running and waiting requests.
 func (s *State) Load(running, waiting int, now time.Time) {
 	s.running.Store(int64(running))
@@ -125,15 +150,50 @@
 
 // View is an immutable state of the list.
 type View struct {
-	services map[string][]*Server
-	byID     map[string]*Server
+	services  map[string][]*Server
+	byID      map[string]*Server
+	evacuated map[string]bool
 }
 
-// Servers returns the usable servers of a service in order of their ids. The
-// caller must not change the slice.
+// Servers returns the servers of a service that take work, in order of their ids. The
+// caller must not change the slice. One request's server is chosen from Candidates.
 func (v *View) Servers(service string) []*Server { return v.services[service] }
 
-// Server returns a listed server by id, draining ones included, or nil.
+// Candidates are the servers of a service on which one request may run.
+type Candidates struct {
+	servers []*Server
+	allowed residency.Set
+}
+
+// Candidates returns the servers of a service that take work and lie in regions that a
+// request allows. Only a View makes them: no choice of a server can leave out what
+// binds the request.
+func (v *View) Candidates(service string, allowed residency.Set) Candidates {
+	return Candidates{v.services[service], allowed}
+}
+
+// All returns the servers in order of their ids.
+func (c Candidates) All() iter.Seq[*Server] {
+	return func(yield func(*Server) bool) {
+		for _, s := range c.servers {
+			if c.allowed.Allows(s.Region) && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// Any reports whether one of the servers satisfies f.
+func (c Candidates) Any(f func(*Server) bool) bool {
+	for s := range c.All() {
+		if f(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Server returns a listed server by id, also one that takes no work, or nil.
 func (v *View) Server(id string) *Server { return v.byID[id] }
 
 // All returns every listed server in no order.
@@ -142,16 +202,20 @@
 // Count returns the number of listed servers.
 func (v *View) Count() int { return len(v.byID) }
 
+// Evacuated reports whether a failure domain is evacuated.
+func (v *View) Evacuated(domain string) bool { return v.evacuated[domain] }
+
 // Directory is the list in force.
 type Directory struct {
 	view   atomic.Pointer[View]
 	mu     sync.Mutex // held by writers
 	states map[string]*State
+	opened map[string]time.Time // when evacuations were taken back, by failure domain
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{states: map[string]*State{}}
+	d := &Directory{states: map[string]*State{}, opened: map[string]time.Time{}}
 	d.view.Store(&View{})
 	return d
 }
@@ -159,34 +223,74 @@
 // View returns the list in force.
 func (d *Directory) View() *View { return d.view.Load() }
 
-// Replace puts entries in force. A server that starts again under its old id
-// gets a new State: nothing of before holds for it.
-func (d *Directory) Replace(entries []Entry) {
+// Replace puts entries in force that were learned of at now. A server that starts again
+// under its old id gets a new State: nothing of before holds for it.
+func (d *Directory) Replace(entries []Entry, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	v := &View{services: map[string][]*Server{}, byID: make(map[string]*Server, len(entries))}
 	old := d.view.Load()
 	states := make(map[string]*State, len(entries))
-	for _, e := range entries {
-		state := d.states[e.ID]
-		if before := old.byID[e.ID]; state == nil || before != nil && (before.Born != e.Born || before.Address != e.Address) {
-			state = &State{}
+	for i := range entries {
+		e := &entries[i]
+		state, before := d.states[e.ID], old.byID[e.ID]
+		if state == nil || before != nil && (before.Born != e.Born || before.Address != e.Address) {
+			state, before = &State{}, nil
 		}
-		states[e.ID] = state
-		s := &Server{Entry: e, State: state}
-		v.byID[e.ID] = s
-		if !e.Draining {
-			v.services[e.Service] = append(v.services[e.Service], s)
+		if before == nil || before.ColdLeft != e.ColdLeft {
+			state.setCold(e.ColdLeft, now)
 		}
+		states[e.ID] = state
 	}
 	for id, s := range d.states {
 		if states[id] != s {
 			s.gone.Store(true)
 		}
 	}
+	d.states = states
+	d.show(entries, old.evacuated)
+}
+
+func (s *State) setCold(left time.Duration, now time.Time) {
+	until := int64(0)
+	if left > 0 {
+		until = now.Add(left).UnixNano()
+	}
+	s.coldUntil.Store(until)
+}
+
+// Evacuate puts the failure domains in force, from now on, that are to get no work.
+func (d *Directory) Evacuate(domains []string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	evacuated := make(map[string]bool, len(domains))
+	for _, domain := range domains {
+		evacuated[domain] = true
+	}
+	for domain := range old.evacuated {
+		if !evacuated[domain] {
+			d.opened[domain] = now
+		}
+	}
+	entries := make([]Entry, 0, len(old.byID))
+	for _, s := range old.byID {
+		entries = append(entries, s.Entry)
+	}
+	d.show(entries, evacuated)
+}
+
+// show puts a new view in force. It is called with d.mu held.
+func (d *Directory) show(entries []Entry, evacuated map[string]bool) {
+	v := &View{services: map[string][]*Server{}, byID: make(map[string]*Server, len(entries)), evacuated: evacuated}
+	for _, e := range entries {
+		s := &Server{Entry: e, State: d.states[e.ID], Evacuated: evacuated[e.Domain], OpenSince: d.opened[e.Domain]}
+		v.byID[e.ID] = s
+		if s.Takes() {
+			v.services[e.Service] = append(v.services[e.Service], s)
+		}
+	}
 	for _, list := range v.services {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
-	d.states = states
 	d.view.Store(v)
 }
--- a/process/kind/kind.go
+++ b/process/kind/kind.go
@@ -27,6 +27,7 @@
 	NotReady           Kind = "not_ready"
 	Draining           Kind = "draining"
 	NoBackend          Kind = "no_backend"
+	NoRegion           Kind = "no_region"
 	Quarantined        Kind = "quarantined"
 	ClaimUnavailable   Kind = "claim_unavailable"
 	UnknownTicket      Kind = "unknown_ticket"
@@ -79,6 +80,7 @@
 	NotReady:         {http.StatusServiceUnavailable, RanNo, true, time.Second, "This entry host has no release in force yet"},
 	Draining:         {http.StatusServiceUnavailable, RanNo, true, time.Second, "This entry host is shutting down"},
 	NoBackend:        {http.StatusServiceUnavailable, RanNo, true, 2 * time.Second, "No backend server can take the stage"},
+	NoRegion:         {http.StatusServiceUnavailable, RanNo, true, 5 * time.Second, "The route and the client account allow no region in common"},
 	Quarantined:      {http.StatusForbidden, RanUnknown, true, time.Minute, "The request is in quarantine: it crashed backend servers"},
 	ClaimUnavailable: {http.StatusServiceUnavailable, RanUnknown, true, 2 * time.Second, "The claim store cannot be reached; an earlier attempt may have run"},
 	UnknownTicket:    {http.StatusConflict, RanUnknown, false, 0, "The ticket belongs to an entry host that is gone"},
--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -9,6 +9,7 @@
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
 )
 
 // BenchmarkNextUnderOverload is what each look at the waiting requests costs the
@@ -41,7 +42,7 @@
 		for i := range 5 {
 			servers = append(servers, directory.Entry{ID: fmt.Sprint(name, i), Service: name})
 		}
-		dir.Replace(servers)
+		dir.Replace(servers, time.Now())
 		b.Configure(opts, dir.View().Servers(name), func(*directory.Server) time.Duration { return 0 })
 		for range 20 {
 			b.Submit(&batcher.Job{Items: make([]batcher.Item, 4), ItemBytes: 60_000, AimBy: time.Now(), DieBy: time.Now().Add(time.Hour)})
@@ -75,7 +76,7 @@
 			p := NewPool(mesh, clock.System{}, nil, func(string) string { return "r1" }, quiet{})
 			b.ReportAllocs()
 			for b.Loop() {
-				p.owner("r1")
+				p.owner("r1", residency.Set{})
 			}
 		})
 	}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -14,9 +14,9 @@
 // Batchers returns the batcher of a service, or nil.
 type Batchers func(service string) *batcher.Batcher
 
-// Servers returns a backend server as a target of a request that a host of some failure
-// domain runs; false: it is of no use now.
-type Servers func(id, from string) (Target, bool)
+// Servers returns a backend server as a target of a request; false: it is of no use now,
+// or not allowed.
+type Servers func(id string, r *Request) (Target, bool)
 
 // Log receives what a Coordinator decides.
 type Log interface {
@@ -90,7 +90,7 @@
 	targets := k.withHolders(now, r)
 	c := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, near(targets, inputs))
 	t.Target, t.TargetWait = c.server, c.wait
-	if c.unexpected && r.Prompt.Shared >= leastTold {
+	if c.unexpected && r.Prompt.Shared >= leastTold && !r.Allowed.Bounded() {
 		k.tell(heldPart{Part: r.Prompt.Part, Server: c.server})
 	}
 }
@@ -104,7 +104,7 @@
 		if slices.ContainsFunc(out, func(t Target) bool { return t.ID == id }) {
 			continue
 		}
-		if t, ok := k.servers(id, r.From); ok {
+		if t, ok := k.servers(id, r); ok {
 			out = append(slices.Clip(out), t)
 		}
 	}
--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -85,7 +85,7 @@
 	for _, service := range []string{"floor", "portal"} {
 		b := batcher.New(service, opts, backend{w, service}, clock.System{}, quiet{})
 		d := directory.New()
-		d.Replace([]directory.Entry{{ID: service + "-1", Service: service, Address: "a:1", Domain: "x"}})
+		d.Replace([]directory.Entry{{ID: service + "-1", Service: service, Address: "a:1", Domain: "x"}}, time.Now())
 		b.Configure(opts, d.View().Servers(service), func(*directory.Server) time.Duration { return 0 })
 		go func() { _ = b.Run(t.Context()) }()
 		w.batchers[service] = b
--- a/process/stages/holds.go
+++ b/process/stages/holds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
 )
 
 // heldPart is a shared part of prompts and a server that has read it.
@@ -69,7 +70,7 @@
 			continue
 		}
 		seen[id.Region] = true
-		if owner := p.first(peers, id.Region); owner.Host != self.Host {
+		if owner := p.first(peers, id.Region, residency.Set{}); owner.Host != self.Host {
 			out = append(out, owner.Host)
 		}
 	}
--- a/process/stages/holds_test.go
+++ b/process/stages/holds_test.go
@@ -11,7 +11,7 @@
 )
 
 // noServers knows no backend servers.
-func noServers(string, string) (Target, bool) { return Target{}, false }
+func noServers(string, *Request) (Target, bool) { return Target{}, false }
 
 // The pattern: a part's home was busy, and a server far from most hosts has read the part.
 // Guards against reading it once more for each failure domain whose hosts name other
@@ -20,8 +20,8 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	w := newFixture(t)
-	w.k.servers = func(id, from string) (Target, bool) {
-		return Target{ID: id, Cost: 40 * time.Millisecond}, from == "x" && id == "far"
+	w.k.servers = func(id string, r *Request) (Target, bool) {
+		return Target{ID: id, Cost: 40 * time.Millisecond}, r.From == "x" && id == "far"
 	}
 	w.k.readings.heard(now, heldPart{"part", "far"})
 	w.k.readings.heard(now, heldPart{"part", "lost"})
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -213,7 +213,7 @@
 		entries = append(entries, directory.Entry{ID: id, Service: name, Domain: domain})
 	}
 	dir := directory.New()
-	dir.Replace(entries)
+	dir.Replace(entries, time.Now())
 	b.Configure(s.Options, dir.View().Servers(name), func(d *directory.Server) time.Duration { return p.servers[d.ID].oneWay })
 	go func() { _ = b.Run(ctx) }()
 	return b
--- a/process/stages/owner.go
+++ b/process/stages/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
 )
 
 // maxOwners bounds the peers that are tried before this host does the work
@@ -23,13 +24,13 @@
 const firstAnswer = 400 * time.Millisecond
 
 // findOwner returns the host that does the stage work of a region (empty: of
-// all); empty: this one. A host is the owner only once it has answered: after a
+// all) for a request that is bound to some regions; empty: this one. A host is the owner only once it has answered: after a
 // loss of power the platform's list still tells of the processes before it, and by
 // these each host of a fleet would name another owner for seconds, which fill the
 // same servers. The answer's connection tells which process is there now.
-func (p *Pool) findOwner(ctx context.Context, region string) string {
+func (p *Pool) findOwner(ctx context.Context, region string, allowed residency.Set) string {
 	for failed := 0; failed < maxOwners; {
-		owner, known := p.owner(region)
+		owner, known := p.owner(region, allowed)
 		if owner.Host == p.link.Self().Host {
 			return ""
 		}
@@ -65,13 +66,13 @@
 	return nil
 }
 
-// owner returns the host that comes first for a region, and whether it has
-// answered. Hosts of other regions follow those of the region itself.
-func (p *Pool) owner(region string) (owner peer.Identity, known bool) {
+// owner returns the host that comes first for a region and a request, and whether it
+// has answered. Hosts of other regions follow those of the region itself.
+func (p *Pool) owner(region string, allowed residency.Set) (owner peer.Identity, known bool) {
 	peers := p.link.Peers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	owner = p.first(peers, region)
+	owner = p.first(peers, region, allowed)
 	known = owner.Host == p.link.Self().Host || p.answered[owner.Host] == owner.Incarnation
 	if known && owner.Host != p.last[region] {
 		p.last[region] = owner.Host
@@ -80,13 +81,13 @@
 	return owner, known
 }
 
-// first returns the first host that can do the work of a region; this one if there
-// is no other. It is called with p.mu held.
-func (p *Pool) first(peers []peer.Identity, region string) peer.Identity {
+// first returns the first host that can do the work of a region and may see the
+// request; this one if there is no other. It is called with p.mu held.
+func (p *Pool) first(peers []peer.Identity, region string, allowed residency.Set) peer.Identity {
 	self, now := p.link.Self(), p.clock.Now()
 	best, found := self, !p.leaving
 	for _, id := range peers {
-		if p.left[id.Host] == id.Incarnation || !now.After(p.suspects[id.Host].until) {
+		if !allowed.Allows(id.Region) || p.left[id.Host] == id.Incarnation || !now.After(p.suspects[id.Host].until) {
 			continue
 		}
 		if !found || before(region, id, best) {
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -12,6 +12,7 @@
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
 )
 
 // Methods between hosts.
@@ -32,6 +33,7 @@
 	Key     string
 	Domain  string
 	From    string
+	Allowed residency.Set
 	Stages  []Stage
 	AimMS   int64
 	DieMS   int64
@@ -122,7 +124,7 @@
 	}
 	region := p.region(r.Domain)
 	for range maxOwners {
-		owner := p.findOwner(ctx, region)
+		owner := p.findOwner(ctx, region, r.Allowed)
 		if owner == "" {
 			break
 		}
@@ -294,7 +296,7 @@
 func (p *Pool) request(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
-		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
+		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Allowed: r.Allowed, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
 		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
 	}
 }
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -12,6 +12,7 @@
 
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
 )
 
 // net is a network of hosts in memory.
@@ -340,7 +341,7 @@
 	r := chain("r")
 	r.Stages[0].After = []int{1}
 	g.Expect(check(r.Stages)).To(MatchError(errBadStages))
-	g.Expect(third.pool.findOwner(t.Context(), "x")).To(Equal("first"))
+	g.Expect(third.pool.findOwner(t.Context(), "x", residency.Set{})).To(Equal("first"))
 }
 
 // Two hosts send requests that share a part. The host that does their stage work
--- /dev/null
+++ b/process/stages/regions_test.go
@@ -0,0 +1,102 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/process/batcher"
+	"bilberrydale/process/directory"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
+)
+
+// Guards against stage work that is collected outside of the regions which its request
+// allows, also where one host collects all: the strongest host is elsewhere, and once the
+// permitted region has lost its hosts the work stays at the host that has the client.
+func TestStageWorkIsCollectedWhereTheRequestAllows(t *testing.T) {
+	g := NewWithT(t)
+	x := &net{hosts: map[string]*node{}}
+	client := x.add(t, peer.Identity{Host: "client's", Region: "r1", Domain: "r1", Share: 0.1, Incarnation: 3})
+	home := x.add(t, peer.Identity{Host: "home", Region: "r2", Domain: "r2", Share: 0.2, Incarnation: 2})
+	strong := x.add(t, peer.Identity{Host: "strong", Region: "r3", Domain: "r3", Share: 1, Incarnation: 1})
+	for _, n := range x.hosts {
+		n.pool.region = func(string) string { return "" }
+		n.pool.Met()
+	}
+	bound := func(id string) *Request {
+		r := chain(id)
+		r.Allowed = residency.Set{Account: []string{"r2"}}
+		return r
+	}
+	free, err := client.pool.Run(t.Context(), chain("free"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(free.Owner).To(Equal("strong"))
+	_, err = client.pool.Run(t.Context(), bound("bound"))
+	g.Expect(err).To(MatchError(&Error{Reason: batcher.NoServer}), "the servers here lie in no region that it allows")
+	g.Expect(home.calls).To(Equal(1))
+	home.down = true
+	_, err = client.pool.Run(t.Context(), bound("alone"))
+	g.Expect(err).To(MatchError(&Error{Reason: batcher.NoServer}))
+	g.Expect(strong.calls).To(Equal(1), "of the request that any host may see")
+}
+
+// Guards against a result that is made by a server nearby, in a region that the request
+// does not allow.
+func TestEachStageIsBoundToTheRegionsOfItsRequest(t *testing.T) {
+	w := newFixture(t)
+	for name, b := range w.batchers {
+		d := directory.New()
+		d.Replace([]directory.Entry{
+			{ID: name + "-near", Service: name, Domain: "x", Region: "r1"}, {ID: name + "-far", Service: name, Domain: "y", Region: "r2"},
+		}, time.Now())
+		b.Configure(b.Options(), d.View().Servers(name), func(*directory.Server) time.Duration { return 0 })
+	}
+	for region, server := range map[string]string{"r1": "portal-near", "r2": "portal-far"} {
+		r := chain(region)
+		r.Allowed.Route = []string{region}
+		made, err := w.k.Run(t.Context(), r)
+		w.g.Expect(err).NotTo(HaveOccurred())
+		for _, in := range made.Inputs {
+			w.g.Expect(in.ServerID).To(Equal(server))
+		}
+	}
+}
+
+// Guards against a wait to the deadline for servers in a region that has none of a stage.
+func TestRequestWithoutAServerInItsRegionsIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	a := NewAdmission(func(string) (Service, bool) {
+		return Service{Capacity: batcher.Capacity{Listed: 2, Servers: 2, Rate: 100, Regions: []string{"r1", "r2"}}}, true
+	})
+	outcome := func(set residency.Set) string {
+		out := "waits"
+		a.Offer(&Ticket{
+			Request:  &Request{Allowed: set, Stages: []Stage{{Service: "s", Items: 1}}, AimBy: now.Add(time.Second), DieBy: now.Add(time.Minute)},
+			Begin:    func() { out = "begun" },
+			Rejected: func(r batcher.Reason) { out = string(r) },
+		})
+		a.Next(now)
+		return out
+	}
+	g.Expect(outcome(residency.Set{Route: []string{"r3"}})).To(Equal(string(batcher.NoServer)))
+	g.Expect(outcome(residency.Set{Route: []string{"r2", "r3"}})).To(Equal("begun"))
+}
+
+// Guards against a shared part of a request that is bound to regions being named to others.
+func TestPartsOfBoundRequestsAreNotTold(t *testing.T) {
+	g := NewWithT(t)
+	w := newFixture(t)
+	told := 0
+	w.k.tell = func(heldPart) { told++ }
+	now := time.Now()
+	for i, set := range []residency.Set{{}, {Route: []string{"r1"}}} {
+		r := &Request{ID: "r", AimBy: now.Add(time.Second), Allowed: set, Prompt: draft, Targets: []Target{{ID: "next"}}}
+		r.Prompt.Part = fmt.Sprint("part", i)
+		w.k.choose(&Ticket{Request: r}, now, nil)
+	}
+	g.Expect(told).To(Equal(1))
+}
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -80,7 +80,7 @@
 func (p *Pool) do(ctx context.Context, q *runRequest) runAnswer {
 	now := p.clock.Now()
 	made, err := p.local.Run(ctx, &Request{
-		ID: q.ID, Round: q.Round, Key: q.Key, Domain: q.Domain, From: q.From, Stages: q.Stages, Worth: q.Worth, Targets: q.Targets, Prompt: q.Prompt,
+		ID: q.ID, Round: q.Round, Key: q.Key, Domain: q.Domain, From: q.From, Allowed: q.Allowed, Stages: q.Stages, Worth: q.Worth, Targets: q.Targets, Prompt: q.Prompt,
 		AimBy: now.Add(time.Duration(q.AimMS) * time.Millisecond),
 		DieBy: now.Add(time.Duration(q.DieMS) * time.Millisecond),
 	})
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bilberrydale/process/batcher"
+	"bilberrydale/process/residency"
 )
 
 // Stage is one stage of a request.
@@ -29,7 +30,9 @@
 	Key    string // input of the stages that follow no other
 	Domain string // failure domain where the results will be used
 	From   string // failure domain of the host that runs the request
-	Stages []Stage
+	// Allowed are the regions in which the work may be done and collected.
+	Allowed residency.Set
+	Stages  []Stage
 	// AimBy is when the results have to be there for the request to keep its
 	// target latency; DieBy is when they are of no use any more.
 	AimBy, DieBy time.Time
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -101,7 +101,7 @@
 	rest := w.rest(i)
 	domain, away := w.domain(i)
 	return &batcher.Job{
-		Items: items, Domain: domain, AwayBytes: away, ItemBytes: s.ItemBytes,
+		Items: items, Domain: domain, AwayBytes: away, Allowed: w.r.Allowed, ItemBytes: s.ItemBytes,
 		AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
 		Done: func(p int, r batcher.Result) { w.item(i, p, r) },
 	}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
 	"bilberrydale/process/balance"
+	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/kind"
 	"bilberrydale/version/plan"
@@ -45,8 +46,6 @@
 // tried keeps the servers that one request was given to.
 type tried map[string]bool
 
-func (t tried) exclude(s *directory.Server) bool { return t[s.ID] }
-
 // choose returns the server for the next attempt; nil: there is none.
 func (x *exchange) choose(t tried) *directory.Server {
 	if s := x.chosen(t); s != nil {
@@ -59,18 +58,33 @@
 // speaks against it; nil: choose another.
 func (x *exchange) chosen(t tried) *directory.Server {
 	s := x.opts.Directory.View().Server(x.target)
-	if s == nil || s.Draining || s.Service != x.service || t[s.ID] || s.Avoided(x.opts.Clock.Now()) {
+	now := x.opts.Clock.Now()
+	if s == nil || !s.Takes() || s.Service != x.service || !x.allowed.Allows(s.Region) || t[s.ID] || s.Avoided(now) || !x.opts.Cold.May(s, x.cold(), now) {
 		return nil
 	}
 	return s
 }
 
+// candidates are the servers on which the request may run.
+func (x *exchange) candidates() directory.Candidates {
+	return x.opts.Directory.View().Candidates(x.service, x.allowed)
+}
+
+// cold is what the request's servers bear while they are cold.
+func (x *exchange) cold() coldstart.Limit {
+	if s := x.plan.Service(x.service); s != nil {
+		return s.Cold
+	}
+	return coldstart.Limit{}
+}
+
 func (x *exchange) query(t tried) balance.Query {
 	affinity, tokens := x.affinity()
+	now, cold := x.opts.Clock.Now(), x.cold()
 	return balance.Query{
-		Servers: x.opts.Directory.View().Servers(x.service), Distance: x.opts.Distance,
+		Servers: x.candidates(), Distance: x.opts.Distance,
 		Affinity: affinity, SharedTokens: tokens, TokenTime: x.reads.token(x.service), Near: x.near, NearBytes: x.nearBytes,
-		Exclude: t.exclude, Now: x.opts.Clock.Now(),
+		Exclude: func(s *directory.Server) bool { return t[s.ID] || !x.opts.Cold.May(s, cold, now) }, Now: now,
 	}
 }
 
--- a/request/gateway/attempt_test.go
+++ b/request/gateway/attempt_test.go
@@ -17,11 +17,11 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	dir := directory.New()
-	dir.Replace([]directory.Entry{{ID: "a", Service: "s", Domain: "x", Slots: 4}, {ID: "b", Service: "s", Domain: "y", Slots: 4}})
+	dir.Replace([]directory.Entry{{ID: "a", Service: "s", Domain: "x", Slots: 4}, {ID: "b", Service: "s", Domain: "y", Slots: 4}}, now)
 	gw := New(Options{Directory: dir, Clock: clock.NewManual(now), Rand: clock.NewSeeded(1), Distance: func(domain string) time.Duration {
 		return time.Duration(domain[0]) * time.Millisecond // "a" is nearer
 	}})
-	x := &exchange{Gateway: gw, route: &plan.Route{}, service: "s", target: "b"}
+	x := &exchange{Gateway: gw, plan: &plan.Plan{}, route: &plan.Route{}, service: "s", target: "b"}
 	g.Expect(x.choose(tried{}).ID).To(Equal("b"))
 	g.Expect(x.choose(tried{"b": true}).ID).To(Equal("a"))
 	dir.View().Server("b").Failed(now)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -14,9 +14,11 @@
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/inforce"
 	"bilberrydale/process/kind"
+	"bilberrydale/process/residency"
 	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
@@ -30,6 +32,7 @@
 	Upstream  *upstream.Client
 	Pool      *stages.Pool
 	Budget    Budget
+	Cold      *coldstart.Gate
 	Clock     clock.Clock
 	Rand      clock.Rand
 	// KeysFresh reports whether the keys of the plan in force are recent enough
@@ -95,6 +98,7 @@
 	account   string
 	priority  int
 	service   string
+	allowed   residency.Set // regions in which it may be served
 	body      []byte
 	start     time.Time
 	aim       time.Time
@@ -135,6 +139,9 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
+	if err := x.servable(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -165,6 +172,7 @@
 		return &kind.Error{Kind: kind.Draining, Detail: "this host stops before a stream could end", RetryAfter: drainingRetry}
 	}
 	x.priority = x.route.Priority
+	x.allowed.Route = x.route.Regions
 	if err := x.authorize(); err != nil {
 		return err
 	}
@@ -186,6 +194,37 @@
 	return nil
 }
 
+// servable refuses a request that no server can run now, before any work is done for it.
+func (x *exchange) servable() error {
+	if x.allowed.Nowhere() {
+		return kind.New(kind.NoRegion, "route %s allows %v, account %s %v", x.route.Name, x.allowed.Route, x.account, x.allowed.Account)
+	}
+	now := x.opts.Clock.Now()
+	reachable := func(s *directory.Server) bool {
+		// Where some regions are left out, waiting for servers that a moment ago did not
+		// answer would only use up the client's time: nobody else can stand in.
+		return !x.allowed.Bounded() || !s.Avoided(now)
+	}
+	if !x.candidates().Any(reachable) {
+		return x.noServer()
+	}
+	return nil
+}
+
+// noServer is the answer to a request for which no server can be had now.
+func (x *exchange) noServer() error {
+	e := kind.New(kind.NoBackend, "no server of %s takes work", x.service)
+	e.RetryAfter = x.spread(noServerRetry)
+	switch {
+	case x.candidates().Any(func(*directory.Server) bool { return true }) && !x.allowed.Bounded():
+		// Another host may have its share of them left.
+		e.Detail, e.RetryAfter = "the servers of "+x.service+" are cold and get no more for now", x.spread(coldRetry)
+	case x.allowed.Bounded():
+		e.Detail = "no server of " + x.service + " in a permitted region takes work"
+	}
+	return e
+}
+
 // drainingRetry is short: another host takes the request at once.
 const drainingRetry = 50 * time.Millisecond
 
@@ -207,6 +246,7 @@
 		return kind.New(kind.UnknownKey, "no account of configuration %d holds the key", x.plan.Version)
 	}
 	x.account, x.rec.Account = a.Name, a.Name
+	x.allowed.Account = a.Regions
 	if a.HasPriority {
 		x.priority = a.Priority
 	}
--- /dev/null
+++ b/request/gateway/place_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bilberrydale/platform"
+	"bilberrydale/process/clock"
+	"bilberrydale/process/coldstart"
+	"bilberrydale/process/directory"
+	"bilberrydale/process/kind"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/residency"
+	"bilberrydale/process/stages"
+	"bilberrydale/version/plan"
+)
+
+type unbounded struct{}
+
+func (unbounded) Request(string)     {}
+func (unbounded) Repeat(string) bool { return true }
+
+// noPeers is a link of a host that knows no other.
+type noPeers struct{ stages.Link }
+
+func (noPeers) Handle(peer.Method, peer.Handler) {}
+
+// placed returns a request of one service before the servers that dir lists.
+func placed(dir *directory.Directory, now time.Time, allowed residency.Set) *exchange {
+	gw := New(Options{
+		Domain: "r0-a", Directory: dir, Clock: clock.NewManual(now), Rand: clock.NewSeeded(1), Budget: unbounded{},
+		Distance: func(string) time.Duration { return time.Millisecond }, Cold: coldstart.New("h", func() []string { return []string{"h"} }),
+		Pool: stages.NewPool(noPeers{}, clock.NewManual(now), stages.NewCoordinator(nil, nil, nil, nil), func(string) string { return "" }, nil),
+	})
+	p := plan.Compile(plan.Config{Services: []plan.Service{{Name: "s", Cold: coldstart.Limit{PerSecond: 2, Cold: time.Second}}}})
+	return &exchange{Gateway: gw, plan: p, route: &plan.Route{Kind: plan.Safe, MaxAttempts: 9, Affinity: true}, service: "s", allowed: allowed, start: now}
+}
+
+// Guards against a request that is served where its route or account forbids it, or in an
+// evacuated failure domain: servers crash, leave and turn cold, some were tried before,
+// and the host that collects stage work may have chosen any of them.
+func TestEachChoiceKeepsToPermittedRegions(t *testing.T) {
+	regions := []string{"r0", "r1", "r2"}
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		dir := directory.New()
+		var entries []directory.Entry
+		for i := range rapid.IntRange(0, 8).Draw(t, "servers") {
+			region := rapid.SampledFrom(regions).Draw(t, "region")
+			domain := region + rapid.SampledFrom([]string{"-a", "-b"}).Draw(t, "domain")
+			entries = append(entries, directory.Entry{
+				ID: fmt.Sprint("e", i), Service: "s", Domain: domain, Region: region, Slots: 2,
+				Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+				ColdLeft: time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Second,
+			})
+		}
+		dir.Replace(entries, now)
+		evacuated := rapid.SampledFrom([]string{"", "r0-a", "r1-b"}).Draw(t, "evacuated")
+		dir.Evacuate([]string{evacuated}, now)
+		for _, s := range dir.View().All() {
+			if rapid.IntRange(0, 3).Draw(t, "failed") == 0 {
+				s.Failed(now)
+			}
+		}
+		some := rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 3, rapid.ID)
+		x := placed(dir, now, residency.Set{Route: some.Draw(t, "route"), Account: some.Draw(t, "account")})
+		x.client.Parts = []platform.PromptPart{{ID: "part", Tokens: 5000}, {ID: "own", Tokens: 10}}
+		x.target = fmt.Sprint("e", rapid.IntRange(0, 8).Draw(t, "target"))
+		may := func(s *directory.Server) bool {
+			return x.allowed.Allows(s.Region) && !s.Draining && s.Domain != evacuated
+		}
+		tries := &tries{seen: tried{}}
+		for s := x.next(context.Background(), tries); s != nil; s = x.next(context.Background(), tries) {
+			if !may(s) {
+				t.Fatalf("%+v may not run on %+v", x.allowed, s.Entry)
+			}
+			x.rec.Attempts++
+		}
+		r := &stages.Request{}
+		x.setTargets(r)
+		for _, target := range r.Targets {
+			if !may(dir.View().Server(target.ID)) {
+				t.Fatalf("%+v may not run on %s", x.allowed, target.ID)
+			}
+		}
+		open := func(s *directory.Server) bool { return x.opts.Cold.May(s, x.cold(), now) }
+		if domain := x.likelyDomain(); x.candidates().Any(open) && !x.allowed.Allows(domain[:2]) {
+			t.Fatalf("stage work for %+v in %s", x.allowed, domain)
+		}
+	})
+}
+
+// Guards against work for a request that nobody may run, or nobody can run now: it is
+// refused at once and told when to come back.
+func TestRequestThatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	dir := directory.New()
+	dir.Replace([]directory.Entry{{ID: "near", Service: "s", Region: "r0", Domain: "r0-a"}, {ID: "far", Service: "s", Region: "r1", Domain: "r1-a"}}, now)
+	refused := func(allowed residency.Set) kind.Kind {
+		err := placed(dir, now, allowed).servable()
+		if err == nil {
+			return ""
+		}
+		e := kind.From(err)
+		NewWithT(t).Expect(e.Wait()).To(BeNumerically(">", 0))
+		NewWithT(t).Expect(e.Ran()).To(Equal(kind.RanNo))
+		return e.Kind
+	}
+	only := func(route, account []string) residency.Set { return residency.Set{Route: route, Account: account} }
+	g := NewWithT(t)
+	g.Expect(refused(only([]string{"r1"}, nil))).To(BeEmpty())
+	g.Expect(refused(only([]string{"r1"}, []string{"r0"}))).To(Equal(kind.NoRegion))
+	g.Expect(refused(only(nil, []string{"r2"}))).To(Equal(kind.NoBackend), "no server there")
+	dir.View().Server("far").Failed(now)
+	g.Expect(refused(only([]string{"r1"}, nil))).To(Equal(kind.NoBackend), "its region does not answer")
+	g.Expect(refused(only(nil, nil))).To(BeEmpty(), "another region can serve it")
+	dir.Evacuate([]string{"r0-a", "r1-a"}, now)
+	g.Expect(refused(only(nil, nil))).To(Equal(kind.NoBackend), "all are evacuated")
+}
+
+// Guards against a choice that sends a cold server more than this host's share: the next
+// request takes another server, and one that has no other is told to come back soon.
+func TestColdServersGetNoMoreThanTheirShare(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	dir := directory.New()
+	dir.Replace([]directory.Entry{
+		{ID: "cold", Service: "s", Region: "r0", Domain: "r0-a", Slots: 9, ColdLeft: time.Second},
+		{ID: "warm", Service: "s", Region: "r1", Domain: "r1-a", Slots: 9},
+	}, now)
+	x := placed(dir, now, residency.Set{})
+	x.opts.Distance = func(domain string) time.Duration { return map[string]time.Duration{"r1-a": time.Second}[domain] }
+	var got []string
+	for range 4 {
+		got = append(got, x.next(context.Background(), &tries{seen: tried{}}).ID)
+	}
+	g.Expect(got).To(Equal([]string{"cold", "cold", "warm", "warm"}))
+	x.client.Parts = []platform.PromptPart{{ID: "part", Tokens: 5000}}
+	r := &stages.Request{}
+	x.setTargets(r)
+	g.Expect(r.Targets).To(HaveLen(1), "none that this host may not send to")
+	x.allowed.Route = []string{"r0"}
+	last := &tries{seen: tried{}}
+	g.Expect(x.next(context.Background(), last)).To(BeNil())
+	e := kind.From(x.end(last))
+	g.Expect(e.Kind).To(Equal(kind.NoBackend))
+	g.Expect(e.Ran()).To(Equal(kind.RanNo))
+}
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -44,6 +44,10 @@
 		return nil
 	}
 	s := x.choose(t.seen)
+	for s != nil && !x.opts.Cold.Take(s, x.cold(), x.opts.Clock.Now()) {
+		t.seen[s.ID] = true // it is cold, and another request took this host's share
+		s = x.choose(t.seen)
+	}
 	if s == nil {
 		return nil
 	}
@@ -79,7 +83,7 @@
 	case t.refusals > 0:
 		return &kind.Error{Kind: kind.Overloaded, Detail: t.text(), RetryAfter: x.spread(refusedRetry), Cause: t.last}
 	default:
-		return &kind.Error{Kind: kind.NoBackend, Detail: "no server of " + x.service + " is listed", RetryAfter: x.spread(noServerRetry)}
+		return x.noServer()
 	}
 }
 
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -62,7 +62,8 @@
 
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
-		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), From: x.opts.Domain, Worth: x.worth(),
+		ID: x.client.AttemptID, Round: x.round, Key: x.client.PieceKey, Domain: x.likelyDomain(), From: x.opts.Domain,
+		Allowed: x.allowed, Worth: x.worth(),
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
@@ -187,6 +188,8 @@
 const (
 	overloadedRetry = 800 * time.Millisecond
 	noServerRetry   = time.Second
+	// coldRetry: each host may send a cold server another request within a second.
+	coldRetry = 200 * time.Millisecond
 )
 
 func (x *exchange) stageError(err error) error {
--- a/request/gateway/streamtime_test.go
+++ b/request/gateway/streamtime_test.go
@@ -35,7 +35,7 @@
 	}
 	return &exchange{
 		Gateway: gw, start: now, aim: now.Add(2 * time.Second), deadline: now.Add(wait),
-		route: &plan.Route{Name: "r", TargetLatency: 2 * time.Second, Stages: []plan.Stage{{Service: "s"}}},
+		plan: &plan.Plan{}, route: &plan.Route{Name: "r", TargetLatency: 2 * time.Second, Stages: []plan.Stage{{Service: "s"}}},
 	}
 }
 
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"bilberrydale/process/coldstart"
 )
 
 // Kind tells what may be repeated.
@@ -54,6 +56,8 @@
 	Public        bool // needs no API key
 	Affinity      bool // requests share prompt prefixes
 	Resumable     bool // a stream may go on at another backend server
+	// Regions in which its requests may be served; empty: every one.
+	Regions []string
 }
 
 // Service is a group of backend servers that can stand in for each other.
@@ -63,6 +67,8 @@
 	MaxConns   int // connections that a server accepts from all hosts together
 	Engine     *Engine
 	Batch      *Batch
+	// Cold is what its servers bear after their start.
+	Cold coldstart.Limit
 }
 
 // Engine describes the model engines of a service.
@@ -89,6 +95,8 @@
 	// Priority replaces the route's where HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions in which its requests may be served; empty: every one.
+	Regions []string
 }
 
 // Limits bound what a client may send.
