--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -133,6 +133,7 @@
 		cancel()
 		return nil, x.sendFailed(s, now, err)
 	}
+	x.arrived = true
 	a := &attempt{server: s, answer: answer, cancel: cancel, head: platform.DecodeServer(answer.Status, answer.Header)}
 	if err := x.check(a); err != nil {
 		a.close(errors.Is(err, errNotRun) && a.drain())
@@ -184,6 +185,7 @@
 func (x *exchange) sendFailed(s *directory.Server, began time.Time, err error) error {
 	var failed *upstream.Error
 	if !errors.As(err, &failed) {
+		x.arrived = true
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
 	if x.blame(began) {
@@ -193,7 +195,7 @@
 	if !failed.Sent {
 		return fmt.Errorf("%w: %s: %w", errNotSent, s.ID, err)
 	}
-	x.sent = true
+	x.sent, x.arrived = true, true
 	return fmt.Errorf("%w: %s: %w", errBroken, s.ID, err)
 }
 
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -113,6 +113,7 @@
 	begun     bool      // the head of the answer is on its way
 	abort     bool      // the answer has to end as incomplete
 	sent      bool      // a backend server may have run the request
+	arrived   bool      // it may have reached one, which ran it or not
 	firstAt   time.Time // of the first event
 }
 
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -51,7 +51,8 @@
 	if s == nil {
 		return nil
 	}
-	if x.rec.Attempts > 0 && !x.opts.Budget.Repeat(x.service) {
+	// A send that reached nobody adds nothing to what servers get.
+	if x.arrived && !x.opts.Budget.Repeat(x.service) {
 		t.last = fmt.Errorf("no further attempt within the retry budget: %w", t.last)
 		return nil
 	}
