Shared parts of prompts are fetched from servers that have read them

Engines can get what another one keeps (Kv-Fetch): 5,000 tokens in 7 ms in place of about 90. - The host that collects stage work knows who has read what. A target that lacks the part gets it from a server that has read it, in its own failure domain if there is one; of a part that is new, the prefix that others share. - Regions tell each other again, every quarter of the time that parts are kept, of parts in use: each forgot holders that others went on using. - Only from servers that take work, are permitted and have not just failed.

--- a/edge/records.go
+++ b/edge/records.go
@@ -108,7 +108,7 @@
 	kv := []any{
 		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.HeldBy,
 		"held_by_room", t.HeldByRoom, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageTimes(t.Took),
-		"target", t.Target, "target_wait_ms", ms(t.TargetWait),
+		"target", t.Target, "target_wait_ms", ms(t.TargetWait), "prompt_from", t.Fetch,
 	}
 	if err != nil {
 		h.log.Warn("stage work", append(kv, "err", err)...)
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -40,6 +40,7 @@
 	Took       []time.Duration // by each stage, once the work is done
 	Target     string          // server chosen to run on, once the work is done
 	TargetWait time.Duration   // for other prompts there
+	Fetch      string          // server from which that one gets a part of the prompt
 
 	late bool
 	cost float64       // seconds of all servers of its services
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return Made{}, err
 	}
-	return Made{Inputs: inputs, Target: t.Target, ID: r.ID, Round: r.Round}, nil
+	return Made{Inputs: inputs, Target: t.Target, Fetch: t.Fetch, ID: r.ID, Round: r.Round}, nil
 }
 
 // choose sets the server on which a request runs.
@@ -89,8 +89,8 @@
 	r := t.Request
 	targets := k.withHolders(now, r)
 	c := k.readings.choose(now, workKey{r.ID, r.Round}, r.AimBy.Sub(now), r.Prompt, near(targets, inputs))
-	t.Target, t.TargetWait = c.server, c.wait
-	if c.unexpected && r.Prompt.Shared >= leastTold && !r.Allowed.Bounded() {
+	t.Target, t.TargetWait, t.Fetch = c.server, c.wait, c.fetch
+	if c.tell && !r.Allowed.Bounded() {
 		k.tell(heldPart{Part: r.Prompt.Part, Server: c.server})
 	}
 }
--- a/process/stages/holds.go
+++ b/process/stages/holds.go
@@ -15,9 +15,8 @@
 }
 
 const (
-	// leastTold is the reading time of a part that is worth a message to other regions:
-	// about their distance, there and back.
-	leastTold = 40 * time.Millisecond
+	// leastTold is the reading time of a part that is worth a word to other regions.
+	leastTold = 2 * time.Millisecond
 	// tellHoldsEvery is how long news is gathered.
 	tellHoldsEvery = 100 * time.Millisecond
 	// maxHolds bounds a message.
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -46,6 +46,7 @@
 type runAnswer struct {
 	Inputs  []Input
 	Target  string
+	Fetch   string
 	Reason  batcher.Reason
 	Stage   int
 	ReadyMS int64
@@ -141,7 +142,7 @@
 		p.noteWait(region, time.Duration(a.WaitMS)*time.Millisecond)
 		switch a.Reason {
 		case "":
-			return Made{Inputs: a.Inputs, Owner: owner, Target: a.Target, ID: r.ID, Round: r.Round}, nil
+			return Made{Inputs: a.Inputs, Owner: owner, Target: a.Target, Fetch: a.Fetch, ID: r.ID, Round: r.Round}, nil
 		case moved:
 			p.setLeft(owner) // its answer came before its notice
 		default:
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -87,7 +87,7 @@
 	var failed *Error
 	switch {
 	case err == nil:
-		return runAnswer{Inputs: made.Inputs, Target: made.Target}
+		return runAnswer{Inputs: made.Inputs, Target: made.Target, Fetch: made.Fetch}
 	case errors.As(err, &failed):
 		return runAnswer{Reason: failed.Reason, Stage: failed.Stage, ReadyMS: failed.Ready.Milliseconds()}
 	default: // of ctx: the time is over, or the request
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -87,6 +87,7 @@
 	Inputs []Input
 	Owner  string // empty: this host
 	Target string // id of the server to run on; empty: none was chosen
+	Fetch  string // id of a server that has read a part of the prompt; empty: none
 	ID     string // of the request
 	Round  int
 }
--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -36,9 +36,11 @@
 
 // Prompt is what a server reads of a request.
 type Prompt struct {
-	Part   string        // the part that other requests share; empty: none
+	Part   string        // the longest part that other requests share; empty: none
+	Prefix string        // the shared part before it, which more requests share; empty: none
 	Gain   time.Duration // that a server is worth that has read the part
 	Shared time.Duration // that the part takes to read
+	Fetch  time.Duration // that the part takes to get from another server; 0: it cannot
 	Own    time.Duration // that the rest takes
 }
 
@@ -51,6 +53,7 @@
 	mu       sync.Mutex
 	byServer map[string][]reading
 	byPart   map[string][]holder
+	told     map[string]time.Time // when other regions were last told of a part
 }
 
 // reading is a prompt that was given to a server and whose answer has not begun.
@@ -63,7 +66,9 @@
 // holder is a server that has read a part.
 type holder struct {
 	server string
+	domain string    // failure domain; empty: not known
 	at     time.Time // of the last request with the part
+	ready  time.Time // when it will have read the part
 }
 
 const (
@@ -101,8 +106,9 @@
 type choice struct {
 	server string
 	wait   time.Duration // for other prompts there
-	// unexpected: it reads the request's shared part, which nobody would know.
-	unexpected bool
+	fetch  string        // server from which it gets the request's shared part; empty: none
+	// tell: other regions have to hear that it has the request's shared part.
+	tell bool
 }
 
 // choose returns the cheapest of the targets for a request with some time left to its
@@ -110,26 +116,77 @@
 func (r *readings) choose(now time.Time, request workKey, slack time.Duration, p Prompt, list []Target) choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	holders := r.holders(now, p.Part)
+	holders, prefixed := r.holders(now, p.Part), r.holders(now, p.Prefix)
 	var best choice
 	var takes, least time.Duration
+	var domain string
+	var unexpected bool // nobody else would know that it has the part
 	for _, t := range list {
-		waits, reading, held := r.wait(now, t.ID), p.Own, has(holders, t)
+		waits, reading, held, source := r.wait(now, t.ID), p.Own, has(holders, t), ""
 		cost := t.Cost + waitCost(waits, slack)
 		if held {
 			cost -= p.Gain
-		} else {
+		} else if p.Fetch > 0 {
+			source = fetchSource(now, holders, t)
+		}
+		switch {
+		case source != "":
+			reading += p.Fetch
+		case !held:
 			reading += p.Shared
 		}
 		if best.server == "" || cost < least {
-			best, takes, least = choice{t.ID, waits, p.Part != "" && !held}, reading, cost
+			best, takes, least, domain = choice{server: t.ID, wait: waits, fetch: source}, reading, cost, t.Domain
+			unexpected = !held && source == ""
 		}
 	}
 	if best.server == "" {
 		return best
 	}
 	r.set(best.server, append(r.byServer[best.server], reading{request, takes, now}))
-	r.hold(now, p.Part, holders, best.server)
+	if unexpected && p.Fetch > 0 {
+		best.fetch = fetchSource(now, prefixed, Target{ID: best.server, Domain: domain})
+	}
+	one := holder{best.server, domain, now, now.Add(best.wait + takes)}
+	r.hold(p.Part, holders, one)
+	r.hold(p.Prefix, prefixed, one)
+	best.tell = p.Part != "" && p.Shared >= leastTold && (unexpected || r.due(now, p))
+	if best.tell {
+		r.noteTold(now, p.Part)
+	}
+	return best
+}
+
+// tellAgain is how long after they were told of a part other regions can still take it
+// that some server has it.
+const tellAgain = partKept / 4
+
+// due tells whether other regions have to hear of a part again: they would forget who
+// has it, though it is used here. It is called with r.mu held.
+func (r *readings) due(now time.Time, p Prompt) bool {
+	return p.Fetch > 0 && now.Sub(r.told[p.Part]) >= tellAgain
+}
+
+// noteTold is called with r.mu held.
+func (r *readings) noteTold(now time.Time, part string) {
+	if r.told == nil || len(r.told) >= maxParts {
+		r.told = map[string]time.Time{}
+	}
+	r.told[part] = now
+}
+
+// fetchSource returns the server from which a target gets a shared part: the one that used
+// it last, in the target's own failure domain if there is one; empty: none has read it yet.
+func fetchSource(now time.Time, holders []holder, to Target) string {
+	best, near := "", false
+	for _, h := range holders {
+		if h.server == to.ID || now.Before(h.ready) {
+			continue
+		}
+		if in := h.domain == to.Domain; in || !near {
+			best, near = h.server, in
+		}
+	}
 	return best
 }
 
@@ -148,7 +205,7 @@
 func (r *readings) heard(now time.Time, h heldPart) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hold(now, h.Part, r.holders(now, h.Part), h.Server)
+	r.hold(h.Part, r.holders(now, h.Part), holder{server: h.Server, at: now, ready: now})
 }
 
 func has(holders []holder, t Target) bool {
@@ -164,15 +221,20 @@
 }
 
 // hold notes that a server reads a part. It is called with r.mu held.
-func (r *readings) hold(now time.Time, part string, holders []holder, server string) {
+func (r *readings) hold(part string, holders []holder, one holder) {
 	if part == "" {
 		return
 	}
 	if r.byPart == nil || len(r.byPart) >= maxParts {
 		r.byPart = map[string][]holder{}
 	}
-	holders = slices.DeleteFunc(holders, func(h holder) bool { return h.server == server })
-	r.byPart[part] = append(holders, holder{server, now})
+	holders = slices.DeleteFunc(holders, func(h holder) bool {
+		if h.server == one.server && h.ready.Before(one.ready) {
+			one.ready = h.ready
+		}
+		return h.server == one.server
+	})
+	r.byPart[part] = append(holders, one)
 }
 
 // wait is how long a server reads what it was given. It is called with r.mu held.
--- a/process/stages/target_test.go
+++ b/process/stages/target_test.go
@@ -116,3 +116,69 @@
 	g.Expect(list[0].Cost).To(BeNumerically("<", 2*time.Millisecond))
 	g.Expect(list[1].Cost).To(Equal(60 * time.Millisecond))
 }
+
+// fetched is a draft whose shared part can be had from another server.
+var fetched = func() Prompt {
+	p := draft
+	p.Prefix, p.Fetch = "prefix", 10*time.Millisecond
+	return p
+}()
+
+var threeDomains = []Target{{ID: "a1", Domain: "a"}, {ID: "a2", Domain: "a"}, {ID: "b1", Domain: "b"}}
+
+// place has a request placed on one server only.
+func place(r *readings, now time.Time, i int, p Prompt, server string) choice {
+	for _, t := range threeDomains {
+		if t.ID == server {
+			return r.choose(now, key(i), time.Second, p, []Target{t})
+		}
+	}
+	return choice{}
+}
+
+// Guards against a long part that is read once more by each server that its requests come
+// to, though another one has it; and against a transfer from one that is still reading.
+func TestPartIsFetchedFromAServerThatHasReadIt(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	g.Expect(place(&r, now, 0, fetched, "b1").fetch).To(BeEmpty(), "nobody has it")
+	g.Expect(place(&r, now, 1, fetched, "a1").fetch).To(BeEmpty(), "it is still being read")
+	now = now.Add(time.Second)
+	g.Expect(place(&r, now, 2, fetched, "b1").fetch).To(BeEmpty(), "it has the part itself")
+	g.Expect(place(&r, now, 3, fetched, "a2").fetch).To(Equal("a1"), "the one in its own failure domain")
+	g.Expect(place(&r, now.Add(partKept+time.Second), 5, fetched, "a2").fetch).To(BeEmpty(), "they have dropped it")
+}
+
+// Guards against a transfer between servers that cannot make one.
+func TestPartIsReadWhereItCannotBeFetched(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	place(&r, now, 0, draft, "b1")
+	g.Expect(place(&r, now.Add(time.Second), 1, draft, "a1").fetch).To(BeEmpty())
+}
+
+// The pattern: many things share the first part of their prompts, and each has a second
+// one of its own. Guards against reading the first part anew for each new thing.
+func TestPrefixOfANewPartIsFetched(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	place(&r, now, 0, fetched, "b1")
+	other := fetched
+	other.Part = "another part"
+	g.Expect(place(&r, now.Add(time.Second), 1, other, "a1").fetch).To(Equal("b1"))
+}
+
+// Guards against a region that takes a part's holder for gone, since it heard of it once,
+// and reads what is in use elsewhere.
+func TestOtherRegionsHearAgainOfPartsInUse(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var r readings
+	g.Expect(place(&r, now, 0, fetched, "a1").tell).To(BeTrue())
+	g.Expect(place(&r, now.Add(time.Second), 1, fetched, "a1").tell).To(BeFalse())
+	g.Expect(place(&r, now.Add(tellAgain), 2, fetched, "a1").tell).To(BeTrue())
+	g.Expect(tellAgain).To(BeNumerically("<", partKept))
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// prefix names the shared part before the longest one; empty: there is none.
+func (x *exchange) prefix() string {
+	if n := len(x.client.Parts); x.route.Affinity && n > 2 {
+		return x.client.Parts[n-3].ID
+	}
+	return ""
+}
+
+// fetchTime is how long an engine takes to get so many tokens from another one.
+func (x *exchange) fetchTime(tokens int) time.Duration {
+	if s := x.plan.Service(x.service); s != nil {
+		return s.Engine.FetchTime(tokens)
+	}
+	return 0
+}
+
+// fetchFrom returns the address of the server from which another one gets the shared part
+// of the prompt; empty: it reads the part.
+func (x *exchange) fetchFrom(to *directory.Server, now time.Time) string {
+	for _, id := range []string{x.fetch, x.target} {
+		s := x.opts.Directory.View().Server(id)
+		if s != nil && s.ID != to.ID && s.Takes() && x.allowed.Allows(s.Region) && !s.Avoided(now) && x.fetchTime(1) > 0 {
+			return s.Address
+		}
+	}
+	return ""
+}
+
 // affinity names the longest part of the prompt that other requests share: all
 // but the last, which belongs to this request or its session. tokens counts it
 // and the parts before it.
@@ -113,7 +141,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Method != http.MethodGet,
 		Header: platform.EncodeServer(x.r.Header, platform.ServerRequest{
-			ServerID: s.ID, Account: x.account, Deadline: left, Inputs: x.inputs, LastEvent: lastEvent, Priority: x.rank(now),
+			ServerID: s.ID, Account: x.account, Deadline: left, Inputs: x.inputs, LastEvent: lastEvent, Priority: x.rank(now), FetchFrom: x.fetchFrom(s, now),
 		}),
 	}
 	var timer *time.Timer
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -107,6 +107,7 @@
 	round     int         // how often the inputs were made again
 	inputs    []string
 	target    string // server chosen for the first attempt; empty: none
+	fetch     string // server that has read the shared part of the prompt; empty: none known
 	near      string // failure domain that holds most of the inputs
 	nearBytes int64
 	rec       Record
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -32,7 +32,7 @@
 	}
 	x.made = made
 	x.inputs = made.Handles()
-	x.target = made.Target
+	x.target, x.fetch = made.Target, made.Fetch
 	x.near, x.nearBytes = x.domainOf(made)
 	return nil
 }
@@ -95,7 +95,7 @@
 		r.Targets = append(r.Targets, stages.Target{ID: c.Server.ID, Domain: c.Server.Domain, Cost: c.Cost, Home: c.Home})
 	}
 	own := max(x.client.InputTokens-q.SharedTokens, 0)
-	r.Prompt = stages.Prompt{Part: q.Affinity, Gain: q.Gain(), Shared: q.Reading(), Own: time.Duration(own) * q.TokenTime}
+	r.Prompt = stages.Prompt{Part: q.Affinity, Prefix: x.prefix(), Gain: q.Gain(), Shared: q.Reading(), Fetch: x.fetchTime(q.SharedTokens), Own: time.Duration(own) * q.TokenTime}
 }
 
 // reserveDivisor: at most half of a client's time is kept for the stream. What
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -75,6 +75,22 @@
 type Engine struct {
 	Slots    int
 	KVTokens int64
+	// TokenBytes is the size of a token in an engine's memory, and LinkRate the bytes a
+	// second in which an engine gets them from another; 0: not known.
+	TokenBytes int64
+	LinkRate   float64
+}
+
+// fetchSetup is the time in which two engines agree on a transfer.
+const fetchSetup = 5 * time.Millisecond
+
+// FetchTime is how long an engine takes to get so many tokens from another one that has
+// read them; 0: it cannot.
+func (e *Engine) FetchTime(tokens int) time.Duration {
+	if e == nil || e.TokenBytes <= 0 || e.LinkRate <= 0 {
+		return 0
+	}
+	return fetchSetup + time.Duration(float64(tokens)*float64(e.TokenBytes)/e.LinkRate*float64(time.Second))
 }
 
 // Batch describes how servers of a stage take work: calls with several items.
