request/wire: the core tells what it needs of a platform's headers, and imports no adapter

request/gateway imported platform: the core depended on its adapter. Its types and the translation are now a package of the request's life span; platform implements it. The layout test forbids the import (seen red with it).

--- a/edge/batchers.go
+++ b/edge/batchers.go
@@ -138,7 +138,7 @@
 var errBusy = errors.New("the server has too much work")
 
 func (c *stageCalls) noteLoad(s *directory.Server, status int, header http.Header) {
-	if head := platform.DecodeServer(status, header); head.HasLoad {
+	if head := (platform.Headers{}).DecodeServer(status, header); head.HasLoad {
 		s.Load(head.Running, head.Waiting, c.clock.Now())
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -112,8 +112,10 @@
 	h.limits = newRecordLimits()
 	h.store.OnCall(h.countCall)
 	h.upstream = upstream.New(upstream.Options{
-		KeepAlive: func(header http.Header) time.Duration { return platform.DecodeServer(http.StatusOK, header).KeepAlive },
-		Opened:    func(string) { h.meter.Add("upstream_connections_opened", 1) },
+		KeepAlive: func(header http.Header) time.Duration {
+			return platform.Headers{}.DecodeServer(http.StatusOK, header).KeepAlive
+		},
+		Opened: func(string) { h.meter.Add("upstream_connections_opened", 1) },
 	})
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -128,7 +130,7 @@
 	})
 	h.cold = coldstart.New(set.Host, h.knownHosts)
 	h.gateway = gateway.New(gateway.Options{
-		Domain: set.Domain, Distance: h.distance, Plan: &h.plan, Directory: h.directory, Upstream: h.upstream,
+		Domain: set.Domain, Distance: h.distance, Plan: &h.plan, Directory: h.directory, Upstream: h.upstream, Headers: platform.Headers{},
 		Pool: h.stages, Budget: h.budget, Cold: h.cold, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
 		Closing: h.stopping.Load, RefuseLong: h.refuseLong.Load,
 		Stopping: h.told, StopEnd: func() time.Time { return *h.stopEnd.Load() }, Log: h.logRequest,
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -56,6 +56,8 @@
 				g.Expect(to).To(BeNumerically(">=", from), "%s imports %s, which lives shorter", p.ImportPath, imp)
 			}
 			g.Expect(imp).NotTo(HavePrefix("bilberrydale/entryhost"), p.ImportPath)
+			// The core tells what it needs of a platform; adapters depend on it.
+			g.Expect(imp).NotTo(HavePrefix("bilberrydale/platform"), p.ImportPath)
 		}
 	}
 	g.Expect(seen).To(BeNumerically(">", len(lifeSpans)))
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"bilberrydale/connection/upstream"
-	"bilberrydale/platform"
 	"bilberrydale/process/balance"
 	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/kind"
+	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
 
@@ -20,7 +20,7 @@
 type attempt struct {
 	server *directory.Server
 	answer *upstream.Answer
-	head   platform.ServerAnswer
+	head   wire.ServerAnswer
 	cancel context.CancelFunc
 }
 
@@ -140,7 +140,7 @@
 	q := &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Method != http.MethodGet,
-		Header: platform.EncodeServer(x.r.Header, platform.ServerRequest{
+		Header: x.opts.Headers.EncodeServer(x.r.Header, wire.ServerRequest{
 			ServerID: s.ID, Account: x.account, Deadline: left, Inputs: x.inputs, LastEvent: lastEvent, Priority: x.rank(now), FetchFrom: x.fetchFrom(s, now),
 		}),
 	}
@@ -162,7 +162,7 @@
 		return nil, x.sendFailed(s, now, err)
 	}
 	x.arrived = true
-	a := &attempt{server: s, answer: answer, cancel: cancel, head: platform.DecodeServer(answer.Status, answer.Header)}
+	a := &attempt{server: s, answer: answer, cancel: cancel, head: x.opts.Headers.DecodeServer(answer.Status, answer.Header)}
 	if err := x.check(a); err != nil {
 		a.close(errors.Is(err, errNotRun) && a.drain())
 		return nil, err
@@ -290,10 +290,10 @@
 	h := x.w.Header()
 	h["Date"] = nil
 	h["Content-Type"] = []string{"application/problem+json"}
-	platform.SetAttemptID(h, x.client.AttemptID)
+	x.opts.Headers.SetAttemptID(h, x.client.AttemptID)
 	if wait := e.Wait(); wait > 0 && promised(status) {
 		x.rec.RetryAfter = wait
-		platform.SetRetryAfter(h, wait)
+		x.opts.Headers.SetRetryAfter(h, wait)
 	}
 	x.closeIfLeaving(h)
 	x.rec.Status = status
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"bilberrydale/connection/upstream"
-	"bilberrydale/platform"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
@@ -20,6 +19,7 @@
 	"bilberrydale/process/kind"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/stages"
+	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
 
@@ -30,6 +30,7 @@
 	Plan      *inforce.Cell[plan.Plan]
 	Directory *directory.Directory
 	Upstream  *upstream.Client
+	Headers   wire.Headers // of the platform
 	Pool      *stages.Pool
 	Budget    Budget
 	Cold      *coldstart.Gate
@@ -92,7 +93,7 @@
 	*Gateway
 	w         http.ResponseWriter
 	r         *http.Request
-	client    platform.ClientRequest
+	client    wire.ClientRequest
 	plan      *plan.Plan
 	route     *plan.Route
 	account   string
@@ -120,7 +121,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Gateway: g, w: w, r: r, start: g.opts.Clock.Now(), client: platform.DecodeClient(r.Header)}
+	x := &exchange{Gateway: g, w: w, r: r, start: g.opts.Clock.Now(), client: g.opts.Headers.DecodeClient(r.Header)}
 	x.rec.ID = x.client.AttemptID
 	if err := x.serve(); err != nil {
 		x.answerError(kind.From(err))
--- a/request/gateway/place_test.go
+++ b/request/gateway/place_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"bilberrydale/platform"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
@@ -17,6 +16,7 @@
 	"bilberrydale/process/peer"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/stages"
+	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
 
@@ -69,7 +69,7 @@
 		}
 		some := rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 3, rapid.ID)
 		x := placed(dir, now, residency.Set{Route: some.Draw(t, "route"), Account: some.Draw(t, "account")})
-		x.client.Parts = []platform.PromptPart{{ID: "part", Tokens: 5000}, {ID: "own", Tokens: 10}}
+		x.client.Parts = []wire.PromptPart{{ID: "part", Tokens: 5000}, {ID: "own", Tokens: 10}}
 		x.target = fmt.Sprint("e", rapid.IntRange(0, 8).Draw(t, "target"))
 		may := func(s *directory.Server) bool {
 			return x.allowed.Allows(s.Region) && !s.Draining && s.Domain != evacuated
@@ -140,7 +140,7 @@
 		got = append(got, x.next(context.Background(), &tries{seen: tried{}}).ID)
 	}
 	g.Expect(got).To(Equal([]string{"cold", "cold", "warm", "warm"}))
-	x.client.Parts = []platform.PromptPart{{ID: "part", Tokens: 5000}}
+	x.client.Parts = []wire.PromptPart{{ID: "part", Tokens: 5000}}
 	r := &stages.Request{}
 	x.setTargets(r)
 	g.Expect(r.Targets).To(HaveLen(1), "none that this host may not send to")
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"bilberrydale/platform"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/kind"
 	"bilberrydale/version/plan"
@@ -182,6 +181,6 @@
 // head sets the headers of a server's answer; net/http adds none of its own.
 func (x *exchange) head(to, from http.Header) {
 	to["Date"], to["Content-Type"] = nil, nil
-	platform.CopyAnswer(to, from)
+	x.opts.Headers.CopyAnswer(to, from)
 	x.closeIfLeaving(to)
 }
