--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -130,7 +130,7 @@
 	if c != nil {
 		items, bytes = len(c.Items), c.bytes
 	}
-	n := min(len(j.next), q.maxItems(s)-items)
+	n := min(len(j.next), q.opts.MaxItems-items)
 	if room := q.roomOf(s); room > 0 && j.ItemBytes > 0 {
 		left := room - s.held() - bytes
 		if s.held()+bytes == 0 {
@@ -141,16 +141,6 @@
 	return n
 }
 
-// maxItems is how many items a call to a server may have. One that has failed and not yet
-// answered again is tried with one item: of a failure domain that was lost, the others
-// of a call would wait once more for an answer that does not come, and be late.
-func (q *Queue) maxItems(s *server) int {
-	if s.Failing() {
-		return 1
-	}
-	return q.opts.MaxItems
-}
-
 func (q *Queue) move(c *Call, s *server, j *Job) {
 	if j.failedOn[s.ID] && q.others(j) {
 		return // a server that fails part of its items would have them all three times
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -76,9 +76,6 @@
 	s.failedAt.Store(now.UnixNano())
 }
 
-// Failing reports whether the server has failed since its last answer.
-func (s *State) Failing() bool { return s.failures.Load() > 0 }
-
 // Succeeded notes an answer.
 func (s *State) Succeeded() {
 	s.failures.Store(0)
