soak: bound routes, evacuations, cold returns and a region that is cut off

Servers of a second failure domain, in a region to which two routes are bound; judged: nothing of a bound request is done elsewhere, stage results included; after the faults the near domain is evacuated and gets nothing more; cold engines get what the platform allows.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -136,6 +136,34 @@
 		p.log.more(some(r, 60, 250))
 		p.list(b, false)
 	}},
+	{"server returns cold", func(p *place, r *rand.Rand, _ string) {
+		b := p.anyServer(r)
+		b.relay.Refuse(true)
+		b.relay.Reset()
+		p.log.more(some(r, 10, 60))
+		p.returnCold(b)
+		b.relay.Heal()
+		p.log.more(some(r, 100, 200))
+	}},
+	{"evacuation", func(p *place, r *rand.Rand, _ string) {
+		domain := []string{nearDomain, farDomain}[r.IntN(2)]
+		p.store.Evacuate(domain)
+		p.log.more(some(r, 60, 300))
+		p.store.Reopen(domain)
+	}},
+	{"region is cut off", func(p *place, r *rand.Rand, _ string) {
+		for _, b := range p.servers {
+			if b.domain == farDomain {
+				b.relay.Hold(true)
+			}
+		}
+		p.log.more(some(r, 60, 300))
+		for _, b := range p.servers {
+			if b.domain == farDomain {
+				b.relay.Heal()
+			}
+		}
+	}},
 	{"server lapses", func(p *place, r *rand.Rand, _ string) {
 		b := p.anyServer(r)
 		p.store.DeleteServer(b.ID)
--- a/internal/soak/place_test.go
+++ b/internal/soak/place_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"bilberrydale/internal/relay"
 	"bilberrydale/platform/platformtest"
+	"bilberrydale/process/coldstart"
 	"bilberrydale/version/plan"
 )
 
@@ -40,6 +42,7 @@
 	keys    []string
 	revoked map[string]time.Time // when the store acknowledged that a key is gone
 	ran     map[string][]string  // servers that ran an attempt
+	made    map[string][]string  // servers that made results for an attempt
 }
 
 // host is one daemon.
@@ -61,18 +64,26 @@
 // backend is a backend server behind a relay.
 type backend struct {
 	*platformtest.Server
-	relay *relay.Relay
+	relay  *relay.Relay
+	domain string
+	starts int // how often it has come back cold
+	// while cold: when requests reached it
+	coldUntil time.Time
+	cold      [][]time.Time // of each time
 }
 
 func newPlace(t *testing.T, binary string, hosts int, base int) *place {
 	p := &place{
 		t: t, dir: t.TempDir(), store: platformtest.NewStore(), keys: []string{"key-1", "key-2"},
-		revoked: map[string]time.Time{}, ran: map[string][]string{}, log: newLedger(),
+		revoked: map[string]time.Time{}, ran: map[string][]string{}, made: map[string][]string{}, log: newLedger(),
 	}
 	p.web = httptest.NewServer(p.store)
 	t.Cleanup(p.web.Close)
 	for _, service := range []string{"ledger", "ledger", "model", "model", "model", "floor", "floor", "portal"} {
-		p.addServer(service)
+		p.addServer(service, nearDomain)
+	}
+	for _, service := range []string{"ledger", "model", "floor", "portal"} {
+		p.addServer(service, farDomain)
 	}
 	p.configure()
 	for i := range hosts {
@@ -87,32 +98,43 @@
 	}
 }
 
-func (p *place) addServer(service string) {
+// Hosts are in the near domain; the far one is in a region of its own, to which some routes
+// are bound.
+const (
+	nearDomain, nearRegion = "a", "r"
+	farDomain, farRegion   = "b", "q"
+)
+
+func (p *place) addServer(service, domain string) {
 	s := platformtest.NewServer(fmt.Sprintf("%s-%d", service, len(p.servers)), service)
 	p.t.Cleanup(s.HTTP.Close)
 	r, err := relay.New(s.Address())
 	p.must(err)
 	p.t.Cleanup(r.Close)
 	s.Listed = r.Address()
-	b := &backend{s, r}
+	b := &backend{Server: s, relay: r, domain: domain}
 	p.servers = append(p.servers, b)
 	s.SetHandle(func(w http.ResponseWriter, q *http.Request) bool { return p.serve(b, w, q) })
 	p.list(b, false)
 }
 
 func (p *place) list(b *backend, draining bool) {
-	p.store.PutServer(b.Server, "a", draining)
+	p.store.PutServer(b.Server, b.domain, draining)
 }
 
 // serve answers as the backend server, and notes who ran what.
 func (p *place) serve(b *backend, w http.ResponseWriter, q *http.Request) bool {
 	if platformtest.IsStageCall(q) {
+		p.noteStage(b, q)
 		return false
 	}
 	id := platformtest.RequestID(q.Header)
 	_, _ = io.Copy(io.Discard, q.Body)
 	p.mu.Lock()
 	p.ran[id] = append(p.ran[id], b.ID)
+	if now := time.Now(); now.Before(b.coldUntil) {
+		b.cold[b.starts-1] = append(b.cold[b.starts-1], now)
+	}
 	p.mu.Unlock()
 	platformtest.Sign(w.Header(), "stamp-"+id)
 	if strings.HasPrefix(q.URL.Path, "/stream/") {
@@ -127,6 +149,36 @@
 	return true
 }
 
+// noteStage notes for which attempts a server makes results.
+func (p *place) noteStage(b *backend, q *http.Request) {
+	body, _ := io.ReadAll(q.Body) // a call that breaks off fails in the server itself
+	q.Body = io.NopCloser(bytes.NewReader(body))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range platformtest.StageIDs(body) {
+		p.made[id] = append(p.made[id], b.ID)
+	}
+}
+
+// returnCold has a server start again under its id, cold.
+func (p *place) returnCold(b *backend) {
+	p.mu.Lock()
+	b.starts++
+	b.coldUntil, b.cold = time.Now().Add(coldTime), append(b.cold, nil)
+	born := int64(1700000000000 + b.starts)
+	p.mu.Unlock()
+	p.store.PutColdServer(b.Server, b.domain, coldTime, born)
+}
+
+// What engines bear while they are cold, and what the platform counts as beyond it: half
+// as much again and some.
+const (
+	coldTime  = 3 * time.Second
+	coldRate  = 1.0
+	coldMost  = 1.5*coldRate + 5
+	coldCount = time.Second
+)
+
 // Work of a backend server, so that faults meet requests under way.
 const (
 	streamEvents = 8
@@ -161,17 +213,20 @@
 	chat, draft := route("chat", plan.Stream, "model"), route("draft", plan.Stream, "model")
 	chat.Resumable = true
 	draft.MaxAttempts = 1
+	bound, boundDraft := route("bound", plan.Safe, "ledger"), route("bounddraft", plan.Stream, "model")
+	bound.Regions, boundDraft.Regions = []string{farRegion}, []string{farRegion}
 	draft.Stages = []plan.Stage{{Service: "floor", ResultBytes: 1000}, {Service: "portal", After: []int{0}, ResultBytes: 1000}}
+	boundDraft.Stages = draft.Stages
 	batch := &plan.Batch{
 		Slots: 1, Queue: 2, MaxItems: 8, CallTime: 5 * time.Millisecond, ItemTime: time.Millisecond,
 		RoomBytes: 1_000_000, ResultTTL: 4 * time.Second,
 	}
 	p.store.PutConfig(plan.Config{
 		Version: int64(version),
-		Routes:  []plan.Route{route("transfer", plan.Unsafe, "ledger"), route("status", plan.Safe, "ledger"), chat, draft},
+		Routes:  []plan.Route{route("transfer", plan.Unsafe, "ledger"), route("status", plan.Safe, "ledger"), chat, draft, bound, boundDraft},
 		Services: []plan.Service{
 			{Name: "ledger"},
-			{Name: "model", Engine: &plan.Engine{Slots: 8}},
+			{Name: "model", Engine: &plan.Engine{Slots: 8}, Cold: coldstart.Limit{PerSecond: coldRate, Cold: coldTime}},
 			{Name: "floor", Batch: batch},
 			{Name: "portal", Batch: batch},
 		},
@@ -199,8 +254,8 @@
 	p.t.Cleanup(r.Close)
 	h := &host{name: fmt.Sprintf("front-%d", i), ip: ip, relay: r, settings: filepath.Join(p.dir, fmt.Sprintf("host-%d.json", i))}
 	data, err := platformtest.HostSettings{
-		Name: h.name, IP: ip, Domain: "a", Region: "r", Callers: ip + ":8625", Ready: ip + ":8621",
-		FirstPort: 7740, LastPort: 7755, StoreAddress: r.Address(), StopBound: stopBound, RevokeBound: revokeBound,
+		Name: h.name, IP: ip, Domain: nearDomain, Region: nearRegion, Elsewhere: map[string]string{farDomain: farRegion}, Callers: ip + ":8625", Ready: ip + ":8621",
+		FirstPort: 7740, LastPort: 7755, StoreAddress: r.Address(), StopBound: stopBound, RevokeBound: revokeBound, EvacuateBound: 5 * time.Second,
 		Heartbeat: 1200 * time.Millisecond, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 200,
 	}.JSON()
 	p.must(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,7 +45,8 @@
 // store refuses, forgets and loses answers. Faults overlap. Whatever happens:
 // what must not be repeated runs once, "not run" has not run, answers are whole
 // and to their own request, revoked keys end in time, daemons end in time when
-// told to, and when the faults end, requests are served again.
+// told to, bound requests stay in their region, cold servers get what they bear, and when
+// the faults end, requests are served again.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "bilberryedge")
 	build := exec.Command("go", "build", "-o", binary, "bilberrydale/cmd/bilberryedge")
@@ -87,6 +88,7 @@
 	p.settle()
 	p.await("all daemons are ready after the faults", p.allReady)
 	p.recovered()
+	p.evacuated()
 	p.judge(log.all())
 }
 
@@ -148,6 +150,56 @@
 	}
 }
 
+// evacuated has the near domain evacuated once all is well: its servers get nothing more,
+// and what may be served elsewhere is.
+func (p *place) evacuated() {
+	p.store.Evacuate(nearDomain)
+	c := &client{p: p, log: p.log, r: rand.New(rand.NewPCG(2, 2))}
+	far := func(path string) bool {
+		s := c.send(path)
+		return s.status == http.StatusOK && p.ranIn(s.id, farDomain)
+	}
+	for _, c.host = range p.hosts {
+		c.drop()
+		p.await(c.host.name+" serves elsewhere", func() bool { return far("/status/1") && far("/stream/draft/1") })
+		for range 5 {
+			if !far("/status/1") {
+				p.t.Errorf("%s sends to an evacuated domain, or does not serve", c.host.name)
+			}
+		}
+	}
+	c.drop()
+	p.store.Reopen(nearDomain)
+}
+
+// ranIn reports whether all that was done for an attempt was done in a failure domain.
+func (p *place) ranIn(id, domain string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.allIn(id, domain)
+}
+
+// allIn is called with p.mu held.
+func (p *place) allIn(id, domain string) bool {
+	for _, list := range [][]string{p.ran[id], p.made[id]} {
+		for _, server := range list {
+			if p.domainOf(server) != domain {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (p *place) domainOf(server string) string {
+	for _, b := range p.servers {
+		if b.ID == server {
+			return b.domain
+		}
+	}
+	return ""
+}
+
 // ledger keeps what clients saw.
 type ledger struct {
 	mu   sync.Mutex
@@ -198,7 +250,7 @@
 	return append([]sent(nil), l.list...)
 }
 
-var paths = []string{"/transfer/1", "/status/1", "/stream/chat/1", "/stream/draft/1"}
+var paths = []string{"/transfer/1", "/status/1", "/stream/chat/1", "/stream/draft/1", "/bound/1", "/stream/bounddraft/1"}
 
 // client sends one request after the other and keeps its connection while the
 // daemon does.
@@ -289,6 +341,12 @@
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 }
 
+// repeatable tells whether requests to a path may run more than once, so that one which was
+// refused may have run before.
+func repeatable(path string) bool {
+	return strings.HasPrefix(path, "/status") || strings.HasPrefix(path, "/bound")
+}
+
 // judge compares what clients got with what servers ran.
 func (p *place) judge(list []sent) {
 	p.mu.Lock()
@@ -300,22 +358,45 @@
 		if strings.HasPrefix(s.path, "/transfer") && len(ran) > 1 {
 			p.t.Errorf("%s %s ran on %v", s.id, s.path, ran)
 		}
-		if promisedNotRun(s.status) && len(ran) > 0 && !strings.HasPrefix(s.path, "/status") {
+		if promisedNotRun(s.status) && len(ran) > 0 && !repeatable(s.path) {
 			p.t.Errorf("%s %s was told %d and ran on %v", s.id, s.path, s.status, ran)
 		}
 		if gone, ok := p.revoked[s.key]; ok && s.at.Sub(gone) > revokeBound && len(ran) > 0 {
 			p.t.Errorf("%s ran %s after its key was revoked", s.id, s.at.Sub(gone))
 		}
+		if strings.Contains(s.path, "bound") && !p.allIn(s.id, farDomain) {
+			p.t.Errorf("%s %s is bound to one region: ran on %v, results of %v", s.id, s.path, ran, p.made[s.id])
+		}
 		if s.status == http.StatusOK && s.err == nil {
 			p.whole(s)
 		}
 	}
+	p.judgeCold()
 	p.t.Logf("%d requests, by status: %v", len(list), count)
 	if count[http.StatusOK] == 0 {
 		p.t.Error("nothing was served")
 	}
 }
 
+// judgeCold is called with p.mu held.
+func (p *place) judgeCold() {
+	for _, b := range p.servers {
+		for _, times := range b.cold {
+			for i := range times {
+				n := 0
+				for _, at := range times[i:] {
+					if at.Sub(times[i]) < coldCount {
+						n++
+					}
+				}
+				if b.Service == "model" && float64(n) > coldMost {
+					p.t.Errorf("%s got %d requests in a second while it was cold", b.ID, n)
+				}
+			}
+		}
+	}
+}
+
 func (p *place) whole(s sent) {
 	if !strings.HasPrefix(s.path, "/stream") {
 		if s.body != "answer to "+s.id {
