--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"time"
 
 	"bilberrydale/platform"
@@ -35,7 +34,6 @@
 	for domain := range objects {
 		domains = append(domains, domain)
 	}
-	slices.Sort(domains)
 	h.directory.Evacuate(domains, h.clock.Now())
 	h.evacuationsKnown.Store(true)
 	after := h.directory.View()
--- a/process/coldstart/coldstart.go
+++ b/process/coldstart/coldstart.go
@@ -5,6 +5,7 @@
 package coldstart
 
 import (
+	"encoding/binary"
 	"math"
 	"sync"
 	"time"
@@ -146,7 +147,7 @@
 	}
 	own, seed := 0, xxhash.Sum64String(server)
 	for part := range parts {
-		if owner(hashes, seed+uint64(part)*partStep) == mine {
+		if owner(hashes, both(seed, uint64(part))) == mine {
 			own++
 		}
 	}
@@ -157,22 +158,17 @@
 func owner(hosts []uint64, part uint64) int {
 	best, most := 0, uint64(0)
 	for i, host := range hosts {
-		if h := mix(host ^ part); h > most {
+		if h := both(host, part); h > most {
 			best, most = i, h
 		}
 	}
 	return best
 }
 
-// partStep is an odd number with evenly spread bits, so that the parts of one server
-// hash apart.
-const partStep = 0x9e3779b97f4a7c15
-
-// mix spreads the bits of a hash.
-func mix(h uint64) uint64 {
-	h ^= h >> 31
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
+// both hashes two numbers into one.
+func both(a, b uint64) uint64 {
+	var bytes [16]byte
+	binary.LittleEndian.PutUint64(bytes[:8], a)
+	binary.LittleEndian.PutUint64(bytes[8:], b)
+	return xxhash.Sum64(bytes[:])
 }
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// Empty reports whether there are none.
+func (c Candidates) Empty() bool { return !c.Any(func(*Server) bool { return true }) }
+
 // Any reports whether one of the servers satisfies f.
 func (c Candidates) Any(f func(*Server) bool) bool {
 	for s := range c.All() {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -202,29 +202,36 @@
 	if x.allowed.Nowhere() {
 		return kind.New(kind.NoRegion, "route %s allows %v, account %s %v", x.route.Name, x.allowed.Route, x.account, x.allowed.Account)
 	}
-	now := x.opts.Clock.Now()
-	reachable := func(s *directory.Server) bool {
-		// Where some regions are left out, waiting for servers that a moment ago did not
-		// answer would only use up the client's time: nobody else can stand in.
-		return !x.allowed.Bounded() || !s.Avoided(now)
+	now, c := x.opts.Clock.Now(), x.candidates()
+	if c.Empty() {
+		return x.noServer("takes work", noServerRetry)
 	}
-	if !x.candidates().Any(reachable) {
-		return x.noServer()
+	answers := func(s *directory.Server) bool { return !s.Avoided(now) }
+	if x.allowed.Bounded() && !c.Any(answers) {
+		// Nobody elsewhere can stand in for servers that a moment ago did not answer: a
+		// wait for them would only use up the client's time.
+		return x.noServer("answers", noServerRetry)
 	}
 	return nil
 }
 
-// noServer is the answer to a request for which no server can be had now.
-func (x *exchange) noServer() error {
-	e := kind.New(kind.NoBackend, "no server of %s takes work", x.service)
-	e.RetryAfter = x.spread(noServerRetry)
-	switch {
-	case x.candidates().Any(func(*directory.Server) bool { return true }) && !x.allowed.Bounded():
-		// Another host may have its share of them left.
-		e.Detail, e.RetryAfter = "the servers of "+x.service+" are cold and get no more for now", x.spread(coldRetry)
-	case x.allowed.Bounded():
-		e.Detail = "no server of " + x.service + " in a permitted region takes work"
+// unplaced is the answer to a request that no server was given.
+func (x *exchange) unplaced() error {
+	if x.candidates().Empty() {
+		return x.noServer("takes work", noServerRetry)
 	}
+	// Another host may have its share of them left.
+	return x.noServer("takes more while it is cold", coldRetry)
+}
+
+// noServer says that no server that the request may use does something.
+func (x *exchange) noServer(does string, retry time.Duration) error {
+	where := ""
+	if x.allowed.Bounded() {
+		where = " in a permitted region"
+	}
+	e := kind.New(kind.NoBackend, "no server of %s%s %s", x.service, where, does)
+	e.RetryAfter = x.spread(retry)
 	return e
 }
 
--- a/request/gateway/plain.go
+++ b/request/gateway/plain.go
@@ -83,7 +83,7 @@
 	case t.refusals > 0:
 		return &kind.Error{Kind: kind.Overloaded, Detail: t.text(), RetryAfter: x.spread(refusedRetry), Cause: t.last}
 	default:
-		return x.noServer()
+		return x.unplaced()
 	}
 }
 
