--- a/process/coldstart/coldstart_test.go
+++ b/process/coldstart/coldstart_test.go
@@ -123,3 +123,21 @@
 	gate := New("host-1", func() []string { return nil })
 	g.Expect(gate.Take(server(coldTime), Limit{Cold: coldTime}, start)).To(BeTrue())
 }
+
+// Guards against one host that owns the rate of all servers: others could send none of
+// their requests while a whole failure domain is cold.
+func TestPartsAreSpreadOverTheHosts(t *testing.T) {
+	g := NewWithT(t)
+	all := names(80)
+	const servers, parts = 60, 9
+	least, most := servers*parts, 0
+	for _, self := range all {
+		own := 0
+		for i := range servers {
+			own += deal(fmt.Sprint("server-", i), self, all, parts)
+		}
+		least, most = min(least, own), max(most, own)
+	}
+	g.Expect(least).To(BeNumerically(">=", 1))
+	g.Expect(most).To(BeNumerically("<=", 4*servers*parts/len(all)))
+}
