--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -216,8 +216,8 @@
 	return kept
 }
 
-// unserved tells whether a stage has no server that may do its work. Such requests are refused
-// at once: waiting would only take the time in which another try may succeed.
+// unserved tells whether a stage has no server that may do its work. Such requests are
+// refused at once: waiting would only take the time in which another try may succeed.
 func (a *Admission) unserved(r *Request) bool {
 	for _, s := range r.Stages {
 		if svc, ok := a.service(s.Service); ok && s.Items > 0 && (svc.Listed == 0 || r.Allowed.Bounded() && !r.Allowed.AllowsAny(svc.Regions)) {
--- a/process/stages/owner.go
+++ b/process/stages/owner.go
@@ -23,11 +23,11 @@
 // regions, and a handshake on a busy host.
 const firstAnswer = 400 * time.Millisecond
 
-// findOwner returns the host that does the stage work of a region (empty: of
-// all) for a request that is bound to some regions; empty: this one. A host is the owner only once it has answered: after a
-// loss of power the platform's list still tells of the processes before it, and by
-// these each host of a fleet would name another owner for seconds, which fill the
-// same servers. The answer's connection tells which process is there now.
+// findOwner returns the host that does the stage work of a region (empty: of all) for a
+// request that is bound to some regions; empty: this one. A host is the owner only once it
+// has answered: after a loss of power the platform's list still tells of the processes
+// before it, and by these each host of a fleet would name another owner for seconds, which
+// fill the same servers. The answer's connection tells which process is there now.
 func (p *Pool) findOwner(ctx context.Context, region string, allowed residency.Set) string {
 	for failed := 0; failed < maxOwners; {
 		owner, known := p.owner(region, allowed)
--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -117,44 +117,64 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holders, prefixed := r.holders(now, p.Part), r.holders(now, p.Prefix)
-	var best choice
-	var takes, least time.Duration
-	var domain string
-	var unexpected bool // nobody else would know that it has the part
+	var best option
 	for _, t := range list {
-		waits, reading, held, source := r.wait(now, t.ID), p.Own, has(holders, t), ""
-		cost := t.Cost + waitCost(waits, slack)
-		if held {
-			cost -= p.Gain
-		} else if p.Fetch > 0 {
-			source = fetchSource(now, holders, t)
-		}
-		switch {
-		case source != "":
-			reading += p.Fetch
-		case !held:
-			reading += p.Shared
-		}
-		if best.server == "" || cost < least {
-			best, takes, least, domain = choice{server: t.ID, wait: waits, fetch: source}, reading, cost, t.Domain
-			unexpected = !held && source == ""
+		if o := r.option(now, slack, p, holders, t); best.ID == "" || o.cost < best.cost {
+			best = o
 		}
 	}
-	if best.server == "" {
-		return best
+	if best.ID == "" {
+		return choice{}
 	}
-	r.set(best.server, append(r.byServer[best.server], reading{request, takes, now}))
-	if unexpected && p.Fetch > 0 {
-		best.fetch = fetchSource(now, prefixed, Target{ID: best.server, Domain: domain})
+	if !best.held && best.source == "" && p.Fetch > 0 {
+		best.source = fetchSource(now, prefixed, best.Target)
 	}
-	one := holder{best.server, domain, now, now.Add(best.wait + takes)}
+	r.set(best.ID, append(r.byServer[best.ID], reading{request, best.takes, now}))
+	one := holder{best.ID, best.Domain, now, now.Add(best.wait + best.takes)}
 	r.hold(p.Part, holders, one)
 	r.hold(p.Prefix, prefixed, one)
-	best.tell = p.Part != "" && p.Shared >= leastTold && (unexpected || r.due(now, p))
-	if best.tell {
-		r.noteTold(now, p.Part)
+	return choice{server: best.ID, wait: best.wait, fetch: best.source, tell: r.tells(now, p, best.news)}
+}
+
+// option is what one target means to a request.
+type option struct {
+	Target
+	cost   time.Duration
+	wait   time.Duration // for other prompts there
+	takes  time.Duration // to read the prompt, or to get it
+	held   bool          // it has the shared part
+	source string        // server from which it gets the part; empty: it has it, or reads it
+	news   bool          // nobody else would know that it has the part
+}
+
+// option is called with r.mu held.
+func (r *readings) option(now time.Time, slack time.Duration, p Prompt, holders []holder, t Target) option {
+	o := option{Target: t, wait: r.wait(now, t.ID), takes: p.Own, held: has(holders, t)}
+	o.cost = t.Cost + waitCost(o.wait, slack)
+	if o.held {
+		o.cost -= p.Gain
+		return o
 	}
-	return best
+	if p.Fetch > 0 {
+		o.source = fetchSource(now, holders, t)
+	}
+	if o.source != "" {
+		o.takes += p.Fetch
+		return o
+	}
+	o.takes += p.Shared
+	o.news = true
+	return o
+}
+
+// tells reports whether other regions have to hear that a server has a part, and notes
+// that they do. It is called with r.mu held.
+func (r *readings) tells(now time.Time, p Prompt, news bool) bool {
+	if p.Part == "" || p.Shared < leastTold || !news && !r.due(now, p) {
+		return false
+	}
+	r.noteTold(now, p.Part)
+	return true
 }
 
 // tellAgain is how long after they were told of a part other regions can still take it
