--- a/process/stages/regions_test.go
+++ b/process/stages/regions_test.go
@@ -43,6 +43,29 @@
 	g.Expect(strong.calls).To(Equal(1), "of the request that any host may see")
 }
 
+// ownerLog counts the owners that were logged.
+type ownerLog struct {
+	quiet
+	changes int
+}
+
+func (l *ownerLog) OwnerChanged(string, string, uint64) { l.changes++ }
+
+// Guards against a line for each request where bound and free requests take turns.
+func TestBoundRequestsAreNoChangeOfOwner(t *testing.T) {
+	g := NewWithT(t)
+	x := &net{hosts: map[string]*node{}}
+	here := x.add(t, peer.Identity{Host: "here", Region: "r1", Domain: "r1", Share: 0.1, Incarnation: 2})
+	x.add(t, peer.Identity{Host: "strong", Region: "r2", Domain: "r2", Share: 1, Incarnation: 1})
+	log := &ownerLog{}
+	here.pool.log = log
+	for range 3 {
+		g.Expect(here.pool.findOwner(t.Context(), "", residency.Set{})).To(Equal("strong"))
+		g.Expect(here.pool.findOwner(t.Context(), "", residency.Set{Route: []string{"r1"}})).To(BeEmpty())
+	}
+	g.Expect(log.changes).To(Equal(1))
+}
+
 // Guards against a result that is made by a server nearby, in a region that the request
 // does not allow.
 func TestEachStageIsBoundToTheRegionsOfItsRequest(t *testing.T) {
