--- a/process/residency/residency_test.go
+++ b/process/residency/residency_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -26,7 +27,7 @@
 			}
 			left++
 			for _, list := range [][]string{s.Route, s.Account} {
-				if len(list) > 0 && !contains(list, region) {
+				if len(list) > 0 && !slices.Contains(list, region) {
 					t.Fatalf("%+v allows %s", s, region)
 				}
 			}
@@ -36,12 +37,3 @@
 		}
 	})
 }
-
-func contains(list []string, want string) bool {
-	for _, s := range list {
-		if s == want {
-			return true
-		}
-	}
-	return false
-}
