background: work that begins while its actor ends

Hints and handlers begin work from other goroutines at any time; Add from zero beside Wait is a misuse, and such work could outlive Run. report.Watcher had the same pattern in consumeSigns. Ruled out: a fault of the test alone; daemons close the link after the actors, so handlers run beside the wait there, too. Change: one Group that refuses work once it closes, used by both.

--- a/process/member/monitor.go
+++ b/process/member/monitor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberrydale/process/background"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
 )
@@ -86,7 +87,7 @@
 	opts     Options
 	attached []attachment
 	kick     chan struct{}
-	work     sync.WaitGroup
+	work     background.Group
 	pull     pullState
 	seedMu   sync.Mutex
 	seedAt   time.Time
@@ -108,7 +109,7 @@
 
 // Run exchanges heartbeats until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	defer m.work.Wait()
+	defer m.work.Close()
 	defer context.AfterFunc(ctx, m.cancel)()
 	for {
 		m.round()
--- a/process/report/report.go
+++ b/process/report/report.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"bilberrydale/process/background"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/member"
 	"bilberrydale/process/objectapi"
@@ -110,7 +111,7 @@
 	rounds  int
 	present map[string]uint64 // incarnations of the hosts not gone
 	joined  atomic.Bool       // a host came since signs were last repeated
-	work    sync.WaitGroup
+	work    background.Group
 }
 
 // known is what this host holds of one backend server.
@@ -142,7 +143,7 @@
 
 // Run polls and shares until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	defer w.work.Wait()
+	defer w.work.Close()
 	for {
 		w.round(ctx)
 		wait := time.Duration((0.9 + 0.2*w.opts.Rand.Float64()) * float64(w.opts.Interval))
