stages: results are given up once the next stage has fetched them, where room is scarce

A result takes its server's room (43 results) from the begin of its call to the end of the next stage's call, though that stage's server fetches it first. Change: the queue knows when a call's turn has begun and its inputs were fetched; a stage's results are then given up if their servers have less than half of their room left, not in a request's second run, and only with time for one. An item that fails then ends as 'gone' at once and the work is done anew. The bound on what is under way counts the shorter hold, for results that another stage uses.

--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -7,6 +7,7 @@
 package batcher
 
 import (
+	"sync/atomic"
 	"time"
 
 	"bilberrydale/process/residency"
@@ -38,15 +39,24 @@
 	// Done is called once for each item with its result or the reason why
 	// there is none. It must not block.
 	Done func(index int, r Result)
+	// Fetched is called when all items are with servers that have fetched their inputs;
+	// nil: nobody wants to know. It must not block.
+	Fetched func()
 
 	next      []int // items neither done nor in a call
 	since     time.Time
 	attempts  int
 	failedOn  map[string]bool // servers that failed on an item
 	cancelled bool
-	held      bool // waits for a server of its own failure domain
+	held      bool        // waits for a server of its own failure domain
+	fetched   int         // items whose inputs were fetched
+	spent     atomic.Bool // its inputs were given up
 }
 
+// Spend notes that the job's inputs are given up: items that fail from now on end with
+// InputGone at once. It may be called at any time.
+func (j *Job) Spend() { j.spent.Store(true) }
+
 // Reason tells why an item has no result; empty: it has one.
 type Reason string
 
--- a/process/batcher/outcome.go
+++ b/process/batcher/outcome.go
@@ -33,10 +33,16 @@
 			reason = a.Results[i].Reason
 		}
 		if reason != Failed && reason != NoRoom {
+			if !c.fetched {
+				j.noteFetched()
+			}
 			j.Done(part.Index, a.Results[i])
 			continue
 		}
 		j.next = append(j.next, part.Index)
+		if c.fetched {
+			j.fetched--
+		}
 		again[j] = again[j] || reason == Failed
 		if reason == Failed {
 			if j.failedOn == nil {
@@ -59,6 +65,9 @@
 	case j.cancelled:
 		q.remove(j)
 		j.end(Cancelled)
+	case j.spent.Load():
+		q.remove(j)
+		j.end(InputGone)
 	case j.attempts >= maxAttempts:
 		q.remove(j)
 		j.end(Failed)
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -46,9 +46,10 @@
 	// FreeAt is when the server should be done.
 	FreeAt time.Time
 
-	bytes int64
-	sent  time.Time
-	ended bool
+	bytes   int64
+	sent    time.Time
+	ended   bool
+	fetched bool // the inputs of its items are at the server
 }
 
 // Part is one item of a call.
@@ -115,6 +116,7 @@
 // that have become hopeless are ended.
 func (q *Queue) Next(now time.Time) (calls []*Call, again time.Time) {
 	q.drop(now)
+	q.noteFetched(now)
 	free := q.free(now)
 	for len(free) > 0 && len(q.waiting) > 0 && !q.gathers(free, now) {
 		c := q.compose(free, now)
@@ -127,13 +129,16 @@
 	return calls, q.wake(now)
 }
 
-// wake returns when the next busy server can be given its next call, or a job
-// has waited long enough.
+// wake returns when the next busy server can be given its next call, a job has waited
+// long enough, or inputs were fetched.
 func (q *Queue) wake(now time.Time) time.Time {
+	at := q.nextFetched(now)
 	if len(q.waiting) == 0 {
-		return time.Time{}
+		return at
+	}
+	if most := now.Add(maxSleep); at.IsZero() || most.Before(at) {
+		at = most
 	}
-	at := now.Add(maxSleep)
 	for _, s := range q.servers {
 		if s.Avoided(now) || len(s.calls) != q.opts.slots() {
 			continue
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -432,3 +432,27 @@
 	b.end(calls[1])
 	b.g.Expect(b.next()).To(HaveLen(1))
 }
+
+// The inputs of a job count as fetched once the calls with all its items have been in
+// their turn for a while. Guards against giving up inputs of a call that still waits at
+// its server, which would find them gone.
+func TestInputsAreFetchedOnceTheirCallsTurnHasBegun(t *testing.T) {
+	b := newBench(t, sheet, map[string]string{"a": "x"})
+	fetched := 0
+	b.submit("ahead", 4, 5*time.Second, "x")
+	ahead := b.next()[0]
+	b.submit("behind", 4, 5*time.Second, "x").Fetched = func() { fetched++ }
+	b.now = ahead.FreeAt.Add(-sendLead)
+	behind := b.next()[0]
+	b.now = b.now.Add(behind.Expect) // the call ahead of it takes longer than expected
+	b.next()
+	b.g.Expect(fetched).To(BeZero())
+	b.end(ahead)
+	b.next()
+	b.g.Expect(fetched).To(BeZero())
+	b.now = behind.fetchedAt()
+	b.next()
+	b.g.Expect(fetched).To(Equal(1))
+	b.end(behind)
+	b.g.Expect(fetched).To(Equal(1))
+}
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		used := a.lateUnderWay[s.Service]
-		if used.items > 0 && used.with(s).over(svc.bound(r.depth(i)), lastChanceShare) {
+		if used.items > 0 && used.with(s).over(svc.bound(r.position(i)), lastChanceShare) {
 			return false
 		}
 	}
@@ -277,14 +277,14 @@
 		if !ok {
 			continue // the batcher tells what is wrong with it
 		}
-		depth, used := r.depth(i), a.underWay[s.Service]
-		if b.rate[s.Service] || used.items > 0 && used.with(s).over(svc.bound(depth), 1) {
+		at, used := r.position(i), a.underWay[s.Service]
+		if b.rate[s.Service] || used.items > 0 && used.with(s).over(svc.bound(at), 1) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, false
 			b.rate[s.Service] = true
 		}
 		need := int64(s.Items) * s.ItemBytes
-		if depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need)) {
+		if at.depth == 0 && (need*smallNeed > b.room[s.Service] && b.room[s.Service] > 0 || svc.full(need)) {
 			fits = false
 			t.HeldBy, t.HeldByRoom = s.Service, true
 			b.room[s.Service] = max(b.room[s.Service], need)
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -134,12 +134,12 @@
 func TestLastChancesKeepToTheirPart(t *testing.T) {
 	s := sheet()
 	l := newLine(t, map[string]Service{"s": s})
-	l.a.underWay["s"] = s.bound(0)
+	l.a.underWay["s"] = s.bound(position{})
 	for i := range 200 {
 		l.offer(fmt.Sprint("late-", i), 1, 4, 0, 1300*time.Millisecond)
 	}
 	l.a.Next(l.now)
-	kept := lastChanceShare * float64(s.bound(0).items)
+	kept := lastChanceShare * float64(s.bound(position{}).items)
 	l.g.Expect(float64(4 * len(l.begun))).To(BeNumerically("~", kept, 4))
 }
 
--- a/process/stages/bound.go
+++ b/process/stages/bound.go
@@ -34,17 +34,26 @@
 	return float64(a.items) > share*float64(bound.items) || bound.bytes > 0 && float64(a.bytes) > share*float64(bound.bytes)
 }
 
-// bound is how much of a service may be under way at a stage of some depth: what
-// its servers finish in the time from the begin of a request to the end of that
-// stage. Items and the room of their results have a bound each (bytes of 0: none):
-// items with small results would otherwise use up what large ones leave of the time.
-func (s Service) bound(depth int) amount {
-	under := time.Duration(depth+1) * (s.call() + callWait)
-	if depth == 0 {
+// position is where a stage stands in the work of a request.
+type position struct {
+	depth    int  // stages before it, on the longest chain
+	followed bool // another stage uses its results; if none does, the request itself
+}
+
+// bound is how much of a service may be under way at a stage: what its servers finish in
+// the time from the begin of a request to the end of that stage. Items and the room of
+// their results have a bound each (bytes of 0: none): items with small results would
+// otherwise use up what large ones leave of the time.
+func (s Service) bound(at position) amount {
+	under := time.Duration(at.depth+1) * (s.call() + callWait)
+	if at.depth == 0 {
 		under += s.call() // so that a full call waits when a server is free
 	}
-	// A result holds its room until the stage behind has used it.
+	// A result holds its room until the request runs, or the stage behind has fetched it.
 	hold := 2*s.call() + callWait + freeing
+	if at.followed {
+		hold = s.call() + callWait + batcher.Fetching(s.call()) + freeing
+	}
 	return amount{int(s.Rate * under.Seconds()), int64(float64(s.RoomAll) * under.Seconds() / hold.Seconds())}
 }
 
@@ -55,7 +64,7 @@
 	return s.CallTime + time.Duration(s.MaxItems)*s.ItemTime
 }
 
-// freeing is the time from the use of a result to its room being free.
+// freeing is the time from a result being fetched to its room being free.
 const freeing = 60 * time.Millisecond
 
 // full tells whether a first stage lacks room for results of need bytes. Its servers
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -65,12 +65,12 @@
 	k.noteWait(began.Sub(offered))
 	var inputs []Input
 	if err == nil {
-		inputs, err = k.work(ctx, t)
+		inputs, err = k.work(ctx, t, false)
 	}
 	if inputGone(err) && k.begin(t) {
 		// The server that held a result was lost. The client has waited for
 		// most of its answer already: its request does not wait again.
-		inputs, err = k.work(ctx, t)
+		inputs, err = k.work(ctx, t, true)
 	}
 	onTime, lateWaiting := k.Waiting()
 	now := k.clock.Now()
@@ -218,13 +218,14 @@
 // that can still be on time, before those that came much later.
 const lateAllowance = 2 * time.Second
 
-// work runs the stages of a request that was begun.
-func (k *Coordinator) work(ctx context.Context, t *Ticket) ([]Input, error) {
+// work runs the stages of a request that was begun; again tells that results of it were
+// gone before.
+func (k *Coordinator) work(ctx context.Context, t *Ticket, again bool) ([]Input, error) {
 	r, late := t.Request, t.late
 	w := &work{
-		k: k, r: r, late: late, aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
+		k: k, r: r, late: late, again: again, start: k.clock.Now(), aim: r.AimBy, results: make([][]batcher.Result, len(r.Stages)), left: make([]int, len(r.Stages)),
 		began: make([]time.Time, len(r.Stages)), took: make([]time.Duration, len(r.Stages)),
-		over: make(chan struct{}),
+		over: make(chan struct{}), got: make([]bool, len(r.Stages)),
 	}
 	if late {
 		w.aim = k.clock.Now().Add(lateAllowance)
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -30,6 +30,8 @@
 	items    map[string]int
 	results  map[string]int64 // bytes by handle
 	lost     int              // items that found no room
+	gone     int              // items whose inputs were gone
+	failsOne int              // of so many items that have their inputs, one fails; 0: none
 	sequence int
 }
 
@@ -72,13 +74,22 @@
 	p.items[b.service] += len(c.Items)
 	for _, part := range c.Items {
 		bytes := part.Job.ItemBytes
+		if !p.have(part.Job.Items[part.Index].Inputs) {
+			p.gone++
+			a.Results = append(a.Results, batcher.Result{Reason: batcher.InputGone})
+			continue
+		}
 		if b.opts.RoomBytes > 0 && s.room < bytes {
 			p.lost++
 			a.Results = append(a.Results, batcher.Result{Reason: batcher.NoRoom})
 			continue
 		}
-		s.room -= bytes
 		p.sequence++
+		if p.failsOne > 0 && p.sequence%p.failsOne == 0 {
+			a.Results = append(a.Results, batcher.Result{Reason: batcher.Failed})
+			continue
+		}
+		s.room -= bytes
 		handle := fmt.Sprint(p.sequence)
 		p.results[handle] = bytes
 		a.Results = append(a.Results, batcher.Result{Handle: handle, ServerID: c.Server.ID, Domain: c.Server.Domain})
@@ -86,6 +97,16 @@
 	return a
 }
 
+// have tells whether all of some results are kept.
+func (p *plant) have(handles []string) bool {
+	for _, h := range handles {
+		if _, kept := p.results[h]; !kept {
+			return false
+		}
+	}
+	return true
+}
+
 // Room implements batcher.Backend.
 func (b plantBackend) Room(_ context.Context, s *directory.Server) (int64, error) {
 	time.Sleep(2 * b.plant.servers[s.ID].oneWay)
@@ -140,6 +161,7 @@
 	lasts    time.Duration
 	seed     uint64
 	naive    bool // all is begun as it comes
+	failsOne int  // of so many items one fails; 0: none
 }
 
 // clump is how many requests come at one moment, in the mean.
@@ -152,7 +174,7 @@
 func (l load) run(t *testing.T) (out map[string]*tally, p *plant) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		p = &plant{servers: map[string]*plantServer{}, busy: map[string]time.Duration{}, calls: map[string]int{}, items: map[string]int{}, results: map[string]int64{}}
+		p = &plant{failsOne: l.failsOne, servers: map[string]*plantServer{}, busy: map[string]time.Duration{}, calls: map[string]int{}, items: map[string]int{}, results: map[string]int64{}}
 		batchers := map[string]*batcher.Batcher{}
 		for name, s := range l.services {
 			batchers[name] = p.open(ctx, name, s)
@@ -354,7 +376,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.calls)) {
 		fmt.Fprintf(&b, "%s: %.1f items a call, %.1f s; ", name, float64(p.items[name])/float64(p.calls[name]), p.busy[name].Seconds())
 	}
-	fmt.Fprintf(&b, "%d items found no room", p.lost)
+	fmt.Fprintf(&b, "%d items found no room, of %d the inputs were gone", p.lost, p.gone)
 	return b.String()
 }
 
@@ -372,3 +394,50 @@
 	}
 	g.Expect(out["draft"].share()).To(BeNumerically(">", 0.99))
 }
+
+// roomInTheMiddle is a place in which the servers of the middle of three stages have room
+// for the results of less than two full calls, and requests of which full calls can make
+// all. In it, results that are kept until the calls of the stage behind have ended leave
+// calls half empty while items wait.
+func roomInTheMiddle() load {
+	opts := func(items int, item time.Duration, room int64) batcher.Options {
+		return batcher.Options{MaxItems: items, CallTime: 240 * time.Millisecond, ItemTime: item, RoomBytes: room, ResultTTL: 4 * time.Second}
+	}
+	questions := func(r *rand.Rand) []Stage {
+		return []Stage{
+			{Service: "encode", Items: 1, ItemBytes: 8_000},
+			{Service: "retrieve", After: []int{0}, Items: 4, ItemBytes: 60_000},
+			{Service: "rank", After: []int{1}, Items: about(r, 6), ItemBytes: 6_000},
+		}
+	}
+	return load{
+		seed: 1, lasts: 12 * time.Second,
+		services: map[string]plantService{
+			"encode":   {Options: opts(10, 6*time.Millisecond, 12_000_000), servers: []string{"x", "x", "x", "y", "y", "z"}},
+			"retrieve": {Options: opts(24, 8600*time.Microsecond, 2_700_000), servers: []string{"x", "x", "y", "y", "z"}},
+			"rank":     {Options: opts(28, 7300*time.Microsecond, 320_000), servers: []string{"x", "x", "y", "y", "z", "z"}},
+		},
+		callers: []caller{
+			{name: "question", perSec: steady(48), aim: 2 * time.Second, die: 7 * time.Second, worth: func(*rand.Rand) float64 { return 1 }, hold: 200 * time.Millisecond, stages: questions},
+		},
+	}
+}
+
+// The pattern: a burst lasts, the middle stage's servers are short of room, and full calls
+// could make everything. Guards against calls that leave half empty for lack of room
+// that results hold which the stage behind has fetched already.
+func TestRoomIsFreeOnceTheNextStageHasFetchedItsInputs(t *testing.T) {
+	out := roomInTheMiddle().several(t)
+	g := NewWithT(t)
+	g.Expect(out["question"].served()).To(BeNumerically(">", 0.99))
+	g.Expect(out["question"].share()).To(BeNumerically(">", 0.9))
+}
+
+// The pattern: the same load, and one item of a hundred fails in a call that took its
+// inputs. Guards against requests that are lost because their inputs were given up.
+func TestItemsThatFailAfterTheirInputsAreGivenUp(t *testing.T) {
+	l := roomInTheMiddle()
+	l.failsOne = 100
+	out := l.several(t)
+	NewWithT(t).Expect(out["question"].served()).To(BeNumerically(">", 0.998))
+}
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -7,6 +7,7 @@
 package stages
 
 import (
+	"slices"
 	"time"
 
 	"bilberrydale/process/batcher"
@@ -60,6 +61,15 @@
 	return out
 }
 
+// position is where a stage stands in the request's work.
+func (r *Request) position(i int) position {
+	at := position{depth: r.depth(i)}
+	for _, s := range r.Stages {
+		at.followed = at.followed || s.Items > 0 && slices.Contains(s.After, i)
+	}
+	return at
+}
+
 // depth is the number of stages before a stage, on the longest chain.
 func (r *Request) depth(i int) int {
 	d := 0
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -12,13 +12,16 @@
 	k       *Coordinator
 	r       *Request
 	late    bool
+	again   bool // results were gone the first time
+	start   time.Time
 	aim     time.Time
 	over    chan struct{}
 	inputs  []Input
 	err     error
 	mu      sync.Mutex
 	results [][]batcher.Result
-	left    []int // items of each stage without outcome; -1: not begun
+	left    []int  // items of each stage without outcome; -1: not begun
+	got     []bool // stages whose servers have fetched all inputs
 	began   []time.Time
 	took    []time.Duration // from the begin of each stage to its last result
 	done    int             // stages
@@ -100,11 +103,15 @@
 	}
 	rest := w.rest(i)
 	domain, away := w.domain(i)
-	return &batcher.Job{
+	job := &batcher.Job{
 		Items: items, Domain: domain, AwayBytes: away, Allowed: w.r.Allowed, ItemBytes: s.ItemBytes,
 		AimBy: w.aim.Add(-rest), DieBy: w.r.DieBy.Add(-rest),
 		Done: func(p int, r batcher.Result) { w.item(i, p, r) },
 	}
+	if len(s.After) > 0 {
+		job.Fetched = func() { go w.fetched(i, job) }
+	}
+	return job
 }
 
 // nearBytes of inputs in one failure domain draw a stage there; the results of
@@ -190,39 +197,6 @@
 	w.k.pump()
 }
 
-// freeUsed gives up the results of stages whose followers are all complete.
-func (w *work) freeUsed(stage int) {
-	w.mu.Lock()
-	var used []Input
-	for _, a := range w.r.Stages[stage].After {
-		if w.ended && w.err != nil || !w.followersComplete(a) {
-			continue
-		}
-		for _, r := range w.results[a] {
-			used = append(used, w.input(a, r))
-		}
-		w.results[a] = nil
-	}
-	w.mu.Unlock()
-	w.k.free(used...)
-}
-
-func (w *work) followersComplete(stage int) bool {
-	for i, s := range w.r.Stages {
-		for _, a := range s.After {
-			if a == stage && w.left[i] != 0 {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func (w *work) input(stage int, r batcher.Result) Input {
-	s := &w.r.Stages[stage]
-	return Input{Handle: r.Handle, ServerID: r.ServerID, Service: s.Service, Bytes: s.ItemBytes, Domain: r.Domain}
-}
-
 // finishIfDone is called with w.mu held.
 func (w *work) finishIfDone() {
 	if w.done < len(w.r.Stages) || w.ended {
