stages: a source is named also to a server that is believed to have the shared part

Cause: what a server has is a belief: the home of a part that nobody has read yet, or a part that gave way to others. Such a server read the part anew though another one had it. Ruled out: harm where the belief holds; an engine transfers only what it lacks.

--- a/process/stages/target.go
+++ b/process/stages/target.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -126,8 +127,10 @@
 	if best.ID == "" {
 		return choice{}
 	}
-	if !best.held && best.source == "" && p.Fetch > 0 {
-		best.source = fetchSource(now, prefixed, best.Target)
+	if best.source == "" && p.Fetch > 0 {
+		// Also where the server is believed to have the part: it may have dropped it, and
+		// transfers nothing if it has not.
+		best.source = cmp.Or(fetchSource(now, holders, best.Target), fetchSource(now, prefixed, best.Target))
 	}
 	r.set(best.ID, append(r.byServer[best.ID], reading{request, best.takes, now}))
 	one := holder{best.ID, best.Domain, now, now.Add(best.wait + best.takes)}
