stages: results that free next to nothing are kept to the end of the calls

Cause: results of 8 KB at servers with room for 12 MB were given up early, too, as large results of other requests filled that room: a request was put at risk for nothing.

--- a/process/stages/coordinator_test.go
+++ b/process/stages/coordinator_test.go
@@ -210,3 +210,20 @@
 	}, "200ms").Should(BeNumerically("<=", 2))
 	w.g.Expect(w.k.admission.underWay["floor"].items).To(BeZero())
 }
+
+// Guards against putting requests at risk for room that is not short, or for results that
+// take next to none of it.
+func TestRoomIsShortForLargeResultsOnly(t *testing.T) {
+	g := NewWithT(t)
+	opts := batcher.Options{MaxItems: 10, CallTime: time.Second, RoomBytes: 2_700_000}
+	b := batcher.New("s", opts, nil, clock.System{}, quiet{})
+	dir := directory.New()
+	dir.Replace([]directory.Entry{{ID: "a", Service: "s"}}, time.Now())
+	b.Configure(opts, dir.View().Servers("s"), func(*directory.Server) time.Duration { return 0 })
+	k := NewCoordinator(func(string) *batcher.Batcher { return b }, noServers, clock.System{}, quiet{})
+	large, small := Stage{Service: "s", ItemBytes: 60_000}, Stage{Service: "s", ItemBytes: 8_000}
+	g.Expect(k.lacksRoom(large)).To(BeFalse(), "all room is free")
+	b.Submit(&batcher.Job{Items: make([]batcher.Item, 30), ItemBytes: 60_000, Done: func(int, batcher.Result) {}})
+	g.Expect(k.lacksRoom(large)).To(BeTrue())
+	g.Expect(k.lacksRoom(small)).To(BeFalse(), "it would free next to nothing")
+}
--- a/process/stages/inputs.go
+++ b/process/stages/inputs.go
@@ -6,13 +6,20 @@
 	"bilberrydale/process/batcher"
 )
 
-// scarceRoom is the share of a service's room below which what is left of it is scarce.
-const scarceRoom = 0.5
+const (
+	// scarceRoom is the share of a service's room below which what is left of it is scarce.
+	scarceRoom = 0.5
+	// smallResult is the part of a server's room below which a result frees next to nothing.
+	smallResult = 0.005
+)
 
-// lacksRoom tells whether the servers of a service have little room for results left.
-func (k *Coordinator) lacksRoom(service string) bool {
-	svc, ok := k.service(service)
-	return ok && svc.RoomAll > 0 && float64(svc.Room) < scarceRoom*float64(svc.RoomAll)
+// lacksRoom tells whether the servers of a stage have little room for its results left.
+func (k *Coordinator) lacksRoom(s Stage) bool {
+	svc, ok := k.service(s.Service)
+	if !ok || float64(s.ItemBytes) < smallResult*float64(svc.RoomBytes) {
+		return false
+	}
+	return svc.RoomAll > 0 && float64(svc.Room) < scarceRoom*float64(svc.RoomAll)
 }
 
 // fetched gives up the inputs of a stage whose servers have fetched them, if those that
@@ -23,7 +30,7 @@
 func (w *work) fetched(stage int, job *batcher.Job) {
 	var scarce []int
 	for _, a := range w.r.Stages[stage].After {
-		if w.k.lacksRoom(w.r.Stages[a].Service) {
+		if w.k.lacksRoom(w.r.Stages[a]) {
 			scarce = append(scarce, a)
 		}
 	}
