--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -2,15 +2,9 @@
 
 import (
 	"cmp"
-	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"slices"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
-	"bilberrydale/connection/peerconn"
 	"bilberrydale/platform"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/follow"
@@ -161,23 +155,6 @@
 // hosts would all wait for each other.
 func (h *Host) begins() bool { return h.plan.Load() == nil || h.directory.View().Count() == 0 }
 
-// meetPatience is how long a host that has just begun waits for the list of entry
-// hosts before it asks the platform for everything itself.
-const meetPatience = 2 * hostsSettle
-
-// onceMet runs an actor once the other hosts are known, or cannot be had soon: what
-// they know is not asked of the platform by each host of a fleet that starts.
-func (h *Host) onceMet(actor func(context.Context) error) func(context.Context) error {
-	return func(ctx context.Context) error {
-		select {
-		case <-h.met:
-		case <-h.clock.After(meetPatience):
-		case <-ctx.Done():
-		}
-		return actor(ctx)
-	}
-}
-
 // configProved moves the time up to which the configuration is confirmed. An
 // answer by way of another host may be older than one that came before it.
 func (h *Host) configProved(at time.Time) {
@@ -227,166 +204,6 @@
 	return !h.set.StrictRevoke || age < h.set.RevokeBound-keysMargin, age
 }
 
-func (h *Host) serversChanged(objects map[string]follow.Object[directory.Entry], why string) {
-	before := h.directory.View()
-	entries := make([]directory.Entry, 0, len(objects))
-	for name, o := range objects {
-		if o.Err != nil {
-			h.log.Warn("backend server", "outcome", "entry left out", "id", name, "revision", o.Revision, "err", o.Err)
-			continue
-		}
-		e := o.Value
-		e.Region = h.set.Regions[e.Domain]
-		entries = append(entries, e)
-	}
-	h.directory.Replace(entries, h.clock.Now())
-	h.logServers(before, h.directory.View(), why)
-	h.batchers.updateServers()
-}
-
-func (h *Host) logServers(before, after *directory.View, why string) {
-	for _, s := range after.All() {
-		old := before.Server(s.ID)
-		if old == nil || old.Draining != s.Draining || old.Born != s.Born {
-			h.log.Info("backend server", "outcome", state(s), "id", s.ID, "service", s.Service, "address", s.Address, "domain", s.Domain, "by", why)
-		}
-	}
-	for _, s := range before.All() {
-		if after.Server(s.ID) == nil {
-			h.log.Info("backend server", "outcome", "gone", "id", s.ID, "service", s.Service, "by", why)
-		}
-	}
-}
-
-func state(s *directory.Server) string {
-	if s.Draining {
-		return "draining"
-	}
-	return "ready"
-}
-
-// joinPause is the pause after a failed step of joining.
-const joinPause = 300 * time.Millisecond
-
-// joinPeers registers this host with the platform and opens the peer port.
-func (h *Host) joinPeers(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := h.register(ctx)
-		if err == nil {
-			break
-		}
-		h.log.Warn("peers", "outcome", "not registered yet", "err", err)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-h.clock.After(joinPause):
-		}
-	}
-	if ctx.Err() != nil {
-		return nil
-	}
-	opts, err := h.peerOptions()
-	if err != nil {
-		return err
-	}
-	defer h.mesh.Close()
-	server := &peerconn.Server{
-		Options: opts, Serve: h.mesh.Dispatch, Accepted: h.mesh.Accepted,
-		Refused: func(address string, cause error) { h.log.Warn("peer refused", "address", address, "err", cause) },
-	}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { h.awaitOthers(ctx); return h.entryHosts.Run(ctx) })
-	g.Go(func() error { return server.Run(ctx, h.listeners.peers) })
-	return g.Wait()
-}
-
-// awaitOthers lets the hosts of a system that starts for the first time register
-// themselves before they are listed: otherwise each of them is told of each other one.
-func (h *Host) awaitOthers(ctx context.Context) {
-	if !h.set.FirstStart {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-h.clock.After(hostsSettle):
-	}
-}
-
-func (h *Host) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*answerWait)
-	defer cancel()
-	if h.secret.Load() == nil {
-		var offer [16]byte
-		if _, err := rand.Read(offer[:]); err != nil {
-			return err
-		}
-		secret, err := reach.Ask(ctx, h.reach, 0, func(ctx context.Context, _ bool) (string, error) {
-			return platform.PeerSecret(ctx, h.store, hex.EncodeToString(offer[:]), h.set.FirstStart)
-		})
-		if err != nil {
-			return err
-		}
-		h.secret.Store(&secret)
-	}
-	_, err := reach.Ask(ctx, h.reach, 0, func(ctx context.Context, _ bool) (struct{}, error) {
-		return struct{}{}, platform.RegisterHost(ctx, h.store, h.self, h.set.FirstStart)
-	})
-	return err
-}
-
-func (h *Host) hostsChanged(objects map[string]follow.Object[peer.Identity], why string) {
-	listed := make(map[string]follow.Object[peer.Identity], len(objects))
-	for name, o := range objects {
-		if o.Err != nil {
-			h.log.Warn("entry host", "outcome", "entry left out", "name", name, "err", o.Err)
-			continue
-		}
-		listed[name] = o
-		h.mesh.Learn(o.Value)
-	}
-	before := h.listed.Swap(&listed)
-	if before == nil {
-		close(h.met)
-		h.stages.Hello()
-		h.stages.Met()
-		return
-	}
-	for _, id := range h.mesh.Peers() {
-		was, ok := (*before)[id.Host]
-		// A host that came back has told so itself before the list did.
-		if _, is := listed[id.Host]; !is && ok && was.Value.Incarnation == id.Incarnation {
-			h.log.Info("entry host", "outcome", "gone", "name", id.Host, "by", why)
-			h.forgetLater(id)
-		}
-	}
-	if _, is := listed[h.self.Host]; !is && !h.stopping.Load() {
-		// Another host took this one for lost, while it was cut off.
-		h.log.Warn("entry host", "outcome", "own entry is gone; registered again", "by", why)
-		go h.registerAgain()
-	}
-}
-
-func (h *Host) registerAgain() {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*answerWait)
-	defer cancel()
-	if err := h.register(ctx); err != nil {
-		h.log.Warn("peers", "outcome", "not registered again", "err", err)
-	}
-}
-
-// forgetLater drops a host that is no longer listed once it must have stopped.
-// It takes its entry back before its last requests are done, and closing its
-// connections then would cut the stage work of those.
-func (h *Host) forgetLater(id peer.Identity) {
-	time.AfterFunc(h.set.StopBound, func() {
-		for _, now := range h.mesh.Peers() {
-			if now.Host == id.Host && now.Incarnation == id.Incarnation {
-				h.mesh.Forget(id.Host)
-			}
-		}
-	})
-}
-
 // silenceChanged logs that the platform's object API has fallen silent for this
 // host, or answers again.
 func (h *Host) silenceChanged(silent bool, after time.Duration) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,10 +17,8 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
-	"bilberrydale/connection/peerconn"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
-	"bilberrydale/process/balance"
 	"bilberrydale/process/budget"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/coldstart"
@@ -140,22 +138,6 @@
 	return h, nil
 }
 
-// knownHosts returns the names of all entry hosts; none before the others are known.
-func (h *Host) knownHosts() []string {
-	if h.listed.Load() == nil {
-		return nil
-	}
-	names := []string{h.self.Host}
-	for _, id := range h.mesh.Peers() {
-		names = append(names, id.Host)
-	}
-	return names
-}
-
-// spareHosts may join before this host knows of them; the retry budget's part
-// of each is taken as if they were there.
-const spareHosts = 3
-
 // Bounds of the callers' connections. The platform's own limits are checked on
 // requests; these only keep a stalled or oversized head from staying for good.
 const (
@@ -164,19 +146,6 @@
 	maxHeader   = 64 << 10
 )
 
-func (h *Host) wireServers() {
-	quiet := stdlog.New(io.Discard, "", 0) // broken connections of clients are no event of ours
-	h.callers = &http.Server{
-		Handler: h.counted(h.gateway), ReadHeaderTimeout: headerBound, IdleTimeout: idleBound,
-		MaxHeaderBytes: maxHeader, ErrorLog: quiet,
-	}
-	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerBound, ErrorLog: quiet}
-	operators := http.NewServeMux()
-	operators.Handle("GET /metrics", h.meter)
-	operators.HandleFunc("GET /state", h.serveState)
-	h.metrics = &http.Server{Handler: operators, ReadHeaderTimeout: headerBound, ErrorLog: quiet}
-}
-
 func (h *Host) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.active.Add(1)
@@ -234,29 +203,6 @@
 	return h.listeners.callers.Addr().String(), h.listeners.ready.Addr().String(), h.listeners.metrics.Addr().String()
 }
 
-func (h *Host) wirePeers() {
-	h.self = peer.Identity{
-		Host: h.set.Host, Incarnation: uint64(time.Now().UnixNano()), Domain: h.set.Domain,
-		Region:  h.set.Regions[h.set.Domain],
-		Address: h.listeners.peers.Addr().String(),
-		Share:   h.set.ProcessorShare,
-	}
-	h.mesh = peer.NewMesh(peer.MeshOptions{
-		Self: h.self, Clock: h.clock, Rand: h.rand, MaxBackoff: time.Second,
-		Dial: func(ctx context.Context, address string, serve peer.Dispatch) (peer.Conn, error) {
-			opts, err := h.peerOptions()
-			if err != nil {
-				return nil, err
-			}
-			c, err := peerconn.Dial(ctx, address, opts, serve)
-			if err != nil {
-				return nil, err
-			}
-			return c, nil
-		},
-	})
-}
-
 // Bounds of connections between hosts. A host that says nothing for
 // peerSilence is passed over: a call of a stage waits for it meanwhile, out of
 // a target latency of two seconds.
@@ -269,19 +215,6 @@
 	peerIdle = 10 * time.Second
 )
 
-var errNoSecret = errors.New("edge: the peers' secret is not known yet")
-
-func (h *Host) peerOptions() (peerconn.Options, error) {
-	secret := h.secret.Load()
-	if secret == nil {
-		return peerconn.Options{}, errNoSecret
-	}
-	return peerconn.Options{
-		Self: h.self, Secret: []byte(*secret), MaxHandlers: peerHandlers,
-		Handshake: peerHandshake, Ping: peerPing, Silence: peerSilence, Idle: peerIdle,
-	}, nil
-}
-
 // Run serves until ctx ends, then lets the requests in flight finish.
 func (h *Host) Run(ctx context.Context) error {
 	h.log.Info("start", "domain", h.set.Domain, "callers", h.set.Callers, "incarnation", h.self.Incarnation)
@@ -390,13 +323,15 @@
 	}
 }
 
-// stageTarget returns a backend server as a target of a request; false: it is of no use
-// now, or not allowed.
-func (h *Host) stageTarget(id string, r *stages.Request) (stages.Target, bool) {
-	s, now := h.directory.View().Server(id), h.clock.Now()
-	if s == nil || !s.Takes() || !r.Allowed.Allows(s.Region) || s.Avoided(now) {
-		return stages.Target{}, false
+func (h *Host) wireServers() {
+	quiet := stdlog.New(io.Discard, "", 0) // broken connections of clients are no event of ours
+	h.callers = &http.Server{
+		Handler: h.counted(h.gateway), ReadHeaderTimeout: headerBound, IdleTimeout: idleBound,
+		MaxHeaderBytes: maxHeader, ErrorLog: quiet,
 	}
-	q := balance.Query{Distance: func(domain string) time.Duration { return h.between(r.From, domain) }, Now: now}
-	return stages.Target{ID: id, Domain: s.Domain, Cost: q.Cost(s)}, true
+	h.ready = &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerBound, ErrorLog: quiet}
+	operators := http.NewServeMux()
+	operators.Handle("GET /metrics", h.meter)
+	operators.HandleFunc("GET /state", h.serveState)
+	h.metrics = &http.Server{Handler: operators, ReadHeaderTimeout: headerBound, ErrorLog: quiet}
 }
--- a/internal/layout/choice_test.go
+++ b/internal/layout/choice_test.go
@@ -14,7 +14,7 @@
 // and with what cold servers bear.
 const (
 	serversOfBatchers = "edge/regions.go"
-	choiceOfRequests  = "request/gateway/attempt.go"
+	choiceOfRequests  = "request/gateway/choose.go"
 )
 
 // Guards against a new choice of a server that forgets where a request may be served, which
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -3,61 +3,14 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"bilberrydale/process/batcher"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
-	"bilberrydale/process/residency"
 )
 
-// Methods between hosts.
-const (
-	methodRun    peer.Method = "stages.run"
-	methodCancel peer.Method = "stages.cancel"
-	methodFree   peer.Method = "stages.free"
-	methodLeave  peer.Method = "stages.leave"
-	methodHolds  peer.Method = "stages.holds"
-	methodHello  peer.Method = "stages.hello"
-)
-
-// runRequest asks another host for stage work. Times are from now: the clocks
-// of two hosts do not agree.
-type runRequest struct {
-	ID      string
-	Round   int
-	Key     string
-	Domain  string
-	From    string
-	Allowed residency.Set
-	Stages  []Stage
-	AimMS   int64
-	DieMS   int64
-	Worth   float64
-	Targets []Target
-	Prompt  Prompt
-}
-
-// runAnswer is the outcome; Reason is empty if there are Inputs.
-type runAnswer struct {
-	Inputs  []Input
-	Target  string
-	Fetch   string
-	Reason  batcher.Reason
-	Stage   int
-	ReadyMS int64
-	WaitMS  int64 // mean wait of requests at the host that did the work
-}
-
-type cancelRequest struct {
-	ID    string
-	Round int
-}
-
 // Pool finds the host that does the stage work, and does that of other hosts.
 // It is the first by peer.Before: all see that without an election, and a host
 // that comes back does not take the work away from one like it. While hosts
@@ -154,38 +107,6 @@
 	return made, err
 }
 
-// meetBound is how long requests wait for the other hosts to be known after a
-// start. Without it all hosts of a fleet that starts at once do the stage work
-// themselves, and their servers refuse most of the calls.
-const meetBound = 1500 * time.Millisecond
-
-// Met tells that the other hosts are known. It may be called more than once.
-func (p *Pool) Met() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.met:
-	default:
-		close(p.met)
-	}
-}
-
-func (p *Pool) meet(ctx context.Context) error {
-	select {
-	case <-p.met:
-		return nil
-	default:
-	}
-	select {
-	case <-p.met:
-	case <-p.clock.After(meetBound):
-		p.Met() // the platform's list cannot be had
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
-}
-
 // A connection that breaks says little of the host: it is asked again, on a new
 // one, for the time of a few resets. One that is gone refuses connections or
 // does not answer within that time.
@@ -221,43 +142,10 @@
 	}
 }
 
-// Leave tells the other hosts that this one stops. What has begun here goes on;
-// what still waits goes to another host, and so does new work of this one.
-func (p *Pool) Leave() {
-	p.mu.Lock()
-	p.leaving = true
-	p.mu.Unlock()
-	for _, host := range p.link.Connected() {
-		p.tell(host, methodLeave)
-	}
-	p.local.moveWaiting()
-}
-
 // Waiting returns the number of requests that wait here for their stage work to
 // begin, and of those that are late already.
 func (p *Pool) Waiting() (onTime, late int) { return p.local.Waiting() }
 
-// Ask tells whether a host answers.
-func (p *Pool) Ask(ctx context.Context, host string) error {
-	return p.link.Call(ctx, host, methodHello, nil, nil)
-}
-
-// helloHosts of those that may do the work of others hear of a new host at once;
-// the rest find it in the platform's list. All of them would be a handshake
-// between each two hosts when a fleet starts: 66 hosts were busy with these for
-// ten seconds.
-const helloHosts = 4
-
-// Hello makes this host known to those that may do the work of others. The call
-// itself proves who calls.
-func (p *Pool) Hello() {
-	list := slices.Clone(p.link.Peers())
-	sort.Slice(list, func(i, j int) bool { return peer.Before(list[i], list[j]) })
-	for _, id := range list[:min(len(list), helloHosts)] {
-		p.tell(id.Host, methodHello)
-	}
-}
-
 // tell sends something that may be lost: who misses it finds out by the
 // platform's list.
 func (p *Pool) tell(host string, m peer.Method) { p.send(host, m, nil) }
@@ -270,38 +158,6 @@
 	}()
 }
 
-func (p *Pool) serveLeave(_ context.Context, from peer.Identity, _ []byte) ([]byte, error) {
-	p.mu.Lock()
-	p.left[from.Host] = from.Incarnation
-	p.mu.Unlock()
-	return peer.Marshal(nil)
-}
-
-// Left tells whether a host has said that it stops.
-func (p *Pool) Left(id peer.Identity) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.left[id.Host] == id.Incarnation
-}
-
-func (p *Pool) setLeft(host string) {
-	for _, id := range p.link.Peers() {
-		if id.Host == host {
-			p.mu.Lock()
-			p.left[host] = id.Incarnation
-			p.mu.Unlock()
-		}
-	}
-}
-
-func (p *Pool) request(r *Request) runRequest {
-	now := p.clock.Now()
-	return runRequest{
-		ID: r.ID, Round: r.Round, Key: r.Key, Domain: r.Domain, From: r.From, Allowed: r.Allowed, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
-		AimMS: r.AimBy.Sub(now).Milliseconds(), DieMS: r.DieBy.Sub(now).Milliseconds(),
-	}
-}
-
 // tellBound is the time to tell another host something that may be lost.
 const tellBound = time.Second
 
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -8,10 +8,7 @@
 	"time"
 
 	"bilberrydale/connection/upstream"
-	"bilberrydale/process/balance"
-	"bilberrydale/process/coldstart"
 	"bilberrydale/process/directory"
-	"bilberrydale/process/kind"
 	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
@@ -43,94 +40,6 @@
 	errBroken  = errors.New("the backend server's answer broke off or is not its own")
 )
 
-// tried keeps the servers that one request was given to.
-type tried map[string]bool
-
-// choose returns the server for the next attempt; nil: there is none.
-func (x *exchange) choose(t tried) *directory.Server {
-	if s := x.chosen(t); s != nil {
-		return s
-	}
-	return balance.Choose(x.query(t))
-}
-
-// chosen is the server that was chosen with the request's results, as long as nothing
-// speaks against it; nil: choose another.
-func (x *exchange) chosen(t tried) *directory.Server {
-	s := x.opts.Directory.View().Server(x.target)
-	now := x.opts.Clock.Now()
-	if s == nil || !s.Takes() || s.Service != x.service || !x.allowed.Allows(s.Region) || t[s.ID] || s.Avoided(now) || !x.opts.Cold.May(s, x.cold(), now) {
-		return nil
-	}
-	return s
-}
-
-// candidates are the servers on which the request may run.
-func (x *exchange) candidates() directory.Candidates {
-	return x.opts.Directory.View().Candidates(x.service, x.allowed)
-}
-
-// cold is what the request's servers bear while they are cold.
-func (x *exchange) cold() coldstart.Limit {
-	if s := x.plan.Service(x.service); s != nil {
-		return s.Cold
-	}
-	return coldstart.Limit{}
-}
-
-func (x *exchange) query(t tried) balance.Query {
-	affinity, tokens := x.affinity()
-	now, cold := x.opts.Clock.Now(), x.cold()
-	return balance.Query{
-		Servers: x.candidates(), Distance: x.opts.Distance,
-		Affinity: affinity, SharedTokens: tokens, TokenTime: x.reads.token(x.service), Near: x.near, NearBytes: x.nearBytes,
-		Exclude: func(s *directory.Server) bool { return t[s.ID] || !x.opts.Cold.May(s, cold, now) }, Now: now,
-	}
-}
-
-// prefix names the shared part before the longest one; empty: there is none.
-func (x *exchange) prefix() string {
-	if n := len(x.client.Parts); x.route.Affinity && n > 2 {
-		return x.client.Parts[n-3].ID
-	}
-	return ""
-}
-
-// fetchTime is how long an engine takes to get so many tokens from another one.
-func (x *exchange) fetchTime(tokens int) time.Duration {
-	if s := x.plan.Service(x.service); s != nil {
-		return s.Engine.FetchTime(tokens)
-	}
-	return 0
-}
-
-// fetchFrom returns the address of the server from which another one gets the shared part
-// of the prompt; empty: it reads the part.
-func (x *exchange) fetchFrom(to *directory.Server, now time.Time) string {
-	for _, id := range []string{x.fetch, x.target} {
-		s := x.opts.Directory.View().Server(id)
-		if s != nil && s.ID != to.ID && s.Takes() && x.allowed.Allows(s.Region) && !s.Avoided(now) && x.fetchTime(1) > 0 {
-			return s.Address
-		}
-	}
-	return ""
-}
-
-// affinity names the longest part of the prompt that other requests share: all
-// but the last, which belongs to this request or its session. tokens counts it
-// and the parts before it.
-func (x *exchange) affinity() (part string, tokens int) {
-	n := len(x.client.Parts)
-	if !x.route.Affinity || n == 0 {
-		return "", 0
-	}
-	shared := x.client.Parts[:max(n-1, 1)]
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
-	return shared[len(shared)-1].ID, tokens
-}
-
 // send gives the request to a server. firstByte bounds the wait for the head of
 // the answer; 0: only the request's deadline does.
 func (x *exchange) send(ctx context.Context, s *directory.Server, lastEvent string, firstByte time.Duration) (*attempt, error) {
@@ -264,46 +173,3 @@
 	}
 	return false
 }
-
-// promised are statuses by which a client takes its request for not run.
-func promised(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// answerError writes the one answer of a request that has no other.
-func (x *exchange) answerError(e *kind.Error) {
-	advice := kind.Lookup(e.Kind)
-	x.rec.Kind, x.rec.Ran, x.rec.Detail = e.Kind, e.Ran(), e.Detail
-	if x.begun || x.abort {
-		x.abort = true
-		return
-	}
-	status := advice.Status
-	if promised(status) && e.Ran() != kind.RanNo {
-		// These say "not run", which is not known here.
-		status = http.StatusBadGateway
-	}
-	h := x.w.Header()
-	h["Date"] = nil
-	h["Content-Type"] = []string{"application/problem+json"}
-	x.opts.Headers.SetAttemptID(h, x.client.AttemptID)
-	if wait := e.Wait(); wait > 0 && promised(status) {
-		x.rec.RetryAfter = wait
-		x.opts.Headers.SetRetryAfter(h, wait)
-	}
-	x.closeIfLeaving(h)
-	x.rec.Status = status
-	x.w.WriteHeader(status)
-	// The client may be gone; there is nobody else to tell.
-	_, _ = fmt.Fprintf(x.w, `{"kind":%q,"ran":%q,"title":%q}`, e.Kind, e.Ran(), advice.Title)
-}
-
-func (x *exchange) closeIfLeaving(h http.Header) {
-	if x.opts.Closing() {
-		h["Connection"] = []string{"close"}
-	}
-}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -197,47 +197,6 @@
 	return nil
 }
 
-// servable refuses a request that no server can run now, before any work is done for it.
-func (x *exchange) servable() error {
-	if x.allowed.Nowhere() {
-		return kind.New(kind.NoRegion, "route %s allows %v, account %s %v", x.route.Name, x.allowed.Route, x.account, x.allowed.Account)
-	}
-	now, c := x.opts.Clock.Now(), x.candidates()
-	if c.Empty() {
-		return x.noServer("takes work", noServerRetry)
-	}
-	answers := func(s *directory.Server) bool { return !s.Avoided(now) }
-	if x.allowed.Bounded() && !c.Any(answers) {
-		// Nobody elsewhere can stand in for servers that a moment ago did not answer: a
-		// wait for them would only use up the client's time.
-		return x.noServer("answers", noServerRetry)
-	}
-	return nil
-}
-
-// unplaced is the answer to a request that no server was given.
-func (x *exchange) unplaced() error {
-	if x.candidates().Empty() {
-		return x.noServer("takes work", noServerRetry)
-	}
-	// Another host may have its share of them left.
-	return x.noServer("takes more while it is cold", coldRetry)
-}
-
-// noServer says that no server that the request may use does something.
-func (x *exchange) noServer(does string, retry time.Duration) error {
-	where := ""
-	if x.allowed.Bounded() {
-		where = " in a permitted region"
-	}
-	e := kind.New(kind.NoBackend, "no server of %s%s %s", x.service, where, does)
-	e.RetryAfter = x.spread(retry)
-	return e
-}
-
-// drainingRetry is short: another host takes the request at once.
-const drainingRetry = 50 * time.Millisecond
-
 // defaultWait bounds a request for which neither client nor route says how long
 // it may take.
 const defaultWait = 30 * time.Second
