--- a/edge/regions.go
+++ b/edge/regions.go
@@ -7,18 +7,16 @@
 
 // A region's stage work is a matter of its own where there are servers enough:
 // with fewer in all, regions of two servers would share too few calls. One host
-// for all cannot carry what 15 servers make: after a loss of power that left 11 of
-// them listed, the one host answered so late that 29 in 100 of a day's requests
-// were refused, in place of 2.
+// for all cannot carry what a dozen servers make: it answers so late that requests
+// are refused.
 const (
 	leastServers       = 9 // of each service, in all regions: three in each of three
 	leastRegionServers = 2
 	// keptServers of each service keep the regions apart once they are, so that no
 	// loss of servers that is borne otherwise changes the place of collection: two
 	// in each of three regions. A change while work is under way has several hosts
-	// fill the same servers: after the loss of 5 of 16, calls of the 11 others took
-	// 1.2 s in place of 0.4 for six seconds, and 3 in 10 of their items had to be
-	// made again.
+	// fill the same servers: their calls wait behind each other, and items that find
+	// no room are made again.
 	keptServers = 6
 )
 
--- a/process/batcher/hold.go
+++ b/process/batcher/hold.go
@@ -8,11 +8,7 @@
 const (
 	// homeWait is the longest that a job waits for a busy server of its own
 	// failure domain. It is half of a usual call: two servers of a domain that
-	// take turns both come free in that time. Half as many bytes of results cross
-	// domains as with jobs that take any free server, at no measurable loss of
-	// requests in time (days with bursts, several seeds). Longer waits (400 ms)
-	// spare another third of the bytes but cost 1 in 100 of the worth that
-	// requests in time earn.
+	// take turns both come free in that time. Longer waits make requests late.
 	homeWait = 250 * time.Millisecond
 	// homeSlack is kept of the time to a job's aim when it waits: the spread of
 	// call times, which are only approximate.
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -17,8 +17,8 @@
 type Admission struct {
 	services func(name string) (Service, bool)
 	// known are the services as they were when the present decision began. Asking
-	// for them anew for each waiting request made an overloaded host spend its
-	// whole processor on looking at the requests that waited.
+	// for them anew for each waiting request takes the whole processor of an
+	// overloaded host.
 	known    map[string]Service
 	underWay map[string]amount // begun and not finished, by service
 	// lateUnderWay is that of requests that were late when they began.
--- a/process/stages/hello.go
+++ b/process/stages/hello.go
@@ -48,8 +48,7 @@
 
 // helloHosts of those that may do the work of others hear of a new host at once;
 // the rest find it in the platform's list. All of them would be a handshake
-// between each two hosts when a fleet starts: 66 hosts were busy with these for
-// ten seconds.
+// between each two hosts when a fleet starts, which takes weak hosts seconds.
 const helloHosts = 4
 
 // Hello makes this host known to those that may do the work of others. The call
--- a/process/stages/late.go
+++ b/process/stages/late.go
@@ -17,7 +17,7 @@
 
 // lateFactor is how much longer the stages of a late request may take: it runs
 // behind those that can be on time, while there are most of them. Begun with less
-// time, a third of them were not finished, and their work was lost.
+// time, many are not finished, and their work is lost.
 const lateFactor = 1.5
 
 func (t *Ticket) latePath() time.Duration { return time.Duration(lateFactor * float64(t.path)) }
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -98,10 +98,10 @@
 	r.Prompt = stages.Prompt{Part: q.Affinity, Prefix: x.prefix(), Gain: q.Gain(), Shared: q.Reading(), Fetch: x.fetchTime(q.SharedTokens), Own: time.Duration(own) * q.TokenTime}
 }
 
-// reserveDivisor: at most half of a client's time is kept for the stream. What
-// streams take is learned from those that end; streams that ran while the process
-// was stopped for some seconds once taught more than the whole deadline, every
-// request of the route was refused on arrival, and nothing new was ever learned.
+// reserveDivisor: at most half of a client's time is kept for the stream. What streams
+// take is learned from those that end. Streams over a pause of the process may teach more
+// than the whole deadline: without this bound every request of the route would be refused
+// on arrival, and nothing new would be learned.
 const reserveDivisor = 2
 
 // items is the number of items of a stage; a stage that the client does not
