batcher: a look at a queue allocates nothing

Change: one pass tells the jobs and finds the next moment; the first end is a minimum. Decisions are the same.

--- /dev/null
+++ b/process/batcher/bench_test.go
@@ -0,0 +1,39 @@
+package batcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bilberrydale/process/directory"
+)
+
+// BenchmarkNext is one look at a queue whose servers are all at work, with others waiting:
+// what a host that does the stage work of a region does at each event.
+func BenchmarkNext(b *testing.B) {
+	for _, servers := range []int{5, 50, 400} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			dir := directory.New()
+			var entries []directory.Entry
+			for i := range servers {
+				entries = append(entries, directory.Entry{ID: fmt.Sprint(i), Service: "s", Domain: fmt.Sprint(i % 6)})
+			}
+			dir.Replace(entries, now)
+			q := NewQueue(sheet)
+			q.SetServers(dir.View().Servers("s"), func(*directory.Server) time.Duration { return time.Millisecond })
+			for i := range 2 * servers {
+				j := &Job{Items: make([]Item, 12), AimBy: now.Add(time.Second), DieBy: now.Add(time.Minute), ItemBytes: 1, Done: func(int, Result) {}}
+				for p := range j.Items {
+					j.Items[p] = Item{RequestID: fmt.Sprint(i), Piece: p}
+				}
+				q.Submit(j, now)
+			}
+			q.Next(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Next(now.Add(10 * time.Millisecond))
+			}
+		})
+	}
+}
--- a/process/batcher/fetched.go
+++ b/process/batcher/fetched.go
@@ -19,11 +19,16 @@
 // begun returns the calls that a server works on; those behind them wait at the server.
 func (q *Queue) begun(s *server) []*Call { return s.calls[:min(len(s.calls), q.opts.slots())] }
 
-// noteFetched tells the jobs whose inputs servers have fetched by now.
-func (q *Queue) noteFetched(now time.Time) {
+// noteFetched tells the jobs whose inputs servers have fetched by now, and returns when the
+// next call's will have been; zero: no call is at that.
+func (q *Queue) noteFetched(now time.Time) (next time.Time) {
 	for _, s := range q.servers {
 		for _, c := range q.begun(s) {
-			if c.fetched || now.Before(c.fetchedAt()) {
+			if c.fetched {
+				continue
+			}
+			if at := c.fetchedAt(); now.Before(at) {
+				next = earlier(next, at)
 				continue
 			}
 			c.fetched = true
@@ -32,6 +37,7 @@
 			}
 		}
 	}
+	return next
 }
 
 // noteFetched notes that the inputs of one more item were fetched.
@@ -42,16 +48,10 @@
 	}
 }
 
-// nextFetched is when the inputs of a call will next have been fetched; zero: no call is
-// at that.
-func (q *Queue) nextFetched(now time.Time) time.Time {
-	var next time.Time
-	for _, s := range q.servers {
-		for _, c := range q.begun(s) {
-			if at := c.fetchedAt(); !c.fetched && at.After(now) && (next.IsZero() || at.Before(next)) {
-				next = at
-			}
-		}
+// earlier returns the earlier of two times, of which the first may be zero: none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	return next
+	return a
 }
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -116,7 +116,7 @@
 // that have become hopeless are ended.
 func (q *Queue) Next(now time.Time) (calls []*Call, again time.Time) {
 	q.drop(now)
-	q.noteFetched(now)
+	fetched := q.noteFetched(now)
 	free := q.free(now)
 	for len(free) > 0 && len(q.waiting) > 0 && !q.gathers(free, now) {
 		c := q.compose(free, now)
@@ -124,21 +124,19 @@
 			break
 		}
 		calls = append(calls, c)
+		fetched = earlier(fetched, c.fetchedAt())
 		free = q.free(now)
 	}
-	return calls, q.wake(now)
+	return calls, q.wake(now, fetched)
 }
 
 // wake returns when the next busy server can be given its next call, a job has waited
-// long enough, or inputs were fetched.
-func (q *Queue) wake(now time.Time) time.Time {
-	at := q.nextFetched(now)
+// long enough, or the inputs of a call are fetched; zero: nothing is to be done then.
+func (q *Queue) wake(now, fetched time.Time) time.Time {
 	if len(q.waiting) == 0 {
-		return at
-	}
-	if most := now.Add(maxSleep); at.IsZero() || most.Before(at) {
-		at = most
+		return fetched
 	}
+	at := earlier(fetched, now.Add(maxSleep))
 	for _, s := range q.servers {
 		if s.Avoided(now) || len(s.calls) != q.opts.slots() {
 			continue
@@ -157,7 +155,13 @@
 // sendAt is when the next call has to leave so that it arrives as the present
 // one ends. Without the lead a server stands idle for the way there and back
 // after each call, a tenth of its time between regions.
-func (s *server) sendAt() time.Time { return s.ends()[0].Add(-2*s.oneWay - sendLead) }
+func (s *server) sendAt() time.Time {
+	first := s.calls[0].FreeAt
+	for _, c := range s.calls[1:] {
+		first = earlier(first, c.FreeAt)
+	}
+	return first.Add(-2*s.oneWay - sendLead)
+}
 
 // ends are the expected ends of the present calls, the first one first.
 func (s *server) ends() []time.Time {
