edge: log which software versions wrote a stream, and what its client takes up

The line now has event_versions, after_event and begun_by (the platform's Resumes); lines of backend servers have their version.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -81,6 +81,12 @@
 	if r.Events > 0 || r.IncompleteBytes > 0 {
 		kv = append(kv, "events", r.Events, "incomplete_bytes", r.IncompleteBytes)
 	}
+	if len(r.EventVersions) > 0 {
+		kv = append(kv, "event_versions", strings.Join(r.EventVersions, ","))
+	}
+	if r.LastEventID != "" || r.FirstAttemptID != "" {
+		kv = append(kv, "after_event", r.LastEventID, "begun_by", r.FirstAttemptID)
+	}
 	if r.StreamInterruptions > 0 {
 		kv = append(kv, "resumed", r.StreamInterruptions)
 	}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -35,8 +35,8 @@
 func (h *Host) logServerChanges(before, after *directory.View, trigger string) {
 	for _, s := range after.All() {
 		old := before.Server(s.ID)
-		if old == nil || old.Draining != s.Draining || old.StartedUnixMS != s.StartedUnixMS {
-			h.log.Info("backend server", "outcome", serverStatus(s), "id", s.ID, "service", s.Service, "address", s.Address, "domain", s.Domain, "by", trigger)
+		if old == nil || old.Draining != s.Draining || old.StartedUnixMS != s.StartedUnixMS || old.Version != s.Version {
+			h.log.Info("backend server", "outcome", serverStatus(s), "id", s.ID, "service", s.Service, "version", s.Version, "address", s.Address, "domain", s.Domain, "by", trigger)
 		}
 	}
 	for _, s := range before.All() {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -115,8 +115,14 @@
 	KeyAge              time.Duration // time since the API keys were last confirmed
 	CarriedBy           string        // host by way of which the last response came; empty: directly
 	// BodyEnd is how the end of the last response's body was marked; empty: no response.
-	BodyEnd         upstream.BodyEnd
-	Events          int // events sent to the client
+	BodyEnd upstream.BodyEnd
+	Events  int // events sent to the client
+	// EventVersions are the software versions of the servers whose events were sent to the
+	// client, each once. More than one in a stream is a fault.
+	EventVersions []string
+	LastEventID   string // event after which the client continues a stream; empty: from the start
+	// FirstAttemptID is the client's attempt that began that stream; empty: not specified.
+	FirstAttemptID  string
 	IncompleteBytes int // bytes after the last complete event of the last stream
 }
 
@@ -156,6 +162,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Gateway: g, w: w, r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
 	x.logEntry.ID = x.clientRequest.AttemptID
+	x.logEntry.LastEventID, x.logEntry.FirstAttemptID = x.clientRequest.LastEventID, x.clientRequest.FirstAttemptID
 	if err := x.serve(); err != nil {
 		x.writeError(errkind.From(err))
 	}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -197,6 +198,9 @@
 		return err
 	}
 	x.logEntry.Events++
+	if v := a.server.Version; !slices.Contains(x.logEntry.EventVersions, v) {
+		x.logEntry.EventVersions = append(x.logEntry.EventVersions, v)
+	}
 	if id != "" {
 		progress.lastEventID = id
 	}
--- a/request/wire/wire.go
+++ b/request/wire/wire.go
@@ -46,8 +46,11 @@
 	InputTokens     int          // length of the prompt; 0: not specified
 	MaxOutputTokens int          // limit of generated tokens; 0: not specified
 	LastEventID     string       // last event that the client has received; empty: none
-	StageItems      []int        // number of items by stage, in the order of the route; missing ones count as 1
-	StageInputKey   string       // identifies the input of the stages that depend on no other stage
+	// FirstAttemptID is the id of the client's attempt that brought the first event of the
+	// stream that this request continues; empty: not specified.
+	FirstAttemptID string
+	StageItems     []int  // number of items by stage, in the order of the route; missing ones count as 1
+	StageInputKey  string // identifies the input of the stages that depend on no other stage
 }
 
 // ServerRequest is what the headers of a request to a backend server specify.
