upstream: a request is sent to the process whose version its entry tells, or not at all

What callers could see: events of another version, from a server that has started again under its id before its entry tells; or a stream that is recorded under the version before, and taken up there. A resumable stream asks each new connection for the start of its process (the platform's report) before the request is sent on it; a connection leads to one process only. Another start than the entry's: nothing is sent, and another server is tried. Carriers do the same for hosts that are cut off; older builds do not.

--- a/connection/serverpath/carrier.go
+++ b/connection/serverpath/carrier.go
@@ -106,7 +106,7 @@
 	}
 	stopWaiting := context.AfterFunc(call, x.cancel)
 	response, err := c.opts.Upstream.Do(ctx, r.Address, &upstream.Request{
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody, StartedUnixMS: r.StartedUnixMS,
 	})
 	if err != nil {
 		c.end(key, x)
--- a/connection/serverpath/messages.go
+++ b/connection/serverpath/messages.go
@@ -45,6 +45,8 @@
 	Body           []byte
 	HasBody        bool
 	DropWhenLeaves bool // decline if the server leaves: the request is new work
+	// StartedUnixMS is upstream.Request.StartedUnixMS. Older builds do not send it, nor check it.
+	StartedUnixMS int64
 }
 
 // sendResponse is the response to a sendRequest. Fields from Status on are valid if Outcome is
--- a/connection/serverpath/serverpath.go
+++ b/connection/serverpath/serverpath.go
@@ -146,7 +146,7 @@
 	var r sendResponse
 	err := c.opts.Link.Call(ctx, host, methodSend, sendRequest{
 		ID: id, Address: address, TimeoutMillis: timeoutMillis(ctx), Method: req.Method, URI: req.URI, Host: req.Host,
-		Header: req.Header, Body: req.Body, HasBody: req.HasBody, DropWhenLeaves: req.NewWork,
+		Header: req.Header, Body: req.Body, HasBody: req.HasBody, DropWhenLeaves: req.NewWork, StartedUnixMS: req.StartedUnixMS,
 	}, &r)
 	switch {
 	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFailureResponse):
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -34,6 +34,9 @@
 	// WithinRegions reports that the request may pass only through the regions of this host
 	// and of the server.
 	WithinRegions bool
+	// StartedUnixMS is the start of the process that is to get the request, in Unix milliseconds. A
+	// process that has started at another time does not get it. 0: any process may.
+	StartedUnixMS int64
 }
 
 // Error describes a failed request.
@@ -86,6 +89,11 @@
 	// OnIdleFailure is called when an idle connection has failed, other than by its end in
 	// order. It may be nil.
 	OnIdleFailure func(address string)
+	// StartRequest returns the request that asks a server when its process started, before req is
+	// sent to it, and DecodeStart the answer in Unix milliseconds. If they are nil,
+	// Request.StartedUnixMS is ignored.
+	StartRequest func(req *Request) *Request
+	DecodeStart  func(status int, body []byte) (unixMS int64, err error)
 	// Dial opens a TCP connection; nil: that of net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -133,6 +141,7 @@
 	tcp         *net.TCPConn
 	reader      *bufio.Reader
 	responses   int           // responses received on the connection
+	startedAt   int64         // start of the process at its other end, in Unix milliseconds; 0: not asked for
 	idleSince   time.Time     // start of the current idle period
 	idleTimeout time.Duration // after which an idle connection is not used any more
 	closed      atomic.Bool   // set by close
@@ -281,6 +290,11 @@
 	}
 	// A pending read can only be interrupted by a deadline of the connection.
 	stopCancel := context.AfterFunc(ctx, func() { _ = k.tcp.SetDeadline(time.Unix(1, 0)) })
+	if err := c.checkProcess(k, req); err != nil {
+		stopCancel()
+		k.close()
+		return nil, &Error{ReusedConn: reused, Cause: err}
+	}
 	resp, body, err := c.roundTrip(k, req)
 	if err != nil {
 		stopCancel()
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -334,3 +336,37 @@
 	g.Expect(nextProbe).To(BeNumerically("<", 4000), "the connection ends before hosts count as in touch with the cut")
 	g.Expect(get(unix.IPPROTO_TCP, unix.TCP_KEEPCNT)*get(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL)*1000).To(BeNumerically(">", userTimeout), "the count ends nothing sooner")
 }
+
+// Guards against a stream at another software version than its server's entry tells, because the
+// server has started again under its id: the other process gets nothing of the request. Each
+// connection is asked once.
+func TestOtherProcessGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	answer := func(body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	s := newRawServer(t, answer("7"), answer("a"), answer("b"), answer("not a number"))
+	c := New(Options{
+		StartRequest: func(*Request) *Request { return &Request{Method: http.MethodGet, URI: "/start", Header: http.Header{}} },
+		DecodeStart:  func(_ int, body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) },
+	})
+	send := func(startedUnixMS int64) error {
+		response, err := c.Do(t.Context(), s.listener.Addr().String(), &Request{Method: http.MethodPost, URI: "/x", Header: http.Header{}, StartedUnixMS: startedUnixMS})
+		if err != nil {
+			var upstreamErr *Error
+			g.Expect(errors.As(err, &upstreamErr)).To(BeTrue())
+			g.Expect(upstreamErr.Sent).To(BeFalse())
+			return err
+		}
+		_, _ = io.ReadAll(response)
+		response.Close()
+		return nil
+	}
+	g.Expect(send(7)).To(Succeed())
+	g.Expect(send(7)).To(Succeed())
+	g.Expect(send(8)).To(MatchError(errOtherProcess))
+	g.Expect(send(7)).To(HaveOccurred(), "the process does not tell its start")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Expect(s.requests).To(Equal([]string{"GET /start ", "POST /x ", "POST /x ", "GET /start "}))
+}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -24,6 +24,8 @@
 		},
 		OnDialFailure: func(string, error) { h.reach.Suspect() },
 		OnIdleFailure: func(string) { h.reach.Suspect() },
+		StartRequest:  platform.NewStartRequest,
+		DecodeStart:   platform.DecodeStart,
 		Dial:          h.opts.DialServer,
 	})
 	h.reach = reach.New(reach.Options{Clock: h.clock, Sample: h.sampleServers, Dial: h.upstream.Probe, OnChange: h.reachChanged})
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -108,3 +108,21 @@
 		g.Expect(p.runs("model")).To(BeEmpty())
 	})
 }
+
+// Guards against events of another version from a server that has started again under its id while
+// its entry still tells the version before: it gets no such stream until its entry is right.
+func TestRestartedServerGetsNoStreamUntilItsEntryTells(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPlatform(t)
+	servers := p.addVersions(2, "v1")
+	h := p.startHost("front-1")
+	awaitVersions(g, h, 2)
+	servers[0].Restart("v2")
+	servers[0].HTTP.CloseClientConnections()
+	for range versionStreams {
+		r := p.send(h, "POST", "/stream/resume/1", "x")
+		g.Expect(platformtest.EventVersions(r.body)).To(Or(BeEmpty(), Equal([]string{"v1"})), r.body)
+	}
+	g.Expect(servers[0].ExecutedRequests()).To(BeEmpty())
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -62,6 +62,9 @@
 			ServerID: s.ID, Account: x.account, Timeout: remaining, InputHandles: x.inputHandles, LastEventID: lastEventID, Priority: x.enginePriority(now), KVSource: x.kvSourceAddress(s, now),
 		}),
 	}
+	if x.route.Resumable {
+		req.StartedUnixMS = s.StartedUnixMS // whose version the entry tells
+	}
 	var timer *time.Timer
 	if firstByteTimeout > 0 {
 		timer = time.AfterFunc(firstByteTimeout, cancel)
