gateway: a stream that its client takes up repeats no events

What callers could see: events that they have, if the server that goes on with their stream begins it anew. Within one answer such events were left out; the position that the client names was not taken for that.

--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -126,3 +126,18 @@
 	}
 	g.Expect(servers[0].ExecutedRequests()).To(BeEmpty())
 }
+
+// Guards against sending a client events that it has, from a server that begins a stream anew which
+// the client takes up.
+func TestTakenUpStreamDoesNotRepeatEvents(t *testing.T) {
+	g, p, h := newTestHost(t)
+	server := p.servers["model-1"]
+	server.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
+		server.RecordRequest(r)
+		platformtest.Sign(w.Header(), "s")
+		server.WriteEvents(w, 1, 5)
+		return true
+	})
+	r := p.send(h, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { q.LastEventID = "3" })
+	g.Expect(r.body).To(Equal("id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"))
+}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -23,7 +23,7 @@
 // client.
 func (x *exchange) serveStream(ctx context.Context) error {
 	hist := &attemptHistory{tried: serverSet{}}
-	progress := &streamProgress{lastEventID: x.clientRequest.LastEventID}
+	progress := newStreamProgress(x.clientRequest.LastEventID)
 	reruns := 0
 	for {
 		s := x.nextServer(ctx, hist)
@@ -78,6 +78,16 @@
 	lastNumericID int64  // the last event ID that is a number; 0: none
 }
 
+// newStreamProgress returns the position of a stream of which the client has received the event
+// with the ID; empty: none.
+func newStreamProgress(lastEventID string) *streamProgress {
+	p := &streamProgress{lastEventID: lastEventID}
+	if n, numeric := numericID(lastEventID); numeric {
+		p.lastNumericID = n
+	}
+	return p
+}
+
 // relayStream relays a server's response to the client and ends the attempt. It returns nil
 // once the client has the complete response.
 func (x *exchange) relayStream(a *attempt, progress *streamProgress, hist *attemptHistory) error {
