pipeline: a stream goes on only at the server software's version that began it

What callers of bilberryd could see: the first part of a stream by one version and the rest by another, from a server that has started again at its address and repeats the last chunk as it was. Servers that name none are held to the repeated chunk, as before.

Evidence: faultrun TestStreamResumedAtOtherVersionIsCut was red before.

--- a/connection/backend/backend.go
+++ b/connection/backend/backend.go
@@ -57,6 +57,9 @@
 	Data   string `json:"data,omitempty"`
 	Final  bool   `json:"final,omitempty"`
 	Error  string `json:"error,omitempty"`
+	// Version is the version of the server's software, from the headers of the response; empty:
+	// not told.
+	Version string `json:"-"`
 }
 
 // Client sends attempts to backend servers. Implementations must not retry calls, follow
--- a/connection/backend/headers.go
+++ b/connection/backend/headers.go
@@ -24,6 +24,7 @@
 	HeaderLeaving     = "X-Server-Leaving"
 	HeaderRateLimit   = "X-Server-Rate-Limit"
 	HeaderMaxRefusals = "X-Server-Max-Refusals"
+	HeaderVersion     = "X-Server-Version"
 )
 
 // Headers are the names of the headers between entry hosts and backend servers. A backend
@@ -38,6 +39,7 @@
 	Leaving                   string // "true" on any response: the server is leaving
 	RateLimit                 string // on any response: requests per second that the server takes from all entry hosts
 	MaxRefusals               string // on any response: refusals per second beyond which the server falls over
+	Version                   string // on a streamed response: version of the server's software
 }
 
 // DefaultHeaders returns the default names.
@@ -47,7 +49,7 @@
 		Host: HeaderHost, Incarnation: HeaderIncarnation,
 		Account: HeaderAccount, Priority: HeaderPriority, Key: HeaderKey,
 		Method: HeaderMethod, URI: HeaderURI, Resume: HeaderResume,
-		NotStarted: HeaderNotStarted, Leaving: HeaderLeaving, RateLimit: HeaderRateLimit, MaxRefusals: HeaderMaxRefusals,
+		NotStarted: HeaderNotStarted, Leaving: HeaderLeaving, RateLimit: HeaderRateLimit, MaxRefusals: HeaderMaxRefusals, Version: HeaderVersion,
 	}
 }
 
@@ -68,6 +70,7 @@
 	f("not-started", &n.NotStarted, "on an error response: the work was not started")
 	f("leaving", &n.Leaving, "on a response: the server is leaving")
 	f("rate-limit", &n.RateLimit, "on a response: requests per second that the server takes from all entry hosts")
+	f("version", &n.Version, "on a streamed response: version of the server's software")
 	f("max-refusals", &n.MaxRefusals, "refusals per second beyond which the server falls over, on responses")
 }
 
--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -147,6 +147,7 @@
 		if ch.Offset != next {
 			return x.newError(fmt.Errorf("%w: offset %d, want %d", ErrTruncated, ch.Offset, next))
 		}
+		ch.Version = x.resp.Header.Get(h.opts.Headers.Version)
 		if err := sink(ch); err != nil {
 			return err
 		}
--- a/internal/faultrun/backend_test.go
+++ b/internal/faultrun/backend_test.go
@@ -33,6 +33,7 @@
 	blocked            atomic.Int64                  // executions that the gate has blocked
 	interruptStream    atomic.Bool
 	alterResumedStream atomic.Bool // a resumed stream continues with another text
+	upgradeInStream atomic.Bool // resumed streams come from another software version
 	crashInStream      atomic.Bool
 	mu                 sync.Mutex
 	previous           map[string]string // by path: the response to the preceding request, to swap with the next one
@@ -151,6 +152,12 @@
 	if from > 0 && s.alterResumedStream.Load() {
 		text = strings.ReplaceAll(text, token, strings.ToUpper(token))
 	}
+	if from > 0 && s.upgradeInStream.Load() {
+		w.Header().Set(backend.HeaderVersion, "v2")
+		text = text[:from+chunkBytes] + strings.ToUpper(text[from+chunkBytes:]) // what the caller has is alike
+	} else {
+		w.Header().Set(backend.HeaderVersion, "v1")
+	}
 	enc := json.NewEncoder(w)
 	for off := from; off < len(text); off += chunkBytes {
 		if s.crashInStream.Load() && off > len(text)/2 {
--- a/internal/faultrun/incomplete_response_test.go
+++ b/internal/faultrun/incomplete_response_test.go
@@ -49,6 +49,18 @@
 	g.Expect(resp.Kind).To(Equal("stream_cut"))
 }
 
+// Guards against a stream that a server resumes at another software version: it repeats the last
+// chunk as it was, and goes on with another text.
+func TestStreamResumedAtOtherVersionIsCut(t *testing.T) {
+	g := NewWithT(t)
+	env := newEnvironment(t, 1, 1)
+	env.servers[0].interruptStream.Store(true)
+	env.servers[0].upgradeInStream.Store(true)
+	resp := env.send(0, chatOperation("a"), "")
+	g.Expect(resp.Whole).To(BeFalse())
+	g.Expect(resp.Kind).To(Equal("stream_cut"))
+}
+
 // Responses end before their Content-Length, first on one server, then on both.
 // The request is retried, and a truncated response is never forwarded.
 func TestTruncatedResponseIsNotForwarded(t *testing.T) {
--- a/request/pipeline/streamed.go
+++ b/request/pipeline/streamed.go
@@ -38,7 +38,9 @@
 
 // runStreamed runs a streamed stage. If the connection is lost, it resumes on the same
 // server at the start of the last chunk, whose bytes must be repeated unchanged. It starts
-// over on another server only if no chunk has been sent to the caller.
+// over on another server only if no chunk has been sent to the caller. A server that has started
+// again at another software version does not go on: what two versions write does not fit together,
+// even if the repeated bytes are alike.
 func (x *execution) runStreamed(ctx context.Context, st *snapshot.Stage, in []byte) ([]byte, *errkind.Error) {
 	s := &streamedStage{execution: x, st: st, in: in}
 	var a *attempt
@@ -85,6 +87,9 @@
 // passes on the rest.
 func (s *streamedStage) handleChunk(ch backend.Chunk) error {
 	s.observeProgress()
+	if s.offset > 0 && ch.Version != s.lastChunk.Version {
+		return fmt.Errorf("%w: version %q, begun by %q", errResumeMismatch, ch.Version, s.lastChunk.Version)
+	}
 	if overlap := min(s.offset-ch.Offset, int64(len(ch.Data))); overlap > 0 {
 		start := ch.Offset - s.lastChunk.Offset
 		if start < 0 || s.lastChunk.Data[start:start+overlap] != ch.Data[:overlap] {
