soak: several software versions, releases both ways, and clients that take streams up at other hosts

Stand-in servers run v1, v2 or v3: releases replace part of them, a server returns under its id at another version before its entry tells, streams break off, hosts are killed together. Clients take a broken stream up at a random host with the attempt that brought its first event. Checked: no stream holds events of two versions over all tries; of 12 or more taken up at hosts in touch, while two servers of their version accept work, half as many go on as begin.

--- a/internal/soak/bodies_test.go
+++ b/internal/soak/bodies_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"hash/fnv"
 	"net/http"
 	"strings"
@@ -28,12 +27,12 @@
 	env.mu.Lock()
 	unframed := b.unframed
 	env.mu.Unlock()
+	version, _ := b.Version()
 	if !unframed {
 		return false
 	}
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(id + b.ID)) // never fails
-	broken := hash.Sum32()%brokenShare == 0
+	hash := hashOf(id, b.ID)
+	broken := hash%brokenShare == 0
 	if !strings.HasPrefix(req.URL.Path, "/stream/") {
 		body := "answer to " + id
 		if broken {
@@ -44,12 +43,21 @@
 	}
 	var events strings.Builder
 	for i := platformtest.LastEventID(req) + 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&events, "id: %d\ndata: piece %d\n\n", i, i)
+		events.WriteString(platformtest.Event(version, i))
 	}
 	body := events.String()
 	if broken {
-		body = body[:max(len(body)-1-int(hash.Sum32()/brokenShare)%(shortestEvent-1), 0)]
+		body = body[:max(len(body)-1-int(hash/brokenShare)%(shortestEvent-1), 0)]
 	}
-	b.RespondUntilClose(w, body, broken && hash.Sum32()%(2*brokenShare) == 0)
+	b.RespondUntilClose(w, body, broken && hash%(2*brokenShare) == 0)
 	return true
 }
+
+// hashOf returns a hash of texts, by which servers decide alike in each run with a seed.
+func hashOf(texts ...string) uint32 {
+	h := fnv.New32a()
+	for _, t := range texts {
+		_, _ = h.Write([]byte(t)) // never fails
+	}
+	return h.Sum32()
+}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	status        int
 	body          string
 	err           error // no response, or an incomplete one
+	// after is the last event of the stream that the client takes up, and first its attempt that
+	// brought the first event; 0 and empty: it begins one.
+	after int
+	first string
 }
 
 // requestLog collects the requests of all clients. It is safe for concurrent use.
@@ -115,15 +120,26 @@
 			key = old
 		}
 	}
-	s := clientRequest{id: fmt.Sprintf("a%012x", c.requests.nextID()), path: path, key: key}
-	c.env.senders[s.id] = c.host
 	c.env.mu.Unlock()
-	c.do(&s)
-	c.requests.add(s)
-	c.env.recordTry(c.host, &s)
+	s := clientRequest{path: path, key: key}
+	c.sendOnce(&s)
+	if path == resumablePath {
+		c.takeUpAgain(s)
+	}
 	return s
 }
 
+// sendOnce sends a request under an id of its own and records what came of it.
+func (c *client) sendOnce(s *clientRequest) {
+	s.id = fmt.Sprintf("a%012x", c.requests.nextID())
+	c.env.mu.Lock()
+	c.env.senders[s.id] = c.host
+	c.env.mu.Unlock()
+	c.do(s)
+	c.requests.add(*s)
+	c.env.recordTry(c.host, s)
+}
+
 func (c *client) do(s *clientRequest) {
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.host.ip+":8625", time.Second)
@@ -142,7 +158,7 @@
 	}
 	if err == nil {
 		var body []byte
-		body, err = io.ReadAll(resp.Body)
+		body, err = io.ReadAll(resp.Body) // with an error, what arrived before it
 		s.status, s.body = resp.StatusCode, string(body)
 		if id := platformtest.AttemptID(resp.Header); id != s.id {
 			c.env.t.Errorf("%s got the response to %q", s.id, id)
@@ -159,6 +175,10 @@
 	if err != nil {
 		return err
 	}
-	platformtest.Request{AttemptID: s.id, APIKey: s.key, Timeout: routeTimeout, StageItems: []int{1, 2}, StageInputKey: "k"}.SetHeaders(req.Header)
+	q := platformtest.Request{AttemptID: s.id, APIKey: s.key, Timeout: routeTimeout, StageItems: []int{1, 2}, StageInputKey: "k", FirstAttemptID: s.first}
+	if s.after > 0 {
+		q.LastEventID = strconv.Itoa(s.after)
+	}
+	q.SetHeaders(req.Header)
 	return req.Write(c.conn)
 }
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -43,7 +43,8 @@
 	env.replacements.Go(func() {
 		env.requests.awaitMore(crashedServerRequests)
 		env.store.DeleteServer(b.ID)
-		env.addServer(b.Service, b.domain)
+		version, _ := b.Version()
+		env.addServer(b.Service, version, b.domain)
 	})
 	return true
 }
--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -46,13 +46,15 @@
 	revoked       map[string]time.Time // by key: when the store acknowledged its removal
 	executions    map[string][]string  // by attempt id: servers that executed the request
 	results       map[string][]string  // by attempt id: servers that produced stage results
-	senders       map[string]*host     // by attempt id: the host to which it was sent
-	crashes       map[string][]crash   // by body of the request, in order
-	limits        []*serverLimit       // that servers named
-	brittleTimes  []*brittleTime       // in which a service was brittle
-	cuts          []*hostsCut          // in which hosts reached no server
-	disturbance   disturbance          // of the store
-	replacements  sync.WaitGroup       // of crashed servers that are being replaced
+	streams       map[string]*stream   // by id of the client\'s attempt that brought the first event
+	streamCounts  streamCounts
+	senders       map[string]*host   // by attempt id: the host to which it was sent
+	crashes       map[string][]crash // by body of the request, in order
+	limits        []*serverLimit     // that servers named
+	brittleTimes  []*brittleTime     // in which a service was brittle
+	cuts          []*hostsCut        // in which hosts reached no server
+	disturbance   disturbance        // of the store
+	replacements  sync.WaitGroup     // of crashed servers that are being replaced
 }
 
 // host is an entry host whose daemon runs as a process.
@@ -93,7 +95,9 @@
 	relay    *relay.Proxy
 	domain   string
 	restarts int          // number of restarts; each makes it cold
-	crashed  bool         // ended by a request, for good
+	crashed  bool         // ended by a request or a release, for good
+	leaving  bool         // its entry says so
+	breaking bool         // some of its streams that clients may take up break off
 	limit    *serverLimit // that it names; nil: none
 	brittle  *brittleTime // nil: it is not
 	running  int          // requests, while it is brittle
@@ -106,16 +110,16 @@
 func newEnvironment(t *testing.T, binary string, hosts int, base int) *environment {
 	env := &environment{
 		t: t, dir: t.TempDir(), store: platformtest.NewStore(), keys: []string{"key-1", "key-2"},
-		revoked: map[string]time.Time{}, executions: map[string][]string{}, results: map[string][]string{}, requests: newRequestLog(),
+		revoked: map[string]time.Time{}, executions: map[string][]string{}, streams: map[string]*stream{}, results: map[string][]string{}, requests: newRequestLog(),
 		senders: map[string]*host{}, crashes: map[string][]crash{},
 	}
 	env.storeServer = httptest.NewServer(env.store)
 	t.Cleanup(env.storeServer.Close)
 	for _, service := range []string{"ledger", "ledger", "model", "model", "model", "floor", "floor", "portal"} {
-		env.addServer(service, nearDomain)
+		env.addServer(service, platformtest.DefaultVersion, nearDomain)
 	}
 	for _, service := range []string{"ledger", "model", "floor", "portal"} {
-		env.addServer(service, farDomain)
+		env.addServer(service, platformtest.DefaultVersion, farDomain)
 	}
 	env.putConfig()
 	for i := range hosts {
@@ -137,13 +141,16 @@
 	farDomain, farRegion   = "b", "q"
 )
 
-// addServer starts a backend server and lists it.
-func (env *environment) addServer(service, domain string) {
+// addServer starts a backend server that runs a software version, and lists it.
+func (env *environment) addServer(service, version, domain string) {
 	env.mu.Lock()
 	number := env.serverCount
 	env.serverCount++
 	env.mu.Unlock()
 	s := platformtest.NewServer(fmt.Sprintf("%s-%d", service, number), service)
+	if version != platformtest.DefaultVersion {
+		s.Restart(version)
+	}
 	env.t.Cleanup(s.HTTP.Close)
 	r, err := relay.New(s.Address())
 	env.must(err)
@@ -164,22 +171,20 @@
 // the server is cold, the entry states how long it stays so.
 func (env *environment) publishEntry(b *backendServer, draining bool) {
 	env.mu.Lock()
-	coldLeft, incarnation, crashed := time.Until(b.coldUntil), b.incarnation(), b.crashed
+	coldLeft, crashed := time.Until(b.coldUntil), b.crashed
+	b.leaving = draining
 	env.mu.Unlock()
+	_, started := b.Version()
 	if crashed {
 		return
 	}
 	if coldLeft > 0 && !draining {
-		env.store.PutColdServer(b.Server, b.domain, coldLeft, incarnation)
+		env.store.PutColdServer(b.Server, b.domain, coldLeft, started)
 		return
 	}
 	env.store.PutServer(b.Server, b.domain, draining)
 }
 
-// incarnation returns a number that distinguishes the starts of a server. It is called with
-// environment.mu held.
-func (b *backendServer) incarnation() int64 { return int64(1700000000000 + b.restarts) }
-
 // serveRequest responds as the backend server and records which server executed which attempt.
 func (env *environment) serveRequest(b *backendServer, w http.ResponseWriter, req *http.Request) bool {
 	if platformtest.IsStageCall(req) {
@@ -187,6 +192,7 @@
 		return false
 	}
 	id := platformtest.AttemptID(req.Header)
+	version, _ := b.Version()
 	body, _ := io.ReadAll(req.Body)
 	env.nameLimit(b, id, w.Header())
 	if !env.admitBrittle(b, id, w) {
@@ -209,7 +215,8 @@
 	}
 	if strings.HasPrefix(req.URL.Path, "/stream/") {
 		for i := platformtest.LastEventID(req) + 1; i <= streamEvents; i++ {
-			b.WriteEvents(w, i, i)
+			env.breakOff(b, req.URL.Path, id, i)
+			platformtest.WriteEvents(w, version, i, i)
 			simulateWork(req, eventInterval)
 		}
 		return true
@@ -230,12 +237,16 @@
 	}
 }
 
-// restartCold lets a server start again under its id, in the cold state.
-func (env *environment) restartCold(b *backendServer) {
+// restartCold lets a server start again under its id at a software version, in the cold state, and
+// ends the fault that kept it away. Its entry tells after the given number of requests.
+func (env *environment) restartCold(b *backendServer, version string, arrive func(), untold int) {
+	b.Restart(version)
 	env.mu.Lock()
 	b.restarts++
 	b.coldUntil, b.coldRequests = time.Now().Add(coldDuration), append(b.coldRequests, nil)
 	env.mu.Unlock()
+	arrive()
+	env.requests.awaitMore(untold)
 	env.publishEntry(b, false)
 }
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -165,8 +166,8 @@
 		b.relay.RefuseConnections(true)
 		b.relay.ResetConnections()
 		env.requests.awaitMore(randomCount(r, 10, 60))
-		env.restartCold(b)
-		b.relay.ClearFaults()
+		version, _ := b.Version()
+		env.restartCold(b, version, b.relay.ClearFaults, 0)
 		env.requests.awaitMore(randomCount(r, 100, 200))
 	}},
 	{"evacuation", func(env *environment, r *rand.Rand, _ string) {
@@ -219,4 +220,17 @@
 		})
 	}},
 	{"hosts reach no server", func(env *environment, r *rand.Rand, _ string) { env.cutHosts(r) }},
+	{"release", func(env *environment, r *rand.Rand, _ string) { env.release(r) }},
+	{"server returns at another version", func(env *environment, r *rand.Rand, _ string) { env.returnAtVersion(r) }},
+	{"streams break off", func(env *environment, r *rand.Rand, _ string) {
+		env.breakStreams(func() { env.requests.awaitMore(randomCount(r, 200, 500)) })
+	}},
+	{"hosts are killed together", func(env *environment, r *rand.Rand, binary string) {
+		var restarts sync.WaitGroup
+		for _, h := range env.hosts[r.IntN(2):] {
+			pause := randomCount(r, 0, 60)
+			restarts.Go(func() { env.stopAndRestart(h, syscall.SIGKILL, binary, pause) })
+		}
+		restarts.Wait()
+	}},
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,13 +10,14 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"bilberrydale/platform/platformtest"
 )
 
 var (
@@ -78,6 +79,8 @@
 //     get more from the hosts that know it,
 //   - brittle servers are not pushed over by refusals,
 //   - hosts that reach no server serve their clients like the others,
+//   - streams hold events of one software version, over all tries of their client, and go on where
+//     two servers of that version serve,
 //   - a request that ends each server that runs it is refused after a few, and
 //   - all requests are served again after the faults have ended.
 func TestSoak(t *testing.T) {
@@ -85,19 +88,44 @@
 	for i := range *runsFlag {
 		seeds = append(seeds, *seedFlag+uint64(i))
 	}
-	runSeeds(t, seeds)
+	runSeeds(t, seeds, allFaults)
+}
+
+// Guards against streams of two software versions, and against streams that are not taken up: it is
+// TestSoak with the faults by which streams break off and versions change, one after the other.
+func TestStreamsThroughReleases(t *testing.T) {
+	var seeds []uint64
+	for i := range *runsFlag {
+		seeds = append(seeds, *seedFlag+uint64(i))
+	}
+	runSeeds(t, seeds, versionFaults)
 }
 
 // Guards against refusing requests that many callers send with equal content, because they ran
 // beside a crashing request on two servers, before any of them has completed.
-func TestBystandersOfCrashingRequests(t *testing.T) { runSeeds(t, bystanderSeeds) }
+func TestBystandersOfCrashingRequests(t *testing.T) { runSeeds(t, bystanderSeeds, allFaults) }
 
 // Guards against serving clients of hosts that reach no server far less often than others while
 // the servers of a service are brittle and get little.
-func TestCutHostsBesideBrittleServers(t *testing.T) { runSeeds(t, brittleCutSeeds) }
+func TestCutHostsBesideBrittleServers(t *testing.T) { runSeeds(t, brittleCutSeeds, allFaults) }
 
-// runSeeds builds the daemon and runs the soak with each seed.
-func runSeeds(t *testing.T, seeds []uint64) {
+// allFaults returns the faults of which those of a run of TestSoak with the seed are drawn.
+func allFaults(seed uint64) []fault { return faults[:kindsOfFault(seed)] }
+
+// versionFaults returns the faults of which those of a run of TestStreamsThroughReleases are drawn.
+func versionFaults(uint64) []fault {
+	var out []fault
+	for _, f := range faults {
+		if slices.Contains(versionFaultNames, f.name) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// runSeeds builds the daemon and runs the soak with each seed, with faults drawn of those that kinds
+// returns.
+func runSeeds(t *testing.T, seeds []uint64, kinds func(seed uint64) []fault) {
 	binary := filepath.Join(t.TempDir(), "bilberryedge")
 	build := exec.Command("go", "build", "-o", binary, "bilberrydale/internal/soak/daemon")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -109,7 +137,7 @@
 			t.Parallel() // a run waits most of the time
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runSeed(t, binary, seed, os.Getpid()+i*addressStep)
+			runSeed(t, binary, seed, os.Getpid()+i*addressStep, kinds(seed))
 		})
 	}
 }
@@ -117,8 +145,9 @@
 // addressStep separates the addresses of the runs of one process.
 const addressStep = 977
 
-// runSeed runs the soak with a seed. addresses selects the loopback addresses of its daemons.
-func runSeed(t *testing.T, binary string, seed uint64, addresses int) {
+// runSeed runs the soak with a seed and faults of some kinds. addresses selects the loopback
+// addresses of its daemons.
+func runSeed(t *testing.T, binary string, seed uint64, addresses int, kinds []fault) {
 	env := newEnvironment(t, binary, *hostsFlag, addresses%20000)
 	defer env.keepLogs(seed)
 	env.awaitCondition("all daemons are ready", func() bool { return env.allReady() })
@@ -129,7 +158,7 @@
 		c := &client{env: env, requests: requests, host: env.hosts[i%len(env.hosts)], rand: rand.New(rand.NewPCG(seed, uint64(i)))}
 		clients.Go(func() { c.run(ctx) })
 	}
-	env.injectFaults(seed, binary)
+	env.injectFaults(seed, binary, kinds)
 	stop()
 	clients.Wait()
 	env.endFaults()
@@ -141,15 +170,14 @@
 	env.checkDecodeErrors()
 }
 
-// injectFaults runs random faults, at most three at a time, until the requests of the run have
-// ended, and waits for the active ones.
-func (env *environment) injectFaults(seed uint64, binary string) {
+// injectFaults runs random faults of some kinds, at most three at a time, until the requests of the
+// run have ended, and waits for the active ones.
+func (env *environment) injectFaults(seed uint64, binary string, kinds []fault) {
 	r := rand.New(rand.NewPCG(seed, 0))
-	kinds := kindsOfFault(seed)
 	var running sync.WaitGroup
 	slots := make(chan struct{}, 3)
 	for env.requests.len() < *requestsFlag {
-		f := faults[r.IntN(kinds)]
+		f := kinds[r.IntN(len(kinds))]
 		faultRand := rand.New(rand.NewPCG(r.Uint64(), 1))
 		slots <- struct{}{}
 		env.t.Logf("fault: %s", f.name)
@@ -296,6 +324,7 @@
 	env.checkLimits()
 	env.checkBrittle()
 	env.checkCuts()
+	env.checkStreams()
 	env.t.Logf("%d requests, by status: %v", len(list), count)
 	if count[http.StatusOK] == 0 {
 		env.t.Error("no request got status 200")
@@ -330,11 +359,7 @@
 		}
 		return
 	}
-	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		want.WriteString("id: " + strconv.Itoa(i) + "\ndata: piece " + strconv.Itoa(i) + "\n\n")
-	}
-	if s.body != want.String() {
+	if versions := platformtest.EventVersions(s.body); s.body != eventsAfter(s.after, versions) {
 		env.t.Errorf("%s got a stream that ended without an error but has body %q", s.id, s.body)
 	}
 }
--- a/request/gateway/errors.go
+++ b/request/gateway/errors.go
@@ -67,9 +67,9 @@
 		return x.noServerError("takes work", noServerRetryAfter)
 	}
 	responsive := func(s *directory.Server) bool { return !s.InBackoff(now) }
-	if (x.allowed.Restricted() || x.continues()) && !candidates.Any(responsive) {
-		// All permitted servers have recently failed, and no other region or version may serve
-		// the request: waiting for them would only use up the client's time.
+	if x.allowed.Restricted() && !candidates.Any(responsive) {
+		// All permitted servers have recently failed, and no other region may serve the
+		// request: waiting for them would only use up the client's time.
 		return x.noServerError("answers", noServerRetryAfter)
 	}
 	return nil
