gateway, edge: tests of take-ups, of where streams begin, and of what the platform keeps; state page

The state page names the possible writers of each route and the version of each server; metrics count streams taken up and records. A layout test keeps requests from taking servers by id past their candidates.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -60,6 +60,9 @@
 	if r.CarriedBy != "" {
 		h.meter.Add("requests_carried_by_others", 1)
 	}
+	if r.LastEventID != "" || r.FirstAttemptID != "" {
+		h.meter.Add("streams_taken_up", 1)
+	}
 	failed := r.Kind != "" && r.Kind != errkind.Cancelled
 	if !h.logLimits.allow(failed, h.clock.Now()) {
 		return
@@ -197,6 +200,7 @@
 	h.meter.Gauge("requests_active", func() float64 { return float64(h.activeRequests.Load()) })
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.OpenConnections()) })
 	h.meter.Gauge("peers_known", func() float64 { return float64(len(h.mesh.Peers())) })
+	h.meter.Gauge("stream_records", func() float64 { return float64(h.writers.Records()) })
 	h.meter.Gauge("log_lines_dropped", func() float64 { return float64(h.logWriter.Dropped()) })
 	h.meter.Gauge("log_lines_left_out", func() float64 {
 		return float64(h.logLimits.ordinary.Suppressed() + h.logLimits.failures.Suppressed())
--- a/edge/state.go
+++ b/edge/state.go
@@ -29,13 +29,17 @@
 	Peers                []string           `json:"peers"`                   // names of the other entry hosts
 	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
 	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
-	Servers              []serverState      `json:"servers"`
+	// StreamWriters are the software versions, each after its service, that may have begun the
+	// streams of a route which clients can still take up.
+	StreamWriters map[string][]string `json:"stream_writers"`
+	Servers       []serverState       `json:"servers"`
 }
 
 // serverState is a listed backend server on the state page.
 type serverState struct {
 	ID           string   `json:"id"`
 	Service      string   `json:"service"`
+	Version      string   `json:"software_version"`           // empty: not told
 	Address      string   `json:"address"`                    // host:port
 	Domain       string   `json:"domain"`                     // failure domain
 	UnusedReason string   `json:"unused,omitempty"`           // why it gets no new work; empty: it gets work
@@ -67,12 +71,16 @@
 		}
 	}
 	sort.Strings(s.EvacuatedDomains)
+	s.StreamWriters = map[string][]string{}
+	for route, possible := range h.writers.Routes() {
+		s.StreamWriters[route] = writerTexts(possible)
+	}
 	for _, id := range h.mesh.Peers() {
 		s.Peers = append(s.Peers, id.Host)
 	}
 	for _, srv := range view.All() {
 		s.Servers = append(s.Servers, serverState{
-			ID: srv.ID, Service: srv.Service, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv),
+			ID: srv.ID, Service: srv.Service, Version: srv.Version, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv),
 			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now),
 		})
 	}
--- a/edge/streamwriters.go
+++ b/edge/streamwriters.go
@@ -89,12 +89,17 @@
 
 // logPossibleWriters implements streamwriter.Options.OnChange.
 func (h *Host) logPossibleWriters(route string, possible []streamwriter.Writer) {
-	versions := make([]string, len(possible))
-	for i, w := range possible {
-		versions[i] = w.Service + " " + w.Version
-	}
 	h.meter.Add("stream_writers_changed", 1)
-	h.log.Info("stream writers", "outcome", "possible", "route", route, "writers", versions)
+	h.log.Info("stream writers", "outcome", "possible", "route", route, "writers", writerTexts(possible))
+}
+
+// writerTexts returns the services and versions of writers for operators.
+func writerTexts(list []streamwriter.Writer) []string {
+	out := make([]string, len(list))
+	for i, w := range list {
+		out[i] = w.Service + " " + w.Version
+	}
+	return out
 }
 
 const (
@@ -119,24 +124,29 @@
 		if h.listedWriters.Load() == nil {
 			continue
 		}
-		missing := h.writers.Unregistered()
-		now := h.clock.Now()
-		for r := range missingSince {
-			if !slices.Contains(missing, r) {
-				delete(missingSince, r)
-			}
-		}
-		for _, r := range missing {
-			if _, known := missingSince[r]; !known {
-				missingSince[r] = now
-			}
-			if h.isFirstKnown() || now.Sub(missingSince[r]) >= registerWritersDelay {
+		missingSince = h.missingRegistrations(missingSince)
+		now, first := h.clock.Now(), h.isFirstKnown()
+		for r, since := range missingSince {
+			if first || now.Sub(since) >= registerWritersDelay {
 				h.registerWriter(ctx, r)
 			}
 		}
 	}
 }
 
+// missingRegistrations returns the facts that the platform lacks, each with the time since when: the
+// one in before, or now.
+func (h *Host) missingRegistrations(before map[streamwriter.Registration]time.Time) map[streamwriter.Registration]time.Time {
+	out := map[streamwriter.Registration]time.Time{}
+	for _, r := range h.writers.Unregistered() {
+		out[r] = h.clock.Now()
+		if since, known := before[r]; known {
+			out[r] = since
+		}
+	}
+	return out
+}
+
 // registerWriter writes a registration. One that fails is written with the next change, or after
 // writersInterval.
 func (h *Host) registerWriter(ctx context.Context, r streamwriter.Registration) {
--- /dev/null
+++ b/edge/streamwriters_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/platform/platformtest"
+)
+
+// Guards against hosts that have all started again, list one version only, and do not know that
+// another one was listed until a moment ago: the platform keeps it.
+func TestRestartedHostsKnowVersionsThatHaveGone(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPlatform(t)
+	servers := p.addVersions(1, "v1", "v2")
+	first := p.startHost("front-1")
+	awaitVersions(g, first, 2)
+	g.Eventually(p.store.StreamWriters, "10s").Should(Equal(2))
+	p.store.DeleteServer(servers[0].ID)
+	p.stopHosts[0]()
+	g.Eventually(func() bool { return acceptsConnections(first.listeners.peers.Addr().String()) }, "20s").Should(BeFalse())
+	h := p.startHost("front-2")
+	awaitVersions(g, h, 1)
+	g.Eventually(h.writersFresh, "10s").Should(BeTrue())
+	r := p.send(h, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { q.LastEventID, q.FirstAttemptID = "2", "of-a-lost-host" })
+	g.Expect(r.status).To(Equal(http.StatusServiceUnavailable), "%v", h.writers.Routes())
+	g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(p.runs("model")).To(BeEmpty())
+}
+
+// Guards against a stream that goes on at the service to which a split route draws its next request,
+// in place of the one that began it.
+func TestTakenUpStreamKeepsItsServiceOfASplitRoute(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPlatform(t)
+	p.route("resume").Targets = append(p.route("resume").Targets, p.route("status").Targets...)
+	p.route("resume").MaxAttempts = 1
+	p.store.PutConfig(p.config)
+	for _, s := range p.servers {
+		s.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool { return breakOffFirst(s, w, r) })
+	}
+	first, second := p.startHost("front-1"), p.startHost("front-2")
+	for _, h := range p.hosts {
+		g.Eventually(func() int { return len(h.mesh.Peers()) }, "20s").Should(Equal(1))
+	}
+	for range versionStreams {
+		var id string
+		p.send(first, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { id = q.AttemptID })
+		var next string
+		r := p.send(second, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) {
+			q.LastEventID, q.FirstAttemptID, next = "2", id, q.AttemptID
+		})
+		g.Expect(r.status).To(Equal(http.StatusOK))
+		for _, s := range p.servers {
+			g.Expect(s.Ran(next)).To(Equal(s.Ran(id)), s.ID)
+		}
+	}
+}
+
+// acceptsConnections reports whether a process listens at an address.
+func acceptsConnections(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/layout/choice_test.go
+++ b/internal/layout/choice_test.go
@@ -19,6 +19,22 @@
 	requestBalancingFile = "request/gateway/choose.go"
 )
 
+// Guards against a request that takes a listed server by its id, whatever its region, its software
+// version and its state: Candidates.Server returns it only if the request may run there.
+func TestRequestsTakeServersFromTheirCandidates(t *testing.T) {
+	// Tells where stage results are, which chooses no server.
+	const exception = "request/gateway/stages.go"
+	walkFiles(t, ".go", func(path string, data []byte) {
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(rel, "request/") && !strings.HasSuffix(rel, "_test.go") && rel != exception && strings.Contains(string(data), "View().Server(") {
+			t.Errorf("%s takes a server from the view; use Candidates.Server", rel)
+		}
+	})
+}
+
 // Guards against another place that chooses servers without considering the regions in which a
 // request may be served, evacuated failure domains and cold servers.
 func TestRequestsChooseServersInOnePlace(t *testing.T) {
--- a/process/streamwriter/fleet_test.go
+++ b/process/streamwriter/fleet_test.go
@@ -36,7 +36,7 @@
 	name        string
 	domain      string
 	confirmedAt atomic.Int64 // in nanoseconds; 0: the host has not read the platform yet
-	versions    []string  // as the host last read them
+	versions    []string     // as the host last read them
 }
 
 // newTestFleet starts a fleet that has read from the platform that the service runs v1.
--- a/process/streamwriter/records.go
+++ b/process/streamwriter/records.go
@@ -76,6 +76,13 @@
 	return out
 }
 
+// len returns the number of records.
+func (s *records) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byAttempt)
+}
+
 // removeExpired removes the records that have expired.
 func (s *records) removeExpired(now time.Time) {
 	s.mu.Lock()
--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -134,6 +134,12 @@
 // up. The caller must not modify the slice.
 func (t *Tracker) Possible(route string) []Writer { return (*t.byRoute.Load())[route] }
 
+// Routes returns the possible writers of all routes. The caller must not modify the map.
+func (t *Tracker) Routes() map[string][]Writer { return *t.byRoute.Load() }
+
+// Records returns the number of streams whose writers this host remembers.
+func (t *Tracker) Records() int { return t.records.len() }
+
 // Begin records the writer of a stream that this host has begun, under the client's attempt, for
 // as long as the client may take the stream up. It has to be called before the first event is sent
 // to the client. While the route may have several writers, other hosts are told; Begin does not
