streamwriter: versions of a host's first list begin streams, also if the configuration came first

What callers saw: a host that starts beside several versions refused resumable streams for its first seconds (503, takes more from this host now), if it read the configuration before the servers: its empty list counted as the first one, and all versions as new.

--- a/process/streamwriter/fleet_test.go
+++ b/process/streamwriter/fleet_test.go
@@ -85,7 +85,11 @@
 
 // observe passes what the host knows to its tracker.
 func (h *testHost) observe() {
-	h.Observe(map[string][]string{testRoute: {testService}}, map[string][]string{testService: h.versions}, 0)
+	versions := map[string][]string{}
+	if len(h.versions) > 0 {
+		versions[testService] = h.versions
+	}
+	h.Observe(map[string][]string{testRoute: {testService}}, versions, 0)
 }
 
 // readAll lets all hosts read the platform.
--- a/process/streamwriter/settling.go
+++ b/process/streamwriter/settling.go
@@ -17,6 +17,9 @@
 // observe sets the versions that are listed now, by service. Those of the first list count as
 // settled.
 func (s *settling) observe(now time.Time, versions map[string][]string) {
+	if s.listedSince == nil && len(versions) == 0 {
+		return // the list has not been read yet
+	}
 	listed := map[Writer]time.Time{}
 	for service, list := range versions {
 		for _, version := range list {
--- a/process/streamwriter/tracker_test.go
+++ b/process/streamwriter/tracker_test.go
@@ -148,6 +148,23 @@
 	})
 }
 
+// Guards against a host that starts beside several versions, reads the configuration before the
+// servers, and begins no stream until the versions have settled.
+func TestVersionsOfTheFirstListBeginStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newTestFleet(1, 1)
+		h := f.hosts[0]
+		f.release("v1", "v2")
+		h.restart()
+		h.versions = nil
+		h.observe()
+		h.read()
+		g.Expect(h.MayBegin(Writer{testService, "v1"})).To(BeTrue())
+		g.Expect(h.MayBegin(Writer{testService, "v2"})).To(BeTrue())
+	})
+}
+
 // Guards against choosing one of several writers that hosts have told for the same attempt.
 func TestContradictingRecordsAreNoWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
