--- a/internal/faultrun/backend_test.go
+++ b/internal/faultrun/backend_test.go
@@ -33,7 +33,7 @@
 	blocked            atomic.Int64                  // executions that the gate has blocked
 	interruptStream    atomic.Bool
 	alterResumedStream atomic.Bool // a resumed stream continues with another text
-	upgradeInStream atomic.Bool // resumed streams come from another software version
+	upgradeInStream    atomic.Bool // resumed streams come from another software version
 	crashInStream      atomic.Bool
 	mu                 sync.Mutex
 	previous           map[string]string // by path: the response to the preceding request, to swap with the next one
