streamwriter: a version settles by time alone

What callers could see: where all old servers of a service have gone, and the platform has answered nobody since the new version was listed, no resumable stream began until it answered again. Now only an answer that is up to date counts, so that 1.5 s since the first listing are enough: whoever is up to date then has read the platform after that.

--- a/edge/streamwriters.go
+++ b/edge/streamwriters.go
@@ -32,7 +32,6 @@
 // confirmServers records that the list of servers was current at the given time.
 func (h *Host) confirmServers(at time.Time) {
 	h.serversConfirmedAt.Store(max(h.serversConfirmedAt.Load(), at.UnixNano()))
-	h.writers.Confirm(at)
 }
 
 // observeWriters passes the present configuration and servers to the tracker.
--- a/process/streamwriter/settling.go
+++ b/process/streamwriter/settling.go
@@ -3,19 +3,18 @@
 import "time"
 
 // MaxAge is the age up to which a confirmation of what a host knows of writers shows that it knows
-// all that streams have begun at: a version settles only once it has been listed for longer.
+// all that streams have begun at: a version settles only once it has been listed for as long.
 const MaxAge = 1500 * time.Millisecond
 
-// settling tells which versions have been listed for long enough that every host with fresh
-// knowledge has seen them. It is not safe for concurrent use.
+// settling tells since when versions have been listed, so that every host with fresh knowledge has
+// seen those that have settled. It is not safe for concurrent use.
 type settling struct {
-	// listedSince holds, for each listed version, when this host first saw it; zero: it has
-	// settled. Nil before the first list.
+	// listedSince holds, for each listed version, when this host first saw it; zero: in its first
+	// list, whose versions count as settled. Nil before the first list.
 	listedSince map[Writer]time.Time
 }
 
-// observe sets the versions that are listed now, by service. Those of the first list count as
-// settled.
+// observe sets the versions that are listed now, by service.
 func (s *settling) observe(now time.Time, versions map[string][]string) {
 	if s.listedSince == nil && len(versions) == 0 {
 		return // the list has not been read yet
@@ -34,25 +33,13 @@
 	s.listedSince = listed
 }
 
-// confirm records that the versions were listed at a time, and reports whether one has settled.
-func (s *settling) confirm(at time.Time) bool {
-	changed := false
-	for w, since := range s.listedSince {
-		if !since.IsZero() && at.Sub(since) >= MaxAge {
-			s.listedSince[w] = time.Time{}
-			changed = true
-		}
-	}
-	return changed
-}
-
-// unsettled returns the listed versions that have not settled, of services that may have had
-// another version lately.
-func (s *settling) unsettled(hadAnother func(Writer) bool) map[Writer]bool {
-	out := map[Writer]bool{}
+// settlesAt returns when the listed versions settle, of services that may have had another version
+// lately. Versions that are not in the result have settled.
+func (s *settling) settlesAt(hadAnother func(Writer) bool) map[Writer]time.Time {
+	out := map[Writer]time.Time{}
 	for w, since := range s.listedSince {
 		if !since.IsZero() && hadAnother(w) {
-			out[w] = true
+			out[w] = since.Add(MaxAge)
 		}
 	}
 	return out
--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -29,12 +29,12 @@
 type Tracker struct {
 	opts    Options
 	records records
-	// byRoute holds the possible writers, and unsettled those of which other hosts may not know
-	// yet. Both are replaced whole.
+	// byRoute holds the possible writers, and settlesAt when those settle of which other hosts may
+	// not know yet. Both are replaced whole.
 	byRoute   atomic.Pointer[map[string][]Writer]
-	unsettled atomic.Pointer[map[Writer]bool]
+	settlesAt atomic.Pointer[map[Writer]time.Time]
 
-	mu       sync.Mutex // guards possible and settling, and orders the replacements of byRoute and unsettled
+	mu       sync.Mutex // guards possible and settling, and orders the replacements of byRoute and settlesAt
 	possible *possibleWriters
 	settling settling
 }
@@ -48,7 +48,7 @@
 	t := &Tracker{opts: opts, possible: newPossibleWriters(DefaultWindow)}
 	t.records.byAttempt = map[string]record{}
 	t.byRoute.Store(&map[string][]Writer{})
-	t.unsettled.Store(&map[Writer]bool{})
+	t.settlesAt.Store(&map[Writer]time.Time{})
 	opts.Link.Handle(methodTell, t.serveTell)
 	opts.Link.Handle(methodAsk, t.serveAsk)
 	return t
@@ -62,30 +62,19 @@
 		t.possible.window = max(window, DefaultWindow)
 		t.possible.observe(now, services, versions)
 		t.settling.observe(now, versions)
-		t.publishUnsettled()
+		settlesAt := t.settling.settlesAt(t.possible.hadAnotherVersion)
+		t.settlesAt.Store(&settlesAt)
 	})
 	t.records.removeExpired(t.opts.Clock.Now())
 }
 
-// Confirm records that the list of servers was current at a time.
-func (t *Tracker) Confirm(at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.settling.confirm(at) {
-		t.publishUnsettled()
-	}
-}
-
-// publishUnsettled replaces the unsettled writers. The caller holds t.mu.
-func (t *Tracker) publishUnsettled() {
-	unsettled := t.settling.unsettled(t.possible.hadAnotherVersion)
-	t.unsettled.Store(&unsettled)
-}
-
 // MayBegin reports whether streams that clients may take up again may begin at a writer. A version
 // that has just been listed gets none: a host that has not seen it yet would take another version
 // for the only possible one.
-func (t *Tracker) MayBegin(w Writer) bool { return !(*t.unsettled.Load())[w] }
+func (t *Tracker) MayBegin(w Writer) bool {
+	at, settles := (*t.settlesAt.Load())[w]
+	return !settles || !t.opts.Clock.Now().Before(at)
+}
 
 // SetRegistered replaces the registrations that the platform lists.
 func (t *Tracker) SetRegistered(list []Registration) {
