--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -152,9 +152,8 @@
 
 // Values of Source, beside the name of the host that told it.
 const (
-	SourceRecord   Source = "own record"
-	SourceOnlyOne  Source = "only one possible"
-	SourceThisHost Source = "this request" // which has brought the first event
+	SourceRecord  Source = "own record"
+	SourceOnlyOne Source = "only one possible"
 )
 
 // ErrUnknown means that this host cannot tell which software began a stream. Use errors.Is.
@@ -178,19 +177,26 @@
 			return r.known(Source(a.host))
 		}
 	}
-	possible := t.Possible(q.Route)
+	w, err := t.onlyPossible(q.Route, fresh, asked, answers)
+	return w, SourceOnlyOne, err
+}
+
+// onlyPossible returns the writer of a stream of which nobody has a record, if only one is possible
+// for its route. fresh tells whether this host's knowledge is, asked how many other hosts were asked.
+func (t *Tracker) onlyPossible(route string, fresh bool, asked int, answers []answer) (Writer, error) {
+	possible := t.Possible(route)
 	if len(possible) != 1 {
-		return Writer{}, "", fmt.Errorf("%w: it may be one of %v, and none of %d other hosts tells", ErrUnknown, possible, asked)
+		return Writer{}, fmt.Errorf("%w: it may be one of %v, and none of %d other hosts tells", ErrUnknown, possible, asked)
 	}
 	confirmed := fresh || asked == 0
 	for _, a := range answers {
 		if len(a.Possible) > 0 && !slices.Equal(a.Possible, possible) {
-			return Writer{}, "", fmt.Errorf("%w: it may be one of %v by %s", ErrUnknown, a.Possible, a.host)
+			return Writer{}, fmt.Errorf("%w: it may be one of %v by %s", ErrUnknown, a.Possible, a.host)
 		}
 		confirmed = confirmed || len(a.Possible) > 0 && a.Fresh
 	}
 	if !confirmed {
-		return Writer{}, "", fmt.Errorf("%w: what this host knows is old, and none of %d other hosts confirms it", ErrUnknown, asked)
+		return Writer{}, fmt.Errorf("%w: what this host knows is old, and none of %d other hosts confirms it", ErrUnknown, asked)
 	}
-	return possible[0], SourceOnlyOne, nil
+	return possible[0], nil
 }
--- a/request/gateway/continued.go
+++ b/request/gateway/continued.go
@@ -17,7 +17,7 @@
 
 // chooseService sets the service of the request: one of the route's, by weight, or the one that
 // began the stream that the client takes up. Such a stream goes on only where its writer is
-// known. The error is a streamNotContinued.
+// known. The error is an errkind.StreamNotContinued.
 func (x *exchange) chooseService() error {
 	if !x.continues() {
 		x.service = x.route.PickService(x.opts.Rand.Float64())
