serverpath: a host that is cut off itself confirms no crash of a server

Two of three hosts were cut off from all servers at the same time. One asked the other whether two servers refuse connections; that had had one accepted 32 ms before, took itself for connected for 0.3 s, and confirmed both as crashes. A host that confirms now asks other servers for a connection at that moment.

Evidence: serverpath TestRefusedConnectionIsConfirmedByOthers red without the question.

--- a/connection/serverpath/carrier.go
+++ b/connection/serverpath/carrier.go
@@ -35,6 +35,8 @@
 	Upstream *upstream.Client
 	// Usable reports whether this host reaches servers and is not stopping.
 	Usable func() bool
+	// ReachesAny asks some servers for a connection, and reports whether one accepts.
+	ReachesAny func(ctx context.Context) bool
 	// Listed reports whether a server is listed at an address (host:port), and whether it
 	// leaves.
 	Listed func(address string) (listed, leaves bool)
@@ -316,6 +318,9 @@
 		return peer.Marshal(probeResponse{})
 	}
 	err := c.opts.Upstream.Probe(ctx, r.Address)
-	// A host that has just been cut off itself learns of it by this failure.
+	if err != nil && !c.opts.ReachesAny(ctx) {
+		// This host has just been cut off itself, and would blame the server for that.
+		return peer.Marshal(probeResponse{})
+	}
 	return peer.Marshal(probeResponse{Usable: c.opts.Usable(), Accepted: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 }
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -33,8 +33,8 @@
 		Direct: h.upstream, Reach: h.reach, Link: h.mesh, Clock: h.clock, Place: h.placeOfServer, Latency: h.delayBetween,
 	})
 	serverpath.NewCarrier(h.mesh, serverpath.CarrierOptions{
-		Upstream: h.upstream,
-		Usable:   func() bool { return !h.reach.CutOff() && !h.stopping.Load() && h.directory.View().Count() > 0 },
+		Upstream: h.upstream, ReachesAny: h.reach.ReachesAny,
+		Usable: func() bool { return !h.reach.CutOff() && !h.stopping.Load() && h.directory.View().Count() > 0 },
 		Listed: func(address string) (listed, leaves bool) {
 			s := h.serverAt(address)
 			return s != nil, s != nil && s.Draining
--- a/process/reach/reach.go
+++ b/process/reach/reach.go
@@ -97,6 +97,11 @@
 	}
 }
 
+// ReachesAny asks some servers for a connection now, also if one accepted a moment ago, and reports
+// whether one accepts. With too few servers to conclude anything it is true. It may be called from
+// any goroutine.
+func (t *Tracker) ReachesAny(ctx context.Context) bool { return t.sample(ctx) }
+
 // start returns the check in progress, or starts one. It returns nil if none is due.
 func (t *Tracker) start() *check {
 	t.mu.Lock()
@@ -120,11 +125,11 @@
 }
 
 // sample asks some servers for a connection at the same time. It returns once one has accepted or
-// all have failed.
-func (t *Tracker) sample(ctx context.Context) {
+// all have failed, and false in that case.
+func (t *Tracker) sample(ctx context.Context) bool {
 	addresses := t.opts.Sample(sampleSize)
 	if len(addresses) < minSample {
-		return
+		return true
 	}
 	begun := t.opts.Clock.Now()
 	ctx, cancel := context.WithCancel(ctx)
@@ -141,7 +146,7 @@
 	for range addresses {
 		if <-results == nil {
 			t.Accepted()
-			return
+			return true
 		}
 	}
 	t.mu.Lock()
@@ -150,6 +155,7 @@
 	if !outdated { // no server has accepted a connection meanwhile
 		t.set(true, len(addresses))
 	}
+	return false
 }
 
 // set records whether the host is cut off.
