stages, serverpath: messages between hosts keep their fields

stages.run is as before: a stream that has begun offers servers of its writer only, without the prefix key by which the other host would add targets. A request for one process of a server has a method of its own, which older builds refuse. The soak passes over what hosts of another build may not know.

--- a/connection/serverpath/carrier.go
+++ b/connection/serverpath/carrier.go
@@ -81,6 +81,7 @@
 	c := &Carrier{opts: opts, exchanges: map[exchangeKey]*carried{}}
 	link.Handle(methodCheck, c.serveCheck)
 	link.Handle(methodSend, c.serveSend)
+	link.Handle(methodSendToProcess, c.serveSendToProcess)
 	link.Handle(methodRead, c.serveRead)
 	link.Handle(methodCancel, c.serveCancel)
 	link.Handle(methodProbe, c.serveProbe)
@@ -98,6 +99,21 @@
 	if err := peer.Unmarshal(payload, &r); err != nil {
 		return nil, err
 	}
+	return c.send(call, from, r, 0)
+}
+
+// serveSendToProcess handles methodSendToProcess, like serveSend.
+func (c *Carrier) serveSendToProcess(call context.Context, from peer.Identity, payload []byte) ([]byte, error) {
+	var r sendToProcessRequest
+	if err := peer.Unmarshal(payload, &r); err != nil {
+		return nil, err
+	}
+	return c.send(call, from, r.Request, r.StartedUnixMS)
+}
+
+// send sends a request to a server, to the process that started at a time if that is not 0, and
+// returns the encoded response. It fails only before anything was sent.
+func (c *Carrier) send(call context.Context, from peer.Identity, r sendRequest, startedUnixMS int64) ([]byte, error) {
 	if reason := c.reasonToDecline(&r); reason != "" {
 		return peer.Marshal(sendResponse{Outcome: declined, Error: reason})
 	}
@@ -108,7 +124,7 @@
 	}
 	stopWaiting := context.AfterFunc(call, x.cancel)
 	response, err := c.opts.Upstream.Do(ctx, r.Address, &upstream.Request{
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody, StartedUnixMS: r.StartedUnixMS,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody, StartedUnixMS: startedUnixMS,
 	})
 	if err != nil {
 		c.end(key, x)
--- a/connection/serverpath/messages.go
+++ b/connection/serverpath/messages.go
@@ -9,11 +9,13 @@
 
 // Methods of carriers.
 const (
-	methodCheck  peer.Method = "serverpath.check"
-	methodSend   peer.Method = "serverpath.send"
-	methodRead   peer.Method = "serverpath.read"
-	methodCancel peer.Method = "serverpath.cancel"
-	methodProbe  peer.Method = "serverpath.probe"
+	methodCheck peer.Method = "serverpath.check"
+	methodSend  peer.Method = "serverpath.send"
+	// methodSendToProcess is methodSend for one process of a server. Older builds refuse it.
+	methodSendToProcess peer.Method = "serverpath.sendtoprocess"
+	methodRead          peer.Method = "serverpath.read"
+	methodCancel        peer.Method = "serverpath.cancel"
+	methodProbe         peer.Method = "serverpath.probe"
 )
 
 // outcome is what became of a request that a carrier was asked to send.
@@ -45,7 +47,12 @@
 	Body           []byte
 	HasBody        bool
 	DropWhenLeaves bool // decline if the server leaves: the request is new work
-	// StartedUnixMS is upstream.Request.StartedUnixMS. Older builds do not send it, nor check it.
+}
+
+// sendToProcessRequest is a sendRequest for the process of a server that started at a time;
+// see upstream.Request.StartedUnixMS.
+type sendToProcessRequest struct {
+	Request       sendRequest
 	StartedUnixMS int64
 }
 
--- a/connection/serverpath/serverpath.go
+++ b/connection/serverpath/serverpath.go
@@ -143,11 +143,10 @@
 // carry sends a request by way of a host. Its error is errDeclined or an *upstream.Error.
 func (c *Client) carry(ctx context.Context, host, address string, req *upstream.Request) (*upstream.Response, error) {
 	id := c.carriers.lastID.Add(1)
-	var r sendResponse
-	err := c.opts.Link.Call(ctx, host, methodSend, sendRequest{
+	r, err := c.callCarrier(ctx, host, sendRequest{
 		ID: id, Address: address, TimeoutMillis: timeoutMillis(ctx), Method: req.Method, URI: req.URI, Host: req.Host,
-		Header: req.Header, Body: req.Body, HasBody: req.HasBody, DropWhenLeaves: req.NewWork, StartedUnixMS: req.StartedUnixMS,
-	}, &r)
+		Header: req.Header, Body: req.Body, HasBody: req.HasBody, DropWhenLeaves: req.NewWork,
+	}, req.StartedUnixMS)
 	switch {
 	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFailureResponse):
 		// The handler fails only before it sends anything.
@@ -176,6 +175,17 @@
 	}
 }
 
+// callCarrier asks a carrier to send a request, to the process of the server that started at a time
+// if that is not 0.
+func (c *Client) callCarrier(ctx context.Context, host string, s sendRequest, startedUnixMS int64) (r sendResponse, err error) {
+	if startedUnixMS == 0 {
+		err = c.opts.Link.Call(ctx, host, methodSend, s, &r)
+		return r, err
+	}
+	err = c.opts.Link.Call(ctx, host, methodSendToProcess, sendToProcessRequest{s, startedUnixMS}, &r)
+	return r, err
+}
+
 // carrierError returns the error of a call to a carrier that may have been received. The causes
 // are told as text only: an io.EOF among them is the end of the connection between the hosts, and
 // would be taken for the end of the body or of the server's connection.
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -8,6 +8,7 @@
 	"bilberrydale/process/objectwatch"
 	"bilberrydale/process/serverlimit"
 	"bilberrydale/process/stages"
+	"bilberrydale/process/streamwriter"
 )
 
 // serversChanged replaces the directory's backend servers by the platform's current
@@ -86,15 +87,15 @@
 }
 
 // stageTarget returns the backend server with the given id as a target for a request.
-// It returns false if the server gets no new work now, is outside the request's allowed
-// regions, or does not run the software that began its stream.
+// It returns false if the server gets no new work now or is outside the request's allowed
+// regions.
 func (h *Host) stageTarget(id string, r *stages.Request) (stages.Target, bool) {
 	view, now := h.directory.View(), h.clock.Now()
 	listed := view.Server(id)
 	if listed == nil {
 		return stages.Target{}, false
 	}
-	s := view.Candidates(listed.Service, r.AllowedRegions, r.Writer).Server(id)
+	s := view.Candidates(listed.Service, r.AllowedRegions, streamwriter.Writer{}).Server(id)
 	if s == nil || s.InBackoff(now) {
 		return stages.Target{}, false
 	}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -28,6 +28,8 @@
 	// brought the first event; 0 and empty: it begins one.
 	after int
 	first string
+	// oldBuild: the host is of another build, which may know no versions.
+	oldBuild bool
 }
 
 // requestLog collects the requests of all clients. It is safe for concurrent use.
@@ -136,7 +138,9 @@
 	c.env.mu.Lock()
 	c.env.senders[s.id] = c.host
 	c.env.mu.Unlock()
+	s.oldBuild = c.host.isOtherBuild()
 	c.do(s)
+	s.oldBuild = s.oldBuild || c.host.isOtherBuild()
 	c.requests.add(*s)
 	c.env.recordTry(c.host, s)
 }
--- a/process/peer/codec.go
+++ b/process/peer/codec.go
@@ -8,8 +8,9 @@
 
 // Marshal encodes v as msgpack, with structs as arrays: most traffic between
 // peers is heartbeats, and field names would be most of their bytes. Because
-// the position of a field is the format, a struct may only be extended by
-// fields at its end.
+// the position of a field is the format and Unmarshal requires their number, a
+// struct never changes: another build refuses a message with more or fewer
+// fields. What is new goes into a message and a method of its own.
 func Marshal(v any) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.NewEncoder(&buf)
--- a/process/stages/messages.go
+++ b/process/stages/messages.go
@@ -4,7 +4,6 @@
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/residency"
-	"bilberrydale/process/streamwriter"
 )
 
 // Methods of the protocol between hosts. The strings are the wire format.
@@ -33,7 +32,6 @@
 	Worth          float64
 	Targets        []Target
 	Prompt         Prompt
-	Writer         streamwriter.Writer // Request.Writer; older builds do not send it
 }
 
 // runResponse is the outcome of a runRequest. On success Reason is empty; otherwise Stage and
@@ -58,7 +56,7 @@
 func (p *Pool) newRunRequest(r *Request) runRequest {
 	now := p.clock.Now()
 	return runRequest{
-		ID: r.ID, Round: r.Round, InputKey: r.InputKey, RunDomain: r.RunDomain, HostDomain: r.HostDomain, AllowedRegions: r.AllowedRegions, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt, Writer: r.Writer,
+		ID: r.ID, Round: r.Round, InputKey: r.InputKey, RunDomain: r.RunDomain, HostDomain: r.HostDomain, AllowedRegions: r.AllowedRegions, Stages: r.Stages, Worth: r.Worth, Targets: r.Targets, Prompt: r.Prompt,
 		TargetMS: r.TargetTime.Sub(now).Milliseconds(), DeadlineMS: r.Deadline.Sub(now).Milliseconds(),
 	}
 }
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -83,7 +83,7 @@
 func (p *Pool) runLocally(ctx context.Context, q *runRequest) runResponse {
 	now := p.clock.Now()
 	results, err := p.coordinator.Run(ctx, &Request{
-		ID: q.ID, Round: q.Round, InputKey: q.InputKey, RunDomain: q.RunDomain, HostDomain: q.HostDomain, AllowedRegions: q.AllowedRegions, Stages: q.Stages, Worth: q.Worth, Targets: q.Targets, Prompt: q.Prompt, Writer: q.Writer,
+		ID: q.ID, Round: q.Round, InputKey: q.InputKey, RunDomain: q.RunDomain, HostDomain: q.HostDomain, AllowedRegions: q.AllowedRegions, Stages: q.Stages, Worth: q.Worth, Targets: q.Targets, Prompt: q.Prompt,
 		TargetTime: now.Add(time.Duration(q.TargetMS) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(q.DeadlineMS) * time.Millisecond),
 	})
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -11,7 +11,6 @@
 
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/residency"
-	"bilberrydale/process/streamwriter"
 )
 
 // Stage is one stage of a request.
@@ -42,8 +41,6 @@
 	// chosen when the results are ready. Prompt describes what that server will prefill.
 	Targets []Target
 	Prompt  Prompt
-	// Writer is the software that began the request's stream; zero: it has not begun.
-	Writer streamwriter.Writer
 }
 
 // finalStages returns the indexes of the stages that no other stage depends on.
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -69,7 +69,7 @@
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
 		ID: x.clientRequest.AttemptID, Round: x.stageRound, InputKey: x.clientRequest.StageInputKey, RunDomain: x.predictedDomain(), HostDomain: x.opts.Domain,
-		AllowedRegions: x.allowed, Writer: x.writer, Worth: x.worth(),
+		AllowedRegions: x.allowed, Worth: x.worth(),
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
@@ -107,6 +107,11 @@
 	}
 	ownTokens := max(x.clientRequest.InputTokens-q.PrefixTokens, 0)
 	r.Prompt = stages.Prompt{LongPrefix: q.AffinityKey, ShortPrefix: x.shorterPrefix(), CacheGain: q.AffinityDiscount(), SharedPrefill: q.PrefillTime(), FetchTime: x.kvTransferTime(q.PrefixTokens), OwnPrefill: time.Duration(ownTokens) * q.PrefillTimePerToken}
+	if !x.writer.IsZero() {
+		// Without these the host that chooses adds no server to the targets: those that have
+		// the prefix may run other software than that which began the stream.
+		r.Prompt.LongPrefix, r.Prompt.ShortPrefix = "", ""
+	}
 }
 
 // reserveDivisor limits the time reserved for the stream to half of the time that the client
