platform: a load report with a fourth figure is read; fairshare: one copy of weighted max-min

Servers that add how long work takes on their machine (Server-Load: 3,4,8,250) lost their whole report, as the decoder wanted exactly three figures: the choice of a server then knew only this host's own requests in flight.

The max-min level of process/admission moves to process/fairshare, for shares on platforms; the copy in internal/replay uses it, too.

--- a/edge/responses.go
+++ b/edge/responses.go
@@ -72,6 +72,9 @@
 	if r.LoadReported {
 		s.RecordLoad(r.RunningRequests, r.QueuedRequests, now)
 	}
+	if r.RelativeServiceTime > 0 {
+		s.RecordRelativeServiceTime(r.RelativeServiceTime)
+	}
 	h.serverLimits.Observe(s.Process(), &s.RateLimit, serverlimit.Response{
 		PerSecond: r.RateLimit, Limited: r.RateLimited, NotRun: r.NotRun || !newWork, SentAt: head.SentAt,
 		MaxRefusals: r.MaxRefusals, Brittle: r.Brittle, Refused: r.NoRoom(),
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bilberrydale/process/fairshare"
 	"bilberrydale/version/table"
 )
 
@@ -229,33 +230,14 @@
 // fairShares returns, by account, the weighted max-min fair allocation of capacity
 // to the demands. Both are in engine seconds.
 func fairShares(demands []float64, accounts []Account, capacity float64) []float64 {
+	weighted := make([]fairshare.Demand, len(demands))
+	for i, d := range demands {
+		weighted[i] = fairshare.Demand{Amount: d, Weight: accounts[i].Weight}
+	}
+	level := fairshare.Level(capacity, weighted)
 	shares := make([]float64, len(demands))
-	remaining := len(demands)
-	satisfied := make([]bool, len(demands))
-	for remaining > 0 {
-		var weights float64
-		for i := range demands {
-			if !satisfied[i] {
-				weights += accounts[i].Weight
-			}
-		}
-		perWeight, anySatisfied := capacity/weights, false
-		for i := range demands {
-			if !satisfied[i] && demands[i] <= perWeight*accounts[i].Weight {
-				shares[i], satisfied[i], anySatisfied = demands[i], true, true
-				capacity -= demands[i]
-				remaining--
-			}
-		}
-		if anySatisfied {
-			continue
-		}
-		for i := range demands {
-			if !satisfied[i] {
-				shares[i] = perWeight * accounts[i].Weight
-			}
-		}
-		return shares
+	for i, d := range weighted {
+		shares[i] = min(d.Amount, level*d.Weight)
 	}
 	return shares
 }
--- a/process/admission/accounts.go
+++ b/process/admission/accounts.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bilberrydale/process/estimate"
+	"bilberrydale/process/fairshare"
 )
 
 // accountTable tracks the recent demand and admitted work of each client
@@ -16,13 +17,9 @@
 type accountTable struct {
 	sets     [accountSets][accountWays]accountEntry
 	overflow accountEntry    // shared by the accounts without an entry of their own
-	demands  []accountDemand // scratch buffer of updateFractions
+	demands  []fairshare.Demand // scratch buffer of updateFractions; in slot seconds
 }
 
-// accountDemand is the recent demand of one account, in slot seconds, and its
-// fair-share weight.
-type accountDemand struct{ demand, weight float64 }
-
 const (
 	accountSets = 4096 // 12,000 accounts fill 3 entries of a set on average
 	accountWays = 8    // entries of a set
@@ -104,14 +101,14 @@
 	var total float64
 	a.demands = a.demands[:0]
 	a.forEach(func(x *accountEntry) {
-		d := accountDemand{x.demand.Load(), x.weight.Load()}
-		total += d.demand
+		d := fairshare.Demand{Amount: x.demand.Load(), Weight: x.weight.Load()}
+		total += d.Amount
 		a.demands = append(a.demands, d)
 	})
 	if total <= 0 {
 		return
 	}
-	level := a.fairShareLevel(admittedPart * total)
+	level := fairshare.Level(admittedPart*total, a.demands)
 	decay := math.Exp(-dt / demandTimeConstant.Seconds())
 	a.forEach(func(x *accountEntry) {
 		x.updateFraction(level)
@@ -133,7 +130,7 @@
 }
 
 // updateFraction sets the admitted fraction of an account from its fair share,
-// given the fair-share level (see fairShareLevel).
+// given the fair-share level (see fairshare.Level).
 func (x *accountEntry) updateFraction(level float64) {
 	demand := x.demand.Load()
 	share := level * x.weight.Load()
@@ -147,34 +144,3 @@
 	x.correction.Store(correction)
 	x.admittedFraction.Store(min(1, max(minAdmittedFraction, share/demand+correction)))
 }
-
-// fairShareLevel returns the demand per unit of weight up to which accounts are
-// admitted in full when capacity, in slot seconds, is divided among them.
-func (a *accountTable) fairShareLevel(capacity float64) float64 {
-	level := 0.0
-	for range maxFillRounds {
-		var satisfiedDemand, unsatisfiedWeight float64
-		for _, x := range a.demands {
-			if x.demand <= level*x.weight {
-				satisfiedDemand += x.demand
-			} else {
-				unsatisfiedWeight += x.weight
-			}
-		}
-		if unsatisfiedWeight == 0 {
-			return level
-		}
-		next := (capacity - satisfiedDemand) / unsatisfiedWeight
-		if next <= level*(1+fillPrecision) {
-			return level
-		}
-		level = next
-	}
-	return level
-}
-
-// Limits of the iteration in fairShareLevel.
-const (
-	maxFillRounds = 20   // iterations
-	fillPrecision = 1e-3 // relative increase below which the level is final
-)
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"bilberrydale/process/clock"
+	"bilberrydale/process/fairshare"
 	"bilberrydale/process/errkind"
 )
 
@@ -266,9 +267,9 @@
 			all = append(all, x)
 		}
 		for _, x := range all {
-			a.demands = append(a.demands, accountDemand{x.demand.Load(), x.weight.Load()})
+			a.demands = append(a.demands, fairshare.Demand{Amount: x.demand.Load(), Weight: x.weight.Load()})
 		}
-		level := a.fairShareLevel(admittedPart * total)
+		level := fairshare.Level(admittedPart*total, a.demands)
 		for _, x := range all {
 			share := min(x.demand.Load(), level*x.weight.Load())
 			sum += share
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -80,9 +80,10 @@
 	Pauses    retryafter.State  // until when the server wants no requests of this host
 	// running and waiting are the requests in the server's last load report.
 	running, waiting atomic.Int64
-	reportedAt       atomic.Int64 // Unix nanoseconds by the clock of RecordLoad's caller; 0: never
-	backoffUntil     atomic.Int64 // Unix nanoseconds; 0: no backoff
-	lastFailureAt    atomic.Int64 // Unix nanoseconds; 0: never
+	reportedAt       atomic.Int64  // Unix nanoseconds by the clock of RecordLoad's caller; 0: never
+	relativeTime     atomic.Uint64 // bits of the last relative service time; 0: never reported
+	backoffUntil     atomic.Int64  // Unix nanoseconds; 0: no backoff
+	lastFailureAt    atomic.Int64  // Unix nanoseconds; 0: never
 	// coldUntil is the end of the time, from the platform's list, for which the server is
 	// still slow after its start (cold), in Unix nanoseconds; 0: not cold.
 	coldUntil           atomic.Int64
@@ -192,6 +193,15 @@
 	return int(s.running.Load()), int(s.waiting.Load()), time.Duration(now.UnixNano() - s.reportedAt.Load())
 }
 
+// RecordRelativeServiceTime records the server's own report of how long work takes there, relative
+// to the usual time (1).
+func (s *LocalState) RecordRelativeServiceTime(t float64) { s.relativeTime.Store(math.Float64bits(t)) }
+
+// RelativeServiceTime returns the last report of RecordRelativeServiceTime; 0: there is none.
+func (s *LocalState) RelativeServiceTime() float64 {
+	return math.Float64frombits(s.relativeTime.Load())
+}
+
 // Delisted reports whether the platform no longer lists the server, or lists a restarted
 // one under its id.
 func (s *LocalState) Delisted() bool { return s.delisted.Load() }
