--- a/process/admission/accounts.go
+++ b/process/admission/accounts.go
@@ -16,7 +16,7 @@
 // set share the overflow entry.
 type accountTable struct {
 	sets     [accountSets][accountWays]accountEntry
-	overflow accountEntry    // shared by the accounts without an entry of their own
+	overflow accountEntry       // shared by the accounts without an entry of their own
 	demands  []fairshare.Demand // scratch buffer of updateFractions; in slot seconds
 }
 
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"bilberrydale/process/clock"
-	"bilberrydale/process/fairshare"
 	"bilberrydale/process/errkind"
+	"bilberrydale/process/fairshare"
 )
 
 var start = time.Unix(1_000_000, 0)
