spill: the wait that hosts are told is that of a request which arrives now

Cause: the host that does a region's stage work told the mean wait of requests that had ended, as it was before they waited, and the cost of a region was capped at 200 ms.

--- /dev/null
+++ b/process/spill/reports.go
@@ -0,0 +1,79 @@
+package spill
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Reports holds the waits that the owners of regions have told a host. It is safe for concurrent
+// use; Expected takes no lock, because each request calls it for several failure domains.
+type Reports struct {
+	mu   sync.Mutex // guards the replacement of last
+	last atomic.Pointer[map[reportKey]report]
+}
+
+// reportKey is what a report is about.
+type reportKey struct {
+	region   string
+	priority int
+}
+
+// report is the last wait that a region's owner told.
+type report struct {
+	wait time.Duration
+	at   time.Time // when it arrived
+}
+
+// Record records the wait of a priority that a region's owner has told.
+func (r *Reports) Record(region string, priority int, wait time.Duration, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := map[reportKey]report{}
+	if old := r.last.Load(); old != nil {
+		next = maps.Clone(*old)
+	}
+	next[reportKey{region, slot(priority)}] = report{wait, now}
+	r.last.Store(&next)
+}
+
+// halfLife is the half-life of reports: they decay so that a region that gets no requests because
+// of its waits, and therefore tells none, gets requests again.
+const halfLife = time.Second
+
+// Expected returns the expected wait in a region; 0 if nothing is known.
+func (r *Reports) Expected(region string, priority int, now time.Time) time.Duration {
+	last := r.last.Load()
+	if last == nil {
+		return 0
+	}
+	told := (*last)[reportKey{region, slot(priority)}]
+	if told.wait <= 0 {
+		return 0
+	}
+	return time.Duration(float64(told.wait) * math.Exp2(-now.Sub(told.at).Seconds()/halfLife.Seconds()))
+}
+
+// Told is the last report of a region and a priority, for operators.
+type Told struct {
+	Region   string
+	Priority int
+	Wait     time.Duration
+	Age      time.Duration
+}
+
+// List returns the reports that still count, in no particular order.
+func (r *Reports) List(now time.Time) (list []Told) {
+	last := r.last.Load()
+	if last == nil {
+		return nil
+	}
+	for key, told := range *last {
+		if wait := r.Expected(key.region, key.priority, now); wait >= time.Millisecond {
+			list = append(list, Told{key.region, key.priority, told.wait, now.Sub(told.at)})
+		}
+	}
+	return list
+}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -9,6 +9,7 @@
 
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/clock"
+	"bilberrydale/process/spill"
 )
 
 // BatcherLookup returns the batcher of a service, or nil if there is none.
@@ -39,10 +40,11 @@
 	// prefix which they would not expect there. NewPool sets it.
 	announcePrefix func(cachedPrefix)
 
-	mu           sync.Mutex // guards admission, timerPending and meanWait
+	waits spill.Waits // expected waits for admission of requests that arrive
+
+	mu           sync.Mutex // guards admission and timerPending
 	admission    *Admission
-	timerPending bool          // the next periodic call of schedule is scheduled
-	meanWait     time.Duration // moving mean of the waits for admission
+	timerPending bool // the next periodic call of schedule is scheduled
 }
 
 // NewCoordinator returns a coordinator without work.
@@ -68,7 +70,6 @@
 	queuedAt := k.clock.Now()
 	t, err := k.waitForAdmission(ctx, r)
 	admittedAt := k.clock.Now()
-	k.recordWait(admittedAt.Sub(queuedAt))
 	var inputs []Input
 	if err == nil {
 		inputs, err = k.execute(ctx, t, false)
@@ -119,23 +120,16 @@
 	return out
 }
 
-// meanWaitWeight is the weight of the newest request in the moving mean of the waits: the mean
-// covers the last ten or twenty requests, a fraction of a second under load.
-const meanWaitWeight = 0.08
-
-// recordWait adds the wait of one request to the moving mean.
-func (k *Coordinator) recordWait(d time.Duration) {
+// recordExpectedWait adds the expected wait of a request that has just been queued.
+func (k *Coordinator) recordExpectedWait(t *Ticket) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.meanWait += time.Duration(meanWaitWeight * float64(d-k.meanWait))
+	wait := k.admission.lineWait(t)
+	k.mu.Unlock()
+	k.waits.Record(0, wait)
 }
 
-// MeanWait returns the moving mean of the waits for admission, refused requests included.
-func (k *Coordinator) MeanWait() time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.meanWait
-}
+// ExpectedWait returns the expected wait for admission of a request that arrives now.
+func (k *Coordinator) ExpectedWait() time.Duration { return k.waits.Expected(0) }
 
 // isInputLost reports whether stage work failed because the result of an earlier stage was lost.
 func isInputLost(err error) bool {
@@ -183,6 +177,7 @@
 	k.admission.Enqueue(t)
 	k.mu.Unlock()
 	k.schedule()
+	k.recordExpectedWait(t)
 	select {
 	case <-admitted:
 		return t, nil
--- a/process/stages/expectedwait.go
+++ b/process/stages/expectedwait.go
@@ -1,38 +1,36 @@
 package stages
 
-import (
-	"maps"
-	"math"
-	"time"
-)
+import "time"
 
-// reportedWait is the mean wait for admission that a region's owner reported last.
-type reportedWait struct {
-	wait time.Duration
-	at   time.Time // when the report arrived
-}
-
-// recordWait records the mean wait for admission that a region's owner has reported.
-func (p *Pool) recordWait(region string, wait time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	next := maps.Clone(*p.reportedWaits.Load())
-	next[region] = reportedWait{wait, p.clock.Now()}
-	p.reportedWaits.Store(&next)
+// lineWait returns how long a request that has just been queued is expected to wait for admission:
+// the time that the servers of one of its services take for the items of the waiting requests
+// before it, the longest of these times. 0 if it does not wait, or cannot be on time.
+func (a *Admission) lineWait(t *Ticket) time.Duration {
+	before := map[string]int{} // items by service
+	waits := false
+	for _, other := range a.onTime {
+		if waits = other == t; waits {
+			break
+		}
+		for _, s := range other.Request.Stages {
+			before[s.Service] += s.Items
+		}
+	}
+	if !waits {
+		return 0
+	}
+	var longest float64 // seconds
+	for _, s := range t.Request.Stages {
+		if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.ItemsPerSecond > 0 {
+			longest = max(longest, float64(before[s.Service])/svc.ItemsPerSecond)
+		}
+	}
+	return time.Duration(longest * float64(time.Second))
 }
 
-// waitHalfLife is the half-life of reported waits: they decay so that a region that gets no
-// requests because of its waits, and therefore reports none, gets requests again.
-const waitHalfLife = time.Second
-
 // ExpectedWait returns the expected wait for admission of stage work whose results are used in a
 // failure domain; 0 if nothing is known. It takes no lock because each request calls it for several
 // domains.
 func (p *Pool) ExpectedWait(domain string) time.Duration {
-	reported := (*p.reportedWaits.Load())[p.regionOfDomain(domain)]
-	if reported.wait <= 0 {
-		return 0
-	}
-	age := p.clock.Now().Sub(reported.at)
-	return time.Duration(float64(reported.wait) * math.Exp2(-age.Seconds()/waitHalfLife.Seconds()))
+	return p.waits.Expected(p.regionOfDomain(domain), 0, p.clock.Now())
 }
--- a/process/stages/messages.go
+++ b/process/stages/messages.go
@@ -43,7 +43,9 @@
 	Reason       batcher.Reason
 	Stage        int
 	RetryAfterMS int64
-	MeanWaitMS   int64 // mean wait for admission at the host that ran the work
+	// ExpectedWaitMS is the wait for admission, at the host that ran the work, of a request like
+	// this one that arrives at the time of the response.
+	ExpectedWaitMS int64
 }
 
 // cancelRequest is the payload of methodCancel. It names the work by Request.ID and Request.Round.
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
+	"bilberrydale/process/spill"
 )
 
 // Pool finds the owner, the host that runs stage work for a region, and serves other hosts
@@ -25,7 +25,7 @@
 	// RunDomain is the given failure domain; empty: one owner runs the work of all regions.
 	regionOfDomain func(domain string) string
 
-	reportedWaits atomic.Pointer[map[string]reportedWait] // by region; copied on change
+	waits spill.Reports // expected waits for admission, as the owners of regions told them last
 
 	mu                    sync.Mutex              // guards the fields below, except that peersKnown may be read without it
 	suspects              map[string]suspect      // by host name; hosts that did not respond
@@ -62,7 +62,6 @@
 		link: link, clock: c, coordinator: local, regionOfDomain: region, log: log,
 		suspects: map[string]suspect{}, confirmedIncarnations: map[string]uint64{}, leavingIncarnations: map[string]uint64{}, remoteWork: map[workKey]*remoteWork{}, loggedOwners: map[string]string{}, peersKnown: make(chan struct{}),
 	}
-	p.reportedWaits.Store(&map[string]reportedWait{})
 	link.Handle(methodRun, p.serveRun)
 	link.Handle(methodCancel, p.serveCancel)
 	link.Handle(methodFree, p.serveFree)
@@ -96,7 +95,7 @@
 			continue
 		}
 		p.clearSuspect(owner)
-		p.recordWait(region, time.Duration(response.MeanWaitMS)*time.Millisecond)
+		p.waits.Record(region, 0, time.Duration(response.ExpectedWaitMS)*time.Millisecond, p.clock.Now())
 		switch response.Reason {
 		case "":
 			return Results{Inputs: response.Inputs, Owner: owner, TargetID: response.TargetID, FetchFrom: response.FetchFrom, RequestID: r.ID, Round: r.Round}, nil
@@ -107,7 +106,7 @@
 		}
 	}
 	results, err := p.coordinator.Run(ctx, r)
-	p.recordWait(region, p.coordinator.MeanWait())
+	p.waits.Record(region, 0, p.coordinator.ExpectedWait(), p.clock.Now())
 	return results, err
 }
 
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -213,22 +213,20 @@
 	g.Expect(second.itemsMade() + third.itemsMade()).To(BeZero())
 }
 
-// Requests wait at the owner of a region. Each response reports the mean wait to the requesting
+// Requests wait at the owner of a region. Each response reports the expected wait to the requesting
 // host. Reported waits decay, so that a region that gets no work because of its waits is tried
 // again.
 func TestExpectedWaitFollowsReportsAndDecays(t *testing.T) {
 	g, first, _, third := newThreeHosts(t)
 	g.Expect(third.pool.ExpectedWait("x")).To(BeZero())
 	for range 100 {
-		first.fixture.k.recordWait(time.Second)
+		first.fixture.k.waits.Record(0, time.Second)
 	}
 	_, err := third.run("r")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(third.pool.ExpectedWait("x")).To(BeNumerically(">", 500*time.Millisecond))
 	g.Expect(third.pool.ExpectedWait("y")).To(BeZero())
-	old := (*third.pool.reportedWaits.Load())["x"]
-	old.at = old.at.Add(-5 * waitHalfLife)
-	third.pool.reportedWaits.Store(&map[string]reportedWait{"x": old})
+	third.pool.waits.Record("x", 0, time.Second, third.pool.clock.Now().Add(-5*time.Second))
 	g.Expect(third.pool.ExpectedWait("x")).To(BeNumerically("<", 50*time.Millisecond))
 }
 
--- a/process/stages/serve.go
+++ b/process/stages/serve.go
@@ -68,7 +68,7 @@
 	go func() {
 		defer cancel()
 		work.response = p.runLocally(ctx, q)
-		work.response.MeanWaitMS = p.coordinator.MeanWait().Milliseconds()
+		work.response.ExpectedWaitMS = p.coordinator.ExpectedWait().Milliseconds()
 		close(work.done)
 		time.AfterFunc(responseTTL, func() {
 			p.mu.Lock()
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -9,6 +9,7 @@
 	"bilberrydale/process/batcher"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/errkind"
+	"bilberrydale/process/spill"
 	"bilberrydale/process/stages"
 )
 
@@ -146,12 +147,12 @@
 // requests moves to other failure domains.
 func (x *exchange) predictedDomain() string {
 	q := x.balanceQuery(nil)
-	factor := 2 * x.opts.Rand.Float64()
+	u := x.opts.Rand.Float64()
 	costs := map[string]time.Duration{} // by failure domain, which many servers share
 	q.QueueingCost = func(domain string) time.Duration {
 		cost, known := costs[domain]
 		if !known {
-			cost = time.Duration(factor * float64(min(x.opts.Pool.ExpectedWait(domain), maxQueueWait)) / queueCostDivisor)
+			cost = spill.Cost(x.opts.Pool.ExpectedWait(domain), u)
 			costs[domain] = cost
 		}
 		return cost
@@ -162,17 +163,6 @@
 	return x.opts.Domain
 }
 
-const (
-	// maxQueueWait caps the queueing time that counts: beyond it, all requests that can
-	// go elsewhere do.
-	maxQueueWait = 400 * time.Millisecond
-	// queueCostDivisor converts a queueing time to a cost. With a round trip of 40 ms to
-	// the other region, four of five requests without a fixed server go there at
-	// maxQueueWait, and one of five at a quarter of it. If all of them went at once, the
-	// queue would only move.
-	queueCostDivisor = 4
-)
-
 // largestDomain returns the failure domain that holds most bytes of the stage results, and
 // that number of bytes.
 func (x *exchange) largestDomain(results stages.Results) (domain string, most int64) {
