--- a/process/spill/load_test.go
+++ b/process/spill/load_test.go
@@ -33,11 +33,10 @@
 
 // line is the line of one region.
 type line struct {
-	backlog    time.Duration // wait of a request that arrives now
-	at         time.Duration // time of backlog
-	arriving   Waits         // expected waits of requests that arrive
-	ended      Waits         // waits of requests that have ended
-	seen, late int
+	backlog  time.Duration // wait of a request that arrives now
+	at       time.Duration // time of backlog
+	arriving Waits         // expected waits of requests that arrive
+	ended    Waits         // waits of requests that have ended
 }
 
 // event is the arrival of a request at its host, or of the response there.
