--- a/internal/edgedaemon/edgedaemon.go
+++ b/internal/edgedaemon/edgedaemon.go
@@ -38,9 +38,14 @@
 	check := flaggy.NewSubcommand("check")
 	check.Description = "Reads and checks the settings file, then exits."
 	parser.AttachSubcommand(check, 1)
+	var checkConfig configCheck
+	checkConfig.register(parser)
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
+	if checkConfig.command.Used {
+		return checkConfig.run(os.Stdout)
+	}
 	readSettings := func() (platform.Settings, error) { return platform.ReadSettings(path) }
 	loaded, err := readSettings()
 	if err != nil {
