gateway: requests of a host that has just started wait for its configuration

For 0.8 s after the start of the process, requests now wait until the host is ready; 256 at most, a third of the client's timeout at most. Afterwards they are refused at once, as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -118,6 +118,7 @@
 	clientServer    *http.Server
 	readinessServer *http.Server
 	operatorServer  *http.Server              // metrics and state page
+	started         chan struct{}             // closed once the host is ready for the first time
 	stopping        atomic.Bool               // the shutdown has started
 	stopRequested   chan struct{}             // closed when the shutdown starts
 	stopDeadline    atomic.Pointer[time.Time] // when the remaining requests are aborted; nil before the shutdown
@@ -134,7 +135,7 @@
 	h := &Host{
 		opts: opts, settings: settings, clock: clock.System{}, bootClock: clock.Boot{}, rand: clock.SystemRand{},
 		logWriter: logging.NewAsyncWriter(opts.LogOutput), meter: metrics.New(), store: platform.NewStoreClient(settings.StoreAddress),
-		directory: directory.New(), stopRequested: make(chan struct{}), hostsListed: make(chan struct{}),
+		directory: directory.New(), started: make(chan struct{}), stopRequested: make(chan struct{}), hostsListed: make(chan struct{}),
 	}
 	h.log = logging.NewLogger(h.logWriter, settings.Host)
 	h.logLimits = newLogLimits()
@@ -165,7 +166,7 @@
 	h.gateway = gateway.New(gateway.Options{
 		Domain: settings.Domain, OneWayLatency: h.delayTo, Plan: &h.plan, Directory: h.directory, Servers: h.serverClient, Headers: platform.Headers{},
 		Pool: h.stages, RetryLimiter: h.retryLimiter, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
-		ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
+		Started: h.started, ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
 		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, Log: h.logRequest,
 	})
 	h.createHTTPServers()
@@ -282,7 +283,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.watchReload, h.pruneEntries,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.watchReload, h.pruneEntries, h.watchStart,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
@@ -329,6 +330,24 @@
 	}
 }
 
+// startCheckInterval is the time between two checks whether the host is ready after its start.
+const startCheckInterval = 10 * time.Millisecond
+
+// watchStart closes h.started once the host is ready for the first time.
+func (h *Host) watchStart(ctx context.Context) error {
+	begun := h.clock.Now()
+	for !h.isReady() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.clock.After(startCheckInterval):
+		}
+	}
+	close(h.started)
+	h.log.Info("ready", "after_ms", ms(h.clock.Now().Sub(begun)))
+	return nil
+}
+
 // watchReload reads the settings again on each reload signal.
 func (h *Host) watchReload(ctx context.Context) error {
 	for {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// KeysFresh reports whether the API keys of the current plan were confirmed recently enough
 	// to be accepted, and the time since that confirmation.
 	KeysFresh func() (ok bool, age time.Duration)
+	// Started is closed once the host can serve requests after the start of the process.
+	Started <-chan struct{}
 	// ShuttingDown reports whether the process is shutting down. Responses then carry
 	// "Connection: close".
 	ShuttingDown func() bool
@@ -102,6 +104,8 @@
 type Gateway struct {
 	opts            Options
 	streamDurations streamDurations
+	startedAt       time.Time    // creation of the gateway
+	startWaiters    atomic.Int64 // requests in awaitStart
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
 	prefillTimes    prefillTimes
@@ -109,7 +113,7 @@
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget()}
+	return &Gateway{opts: opts, startedAt: opts.Clock.Now(), bodies: bodylimit.NewBudget()}
 }
 
 // LogEntry is the access log entry of one request.
@@ -235,6 +239,7 @@
 // serve handles the request up to the end of the response. The caller reports a non-nil error
 // to the client.
 func (x *exchange) serve() error {
+	x.awaitStart()
 	if err := x.admit(); err != nil {
 		return err
 	}
