--- a/edge/logging.go
+++ b/edge/logging.go
@@ -10,6 +10,7 @@
 	"bilberrydale/process/errkind"
 	"bilberrydale/process/logging"
 	"bilberrydale/process/stages"
+	"bilberrydale/process/waitline"
 	"bilberrydale/request/gateway"
 )
 
@@ -63,6 +64,7 @@
 	if r.LastEventID != "" || r.FirstAttemptID != "" {
 		h.meter.Add("streams_taken_up", 1)
 	}
+	h.countWait(r)
 	failed := r.Kind != "" && r.Kind != errkind.Cancelled
 	if !h.logLimits.allow(failed, h.clock.Now()) {
 		return
@@ -78,6 +80,9 @@
 	if r.CarriedBy != "" {
 		kv = append(kv, "carried_by", r.CarriedBy)
 	}
+	if r.WaitOutcome != waitline.NotWaited {
+		kv = append(kv, "waited_ms", ms(r.Waited), "wait_ended", r.WaitOutcome.String())
+	}
 	if r.BodyEnd != "" {
 		kv = append(kv, "body_end", r.BodyEnd)
 	}
@@ -109,6 +114,22 @@
 	h.log.Info("request", kv...)
 }
 
+// countWait updates the metrics of a request that came to the line of its service.
+func (h *Host) countWait(r *gateway.LogEntry) {
+	if r.WaitOutcome == waitline.NotWaited {
+		return
+	}
+	service := r.Service
+	h.meter.Gauge("requests_waiting_"+service, func() float64 { return float64(h.gateway.Waiting(service)) })
+	h.meter.Observe("request_wait_"+service, r.Waited)
+	if r.WaitOutcome.Refused() {
+		h.meter.Add("requests_refused_waiting_"+r.WaitOutcome.String(), 1)
+	}
+	if r.WaitOutcome == waitline.Trial {
+		h.meter.Add("requests_sent_for_trial", 1)
+	}
+}
+
 // CallSent implements batcher.CallLogger.
 func (h *Host) CallSent(service string, c *batcher.Call, waiting int) {
 	h.meter.Add("stage_calls_"+service, 1)
--- a/edge/responses.go
+++ b/edge/responses.go
@@ -69,8 +69,11 @@
 		// leaves out says nothing.
 		return retryafter.NoResponse
 	}
-	if r.LoadReported {
+	switch {
+	case r.LoadReported:
 		s.RecordLoad(r.RunningRequests, r.QueuedRequests, now)
+	case newWork && r.NoRoom() && r.Pause == 0:
+		s.Room.Refused(now)
 	}
 	if r.RelativeServiceTime > 0 {
 		s.RecordRelativeServiceTime(r.RelativeServiceTime)
--- a/edge/state.go
+++ b/edge/state.go
@@ -26,6 +26,7 @@
 	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
 	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
 	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	RequestsWaiting      map[string]int     `json:"requests_waiting"`        // requests that wait for room at the servers of a service; services without any are left out
 	Peers                []string           `json:"peers"`                   // names of the other entry hosts
 	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
 	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
@@ -50,6 +51,7 @@
 	Load         int         `json:"load"`                       // estimated requests at the server, from all hosts
 	ErrorRate    float64     `json:"errors"`                     // share of recent responses that were failures
 	ServiceTime  float64     `json:"relative_service_time"`      // as the server reported it last, 1 as usual; 0: it does not
+	SeenAgeMS    float64     `json:"load_seen_ms_ago"`           // since it last reported its load, or refused a request; negative: never
 }
 
 // pauseState is the time in which a server wants no requests of this host.
@@ -84,6 +86,7 @@
 	for route, possible := range h.writers.Routes() {
 		s.StreamWriters[route] = writerTexts(possible)
 	}
+	s.RequestsWaiting = h.gateway.AllWaiting()
 	for _, id := range h.mesh.Peers() {
 		s.Peers = append(s.Peers, id.Host)
 	}
@@ -91,12 +94,22 @@
 		s.Servers = append(s.Servers, serverState{
 			ID: srv.ID, Service: srv.Service, Version: srv.Version, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv), Pause: pauseOf(srv, now),
 			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now), ServiceTime: srv.RelativeServiceTime(),
+			SeenAgeMS: seenAgeMS(srv, now),
 		})
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
 	return s
 }
 
+// seenAgeMS returns the milliseconds since the load of a server was seen; negative: it was not.
+func seenAgeMS(s *directory.Server, now time.Time) float64 {
+	at := s.Room.SeenAt()
+	if at.IsZero() {
+		return -1
+	}
+	return ms(now.Sub(at))
+}
+
 // unusedReason returns why a server gets no new work, or "" if it may get some.
 func unusedReason(s *directory.Server, now time.Time) string {
 	switch {
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -19,6 +19,7 @@
 	"bilberrydale/process/retryafter"
 	"bilberrydale/process/serverlimit"
 	"bilberrydale/process/streamwriter"
+	"bilberrydale/process/waitline"
 )
 
 // Entry describes a backend server as the platform lists it.
@@ -78,6 +79,7 @@
 	InFlight  atomic.Int64      // requests of this host in flight at the server; callers count them
 	RateLimit serverlimit.State // the limit that the server has named
 	Pauses    retryafter.State  // until when the server wants no requests of this host
+	Room      waitline.State    // requests at the server, from all hosts
 	// running and waiting are the requests in the server's last load report.
 	running, waiting atomic.Int64
 	reportedAt       atomic.Int64  // Unix nanoseconds by the clock of RecordLoad's caller; 0: never
@@ -185,6 +187,7 @@
 	s.running.Store(int64(running))
 	s.waiting.Store(int64(waiting))
 	s.reportedAt.Store(now.UnixNano())
+	s.Room.Report(running+waiting, now)
 }
 
 // ReportedLoad returns the last load report and its age. Without a report the age is very
--- /dev/null
+++ b/process/waitline/line.go
@@ -0,0 +1,343 @@
+// Package waitline orders the requests that wait on one entry host for room at the servers of a
+// service. It does no I/O and reads no clock: the time and what is known of the servers come in.
+//
+// Requests wait in order of urgency. Within an urgency, those that can still meet their target
+// latency come before those that cannot, then by worth and deadline. A request leaves the line when a
+// server is seen to have room for it, for a trial when nothing fresh was seen for a time, or refused
+// once it is known not to make its deadline.
+package waitline
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bilberrydale/process/estimate"
+)
+
+// Outcome is what became of a request that waits.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	NotWaited Outcome = iota // it has not been in the line
+	Waiting
+	Proceed   // a server is seen to have room
+	Trial     // it, or one behind it, has waited for as long as it may without a fresh reason
+	Hopeless  // it is known not to make its deadline; refused
+	Displaced // the line is full of requests that come before it; refused
+	Left      // its caller has left, or the host shuts down
+)
+
+// Refused reports whether the request is refused.
+func (o Outcome) Refused() bool { return o == Hopeless || o == Displaced }
+
+// String returns the name of the outcome in metrics and log lines.
+func (o Outcome) String() string {
+	return [...]string{"not_waited", "waiting", "room", "trial", "hopeless", "displaced", "left"}[o]
+}
+
+// Request describes a request that may have to wait.
+type Request struct {
+	Priority int     // 0: most urgent
+	Worth    float64 // of an answer, relative to others of the same priority
+	Target   time.Time
+	Deadline time.Time
+	// MaxWait is the time for which it may wait after the last load was seen that leaves no room, and
+	// MaxTotal that for which it may wait whatever was seen.
+	MaxWait, MaxTotal time.Duration
+	// Room returns whether a server on which the request may run has room. It is called with the
+	// lock of the line held, and has to return at once.
+	Room func(now time.Time) Belief
+}
+
+// Ticket is the place of a request in the line.
+type Ticket struct {
+	Request
+	joinedAt time.Time
+	number   uint64 // in order of joining
+	late     bool   // it is not expected to meet its target
+	outcome  Outcome
+	done     chan struct{} // closed with the outcome
+}
+
+// Done returns a channel that is closed once Outcome is not Waiting.
+func (t *Ticket) Done() <-chan struct{} { return t.done }
+
+// Outcome returns what became of the request. It may be called after Done is closed.
+func (t *Ticket) Outcome() Outcome { return t.outcome }
+
+// Bounds of a line.
+const (
+	maxWaiting = 512 // requests, with their bodies
+	maxLooks   = 16  // requests at the head of the line for which servers are looked at in one step
+	// maxTurn is the time for which a request may keep its turn. It is long for a step between two
+	// goroutines, so that a request that has left without a word doesn't stop the others.
+	maxTurn  = 50 * time.Millisecond
+	minStep  = time.Millisecond
+	maxStep  = 25 * time.Millisecond // between two steps, as servers and their limits change, too
+	trialsIn = 4                     // trials in the service time of a request
+)
+
+// Line is the line of one service on one entry host. It is safe for concurrent use. The zero value
+// is empty.
+type Line struct {
+	length      atomic.Int64
+	serviceTime estimate.Latency // at servers with a free slot
+	serverTime  estimate.Latency // at servers, with the wait in their queues
+
+	mu        sync.Mutex // guards the fields below
+	tickets   []*Ticket  // in order
+	joined    uint64     // number of tickets so far
+	turn      *Ticket    // that left the line last and has not sent its request yet; nil: none
+	turnAt    time.Time  // when it left the line
+	lastTrial time.Time
+	pace      pace
+	returns   time.Time // when the last of the refused callers is to return
+}
+
+// Len returns the number of requests that wait.
+func (l *Line) Len() int { return int(l.length.Load()) }
+
+// ObserveServerTime records the time that a request took at a server. freeSlot reports whether the
+// server had a free slot for it when it came.
+func (l *Line) ObserveServerTime(d time.Duration, freeSlot bool, now time.Time) {
+	l.serverTime.Observe(now, d)
+	if freeSlot {
+		l.serviceTime.Observe(now, d)
+	}
+}
+
+// ServiceTime returns the time that a request takes in a slot; fallback before the first observation.
+func (l *Line) ServiceTime(fallback time.Duration) time.Duration {
+	if l.serviceTime.Samples() == 0 {
+		return fallback
+	}
+	return time.Duration(l.serviceTime.Mean() * float64(time.Second))
+}
+
+// lateDeviations is the number of mean deviations by which the time at a server may exceed its mean
+// for a request that is expected to meet its target.
+const lateDeviations = 2
+
+// misses reports whether a request that starts at a time is expected to miss its target.
+func (l *Line) misses(t *Ticket, start time.Time) bool {
+	seconds := l.serverTime.Mean() + lateDeviations*l.serverTime.Deviation()
+	return start.Add(time.Duration(seconds * float64(time.Second))).After(t.Target)
+}
+
+// Join adds a request to the line. first reports whether the line was empty: the caller then has to
+// call Advance until it is empty again. The outcome is Waiting, or a refusal with which the request
+// was not added.
+func (l *Line) Join(r Request, now time.Time) (t *Ticket, first bool, o Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.joined++
+	t = &Ticket{Request: r, joinedAt: now, number: l.joined, outcome: Waiting, done: make(chan struct{})}
+	if len(l.tickets) == 0 {
+		l.pace.lineBegins(now)
+	}
+	position, _ := slices.BinarySearchFunc(l.tickets, t, compare)
+	t.late = l.misses(t, l.startAt(position, now))
+	position, _ = slices.BinarySearchFunc(l.tickets, t, compare)
+	if l.hopeless(t, position, now) {
+		return nil, false, Hopeless
+	}
+	if len(l.tickets) >= maxWaiting {
+		if position == len(l.tickets) {
+			return nil, false, Displaced
+		}
+		l.end(len(l.tickets)-1, Displaced)
+	}
+	l.tickets = slices.Insert(l.tickets, position, t)
+	l.length.Store(int64(len(l.tickets)))
+	return t, len(l.tickets) == 1, Waiting
+}
+
+// compare orders tickets.
+func compare(a, b *Ticket) int {
+	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBools(a.late, b.late), cmp.Compare(b.Worth, a.Worth)); c != 0 {
+		return c
+	}
+	return cmp.Or(a.due().Compare(b.due()), cmp.Compare(a.number, b.number))
+}
+
+// due returns the time by which an answer is worth most that the request can still get.
+func (t *Ticket) due() time.Time {
+	if t.late {
+		return t.Deadline
+	}
+	return t.Target
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// Leave takes a request out of the line whose caller waits no more. It may have left the line already.
+func (l *Line) Leave(t *Ticket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.tickets, t); i >= 0 {
+		l.remove(i)
+	}
+	l.endTurn(t)
+}
+
+// EndTurn records that the request that left the line has been sent, or needs no server. The next
+// one may then have its turn: Advance has to be called.
+func (l *Line) EndTurn(t *Ticket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endTurn(t)
+}
+
+// endTurn ends the turn of t if it has it. The caller holds l.mu.
+func (l *Line) endTurn(t *Ticket) {
+	if l.turn == t {
+		l.turn = nil
+	}
+}
+
+// Advance decides on the requests that wait, and returns when it has to be called next; zero: the
+// line is empty. It is to be called earlier once a server may have room, and after EndTurn.
+func (l *Line) Advance(now time.Time) (next time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuseHopeless(now)
+	next = now.Add(maxStep)
+	if l.turn == nil || now.Sub(l.turnAt) >= maxTurn {
+		next = l.giveTurn(now, next)
+	}
+	if len(l.tickets) == 0 {
+		return time.Time{}
+	}
+	for _, t := range l.tickets {
+		next = earlier(next, t.Deadline.Add(-l.ServiceTime(0)))
+	}
+	return later(next, now.Add(minStep))
+}
+
+// refuseHopeless ends the requests that are known not to make their deadline, and orders the others
+// by whether they can meet their target. The caller holds l.mu.
+func (l *Line) refuseHopeless(now time.Time) {
+	for i := 0; i < len(l.tickets); {
+		if t := l.tickets[i]; l.hopeless(t, i, now) {
+			l.end(i, Hopeless)
+			continue
+		}
+		i++
+	}
+	changed := false
+	for i, t := range l.tickets {
+		late := l.misses(t, l.startAt(i, now))
+		changed = changed || late != t.late
+		t.late = late
+	}
+	if changed {
+		slices.SortFunc(l.tickets, compare)
+	}
+}
+
+// startAt returns when the request at a position in the line is expected to have its turn; now if the
+// pace of the line is not known. The caller holds l.mu.
+func (l *Line) startAt(position int, now time.Time) time.Time {
+	gap, known := l.pace.gap(now)
+	if !known {
+		return now
+	}
+	return now.Add(time.Duration(position+1) * gap)
+}
+
+// hopeless reports whether a request at a position in the line is known not to make its deadline.
+// The caller holds l.mu.
+func (l *Line) hopeless(t *Ticket, position int, now time.Time) bool {
+	return l.startAt(position, now).Add(l.ServiceTime(0)).After(t.Deadline)
+}
+
+// giveTurn ends the wait of at most one request, and returns when there may be another turn, or next
+// if that is earlier. A trial goes to the head of the line, whichever request is due for it. The
+// caller holds l.mu.
+func (l *Line) giveTurn(now, next time.Time) time.Time {
+	l.turn = nil
+	trialAt := next
+	for i, t := range l.tickets {
+		due := t.latestTrial()
+		if i < maxLooks {
+			b := t.Room(now)
+			if b.Room {
+				l.endWithTurn(i, Proceed, now)
+				return next
+			}
+			due = t.trialAfter(b.SeenAt)
+			if !b.RoomAt.IsZero() {
+				next = earlier(next, b.RoomAt)
+			}
+		}
+		trialAt = earlier(trialAt, due)
+	}
+	trialAt = later(trialAt, l.lastTrial.Add(l.ServiceTime(0)/trialsIn))
+	if len(l.tickets) > 0 && !trialAt.After(now) {
+		l.lastTrial = now
+		l.endWithTurn(0, Trial, now)
+		return next
+	}
+	return earlier(next, trialAt)
+}
+
+// trialAfter returns when the request is due for a trial if the last load was seen at seenAt.
+func (t *Ticket) trialAfter(seenAt time.Time) time.Time {
+	return earlier(later(t.joinedAt, seenAt).Add(t.MaxWait), t.latestTrial())
+}
+
+// latestTrial returns when the request is due for a trial whatever was seen. One that is late anyway
+// waits for as long as there are fresh reasons.
+func (t *Ticket) latestTrial() time.Time {
+	if t.late {
+		return t.Deadline
+	}
+	return t.joinedAt.Add(t.MaxTotal)
+}
+
+// endWithTurn ends the wait of a request that is to be sent. The caller holds l.mu.
+func (l *Line) endWithTurn(i int, o Outcome, now time.Time) {
+	l.turn, l.turnAt = l.tickets[i], now
+	l.pace.turn(now)
+	l.end(i, o)
+}
+
+// end ends the wait of a request. The caller holds l.mu.
+func (l *Line) end(i int, o Outcome) {
+	t := l.tickets[i]
+	l.remove(i)
+	t.outcome = o
+	close(t.done)
+}
+
+// remove takes a request out of the line. The caller holds l.mu.
+func (l *Line) remove(i int) {
+	l.tickets = slices.Delete(l.tickets, i, i+1)
+	l.length.Store(int64(len(l.tickets)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -11,6 +11,7 @@
 	"bilberrydale/connection/bodylimit"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/errkind"
+	"bilberrydale/process/waitline"
 	"bilberrydale/version/plan"
 )
 
@@ -30,6 +31,10 @@
 	// refusedByBrittle is set after a refusal of a brittle server. Only servers that are known
 	// to have room get the request then: more refusals could end them.
 	refusedByBrittle bool
+	retryTaken       bool              // the retry of the next attempt has been taken from the retry budget
+	retryRefused     bool              // the retry budget is used up
+	needsRoom        bool              // servers without room for the request are passed over
+	refusedInLine    waitline.Outcome  // set if the request was refused by the line of its service
 	quarantined      error             // set if the request was quarantined between two attempts
 	failedResponse   *bufferedResponse // 5xx response of a server, relayed if no later attempt succeeds
 	lastErr          error             // error of the last attempt; nil: none has failed
@@ -56,7 +61,10 @@
 	if hist.quarantined = x.checkAttempt(); hist.quarantined != nil {
 		return nil
 	}
-	s := x.takeServer(hist)
+	s := x.takeInTurn(ctx, hist)
+	if s == nil && (hist.refusedInLine.Refused() || hist.retryRefused || ctx.Err() != nil) {
+		return nil
+	}
 	if s == nil && x.borrowShares(ctx, hist) {
 		s = x.takeServer(hist)
 	}
@@ -68,14 +76,29 @@
 	}
 	// An attempt that reached no server has not added to the load of the servers, so
 	// that its repetition needs no retry budget.
-	if x.reachedServer && !x.opts.RetryLimiter.AllowRetry(x.service) {
-		hist.lastErr = fmt.Errorf("no further attempt within the retry budget: %w", hist.lastErr)
+	if !x.takeRetry(hist) {
 		return nil
 	}
+	hist.retryTaken = false
 	hist.tried[s.ID] = true
 	return s
 }
 
+// takeRetry takes a retry from the retry budget if the next attempt needs one and has none yet. It
+// returns false if none is left.
+func (x *exchange) takeRetry(hist *attemptHistory) bool {
+	if !x.reachedServer || hist.retryTaken {
+		return true
+	}
+	if !x.opts.RetryLimiter.AllowRetry(x.service) {
+		hist.lastErr = fmt.Errorf("no further attempt within the retry budget: %w", hist.lastErr)
+		hist.retryRefused = true
+		return false
+	}
+	hist.retryTaken = true
+	return true
+}
+
 // takeServer chooses a server and charges the request against its limits; nil: there is none.
 func (x *exchange) takeServer(hist *attemptHistory) *directory.Server {
 	s := x.chooseServer(hist)
@@ -112,6 +135,7 @@
 // finish ends a request for which no further attempt is possible: it relays the 5xx response
 // of a server if there is one, and returns an error otherwise.
 func (x *exchange) finish(hist *attemptHistory) error {
+	x.endTurn()
 	switch {
 	case hist.failedResponse != nil:
 		return x.writeBuffered(hist.failedResponse)
@@ -119,10 +143,12 @@
 		return hist.quarantined
 	case x.mayHaveRun:
 		return &errkind.Error{Kind: errkind.BackendFailed, Detail: hist.lastErrorText(), Dispatched: true, Cause: hist.lastErr}
+	case hist.refusedInLine.Refused():
+		return x.refusedInLine(hist)
 	case x.refusedForPause(hist) != nil:
 		return x.refusedForPause(hist)
 	case hist.refusals > 0:
-		return &errkind.Error{Kind: errkind.Overloaded, Detail: hist.lastErrorText(), RetryAfter: x.jitter(refusedRetryAfter), Cause: hist.lastErr}
+		return &errkind.Error{Kind: errkind.Overloaded, Detail: hist.lastErrorText(), RetryAfter: x.retryAfterRefusal(), Cause: hist.lastErr}
 	default:
 		return x.noUsableServer()
 	}
@@ -151,10 +177,12 @@
 			return x.finish(hist)
 		}
 		var r *bufferedResponse
+		began := x.attemptBegins(s)
 		err := x.watchForCrash(s, func() (err error) {
 			r, err = x.sendBuffered(ctx, s, x.firstByteTimeout(hist))
 			return err
 		})
+		x.attemptEnded(s, began, err)
 		if err != nil {
 			hist.record(err)
 			continue
--- a/request/gateway/choose.go
+++ b/request/gateway/choose.go
@@ -24,6 +24,8 @@
 	q := x.balanceQuery(hist.tried)
 	if excluded, now := q.Exclude, q.Now; hist.refusedByBrittle {
 		q.Exclude = func(s *directory.Server) bool { return excluded(s) || !hasRoom(s, now) }
+	} else if hist.needsRoom {
+		q.Exclude = func(s *directory.Server) bool { return excluded(s) || x.lacksRoom(s, now) }
 	}
 	return balance.Choose(q)
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"bilberrydale/process/serverlimit"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
+	"bilberrydale/process/waitline"
 	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
@@ -104,6 +105,8 @@
 	streamDurations streamDurations
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
+	lines           waitingLines
+	priorities      atomic.Pointer[servicePriorities] // of the plan in use
 	prefillTimes    prefillTimes
 }
 
@@ -114,26 +117,30 @@
 
 // LogEntry is the access log entry of one request.
 type LogEntry struct {
-	ID                  string
-	Route               string                 // empty: no route matched
-	Account             string                 // empty: none, or not identified
-	Service             string                 // that the request itself runs on; empty: refused before it was chosen
-	PlanVersion         int64                  // configuration version
-	Status              int                    // of the response; 0: none was sent
-	Kind                errkind.Kind           // empty: the response of a backend server was relayed
-	Ran                 errkind.Ran            // whether a backend server ran the request
-	Detail              string                 // reason of an error
-	Server              string                 // ID of the last backend server that the request was sent to
-	Attempts            int                    // sends to backend servers
-	Fingerprint         quarantine.Fingerprint // of the content; 0: the body was not read
-	PromptParts         []string               // IDs of the parts of the prompt
-	ServerCrashes       int                    // attempts during which the server crashed
-	Trial               bool                   // the request is in quarantine, and this was its trial
-	Duration            time.Duration
-	StageDuration       time.Duration // from arrival to the end of the stage work
-	TimeToFirstByte     time.Duration // since arrival; 0: no byte was sent
-	DeadlineRemaining   time.Duration // until the deadline, at the end of the request; negative: exceeded
-	RetryAfter          time.Duration // sent to the client; 0: none
+	ID                string
+	Route             string                 // empty: no route matched
+	Account           string                 // empty: none, or not identified
+	Service           string                 // that the request itself runs on; empty: refused before it was chosen
+	PlanVersion       int64                  // configuration version
+	Status            int                    // of the response; 0: none was sent
+	Kind              errkind.Kind           // empty: the response of a backend server was relayed
+	Ran               errkind.Ran            // whether a backend server ran the request
+	Detail            string                 // reason of an error
+	Server            string                 // ID of the last backend server that the request was sent to
+	Attempts          int                    // sends to backend servers
+	Fingerprint       quarantine.Fingerprint // of the content; 0: the body was not read
+	PromptParts       []string               // IDs of the parts of the prompt
+	ServerCrashes     int                    // attempts during which the server crashed
+	Trial             bool                   // the request is in quarantine, and this was its trial
+	Duration          time.Duration
+	StageDuration     time.Duration // from arrival to the end of the stage work
+	TimeToFirstByte   time.Duration // since arrival; 0: no byte was sent
+	DeadlineRemaining time.Duration // until the deadline, at the end of the request; negative: exceeded
+	RetryAfter        time.Duration // sent to the client; 0: none
+	// Waited is the time in the line of the service for room at a server.
+	Waited time.Duration
+	// WaitOutcome is how the last wait in that line ended.
+	WaitOutcome         waitline.Outcome
 	StreamInterruptions int           // attempts whose stream broke off, resumed or not
 	KeyAge              time.Duration // time since the API keys were last confirmed
 	CarriedBy           string        // host by way of which the last response came; empty: directly
@@ -189,12 +196,13 @@
 	inputDomain      string         // failure domain that holds most bytes of the stage results; empty: none
 	inputDomainBytes int64          // number of these bytes in inputDomain
 	logEntry         LogEntry
-	headersSent      bool      // the response headers have been written
-	abort            bool      // the connection has to be aborted, as the response is incomplete
-	mayHaveRun       bool      // a backend server may have run the request
-	reachedServer    bool      // the request may have reached a backend server, whether or not it ran
-	firstEventAt     time.Time // when the headers of a stream were written, with its first event
-	lastEventAt      time.Time // when the last event of a stream was written
+	headersSent      bool             // the response headers have been written
+	abort            bool             // the connection has to be aborted, as the response is incomplete
+	mayHaveRun       bool             // a backend server may have run the request
+	reachedServer    bool             // the request may have reached a backend server, whether or not it ran
+	firstEventAt     time.Time        // when the headers of a stream were written, with its first event
+	lastEventAt      time.Time        // when the last event of a stream was written
+	turn             *waitline.Ticket // with which the request left the line and that it has not used yet; nil: none
 }
 
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the response
