waitline: late requests wait for a short time only; tests of loads and failures

Callers who were refused return with what is left of their time: they are told from new ones by the timeout that most callers name, and come after those that can be on time. A request waits a quarter of its target latency until its trial, and once more when it is late.

--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -3,8 +3,8 @@
 //
 // Requests wait in order of urgency. Within an urgency, those that can still meet their target
 // latency come before those that cannot, then by worth and deadline. A request leaves the line when a
-// server is seen to have room for it, for a trial when nothing fresh was seen for a time, or refused
-// once it is known not to make its deadline.
+// server is seen to have room for it, for a trial after a time, as what is seen may be wrong, or refused
+// once it is known not to make its deadline or when it is late and others keep passing it.
 package waitline
 
 import (
@@ -25,18 +25,19 @@
 	NotWaited Outcome = iota // it has not been in the line
 	Waiting
 	Proceed   // a server is seen to have room
-	Trial     // it, or one behind it, has waited for as long as it may without a fresh reason
+	Trial     // it, or one behind it, has waited for as long as it may
 	Hopeless  // it is known not to make its deadline; refused
 	Displaced // the line is full of requests that come before it; refused
+	Overdue   // it is late and has not had its turn in the time that it may wait then; refused
 	Left      // its caller has left, or the host shuts down
 )
 
 // Refused reports whether the request is refused.
-func (o Outcome) Refused() bool { return o == Hopeless || o == Displaced }
+func (o Outcome) Refused() bool { return o == Hopeless || o == Displaced || o == Overdue }
 
 // String returns the name of the outcome in metrics and log lines.
 func (o Outcome) String() string {
-	return [...]string{"not_waited", "waiting", "room", "trial", "hopeless", "displaced", "left"}[o]
+	return [...]string{"not_waited", "waiting", "room", "trial", "hopeless", "displaced", "overdue", "left"}[o]
 }
 
 // Request describes a request that may have to wait.
@@ -45,9 +46,9 @@
 	Worth    float64 // of an answer, relative to others of the same priority
 	Target   time.Time
 	Deadline time.Time
-	// MaxWait is the time for which it may wait after the last load was seen that leaves no room, and
-	// MaxTotal that for which it may wait whatever was seen.
-	MaxWait, MaxTotal time.Duration
+	// MaxWait is the time after which the request is due for a trial, and from when it is late that
+	// after which it is refused. It is short, as what is known of servers may be wrong.
+	MaxWait time.Duration
 	// Room returns whether a server on which the request may run has room. It is called with the
 	// lock of the line held, and has to return at once.
 	Room func(now time.Time) Belief
@@ -57,8 +58,9 @@
 type Ticket struct {
 	Request
 	joinedAt time.Time
-	number   uint64 // in order of joining
-	late     bool   // it is not expected to meet its target
+	number   uint64    // in order of joining
+	late     bool      // it is not expected to meet its target
+	lateAt   time.Time // since when it is late
 	outcome  Outcome
 	done     chan struct{} // closed with the outcome
 }
@@ -75,10 +77,11 @@
 	maxLooks   = 16  // requests at the head of the line for which servers are looked at in one step
 	// maxTurn is the time for which a request may keep its turn. It is long for a step between two
 	// goroutines, so that a request that has left without a word doesn't stop the others.
-	maxTurn  = 50 * time.Millisecond
-	minStep  = time.Millisecond
-	maxStep  = 25 * time.Millisecond // between two steps, as servers and their limits change, too
-	trialsIn = 4                     // trials in the service time of a request
+	maxTurn     = 50 * time.Millisecond
+	minStep     = time.Millisecond
+	maxStep     = 25 * time.Millisecond // between two steps, as servers and their limits change, too
+	trialsIn    = 4                     // trials in the service time of a request
+	minTrialGap = 5 * time.Millisecond
 )
 
 // Line is the line of one service on one entry host. It is safe for concurrent use. The zero value
@@ -140,7 +143,7 @@
 		l.pace.lineBegins(now)
 	}
 	position, _ := slices.BinarySearchFunc(l.tickets, t, compare)
-	t.late = l.misses(t, l.startAt(position, now))
+	t.setLate(l.misses(t, l.startAt(position, now)), now)
 	position, _ = slices.BinarySearchFunc(l.tickets, t, compare)
 	if l.hopeless(t, position, now) {
 		return nil, false, Hopeless
@@ -156,6 +159,23 @@
 	return t, len(l.tickets) == 1, Waiting
 }
 
+// setLate records whether the request is expected to miss its target.
+func (t *Ticket) setLate(late bool, now time.Time) { t.late, t.lateAt = late, now }
+
+// trialGap returns the time between two trials.
+func (l *Line) trialGap() time.Duration {
+	serverTime := time.Duration(l.serverTime.Mean() * float64(time.Second))
+	return max(l.ServiceTime(serverTime)/trialsIn, minTrialGap)
+}
+
+// dueAt returns when the request has waited for as long as it may.
+func (t *Ticket) dueAt() time.Time {
+	if t.late {
+		return t.lateAt.Add(t.MaxWait)
+	}
+	return t.joinedAt.Add(t.MaxWait)
+}
+
 // compare orders tickets.
 func compare(a, b *Ticket) int {
 	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBools(a.late, b.late), cmp.Compare(b.Worth, a.Worth)); c != 0 {
@@ -222,6 +242,9 @@
 	}
 	for _, t := range l.tickets {
 		next = earlier(next, t.Deadline.Add(-l.ServiceTime(0)))
+		if t.late {
+			next = earlier(next, t.dueAt())
+		}
 	}
 	return later(next, now.Add(minStep))
 }
@@ -230,17 +253,21 @@
 // by whether they can meet their target. The caller holds l.mu.
 func (l *Line) refuseHopeless(now time.Time) {
 	for i := 0; i < len(l.tickets); {
-		if t := l.tickets[i]; l.hopeless(t, i, now) {
+		switch t := l.tickets[i]; {
+		case l.hopeless(t, i, now):
 			l.end(i, Hopeless)
-			continue
+		case t.late && !now.Before(t.dueAt()) && l.pace.known():
+			l.end(i, Overdue)
+		default:
+			i++
 		}
-		i++
 	}
 	changed := false
 	for i, t := range l.tickets {
-		late := l.misses(t, l.startAt(i, now))
-		changed = changed || late != t.late
-		t.late = late
+		if late := l.misses(t, l.startAt(i, now)); late != t.late {
+			t.setLate(late, now)
+			changed = true
+		}
 	}
 	if changed {
 		slices.SortFunc(l.tickets, compare)
@@ -270,21 +297,19 @@
 	l.turn = nil
 	trialAt := next
 	for i, t := range l.tickets {
-		due := t.latestTrial()
 		if i < maxLooks {
 			b := t.Room(now)
 			if b.Room {
 				l.endWithTurn(i, Proceed, now)
 				return next
 			}
-			due = t.trialAfter(b.SeenAt)
 			if !b.RoomAt.IsZero() {
 				next = earlier(next, b.RoomAt)
 			}
 		}
-		trialAt = earlier(trialAt, due)
+		trialAt = earlier(trialAt, t.dueAt())
 	}
-	trialAt = later(trialAt, l.lastTrial.Add(l.ServiceTime(0)/trialsIn))
+	trialAt = later(trialAt, l.lastTrial.Add(l.trialGap()))
 	if len(l.tickets) > 0 && !trialAt.After(now) {
 		l.lastTrial = now
 		l.endWithTurn(0, Trial, now)
@@ -293,20 +318,6 @@
 	return earlier(next, trialAt)
 }
 
-// trialAfter returns when the request is due for a trial if the last load was seen at seenAt.
-func (t *Ticket) trialAfter(seenAt time.Time) time.Time {
-	return earlier(later(t.joinedAt, seenAt).Add(t.MaxWait), t.latestTrial())
-}
-
-// latestTrial returns when the request is due for a trial whatever was seen. One that is late anyway
-// waits for as long as there are fresh reasons.
-func (t *Ticket) latestTrial() time.Time {
-	if t.late {
-		return t.Deadline
-	}
-	return t.joinedAt.Add(t.MaxTotal)
-}
-
 // endWithTurn ends the wait of a request that is to be sent. The caller holds l.mu.
 func (l *Line) endWithTurn(i int, o Outcome, now time.Time) {
 	l.turn, l.turnAt = l.tickets[i], now
--- a/process/waitline/pace.go
+++ b/process/waitline/pace.go
@@ -1,6 +1,9 @@
 package waitline
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // pace estimates the time between two turns of a line while requests wait in it.
 type pace struct {
@@ -31,9 +34,12 @@
 	p.mean += time.Duration(max(paceWeight, 1/float64(p.samples)) * float64(gap-p.mean))
 }
 
+// known reports whether there were enough turns to tell the pace.
+func (p *pace) known() bool { return p.samples >= minPaceSamples }
+
 // gap returns the time between two turns. It returns false if that is not known.
 func (p *pace) gap(now time.Time) (time.Duration, bool) {
-	if p.samples < minPaceSamples {
+	if !p.known() {
 		return 0, false
 	}
 	return max(p.mean, min(now.Sub(p.last), maxPaceAge)), true
@@ -66,3 +72,35 @@
 	returnShare = 3
 	minReturn   = 20 * time.Millisecond
 )
+
+// UsualTimeout learns the timeout with which most callers of a route ask first. Its zero value knows
+// none. It is safe for concurrent use; updates at the same time may be lost.
+type UsualTimeout struct {
+	timeout atomic.Int64 // nanoseconds
+	lead    atomic.Int64 // number by which requests with timeout outnumber others, at most maxLead
+}
+
+const (
+	minLead = 8 // from which the timeout counts as usual
+	maxLead = 64
+)
+
+// Elapsed records the timeout that a caller names and returns for how long the caller has been asking
+// already: callers who were refused return with what is left of their time. It is 0 if most callers do
+// not name the same timeout, or if this one is not shorter.
+func (u *UsualTimeout) Elapsed(timeout time.Duration) time.Duration {
+	usual, lead := time.Duration(u.timeout.Load()), u.lead.Load()
+	switch {
+	case timeout == usual:
+		u.lead.Store(min(lead+1, maxLead))
+	case lead > 0:
+		u.lead.Store(lead - 1)
+	default:
+		u.timeout.Store(int64(timeout))
+		u.lead.Store(1)
+	}
+	if lead < minLead || timeout <= 0 {
+		return 0
+	}
+	return max(usual-timeout, 0)
+}
--- a/process/waitline/sim_test.go
+++ b/process/waitline/sim_test.go
@@ -31,21 +31,21 @@
 
 // result counts what callers and servers saw, by urgency where it is an array: urgent, others.
 type result struct {
-	asked, served, onTime              [2]int
-	refusedAtOnce, refusedAfterWaiting int
-	refusals, repeats, arrivals        int           // arrivals at servers that were refused; all beyond the first of a request; all
-	busy                               time.Duration // of slots
-	waitedLongest                      time.Duration
-	wasted                             int // requests run whose caller had left or whose deadline had passed
-	trials, turns                      int
+	asked, served, onTime       [2]int
+	refusedAtOnce, refusedLater int
+	refusals, repeats, arrivals int           // arrivals at servers that were refused; all beyond the first of a request; all
+	busy                        time.Duration // of slots
+	waitedLongest               time.Duration
+	sentInVain                  int // requests sent whose caller had left
+	trials, turns               int
 }
 
 func (r result) String() string {
 	share := func(n, of [2]int) string {
 		return fmt.Sprintf("%.3f/%.3f", float64(n[0])/max(float64(of[0]), 1), float64(n[1])/max(float64(of[1]), 1))
 	}
-	return fmt.Sprintf("asked %v served %s on time %s; refused at once %d, after waiting %d; arrivals %d, refused by servers %d, repeats %d; busy %.1fs; trials %d of %d turns; longest wait %s",
-		r.asked, share(r.served, r.asked), share(r.onTime, r.asked), r.refusedAtOnce, r.refusedAfterWaiting, r.arrivals, r.refusals, r.repeats, r.busy.Seconds(), r.trials, r.turns, r.waitedLongest)
+	return fmt.Sprintf("asked %v served %s on time %s; refused at once %d, later %d; arrivals %d, refused by servers %d, repeats %d; busy %.1fs; trials %d of %d turns; longest wait %s",
+		r.asked, share(r.served, r.asked), share(r.onTime, r.asked), r.refusedAtOnce, r.refusedLater, r.arrivals, r.refusals, r.repeats, r.busy.Seconds(), r.trials, r.turns, r.waitedLongest)
 }
 
 // modelRequest is one attempt of a caller.
@@ -53,7 +53,8 @@
 	id                         int
 	urgency                    int // 0 or 1
 	firstAt, arrivedAt, leftAt time.Time
-	returned                   bool // the caller has been refused once
+	target                     time.Time // as the host takes it
+	returned                   bool      // the caller has been refused once
 	host                       *modelHost
 	tried                      map[int]bool
 	sends                      int
@@ -66,10 +67,12 @@
 
 type modelHost struct {
 	line     Line
+	timeouts UsualTimeout
 	states   []State
 	inFlight []int
 	waiting  []*modelRequest
 	freshest []time.Time // reports, by server
+	backoff  []time.Time // ends, by server that could not be reached
 	loads    []int
 }
 
@@ -86,6 +89,7 @@
 type model struct {
 	load
 	withLine bool
+	callers  *rand.Rand // the same with and without the line
 	random   *rand.Rand
 	start    time.Time
 	now      time.Time
@@ -98,10 +102,10 @@
 
 // play plays a load with or without the line.
 func (l load) play(withLine bool, seed uint64) result {
-	m := &model{load: l, withLine: withLine, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
+	m := &model{load: l, withLine: withLine, callers: rand.New(rand.NewPCG(seed, 2)), random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
 	m.now = m.start
 	for range l.hosts {
-		m.nodes = append(m.nodes, &modelHost{states: make([]State, l.servers), inFlight: make([]int, l.servers), freshest: make([]time.Time, l.servers), loads: make([]int, l.servers)})
+		m.nodes = append(m.nodes, &modelHost{states: make([]State, l.servers), inFlight: make([]int, l.servers), freshest: make([]time.Time, l.servers), backoff: make([]time.Time, l.servers), loads: make([]int, l.servers)})
 	}
 	for range l.servers {
 		m.backends = append(m.backends, &modelServer{})
@@ -146,12 +150,12 @@
 		return
 	}
 	for n := m.rate(t) * step.Seconds(); n > 0; n-- {
-		if m.random.Float64() >= n {
+		if m.callers.Float64() >= n {
 			break
 		}
 		r := &modelRequest{id: m.asked, firstAt: m.now, urgency: 1}
 		m.asked++
-		if m.random.Float64() < m.urgentShare {
+		if m.callers.Float64() < m.urgentShare {
 			r.urgency = 0
 		}
 		if m.leaves != nil {
@@ -166,6 +170,7 @@
 
 func (m *model) ask(r *modelRequest) {
 	r.host, r.arrivedAt, r.tried, r.sends, r.waited = m.nodes[m.random.IntN(m.hosts)], m.now, map[int]bool{}, 0, 0
+	r.target = m.now.Add(m.target - r.host.timeouts.Elapsed(r.deadline(m.load).Sub(m.now)))
 	m.next(r)
 }
 
@@ -182,6 +187,10 @@
 		m.refuse(r)
 		return
 	}
+	if m.choose(r, false) < 0 {
+		m.refuse(r)
+		return
+	}
 	if !m.withLine {
 		m.send(r, m.choose(r, false))
 		return
@@ -193,9 +202,8 @@
 			return
 		}
 	}
-	maxWait := m.target / 4
 	ticket, _, o := h.line.Join(Request{
-		Priority: 2 * r.urgency, Worth: 1, Target: r.arrivedAt.Add(m.target), Deadline: r.deadline(m.load), MaxWait: maxWait, MaxTotal: max(2*maxWait-r.waited, 0),
+		Priority: 2 * r.urgency, Worth: 1, Target: r.target, Deadline: r.deadline(m.load), MaxWait: max(m.target/4-r.waited, 0),
 		Room: func(now time.Time) Belief { return m.room(r, now) },
 	}, m.now)
 	if o != Waiting {
@@ -215,11 +223,12 @@
 	return Query{Slots: m.slots, InFlight: r.host.inFlight[s], Rank: 2 * r.urgency, ServiceTime: r.host.line.ServiceTime(m.target / 8), Now: m.now}
 }
 
+// room is what the host of a request believes.
 func (m *model) room(r *modelRequest, _ time.Time) Belief {
 	var all Belief
 	full := false
 	for s := range m.servers {
-		if r.tried[s] {
+		if r.tried[s] || m.now.Before(r.host.backoff[s]) {
 			continue
 		}
 		b := r.host.states[s].Room(m.query(r, s))
@@ -229,9 +238,6 @@
 		if !full || !b.RoomAt.IsZero() && (all.RoomAt.IsZero() || b.RoomAt.Before(all.RoomAt)) {
 			all.RoomAt = b.RoomAt
 		}
-		if !full || b.SeenAt.Before(all.SeenAt) {
-			all.SeenAt = b.SeenAt
-		}
 		full = true
 	}
 	all.Room = !full
@@ -243,7 +249,7 @@
 func (m *model) choose(r *modelRequest, needsRoom bool) int {
 	best, least := -1, math.Inf(1)
 	for s := range m.servers {
-		if r.tried[s] || needsRoom && !r.host.states[s].Room(m.query(r, s)).Room {
+		if r.tried[s] || m.now.Before(r.host.backoff[s]) || needsRoom && !r.host.states[s].Room(m.query(r, s)).Room {
 			continue
 		}
 		known := r.host.inFlight[s]
@@ -260,6 +266,9 @@
 func (m *model) send(r *modelRequest, s int) {
 	r.tried[s] = true
 	r.server, r.sentAt = s, m.now
+	if r.gone(m.now) {
+		m.result.sentInVain++
+	}
 	r.sends++
 	r.host.inFlight[s]++
 	r.host.states[s].Sent()
@@ -308,9 +317,6 @@
 			still = append(still, r)
 			continue
 		}
-		if r.gone(m.now) || m.now.After(r.deadline(m.load)) {
-			m.result.wasted++
-		}
 		load := m.report(b, t)
 		m.after(oneWay, func() { m.back(r, s, true, load, false) })
 	}
@@ -344,6 +350,9 @@
 		h.states[s].Refused(m.now)
 	}
 	h.states[s].Returned(r.sentAt)
+	if !served && !refused {
+		h.backoff[s] = m.now.Add(300 * time.Millisecond)
+	}
 	if !served {
 		m.next(r)
 		return
@@ -363,7 +372,7 @@
 	if r.waited == 0 && r.sends == 0 {
 		m.result.refusedAtOnce++
 	} else {
-		m.result.refusedAfterWaiting++
+		m.result.refusedLater++
 	}
 	left := r.deadline(m.load).Sub(m.now)
 	wait, known := r.host.line.RetryAfter(left, m.random.Float64(), m.now)
@@ -421,7 +430,30 @@
 		if s < 0 {
 			s = m.choose(r, false)
 		}
-		m.send(r, s)
+		if s >= 0 {
+			m.send(r, s)
+		} else {
+			m.refuse(r)
+		}
 		h.line.EndTurn(r.ticket)
 	}
 }
+
+// add adds the counts of another play.
+func (r *result) add(o result) {
+	for i := range r.asked {
+		r.asked[i] += o.asked[i]
+		r.served[i] += o.served[i]
+		r.onTime[i] += o.onTime[i]
+	}
+	r.refusedAtOnce += o.refusedAtOnce
+	r.refusedLater += o.refusedLater
+	r.refusals += o.refusals
+	r.repeats += o.repeats
+	r.arrivals += o.arrivals
+	r.busy += o.busy
+	r.sentInVain += o.sentInVain
+	r.trials += o.trials
+	r.turns += o.turns
+	r.waitedLongest = max(r.waitedLongest, o.waitedLongest)
+}
--- a/process/waitline/state.go
+++ b/process/waitline/state.go
@@ -68,8 +68,6 @@
 	Room bool
 	// RoomAt is when it is expected to have room; zero: not known, or it has room.
 	RoomAt time.Time
-	// SeenAt is when the load was seen that leaves no room; zero if it has room.
-	SeenAt time.Time
 }
 
 // Room returns whether the server has room for a request. A server of which nothing was seen for
@@ -81,7 +79,7 @@
 		return Belief{Room: true}
 	}
 	if q.InFlight >= limit {
-		return Belief{SeenAt: q.Now}
+		return Belief{}
 	}
 	seenAt := s.seenAt.Load()
 	age := time.Duration(q.Now.UnixNano() - seenAt)
@@ -98,7 +96,7 @@
 	if left <= 0 {
 		return Belief{Room: true}
 	}
-	return Belief{RoomAt: q.Now.Add(left), SeenAt: time.Unix(0, seenAt)}
+	return Belief{RoomAt: q.Now.Add(left)}
 }
 
 const (
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -196,6 +196,7 @@
 	inputDomain      string         // failure domain that holds most bytes of the stage results; empty: none
 	inputDomainBytes int64          // number of these bytes in inputDomain
 	logEntry         LogEntry
+	askedBefore      time.Duration    // for which the client has probably been asking before this attempt
 	headersSent      bool             // the response headers have been written
 	abort            bool             // the connection has to be aborted, as the response is incomplete
 	mayHaveRun       bool             // a backend server may have run the request
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// maxWaitDivisor of the target latency is the longest wait for room without a fresh reason.
+	// The target latency by maxWaitDivisor is the longest wait of a request until its trial, over all
+	// of its attempts.
 	maxWaitDivisor = 4
-	// serviceTimeDivisor of the target latency is the service time before one was observed.
+	// The target latency by serviceTimeDivisor is the service time before one was observed.
 	serviceTimeDivisor = 8
 )
 
@@ -23,6 +24,17 @@
 type waitingLine struct {
 	waitline.Line
 	wake chan struct{} // receives a value when the line should be looked at
+	// timeouts are the *waitline.UsualTimeout of the routes to the service, by name.
+	timeouts sync.Map
+}
+
+// timeoutOf returns the usual timeout of the callers of a route.
+func (l *waitingLine) timeoutOf(route string) *waitline.UsualTimeout {
+	if u, ok := l.timeouts.Load(route); ok {
+		return u.(*waitline.UsualTimeout)
+	}
+	u, _ := l.timeouts.LoadOrStore(route, &waitline.UsualTimeout{})
+	return u.(*waitline.UsualTimeout)
 }
 
 // notify has the line looked at, if requests wait in it.
@@ -92,6 +104,9 @@
 		return x.takeServer(hist)
 	}
 	line := x.lines.of(x.service)
+	if hist.lastErr == nil {
+		x.askedBefore = line.timeoutOf(x.route.Name).Elapsed(x.clientRequest.Timeout)
+	}
 	if line.Len() == 0 {
 		if s := x.takeServerWithRoom(hist); s != nil {
 			return s
@@ -131,12 +146,12 @@
 func (x *exchange) waitForTurn(ctx context.Context, line *waitingLine, hist *attemptHistory) waitline.Outcome {
 	began := x.opts.Clock.Now()
 	maxWait := cmp.Or(x.route.TargetLatency, x.deadline.Sub(x.arrivedAt)/maxWaitDivisor) / maxWaitDivisor
-	target := x.targetTime
+	target := x.targetTime.Add(-x.askedBefore)
 	if x.route.TargetLatency <= 0 {
 		target = x.deadline
 	}
 	ticket, first, outcome := line.Join(waitline.Request{
-		Priority: x.priority, Worth: x.worth(), Target: target, Deadline: x.deadline, MaxWait: maxWait, MaxTotal: max(maxTotalWaits*maxWait-x.logEntry.Waited, 0),
+		Priority: x.priority, Worth: x.worth(), Target: target, Deadline: x.deadline, MaxWait: max(maxWait-x.logEntry.Waited, 0),
 		Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
@@ -155,9 +170,6 @@
 	return outcome
 }
 
-// maxTotalWaits is the number of longest waits without a fresh reason that a request waits in all.
-const maxTotalWaits = 2
-
 // awaitTurn waits for the outcome of a ticket. At a shutdown the request goes at once, so that it is
 // served or refused in time.
 func (x *exchange) awaitTurn(ctx context.Context, line *waitingLine, ticket *waitline.Ticket) waitline.Outcome {
@@ -236,9 +248,6 @@
 		if !full || !b.RoomAt.IsZero() && (all.RoomAt.IsZero() || b.RoomAt.Before(all.RoomAt)) {
 			all.RoomAt = b.RoomAt
 		}
-		if !full || b.SeenAt.Before(all.SeenAt) {
-			all.SeenAt = b.SeenAt // a trial would go where least is known
-		}
 		full = true
 	}
 	all.Room = !full
