--- a/process/accountshare/accountshare.go
+++ b/process/accountshare/accountshare.go
@@ -152,7 +152,7 @@
 		state = &classState{credit: s.opts.Rand.Float64()}
 		svc.classes[c], svc.names[c.account] = state, r.Account
 	}
-	state.demand.add(r.Cost, now)
+	state.demand.add(r.Cost, rateWindow, now)
 	part := svc.fraction(c, now)
 	if part >= 1 {
 		return true, 0
@@ -221,9 +221,9 @@
 	defer svc.mu.Unlock()
 	switch o {
 	case Taken:
-		svc.taken.add(cost, now)
+		svc.taken.add(cost, rateWindow, now)
 	case Refused:
-		svc.refused.add(cost, now)
+		svc.refused.add(cost, refusalWindow, now)
 		s.extend(svc, now, shortTime)
 	}
 }
--- a/process/accountshare/decide.go
+++ b/process/accountshare/decide.go
@@ -76,10 +76,13 @@
 	// cutRate is the part of the admitted rate by which it falls in a second for each part of the
 	// requests that servers refuse too much.
 	cutRate = 1.25
-	// While servers refuse less, the admitted rate grows by minGrowth a second. That doubles with
-	// each step at which they refuse next to nothing, up to maxGrowth.
-	minGrowth, maxGrowth = 0.05, 0.5
-	// maxAhead bounds the admitted rate, relative to what the servers take.
+	// While servers refuse less, the admitted rate grows by minGrowth a second. That is multiplied by
+	// growthFactor with each step at which they refuse next to nothing, up to maxGrowth.
+	minGrowth, maxGrowth, growthFactor = 0.05, 0.5, 2
+	// drainAhead is where the fall ends, relative to what the servers take: low enough for requests
+	// that wait before them to become fewer.
+	drainAhead = 0.97
+	// maxAhead is where growth ends, relative to what the servers take.
 	maxAhead = 1.5
 	// maxStep bounds the time that one step of the estimate stands for.
 	maxStep = 2 * reportInterval
@@ -98,9 +101,8 @@
 
 // update takes a step.
 func (c *capacity) update(t *totals, now time.Time) {
-	full := t.taken * (1 + targetRefusedShare)
 	if c.at.IsZero() {
-		*c = capacity{perSecond: full, growth: minGrowth, at: now}
+		*c = capacity{perSecond: t.taken, growth: minGrowth, at: now}
 		return
 	}
 	seconds := min(max(now.Sub(c.at), 0), maxStep).Seconds()
@@ -108,15 +110,15 @@
 	switch share := t.refusedShare(); {
 	case share > targetRefusedShare:
 		least := c.perSecond * (1 - cutRate*(share-targetRefusedShare)*seconds)
-		c.perSecond, c.growth = max(least, min(c.perSecond, full)), minGrowth
-	default:
+		c.perSecond, c.growth = max(least, min(c.perSecond, drainAhead*t.taken)), minGrowth
+	case c.perSecond < maxAhead*t.taken:
 		c.perSecond *= 1 + c.growth*seconds
-		c.growth = min(2*c.growth, maxGrowth)
-		if share > targetRefusedShare/3 {
-			c.growth = minGrowth
+		if share < targetRefusedShare/3 {
+			c.growth = min(growthFactor*c.growth, maxGrowth)
 		}
 	}
-	c.perSecond = min(max(c.perSecond, t.taken), maxAhead*t.taken)
+	// Servers that take less while they refuse next to nothing have not shrunk.
+	c.perSecond = max(c.perSecond, drainAhead*t.taken)
 }
 
 // limits is which requests of a service are admitted.
--- a/process/accountshare/report.go
+++ b/process/accountshare/report.go
@@ -24,6 +24,8 @@
 	// reportTimeout is the time in which hosts of another region respond, also over a connection
 	// that has to be opened.
 	reportTimeout = 300 * time.Millisecond
+	// idleTime is how long after its last request a class at a host is left out.
+	idleTime = 2 * rateWindow
 	// maxAttempts is the number of hosts that one report is sent to until one takes it.
 	maxAttempts = 3
 	// maxClasses bounds the classes of a report; the smallest ones are added up.
@@ -199,10 +201,10 @@
 
 // totals returns what this host and those that report to it count. The caller holds svc.mu.
 func (svc *service) totals(now time.Time) totals {
-	t := totals{demand: map[class]float64{}, taken: svc.taken.perSecond(now), refused: svc.refused.perSecond(now), hosts: 1}
+	t := totals{demand: map[class]float64{}, taken: svc.taken.perSecond(rateWindow, now), refused: svc.refused.perSecond(refusalWindow, now), hosts: 1}
 	for c, state := range svc.classes {
-		if amount := state.demand.perSecond(now); amount > 0 {
-			t.demand[c] = amount
+		if now.Sub(state.demand.at) < idleTime {
+			t.demand[c] = state.demand.perSecond(rateWindow, now)
 		}
 	}
 	maps.DeleteFunc(svc.children, func(_ string, r received) bool { return now.Sub(r.at) >= reportMaxAge })
