gateway, edge: client accounts share the room of a service that is short of it

Callers of small accounts were served about 1 in 10 while a large account asked for several times what a service takes: hosts admitted everything and the servers took whom they met first. Requests of routes without stages now pass accountshare.Shares, which knows from the hosts that see the shortage which part of each account's requests to admit. State page, log lines and counters.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"bilberrydale/connection/serverpath"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
+	"bilberrydale/process/accountshare"
 	"bilberrydale/process/apihealth"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/coldstart"
@@ -99,6 +100,7 @@
 	reach             *reach.Tracker     // whether this host itself reaches backend servers
 	serverClient      *serverpath.Client // sends requests by upstream or by way of other hosts
 	retryLimiter      *retrylimit.Limiter
+	shares            *accountshare.Shares
 	batchers          *batchers
 	stages            *stages.Pool
 	gateway           *gateway.Gateway
@@ -162,9 +164,10 @@
 		OnLoan: func(requests int) { h.meter.Add("cold_rate_borrowed", int64(requests)) },
 	})
 	h.createGuard()
+	h.createShares()
 	h.gateway = gateway.New(gateway.Options{
 		Domain: settings.Domain, OneWayLatency: h.delayTo, Plan: &h.plan, Directory: h.directory, Servers: h.serverClient, Headers: platform.Headers{},
-		Pool: h.stages, RetryLimiter: h.retryLimiter, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
+		Pool: h.stages, RetryLimiter: h.retryLimiter, Shares: h.shares, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
 		ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
 		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, Log: h.logRequest,
 	})
@@ -282,7 +285,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.watchReload, h.pruneEntries,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.watchReload, h.pruneEntries,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
--- a/edge/state.go
+++ b/edge/state.go
@@ -32,6 +32,7 @@
 	// StreamWriters are the software versions, each after its service, that may have begun the
 	// streams of a route which clients can still take up.
 	StreamWriters map[string][]string `json:"stream_writers"`
+	Shortages     []shortageState     `json:"shortages"` // services that are short of room, and the shares of client accounts
 	Servers       []serverState       `json:"servers"`
 }
 
@@ -80,6 +81,7 @@
 		}
 	}
 	sort.Strings(s.EvacuatedDomains)
+	s.Shortages = h.shortages(now)
 	s.StreamWriters = map[string][]string{}
 	for route, possible := range h.writers.Routes() {
 		s.StreamWriters[route] = writerTexts(possible)
--- a/process/accountshare/accountshare.go
+++ b/process/accountshare/accountshare.go
@@ -30,6 +30,9 @@
 	// OnChange is called when a service becomes short of room at this host or one that reports to
 	// it, and when it no longer is; nil: not called. It must not call Shares.
 	OnChange func(Change)
+	// OnRefusal is called for each request that Admit refuses; nil: not called. It must not call
+	// Shares.
+	OnRefusal func(service string)
 	// OnFailure is called when a host does not take a report, with the reason; nil: not called.
 	OnFailure func(host string, err error)
 }
@@ -38,6 +41,7 @@
 type Change struct {
 	Service string
 	Short   bool
+	Lasted  time.Duration // valid if Short is not set
 }
 
 // Request is what is known of a client's request before it is sent to a server.
@@ -51,10 +55,10 @@
 // Outcome is what became of an admitted request.
 type Outcome int
 
-// Outcomes of an admitted request. One that is not sent for another reason has none.
+// Outcomes of an admitted request. One that is not sent for another reason than want of room has none.
 const (
 	Taken   Outcome = iota + 1 // a server took it, whether or not it succeeded
-	Refused                    // no server had room for it
+	Refused                    // no server had room for it at first; Taken may follow if it waits
 )
 
 // Shares decides which requests this host admits. It is safe for concurrent use.
@@ -163,6 +167,9 @@
 		return true, 0
 	}
 	s.extend(svc, now, shortTime)
+	if s.opts.OnRefusal != nil {
+		s.opts.OnRefusal(r.Service)
+	}
 	return false, retryAfterShare(part, s.opts.Rand.Float64())
 }
 
--- a/process/accountshare/decide.go
+++ b/process/accountshare/decide.go
@@ -52,13 +52,11 @@
 	}
 }
 
-// accounts returns the demand of each account.
-func (t *totals) accounts() map[accountID]float64 {
-	out := make(map[accountID]float64, len(t.demand))
-	for c, amount := range t.demand {
-		out[c.account] += amount
-	}
-	return out
+// classes returns the classes by account and priority.
+func (t *totals) classes() []class {
+	return slices.SortedFunc(maps.Keys(t.demand), func(a, b class) int {
+		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.priority, b.priority))
+	})
 }
 
 // refusedShare returns the part of the requests sent to servers that these refused, by cost.
@@ -84,6 +82,9 @@
 	drainAhead = 0.97
 	// maxAhead is where growth ends, relative to what the servers take.
 	maxAhead = 1.5
+	// The admitted rate does not fall below minOfPeak of what the servers took before, less peakDecay
+	// a second: servers that hosts of a build without shares fill refuse whatever the others admit.
+	minOfPeak, peakDecay = 0.5, 0.05
 	// maxStep bounds the time that one step of the estimate stands for.
 	maxStep = 2 * reportInterval
 	// minTakenShare is the part of the demand that servers have to take for shares to apply. A
@@ -97,16 +98,18 @@
 	perSecond float64   // cost
 	growth    float64   // a second, of the next step
 	at        time.Time // of the last step
+	// peak is the most that the servers took, less peakDecay for each second since.
+	peak float64
 }
 
 // update takes a step.
 func (c *capacity) update(t *totals, now time.Time) {
 	if c.at.IsZero() {
-		*c = capacity{perSecond: t.taken, growth: minGrowth, at: now}
+		*c = capacity{perSecond: t.taken, growth: minGrowth, at: now, peak: t.taken}
 		return
 	}
 	seconds := min(max(now.Sub(c.at), 0), maxStep).Seconds()
-	c.at = now
+	c.at, c.peak = now, max(c.peak*(1-peakDecay*seconds), t.taken)
 	switch share := t.refusedShare(); {
 	case share > targetRefusedShare:
 		least := c.perSecond * (1 - cutRate*(share-targetRefusedShare)*seconds)
@@ -118,7 +121,7 @@
 		}
 	}
 	// Servers that take less while they refuse next to nothing have not shrunk.
-	c.perSecond = max(c.perSecond, drainAhead*t.taken)
+	c.perSecond = max(c.perSecond, drainAhead*t.taken, minOfPeak*c.peak)
 }
 
 // limits is which requests of a service are admitted.
@@ -142,12 +145,18 @@
 // decide divides a capacity, in cost per second, among accounts. An account that is alone is not
 // limited.
 func decide(t *totals, capacity float64) limits {
-	accounts := t.accounts()
-	var demand float64
-	demands := make([]fairshare.Demand, 0, len(accounts)+1)
-	for _, amount := range accounts {
-		demand += amount
-		demands = append(demands, fairshare.Demand{Amount: amount, Weight: 1})
+	var (
+		accounts []accountID
+		demands  []fairshare.Demand // of accounts, in the same order
+		demand   float64
+	)
+	classes := t.classes()
+	for _, c := range classes {
+		if n := len(accounts); n == 0 || accounts[n-1] != c.account {
+			accounts, demands = append(accounts, c.account), append(demands, fairshare.Demand{Weight: 1})
+		}
+		demand += t.demand[c]
+		demands[len(demands)-1].Amount += t.demand[c]
 	}
 	demand += t.rest
 	if t.restOf > 0 {
@@ -157,29 +166,26 @@
 		return limits{capacity: capacity}
 	}
 	l := limits{capacity: capacity, level: fairshare.Level(capacity, demands), cuts: map[accountID]float32{}}
-	for account, amount := range accounts {
-		if amount > l.level {
-			l.cuts[account] = t.cut(account, l.level)
+	for i, account := range accounts {
+		if demands[i].Amount > l.level {
+			l.cuts[account] = t.cut(classes, account, l.level)
 		}
 	}
 	return l
 }
 
-// cut returns up to which priority an account's requests fit into its share; see limits.
-func (t *totals) cut(account accountID, share float64) float32 {
-	var priorities []uint8
-	for c := range t.demand {
-		if c.account == account {
-			priorities = append(priorities, c.priority)
+// cut returns up to which priority an account's requests fit into its share; see limits. classes are
+// those of t in order.
+func (t *totals) cut(classes []class, account accountID, share float64) float32 {
+	for _, c := range classes {
+		if c.account != account {
+			continue
 		}
-	}
-	slices.Sort(priorities)
-	for _, p := range priorities {
-		amount := t.demand[class{account, p}]
+		amount := t.demand[c]
 		if amount > share {
-			return float32(p) + float32(share/amount)
+			return float32(c.priority) + float32(share/amount)
 		}
 		share -= amount
 	}
-	return float32(len(priorities)) + 256 // all of them fit
+	return maxPriority + 1 // all of them fit
 }
--- a/process/accountshare/report.go
+++ b/process/accountshare/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -122,7 +123,7 @@
 	if svc.short && !now.Before(svc.shortUntil) {
 		svc.short, svc.decision, svc.capacity = false, nil, capacity{}
 		clear(svc.children)
-		s.changed(Change{Service: svc.name})
+		s.changed(Change{Service: svc.name, Lasted: now.Sub(svc.shortSince)})
 	}
 	switch {
 	case !svc.short:
@@ -208,8 +209,8 @@
 		}
 	}
 	maps.DeleteFunc(svc.children, func(_ string, r received) bool { return now.Sub(r.at) >= reportMaxAge })
-	for _, r := range svc.children {
-		t.add(r.totals)
+	for _, host := range slices.Sorted(maps.Keys(svc.children)) {
+		t.add(svc.children[host].totals)
 	}
 	t.truncate(maxClasses)
 	return t
@@ -218,8 +219,8 @@
 // encodeReport returns the message of totals.
 func encodeReport(service string, t *totals) reportMessage {
 	m := reportMessage{Service: service, Rest: float32(t.rest), RestOf: uint32(t.restOf), Taken: float32(t.taken), Refused: float32(t.refused), Hosts: uint32(t.hosts)}
-	for c, amount := range t.demand {
-		m.Classes = append(m.Classes, classMessage{Account: uint32(c.account), Priority: c.priority, Demand: float32(amount)})
+	for _, c := range t.classes() {
+		m.Classes = append(m.Classes, classMessage{Account: uint32(c.account), Priority: c.priority, Demand: float32(t.demand[c])})
 	}
 	return m
 }
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -93,6 +93,7 @@
 		return nil, err
 	}
 	s.RecordSuccess()
+	x.recordTaken()
 	return a, nil
 }
 
@@ -201,6 +202,7 @@
 	if a.headers.NotRun && a.response.Status == http.StatusConflict {
 		return fmt.Errorf("%w: %s", errInputsLost, a.server.ID)
 	}
+	x.refusedForRoom = x.refusedForRoom || a.headers.NoRoom()
 	if a.headers.NoRoom() && a.server.RateLimit.Brittle() != nil {
 		a.recordStatus(x.opts.Clock.Now())
 		return fmt.Errorf("%w: %s", errRefusedByBrittle, a.server.ID)
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -120,8 +120,12 @@
 	case x.mayHaveRun:
 		return &errkind.Error{Kind: errkind.BackendFailed, Detail: hist.lastErrorText(), Dispatched: true, Cause: hist.lastErr}
 	case x.refusedForPause(hist) != nil:
+		x.recordNoRoom()
 		return x.refusedForPause(hist)
 	case hist.refusals > 0:
+		if x.refusedForRoom {
+			x.recordNoRoom()
+		}
 		return &errkind.Error{Kind: errkind.Overloaded, Detail: hist.lastErrorText(), RetryAfter: x.jitter(refusedRetryAfter), Cause: hist.lastErr}
 	default:
 		return x.noUsableServer()
--- a/request/gateway/errors.go
+++ b/request/gateway/errors.go
@@ -83,6 +83,7 @@
 	if x.candidates().Empty() {
 		return x.noServerError("takes work", noServerRetryAfter)
 	}
+	x.recordNoRoom()
 	// Another host may have some of its share of the servers left.
 	return x.noServerError("takes more from this host now", limitedRetryAfter)
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -40,6 +40,7 @@
 	Headers       wire.Headers // header format of the platform
 	Pool          *stages.Pool // runs the stages
 	RetryLimiter  RetryLimiter
+	Shares        AccountShares
 	ColdStart     *coldstart.Limiter   // limits requests to cold servers
 	ServerLimits  *serverlimit.Limiter // limits that servers name
 	Guard         quarantine.Guard     // refuses requests that crash backend servers
@@ -192,6 +193,9 @@
 	headersSent      bool      // the response headers have been written
 	abort            bool      // the connection has to be aborted, as the response is incomplete
 	mayHaveRun       bool      // a backend server may have run the request
+	shared           bool      // admitted by Options.Shares, without a final outcome so far
+	noRoom           bool      // recordNoRoom has counted the request
+	refusedForRoom   bool      // a server has refused the request for want of room
 	reachedServer    bool      // the request may have reached a backend server, whether or not it ran
 	firstEventAt     time.Time // when the headers of a stream were written, with its first event
 	lastEventAt      time.Time // when the last event of a stream was written
@@ -241,6 +245,9 @@
 	if err := x.checkServable(); err != nil {
 		return err
 	}
+	if err := x.takeAccountShare(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -258,6 +265,9 @@
 		return x.classifyError(ctx, err)
 	}
 	err := x.serveBackend(ctx)
+	if x.mayHaveRun {
+		x.recordTaken()
+	}
 	if err == nil && x.logEntry.Status < http.StatusMultipleChoices {
 		x.clearSuspicion()
 	}
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -195,10 +195,16 @@
 // for more than its size, the least urgent one for less.
 var priorityWeights = []float64{2, 1.2, 0.7, 0.5}
 
-// worth estimates the weight of one completed request relative to others: its size in
-// tokens, with a generated token counting as ten prompt tokens, scaled by priority.
+// size returns the size of the request in tokens, with a generated token counting as ten prompt
+// tokens; 0: the client does not say it.
+func (x *exchange) size() float64 {
+	return float64(x.clientRequest.InputTokens + 10*x.clientRequest.MaxOutputTokens)
+}
+
+// worth estimates the weight of one completed request relative to others: its size, scaled by
+// priority.
 func (x *exchange) worth() float64 {
-	size := float64(x.clientRequest.InputTokens + 10*x.clientRequest.MaxOutputTokens)
+	size := x.size()
 	if x.continues() {
 		size *= continuedWorthFactor
 	}
