--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -144,10 +144,15 @@
 	case x.mayHaveRun:
 		return &errkind.Error{Kind: errkind.BackendFailed, Detail: hist.lastErrorText(), Dispatched: true, Cause: hist.lastErr}
 	case hist.refusedInLine.Refused():
+		x.recordNoRoom()
 		return x.refusedInLine(hist)
 	case x.refusedForPause(hist) != nil:
+		x.recordNoRoom()
 		return x.refusedForPause(hist)
 	case hist.refusals > 0:
+		if x.refusedForRoom {
+			x.recordNoRoom()
+		}
 		return &errkind.Error{Kind: errkind.Overloaded, Detail: hist.lastErrorText(), RetryAfter: x.retryAfterRefusal(), Cause: hist.lastErr}
 	default:
 		return x.noUsableServer()
