stages: client accounts share the servers of scarce services

One account could take all of the stage servers' time. While several accounts ask for a service that is short, those within their due by weighted max-min over the demand of some seconds come first; what they leave is lent at once.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -13,6 +13,13 @@
 // A request is on time if its stages can end by its target time when started now, and late if
 // they cannot. Late requests still run if they can end before their deadline.
 //
+// The order in which requests start is: the client accounts that are within their due of the services
+// that are short, before those beyond it; within an account, and among all that are beyond, the more
+// urgent one; of one priority, those that can be on time by worth per second of server time, then late
+// ones by deadline. No server is left idle for the sake of a share: what accounts within their due
+// leave goes to the others at once. A part of the capacity goes first to late requests near their latest start
+// (the late reserve), in the same order.
+//
 // Items in flight are limited for each service to what its servers complete in the time that
 // an item is in flight (Little's law). Up to this limit calls are full. Above it, requests
 // would only wait after their start, occupying results and memory, and requests that will
@@ -27,6 +34,7 @@
 	lateInFlight map[string]workAmount
 	onTime       []*Ticket // waiting, by beforeOnTime
 	late         []*Ticket // waiting, by beforeLate
+	shares       *accountShares
 }
 
 // Ticket is a request that waits for admission or is in flight.
@@ -45,6 +53,7 @@
 	FetchFrom       string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
+	shares        []stageShare  // by stage with items; none for a request without a share
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
 	criticalPath  time.Duration // expected duration of its stages once started, as last computed
 }
@@ -52,7 +61,7 @@
 // NewAdmission returns an admission without requests; services looks up a service by name and
 // reports whether it exists.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{lookupService: services, serviceCache: map[string]Service{}, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}}
+	return &Admission{lookupService: services, serviceCache: map[string]Service{}, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}, shares: newAccountShares()}
 }
 
 // service returns a service from the cache or the lookup; false: there is none of that name.
@@ -71,6 +80,7 @@
 func (a *Admission) Enqueue(t *Ticket) {
 	clear(a.serviceCache)
 	t.serverSeconds = a.serverSeconds(t.Request)
+	a.shares.join(t, a.stageSeconds)
 	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
 }
 
@@ -117,19 +127,27 @@
 func (a *Admission) serverSeconds(r *Request) float64 {
 	var sum float64
 	for _, s := range r.Stages {
-		if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.ItemsPerSecond > 0 {
-			sum += float64(s.Items) / svc.ItemsPerSecond
-		}
+		sum += a.stageSeconds(s)
 	}
 	return sum
 }
 
+// stageSeconds returns the time that the items of a stage occupy all servers of its service, in
+// seconds; 0 if that is not known.
+func (a *Admission) stageSeconds(s Stage) float64 {
+	if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.ItemsPerSecond > 0 {
+		return float64(s.Items) / svc.ItemsPerSecond
+	}
+	return 0
+}
+
 // Remove removes a waiting request and reports whether it was waiting.
 func (a *Admission) Remove(t *Ticket) bool {
 	for _, list := range []*[]*Ticket{&a.onTime, &a.late} {
 		for i, other := range *list {
 			if other == t {
 				*list = append((*list)[:i], (*list)[i+1:]...)
+				t.leave(false)
 				return true
 			}
 		}
@@ -141,7 +159,7 @@
 func (a *Admission) RejectAll(r batcher.Reason) {
 	for _, list := range [][]*Ticket{a.onTime, a.late} {
 		for _, t := range list {
-			t.Reject(r)
+			a.reject(t, r)
 		}
 	}
 	a.onTime, a.late = nil, nil
@@ -160,20 +178,34 @@
 // latency, and late ones.
 func (a *Admission) Waiting() (onTime, late int) { return len(a.onTime), len(a.late) }
 
-// Schedule admits and rejects waiting requests according to the state at now. Late requests near
-// their latest start come first, up to the late reserve; then all others by priority.
+// Schedule admits and rejects waiting requests according to the state at now. While several accounts
+// ask for a service that is short, the requests of those within their due come first, and what they
+// leave goes to all. In both turns late requests near their latest start come first, up to the late
+// reserve; then all others by priority.
 func (a *Admission) Schedule(now time.Time) {
 	clear(a.serviceCache)
+	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
-	a.late = a.startFitting(a.late, func(t *Ticket) bool { return a.nearLatestStart(t, now) && a.fitsLateReserve(t.Request) })
-	a.startByPriority(reserved)
+	if a.shares.contended {
+		a.startTurn(now, reserved, (*Ticket).withinDue)
+	}
+	a.startTurn(now, reserved, func(*Ticket) bool { return true })
+	a.shares.markShort(reserved, now)
 }
 
-// startByPriority starts the requests that fit, the most urgent first; of one priority those that
+// startTurn starts the requests that have a turn and fit.
+func (a *Admission) startTurn(now time.Time, reserved *reservations, hasTurn func(*Ticket) bool) {
+	a.late = a.startFitting(a.late, func(t *Ticket) bool {
+		return a.nearLatestStart(t, now) && hasTurn(t) && a.fitsLateReserve(t.Request)
+	})
+	a.startByPriority(reserved, hasTurn)
+}
+
+// startByPriority starts the requests that have a turn and fit, the most urgent first; of one priority those that
 // can be on time, then late ones. Late requests do not wait behind less urgent ones: these would be
 // served more often than they in a lasting shortage.
-func (a *Admission) startByPriority(reserved *reservations) {
+func (a *Admission) startByPriority(reserved *reservations, hasTurn func(*Ticket) bool) {
 	onTimeBefore, lateBefore := a.onTime, a.late
 	onTime, late := a.onTime, a.late
 	a.onTime, a.late = a.onTime[:0], a.late[:0]
@@ -184,7 +216,7 @@
 		}
 		t := (*from)[0]
 		*from = (*from)[1:]
-		if a.fits(t, reserved) {
+		if hasTurn(t) && a.fits(t, reserved) {
 			a.start(t)
 			continue
 		}
@@ -219,11 +251,11 @@
 			needs = t.latePath()
 		}
 		if now.Add(needs).After(t.Request.Deadline) {
-			t.Reject(batcher.TooLate)
+			a.reject(t, batcher.TooLate)
 			continue
 		}
 		if a.lacksServer(t.Request) {
-			t.Reject(batcher.NoServer)
+			a.reject(t, batcher.NoServer)
 			continue
 		}
 		if stay(t) {
@@ -331,8 +363,15 @@
 	return true
 }
 
+// reject ends the wait of a request and calls its Reject.
+func (a *Admission) reject(t *Ticket, r batcher.Reason) {
+	t.leave(false)
+	t.Reject(r)
+}
+
 // start admits a request and calls its Start.
 func (a *Admission) start(t *Ticket) {
+	t.leave(true)
 	a.addInFlight(t)
 	t.Start()
 }
--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -139,6 +139,8 @@
 type requestClass struct {
 	name                   string
 	priority               int    // of its requests; 0: most urgent
+	account                string // client account of its requests
+	withoutShare           bool   // as Request.WithoutShare
 	sameStagesAs           string // class whose stages and time limits it has
 	rate                   func(at time.Duration) float64
 	targetLatency, timeout time.Duration
@@ -248,7 +250,7 @@
 func (c *requestClass) newRequest(r *rand.Rand, n int) *Request {
 	now := time.Now()
 	return &Request{
-		ID: fmt.Sprint(c.name, n), RunDomain: []string{"x", "y", "z"}[r.IntN(3)], Worth: c.worth(r), Priority: c.priority, Stages: c.stages(r),
+		ID: fmt.Sprint(c.name, n), RunDomain: []string{"x", "y", "z"}[r.IntN(3)], Worth: c.worth(r), Priority: c.priority, Account: c.account, WithoutShare: c.withoutShare, Stages: c.stages(r),
 		TargetTime: now.Add(c.targetLatency), Deadline: now.Add(c.timeout),
 	}
 }
--- /dev/null
+++ b/process/stages/shares.go
@@ -0,0 +1,213 @@
+package stages
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bilberrydale/process/fairshare"
+)
+
+const (
+	// shareWindow is the time constant with which demand and use of accounts are forgotten: long
+	// against the wait for one request, short against a shortage.
+	shareWindow = 3 * time.Second
+	// shareInterval is how often dues are computed anew. Use counts at once.
+	shareInterval = 100 * time.Millisecond
+	// shortageHold is how long a service counts as short after a request last waited for it.
+	shortageHold = time.Second
+	// minShareSeconds is the demand, in server seconds, below which an idle account is forgotten.
+	minShareSeconds = 1e-3
+)
+
+// accountShares divides the time of the servers of scarce services among client accounts, by weighted
+// max-min over their recent demand. What is divided is what all accounts used lately, so that servers
+// that are slower than expected are divided as well.
+type accountShares struct {
+	services   map[string]*serviceShares
+	computedAt time.Time
+	contended  bool // several accounts ask for a short service
+}
+
+// serviceShares holds the shares of one service.
+type serviceShares struct {
+	accounts   map[string]*accountShare
+	shortUntil time.Time
+	totalUsed  float64 // server seconds, as of the last computation
+}
+
+// accountShare is the share of one account in one service. Amounts are server seconds of about the last
+// shareWindow: time that items occupy all servers of the service.
+type accountShare struct {
+	weight  float64
+	demand  float64 // of the requests that arrived
+	used    float64 // of the requests that started
+	due     float64 // up to which its requests come before those of accounts beyond theirs; +Inf: all
+	waiting int     // stages of waiting requests
+}
+
+func newAccountShares() *accountShares { return &accountShares{services: map[string]*serviceShares{}} }
+
+// join counts the stages of a request that begins to wait. seconds returns the server seconds of a
+// stage.
+func (s *accountShares) join(t *Ticket, seconds func(Stage) float64) {
+	r := t.Request
+	if r.WithoutShare {
+		return
+	}
+	t.shares = make([]stageShare, 0, len(r.Stages))
+	for _, stage := range r.Stages {
+		need := seconds(stage)
+		if need <= 0 {
+			continue
+		}
+		share := s.share(stage.Service, r.Account)
+		if r.Weight > 0 {
+			share.weight = r.Weight
+		}
+		share.demand += need
+		share.waiting++
+		t.shares = append(t.shares, stageShare{service: stage.Service, account: share, seconds: need})
+	}
+}
+
+// share returns the share of an account in a service.
+func (s *accountShares) share(service, account string) *accountShare {
+	of := s.services[service]
+	if of == nil {
+		of = &serviceShares{accounts: map[string]*accountShare{}}
+		s.services[service] = of
+	}
+	share := of.accounts[account]
+	if share == nil {
+		share = &accountShare{weight: 1, due: math.Inf(1)}
+		of.accounts[account] = share
+	}
+	return share
+}
+
+// stageShare is the part of a request's stage in the share of its account.
+type stageShare struct {
+	service string
+	account *accountShare
+	seconds float64 // server seconds of the stage
+}
+
+// leave counts the stages of a request that no longer waits; started is whether they run.
+func (t *Ticket) leave(started bool) {
+	for _, s := range t.shares {
+		s.account.waiting--
+		if started {
+			s.account.used += s.seconds
+		}
+	}
+}
+
+// withinDue reports whether the account of a request has used less than its due of each short service
+// that the request needs.
+func (t *Ticket) withinDue() bool {
+	for _, s := range t.shares {
+		if s.account.used >= s.account.due {
+			return false
+		}
+	}
+	return true
+}
+
+// markShort records the services that lack capacity at now.
+func (s *accountShares) markShort(reserved *reservations, now time.Time) {
+	mark := func(name string) {
+		if of := s.services[name]; of != nil {
+			of.shortUntil = now.Add(shortageHold)
+		}
+	}
+	for name := range reserved.services {
+		mark(name)
+	}
+	for name := range reserved.resultBytes {
+		mark(name)
+	}
+}
+
+// compute forgets a part of the past and computes the dues, at most once in shareInterval.
+func (s *accountShares) compute(now time.Time) {
+	elapsed := now.Sub(s.computedAt)
+	if elapsed < shareInterval {
+		return
+	}
+	keep := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
+	s.computedAt, s.contended = now, false
+	for name, of := range s.services {
+		of.forget(keep)
+		if len(of.accounts) == 0 {
+			delete(s.services, name)
+			continue
+		}
+		of.computeDues(now.Before(of.shortUntil))
+		s.contended = s.contended || now.Before(of.shortUntil) && len(of.accounts) > 1
+	}
+}
+
+// forget keeps a part of the demand and use of all accounts, and removes idle accounts.
+func (of *serviceShares) forget(keep float64) {
+	of.totalUsed = 0
+	for name, a := range of.accounts {
+		a.demand *= keep
+		a.used *= keep
+		of.totalUsed += a.used
+		if a.waiting == 0 && a.demand < minShareSeconds && a.used < minShareSeconds {
+			delete(of.accounts, name)
+		}
+	}
+}
+
+// computeDues computes the dues of a service; without a shortage they are unlimited.
+func (of *serviceShares) computeDues(short bool) {
+	level := math.Inf(1)
+	if short {
+		demands := make([]fairshare.Demand, 0, len(of.accounts))
+		for _, a := range of.accounts {
+			demands = append(demands, fairshare.Demand{Amount: max(a.demand, a.used), Weight: a.weight})
+		}
+		level = fairshare.Level(of.totalUsed, demands)
+	}
+	for _, a := range of.accounts {
+		a.due = level * a.weight
+	}
+}
+
+// AccountShare describes the share of an account in a service that is short. Amounts are server seconds
+// of about the last three seconds: time that items occupy all servers of the service.
+type AccountShare struct {
+	Service string  `json:"service"`
+	Account string  `json:"account"` // empty: requests without an account
+	Due     float64 `json:"due_s"`   // its requests come first until it has used this
+	Used    float64 `json:"used_s"`
+	Demand  float64 `json:"demand_s"`
+	Waiting int     `json:"waiting"` // stages of waiting requests
+}
+
+// maxListedShares bounds the accounts that list returns for each service.
+const maxListedShares = 20
+
+// list returns the accounts of the services that are short at now, those of the most demand.
+func (s *accountShares) list(now time.Time) (out []AccountShare) {
+	for name, of := range s.services {
+		if !now.Before(of.shortUntil) {
+			continue
+		}
+		var list []AccountShare
+		for account, a := range of.accounts {
+			if !math.IsInf(a.due, 1) {
+				list = append(list, AccountShare{name, account, a.due, a.used, a.demand, a.waiting})
+			}
+		}
+		slices.SortFunc(list, func(x, y AccountShare) int {
+			return cmp.Or(cmp.Compare(y.Demand, x.Demand), cmp.Compare(x.Account, y.Account))
+		})
+		out = append(out, list[:min(len(list), maxListedShares)]...)
+	}
+	slices.SortStableFunc(out, func(x, y AccountShare) int { return cmp.Compare(x.Service, y.Service) })
+	return out
+}
