--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -35,6 +35,8 @@
 	onTime       []*Ticket // waiting, by beforeOnTime
 	late         []*Ticket // waiting, by beforeLate
 	shares       *accountShares
+	// lineCheckedAt is when refuseUnreachable last checked the line.
+	lineCheckedAt time.Time
 }
 
 // Ticket is a request that waits for admission or is in flight.
@@ -54,6 +56,7 @@
 
 	late          bool          // see Late
 	shares        []stageShare  // by stage with items; none for a request without a share
+	retryAfter    time.Duration // when a rejected request may return; 0: unknown
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
 	criticalPath  time.Duration // expected duration of its stages once started, as last computed
 }
@@ -192,6 +195,7 @@
 	}
 	a.startTurn(now, reserved, func(*Ticket) bool { return true })
 	a.shares.markShort(reserved, now)
+	a.refuseUnreachable(now)
 }
 
 // startTurn starts the requests that have a turn and fit.
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -187,7 +187,7 @@
 	case <-admitted:
 		return t, nil
 	case reason := <-rejected:
-		return t, &Error{Reason: reason, RetryAfter: k.pausedFor(r)}
+		return t, &Error{Reason: reason, RetryAfter: max(t.retryAfter, k.pausedFor(r))}
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
