--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -125,11 +125,11 @@
 	k.mu.Lock()
 	wait := k.admission.lineWait(t)
 	k.mu.Unlock()
-	k.waits.Record(0, wait)
+	k.waits.Record(t.Request.Priority, wait)
 }
 
-// ExpectedWait returns the expected wait for admission of a request that arrives now.
-func (k *Coordinator) ExpectedWait() time.Duration { return k.waits.Expected(0) }
+// ExpectedWait returns the expected wait for admission of a request of a priority that arrives now.
+func (k *Coordinator) ExpectedWait(priority int) time.Duration { return k.waits.Expected(priority) }
 
 // isInputLost reports whether stage work failed because the result of an earlier stage was lost.
 func isInputLost(err error) bool {
@@ -182,7 +182,7 @@
 	case <-admitted:
 		return t, nil
 	case reason := <-rejected:
-		return t, &Error{Reason: reason, RetryAfter: k.pausedFor(r)}
+		return t, &Error{Reason: reason, RetryAfter: max(t.retryAfter, k.pausedFor(r))}
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
--- a/process/stages/expectedwait.go
+++ b/process/stages/expectedwait.go
@@ -28,9 +28,9 @@
 	return time.Duration(longest * float64(time.Second))
 }
 
-// ExpectedWait returns the expected wait for admission of stage work whose results are used in a
-// failure domain; 0 if nothing is known. It takes no lock because each request calls it for several
+// ExpectedWait returns the expected wait for admission of stage work of a priority whose results are
+// used in a failure domain; 0 if nothing is known. It takes no lock because each request calls it for several
 // domains.
-func (p *Pool) ExpectedWait(domain string) time.Duration {
-	return p.waits.Expected(p.regionOfDomain(domain), 0, p.clock.Now())
+func (p *Pool) ExpectedWait(domain string, priority int) time.Duration {
+	return p.waits.Expected(p.regionOfDomain(domain), priority, p.clock.Now())
 }
