gateway: bodies of requests are counted and bounded over all of a host

What was seen: 100 callers that send 4 MiB and stop before the last byte take 563 MB of heap (a small machine has 184 MB in all). A body was read by io.ReadAll without a bound over the host, nor of time, and copied whole for each attempt.

Attempts send the blocks without a copy.

--- a/connection/bodylimit/body.go
+++ b/connection/bodylimit/body.go
@@ -12,17 +12,37 @@
 	blockBytes      = 64 << 10
 )
 
-// Body is a body in memory.
+// Body is a body in memory. A nil *Body is empty.
 type Body struct {
-	blocks [][]byte
-	size   int64
+	blocks  [][]byte
+	size    int64
+	release func() // gives reserved memory back; nil: none is
 }
 
 // Size returns the number of bytes.
-func (d *Body) Size() int64 { return d.size }
+func (d *Body) Size() int64 {
+	if d == nil {
+		return 0
+	}
+	return d.size
+}
 
 // Blocks returns the bytes in order. The caller must not change them.
-func (d *Body) Blocks() [][]byte { return d.blocks }
+func (d *Body) Blocks() [][]byte {
+	if d == nil {
+		return nil
+	}
+	return d.blocks
+}
+
+// Release gives reserved memory back. The body must not be used any more. Later calls do nothing.
+func (d *Body) Release() {
+	if d == nil || d.release == nil {
+		return
+	}
+	d.release()
+	d.release = nil
+}
 
 // Bytes returns a copy of the bytes.
 func (d *Body) Bytes() []byte { return bytes.Join(d.blocks, nil) }
--- a/connection/serverpath/carrier.go
+++ b/connection/serverpath/carrier.go
@@ -128,7 +128,7 @@
 	}
 	stopWaiting := context.AfterFunc(call, x.cancel)
 	response, err := c.opts.Upstream.Do(ctx, r.Address, &upstream.Request{
-		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body, HasBody: r.HasBody, NewWork: r.DropWhenLeaves, StartedUnixMS: startedUnixMS,
+		Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: [][]byte{r.Body}, HasBody: r.HasBody, NewWork: r.DropWhenLeaves, StartedUnixMS: startedUnixMS,
 	})
 	if err != nil {
 		out := c.sendFailure(call, err)
--- a/connection/serverpath/serverpath.go
+++ b/connection/serverpath/serverpath.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -203,7 +204,7 @@
 	id := c.carriers.lastID.Add(1)
 	r, err := c.callCarrier(ctx, host, sendRequest{
 		ID: id, Address: address, TimeoutMillis: timeoutMillis(ctx), Method: req.Method, URI: req.URI, Host: req.Host,
-		Header: req.Header, Body: req.Body, HasBody: req.HasBody, DropWhenLeaves: req.NewWork,
+		Header: req.Header, Body: slices.Concat(req.Body...), HasBody: req.HasBody, DropWhenLeaves: req.NewWork,
 	}, req.StartedUnixMS)
 	switch {
 	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFailureResponse):
--- a/connection/serverpath/serverpath_test.go
+++ b/connection/serverpath/serverpath_test.go
@@ -98,7 +98,7 @@
 func decodeStart(_ int, body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }
 
 func (f *fleet) send(ctx context.Context) (*upstream.Response, error) {
-	return f.client.Do(ctx, f.address(), &upstream.Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("y"), HasBody: true})
+	return f.client.Do(ctx, f.address(), &upstream.Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("y")}, HasBody: true})
 }
 
 var onePlace = map[string]Place{"one": {"a", "r"}}
--- a/connection/upstream/response.go
+++ b/connection/upstream/response.go
@@ -68,10 +68,10 @@
 type connBody struct {
 	conn        *conn
 	body        io.ReadCloser
-	stopCancel  func() bool // detaches the connection from the context; false if that has interrupted it
-	complete    bool        // the body was read to its end
-	keepAlive   bool        // the server keeps the connection open after the body
-	writeResult chan error  // receives one value, the result of writing the request
+	stopCancel  func() bool  // detaches the connection from the context; false if that has interrupted it
+	complete    bool         // the body was read to its end
+	keepAlive   bool         // the server keeps the connection open after the body
+	writeResult <-chan error // receives one value, the result of writing the request
 }
 
 // Read implements Body.
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -10,11 +10,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -28,8 +26,8 @@
 	URI     string // path and query, sent unchanged
 	Host    string // Host header; need not be the address of the server
 	Header  http.Header
-	Body    []byte // ignored unless HasBody is set
-	HasBody bool   // the request has a body, which may be empty
+	Body    [][]byte // in parts; ignored unless HasBody is set
+	HasBody bool     // the request has a body, which may be empty
 	// NewWork reports that a server that leaves must not get the request.
 	NewWork bool
 	// WithinRegions reports that the request may pass only through the regions of this host
@@ -362,40 +360,20 @@
 	return resp, body, nil
 }
 
-// maxSyncWriteBytes is the maximum size of a request that is written before the response is
-// read. It fits into the smallest TCP window, so that the write cannot block on a server that
-// does not read. Larger requests are written concurrently.
-const maxSyncWriteBytes = 8 << 10
-
 // exchange writes a request to the connection and reads the response headers.
 func (c *Client) exchange(k *conn, req *Request) (*Response, *connBody, error) {
 	httpReq := &http.Request{
 		Method: req.Method, Host: req.Host, Header: req.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: opaqueURL(req.URI),
 	}
-	if req.HasBody {
-		httpReq.Body, httpReq.ContentLength = io.NopCloser(bytes.NewReader(req.Body)), int64(len(req.Body))
-		if len(req.Body) == 0 {
-			httpReq.Body = http.NoBody
-		}
-	}
 	if _, ok := httpReq.Header["User-Agent"]; !ok {
 		httpReq.Header["User-Agent"] = nil // prevents net/http from adding its own
 	}
-	var buf bytes.Buffer
-	if err := httpReq.Write(&buf); err != nil {
+	head, err := encodeHead(httpReq, req)
+	if err != nil {
 		return nil, nil, fmt.Errorf("write request: %w", err)
 	}
-	writeResult := make(chan error, 1)
-	if buf.Len() <= maxSyncWriteBytes {
-		_, err := k.tcp.Write(buf.Bytes())
-		writeResult <- err
-	} else {
-		go func() {
-			_, err := k.tcp.Write(buf.Bytes())
-			writeResult <- err
-		}()
-	}
+	writeResult := k.write(head, req)
 	httpResp, err := k.readHead(httpReq)
 	if err != nil {
 		return nil, nil, err
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -223,7 +223,7 @@
 	c := New(Options{})
 	body := make([]byte, 32<<20)
 	for range 2 {
-		a, err := c.Do(t.Context(), listener.Addr().String(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: body, HasBody: true})
+		a, err := c.Do(t.Context(), listener.Addr().String(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: [][]byte{body}, HasBody: true})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = io.ReadAll(a)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -166,7 +166,7 @@
 		Domain: settings.Domain, OneWayLatency: h.delayTo, Plan: &h.plan, Directory: h.directory, Servers: h.serverClient, Headers: platform.Headers{},
 		Pool: h.stages, RetryLimiter: h.retryLimiter, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
 		ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
-		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, Log: h.logRequest,
+		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, MemoryBytes: settings.MemoryBytes, Log: h.logRequest,
 	})
 	h.createHTTPServers()
 	h.registerGauges()
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -204,6 +204,10 @@
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.OpenConnections()) })
 	h.meter.Gauge("peers_known", func() float64 { return float64(len(h.mesh.Peers())) })
 	h.meter.Gauge("stream_records", func() float64 { return float64(h.writers.Records()) })
+	h.meter.Gauge("upload_bytes", func() float64 { return float64(h.gateway.Uploads().Bytes) })
+	h.meter.Gauge("uploads_waiting", func() float64 { return float64(h.gateway.Uploads().Waiting) })
+	h.meter.Gauge("uploads_given_up", func() float64 { return float64(h.gateway.Uploads().GivenUp) })
+	h.meter.Gauge("uploads_without_room", func() float64 { return float64(h.gateway.Uploads().NoRoom) })
 	h.meter.Gauge("log_lines_dropped", func() float64 { return float64(h.logWriter.Dropped()) })
 	h.meter.Gauge("log_lines_left_out", func() float64 {
 		return float64(h.logLimits.ordinary.Suppressed() + h.logLimits.failures.Suppressed())
--- a/edge/state.go
+++ b/edge/state.go
@@ -26,6 +26,9 @@
 	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
 	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
 	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	UploadBytes          int64              `json:"upload_bytes"`            // memory reserved for bodies of requests
+	UploadMaxBytes       int64              `json:"upload_max_bytes"`        // at most
+	UploadsWaiting       int                `json:"uploads_waiting"`         // requests whose bodies wait for memory
 	Peers                []string           `json:"peers"`                   // names of the other entry hosts
 	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
 	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
@@ -69,6 +72,8 @@
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
 		StageWorkWaiting: waiting, StageWorkWaitingLate: late, Quarantine: h.guard.List(),
 	}
+	uploads := h.gateway.Uploads()
+	s.UploadBytes, s.UploadMaxBytes, s.UploadsWaiting = uploads.Bytes, uploads.MaxBytes, uploads.Waiting
 	p := h.plan.Load()
 	if p != nil {
 		s.ConfigVersion = p.Version
--- a/process/quarantine/fingerprint.go
+++ b/process/quarantine/fingerprint.go
@@ -15,15 +15,17 @@
 // that do not distinguish requests by them.
 type Content struct {
 	Method, URI   string
-	Host, Account string // of the request, and the client account
-	Body          []byte
+	Host, Account string   // of the request, and the client account
+	Body          [][]byte // in parts
 }
 
 // Fingerprint returns the fingerprint of the content.
 func (c Content) Fingerprint() Fingerprint {
 	d := xxhash.New()
 	_, _ = d.WriteString(c.Method + " " + c.URI + "\n")
-	_, _ = d.Write(c.Body)
+	for _, part := range c.Body {
+		_, _ = d.Write(part)
+	}
 	if c.Host != "" || c.Account != "" {
 		_, _ = d.WriteString("\n" + c.Host + "\n" + c.Account)
 	}
--- a/process/quarantine/fingerprint_test.go
+++ b/process/quarantine/fingerprint_test.go
@@ -11,7 +11,7 @@
 // stored claims hold the fingerprint of the method, the URI and the body.
 func TestFingerprintWithoutHostAndAccountIsStable(t *testing.T) {
 	g := NewWithT(t)
-	c := Content{Method: "POST", URI: "/book?n=1", Body: []byte("soap")}
+	c := Content{Method: "POST", URI: "/book?n=1", Body: [][]byte{[]byte("soap")}}
 	g.Expect(c.Fingerprint()).To(Equal(Fingerprint(xxhash.Sum64String("POST /book?n=1\nsoap"))))
 }
 
@@ -19,14 +19,14 @@
 // the same content.
 func TestFingerprintDistinguishesEachField(t *testing.T) {
 	g := NewWithT(t)
-	base := Content{Method: "POST", URI: "/a", Host: "h", Account: "x", Body: []byte("b")}
+	base := Content{Method: "POST", URI: "/a", Host: "h", Account: "x", Body: [][]byte{[]byte("b")}}
 	seen := map[Fingerprint]bool{base.Fingerprint(): true}
 	for _, change := range []func(*Content){
 		func(c *Content) { c.Method = "GET" },
 		func(c *Content) { c.URI = "/b" },
 		func(c *Content) { c.Host = "i" },
 		func(c *Content) { c.Account = "y" },
-		func(c *Content) { c.Body = []byte("c") },
+		func(c *Content) { c.Body = [][]byte{[]byte("c")} },
 	} {
 		c := base
 		change(&c)
--- a/request/entry/entry.go
+++ b/request/entry/entry.go
@@ -235,7 +235,7 @@
 	}
 	c.setWriteDeadline(timeout)
 	c.admitted = admission.Request{Profile: c.route.Profile, Account: c.account, ArrivedAt: now, Deadline: now.Add(timeout)}
-	content := quarantine.Content{Method: c.r.Method, URI: c.r.URL.RequestURI(), Body: c.body}
+	content := quarantine.Content{Method: c.r.Method, URI: c.r.URL.RequestURI(), Body: [][]byte{c.body}}
 	c.claimKey = claim.Key{Account: c.account, Key: c.key, Body: uint64(content.Fingerprint())}
 	c.admitted.Fingerprint = c.claimKey.Body
 	return nil
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -60,7 +60,7 @@
 	now := x.opts.Clock.Now()
 	remaining := x.deadline.Sub(now)
 	req := &upstream.Request{
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body,
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Body: x.body.Blocks(),
 		HasBody: x.r.ContentLength != 0 || x.r.Method != http.MethodGet, NewWork: true, WithinRegions: x.allowed.Restricted(),
 		Header: x.opts.Headers.EncodeServerRequest(x.r.Header, wire.ServerRequest{
 			ServerID: s.ID, Account: x.account, Timeout: remaining, InputHandles: x.inputHandles, LastEventID: lastEventID, Priority: x.enginePriority(now), KVSource: x.kvSourceAddress(s, now),
--- /dev/null
+++ b/request/gateway/body.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"bilberrydale/connection/bodylimit"
+	"bilberrydale/process/errkind"
+)
+
+const (
+	// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
+	defaultMaxBodyBytes = 4 << 20 // 4 MiB
+	// noRoomRetryAfter is the time in which bodies that make no progress are given up.
+	noRoomRetryAfter = time.Second
+)
+
+// readBody reads the request body into memory, up to the configured limit. It may wait until other
+// bodies leave room.
+func (x *exchange) readBody() error {
+	limit := x.plan.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return errkind.New(errkind.TooLarge, "the body has %d bytes, over %d", x.r.ContentLength, limit)
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	conn := http.NewResponseController(x.w)
+	body, err := x.uploads.Read(bodylimit.Upload{
+		Body: x.r.Body, Length: x.r.ContentLength, Limit: limit, Timeout: x.deadline.Sub(x.opts.Clock.Now()),
+		Interrupt: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }, // fails only on a closed connection
+	})
+	if err != nil {
+		return x.bodyError(err, limit)
+	}
+	x.body = body
+	return nil
+}
+
+// bodyError returns the error of a request whose body was not read.
+func (x *exchange) bodyError(err error, limit int64) error {
+	x.bodyUnread = true
+	switch {
+	case errors.Is(err, bodylimit.ErrTooLarge):
+		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, bodylimit.ErrNoRoom):
+		return &errkind.Error{Kind: errkind.Overloaded, Detail: err.Error(), RetryAfter: x.jitter(noRoomRetryAfter), Cause: err}
+	case errors.Is(err, bodylimit.ErrStalled), errors.Is(err, bodylimit.ErrLate):
+		return &errkind.Error{Kind: errkind.BodyTimeout, Detail: err.Error(), RetryAfter: x.jitter(noRoomRetryAfter), Cause: err}
+	}
+	x.abort = true
+	return &errkind.Error{Kind: errkind.Cancelled, Detail: "the body did not arrive", Cause: err}
+}
+
+// Uploads returns figures of the bodies that requests have in memory.
+func (g *Gateway) Uploads() bodylimit.UploadStats { return g.uploads.Stats() }
--- a/request/gateway/crash.go
+++ b/request/gateway/crash.go
@@ -37,7 +37,7 @@
 // fingerprint identifies the content of the request, by which it is recognized when the client
 // sends it again.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	return quarantine.Content{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Account: x.account, Body: x.body}.Fingerprint()
+	return quarantine.Content{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Account: x.account, Body: x.body.Blocks()}.Fingerprint()
 }
 
 // serverCrashed reports whether the server crashed during an attempt that ended with err. A
--- a/request/gateway/errors.go
+++ b/request/gateway/errors.go
@@ -42,6 +42,10 @@
 		x.opts.Headers.SetRetryAfter(h, wait)
 	}
 	x.closeIfShuttingDown(h)
+	if x.bodyUnread {
+		// net/http would read the rest of the body before it answers, and the client may send none.
+		h["Connection"] = []string{"close"}
+	}
 	x.logEntry.Status = status
 	x.w.WriteHeader(status)
 	// A write error only means that the client has disconnected.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -30,7 +29,7 @@
 	"bilberrydale/version/plan"
 )
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields but MemoryBytes are required.
 type Options struct {
 	Domain        string                            // failure domain of this entry host
 	OneWayLatency func(domain string) time.Duration // one-way network latency to a failure domain
@@ -59,6 +58,7 @@
 	// returns the time at which the remaining requests are cut off.
 	ShutdownStarted  <-chan struct{}
 	ShutdownDeadline func() time.Time
+	MemoryBytes      int64 // memory limit of the process; 0: not known
 	// Log is called once for each request, at its end.
 	Log func(*LogEntry)
 }
@@ -104,12 +104,13 @@
 	streamDurations streamDurations
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
+	uploads         *bodylimit.Uploads
 	prefillTimes    prefillTimes
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget()}
+	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(), uploads: bodylimit.NewUploads(opts.MemoryBytes)}
 }
 
 // LogEntry is the access log entry of one request.
@@ -176,7 +177,8 @@
 	service          string              // that the request itself runs on, after its stages
 	allowed          residency.Set       // regions in which the request may be served
 	writer           streamwriter.Writer // of the stream, once it has begun
-	body             []byte              // of the client's request
+	body             *bodylimit.Body     // of the client's request; nil: empty
+	bodyUnread       bool                // a part of the body was not read
 	subjects         quarantine.Subjects // to which crashes during the request are attributed
 	arrivedAt        time.Time
 	targetTime       time.Time      // arrival plus target latency
@@ -203,6 +205,7 @@
 	x := &exchange{Gateway: g, w: w, r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
 	x.logEntry.ID = x.clientRequest.AttemptID
 	x.logEntry.LastEventID, x.logEntry.FirstAttemptID = x.clientRequest.LastEventID, x.clientRequest.FirstAttemptID
+	defer func() { x.body.Release() }()
 	if err := x.serve(); err != nil {
 		x.writeError(errkind.From(err))
 	}
@@ -340,33 +343,6 @@
 	return nil
 }
 
-// readBody reads the request body into memory, up to the configured limit.
-func (x *exchange) readBody() error {
-	limit := x.plan.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return errkind.New(errkind.TooLarge, "the body has %d bytes, over %d", x.r.ContentLength, limit)
-	}
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	if err != nil {
-		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the body did not arrive", Cause: err}
-	}
-	if int64(len(body)) > limit {
-		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
-	}
-	x.body = body
-	return nil
-}
-
-// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20 // 4 MiB
-
 // classifyError converts the error that ended a request into a *errkind.Error, and marks the
 // response as aborted if the client has disconnected.
 func (x *exchange) classifyError(ctx context.Context, err error) error {
