gateway: answers that clients do not read are bounded; an unread stream ends at its server

What was seen: (1) the memory of an answer was no longer counted once it was read from the server, while its client might not read it; (2) a client that did not read its stream kept the server's connection and slot for as long as it stayed: the time-out of events is noticed by a read, and the host was in a write (TestStreamThatIsNotReadEndsAtTheServer on: the server was still writing after 20 s).

Change: (1) an answer over 32 KiB counts until it is written or given up. The bound follows the memory of the process. (2) A stream whose client takes nothing for 5 s ends like one whose client has left: the server's connection is closed, the server is not blamed, nobody runs it again; the time of a write is not the server's any more. Log field answer_unread, counter answers_unread.

TestStreamThatIsNotReadEndsAtTheServer passes.

--- a/connection/backend/http.go
+++ b/connection/backend/http.go
@@ -65,7 +65,7 @@
 	}
 	// Canonicalized here once instead of for each attempt.
 	opts.Headers.Each(func(_ string, name *string, _ string) { *name = textproto.CanonicalMIMEHeaderKey(*name) })
-	return &HTTPClient{opts: opts, bodies: bodylimit.NewBudget()}
+	return &HTTPClient{opts: opts, bodies: bodylimit.NewBudget(0)}
 }
 
 // client returns the http.Client of the server and creates it on first use.
--- a/connection/bodylimit/body.go
+++ b/connection/bodylimit/body.go
@@ -16,7 +16,8 @@
 type Body struct {
 	blocks  [][]byte
 	size    int64
-	release func() // gives reserved memory back; nil: none is
+	release func()  // gives reserved memory back; nil: none is
+	reader  *reader // of a response with reserved memory; nil otherwise
 }
 
 // Size returns the number of bytes.
--- a/connection/bodylimit/bodylimit_test.go
+++ b/connection/bodylimit/bodylimit_test.go
@@ -36,7 +36,7 @@
 func TestBodyAtTheBoundIsReadWhole(t *testing.T) {
 	g := NewWithT(t)
 	want := bytes.Repeat([]byte("lye"), MaxBytes/3+1)[:MaxBytes]
-	b := NewBudget()
+	b := NewBudget(0)
 	data, err := b.ReadAll(bytes.NewReader(want), 0, func() {})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(data.size).To(BeEquivalentTo(len(want)))
@@ -51,7 +51,7 @@
 // that are given up beside them.
 func TestBodiesWithoutEndShareTheirMemory(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBudget()
+	b := NewBudget(0)
 	var group sync.WaitGroup
 	errs := make(chan error, 100)
 	for range 100 {
@@ -102,7 +102,7 @@
 					}
 					_ = w.Close() // the reader may have closed it
 				})
-				data, err := NewBudget().ReadAll(r, progressInterval, func() { _ = r.CloseWithError(errors.New("cancelled")) })
+				data, err := NewBudget(0).ReadAll(r, progressInterval, func() { _ = r.CloseWithError(errors.New("cancelled")) })
 				if c.sound {
 					g.Expect(err).NotTo(HaveOccurred())
 					g.Expect(data.size).To(BeEquivalentTo(30 * c.bytes))
--- a/connection/bodylimit/uploads.go
+++ b/connection/bodylimit/uploads.go
@@ -14,8 +14,9 @@
 	// freeUploadBytes of each body are not counted, so that usual requests take no lock and wait
 	// for nobody.
 	freeUploadBytes = 8 << 10
-	// uploadMemoryShare of the memory of a process is for bodies of requests.
-	uploadMemoryShare = 1.0 / 10
+	// memoryShare of the memory of a process is for bodies of requests, and as much for those of
+	// responses.
+	memoryShare = 1.0 / 10
 	// defaultUploadBytes is for them if the memory is not known, minUploadBytes if it is small.
 	defaultUploadBytes = 16 << 20
 	minUploadBytes     = 8 << 20
@@ -65,7 +66,7 @@
 func NewUploads(memoryBytes int64) *Uploads {
 	limit := int64(defaultUploadBytes)
 	if memoryBytes > 0 {
-		limit = max(int64(uploadMemoryShare*float64(memoryBytes)), minUploadBytes)
+		limit = max(int64(memoryShare*float64(memoryBytes)), minUploadBytes)
 	}
 	return &Uploads{max: limit, uploads: map[*upload]struct{}{}}
 }
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -57,6 +57,9 @@
 	if r.ServerCrashes > 0 {
 		h.meter.Add("server_crashes_during_requests", int64(r.ServerCrashes))
 	}
+	if r.AnswerUnread {
+		h.meter.Add("answers_unread", 1)
+	}
 	if r.CarriedBy != "" {
 		h.meter.Add("requests_carried_by_others", 1)
 	}
@@ -84,6 +87,9 @@
 	if r.Events > 0 || r.IncompleteBytes > 0 {
 		kv = append(kv, "events", r.Events, "incomplete_bytes", r.IncompleteBytes)
 	}
+	if r.AnswerUnread {
+		kv = append(kv, "answer_unread", true)
+	}
 	if len(r.EventVersions) > 0 {
 		kv = append(kv, "event_versions", strings.Join(r.EventVersions, ","))
 	}
@@ -204,6 +210,7 @@
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.OpenConnections()) })
 	h.meter.Gauge("peers_known", func() float64 { return float64(len(h.mesh.Peers())) })
 	h.meter.Gauge("stream_records", func() float64 { return float64(h.writers.Records()) })
+	h.meter.Gauge("answer_bytes", func() float64 { return float64(h.gateway.Answers().Bytes) })
 	h.meter.Gauge("upload_bytes", func() float64 { return float64(h.gateway.Uploads().Bytes) })
 	h.meter.Gauge("uploads_waiting", func() float64 { return float64(h.gateway.Uploads().Waiting) })
 	h.meter.Gauge("uploads_given_up", func() float64 { return float64(h.gateway.Uploads().GivenUp) })
--- a/edge/state.go
+++ b/edge/state.go
@@ -26,6 +26,8 @@
 	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
 	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
 	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	AnswerBytes          int64              `json:"answer_bytes"`            // memory reserved for answers
+	AnswerMaxBytes       int64              `json:"answer_max_bytes"`        // at most
 	UploadBytes          int64              `json:"upload_bytes"`            // memory reserved for bodies of requests
 	UploadMaxBytes       int64              `json:"upload_max_bytes"`        // at most
 	UploadsWaiting       int                `json:"uploads_waiting"`         // requests whose bodies wait for memory
@@ -72,6 +74,8 @@
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
 		StageWorkWaiting: waiting, StageWorkWaitingLate: late, Quarantine: h.guard.List(),
 	}
+	answers := h.gateway.Answers()
+	s.AnswerBytes, s.AnswerMaxBytes = answers.Bytes, answers.MaxBytes
 	uploads := h.gateway.Uploads()
 	s.UploadBytes, s.UploadMaxBytes, s.UploadsWaiting = uploads.Bytes, uploads.MaxBytes, uploads.Waiting
 	p := h.plan.Load()
--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"time"
 
 	"bilberrydale/connection/bodylimit"
@@ -29,10 +28,9 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
-	conn := http.NewResponseController(x.w)
 	body, err := x.uploads.Read(bodylimit.Upload{
 		Body: x.r.Body, Length: x.r.ContentLength, Limit: limit, Timeout: x.deadline.Sub(x.opts.Clock.Now()),
-		Interrupt: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }, // fails only on a closed connection
+		Interrupt: func() { _ = x.clientConn.SetReadDeadline(time.Unix(1, 0)) }, // fails only on a closed connection
 	})
 	if err != nil {
 		return x.bodyError(err, limit)
@@ -56,5 +54,21 @@
 	return &errkind.Error{Kind: errkind.Cancelled, Detail: "the body did not arrive", Cause: err}
 }
 
+// releaseBodies gives back the memory of the bodies that the request still has.
+func (x *exchange) releaseBodies() {
+	x.body.Release()
+	for _, body := range x.answers {
+		body.Release()
+	}
+}
+
+// interruptWrite ends the writing to the client at once.
+func (x *exchange) interruptWrite() {
+	_ = x.clientConn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// Answers returns figures of the answers that wait in memory for their ends or their clients.
+func (g *Gateway) Answers() bodylimit.BudgetStats { return g.bodies.Stats() }
+
 // Uploads returns figures of the bodies that requests have in memory.
 func (g *Gateway) Uploads() bodylimit.UploadStats { return g.uploads.Stats() }
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -195,10 +195,11 @@
 // readBuffered reads the body of a response and ends the attempt. It returns
 // errInvalidResponse if the body is truncated, or without an end: see package bodylimit.
 func (x *exchange) readBuffered(a *attempt) (*bufferedResponse, error) {
-	body, err := x.bodies.ReadAll(a.response, a.progressInterval, a.cancel)
+	body, err := x.bodies.Read(a.response, a.progressInterval, a.cancel)
 	if err != nil {
 		err = fmt.Errorf("%w: %s: %w", invalidResponse(err), a.server.ID, err)
 	} else {
+		x.answers = append(x.answers, body)
 		err = x.verifyEnd(a)
 	}
 	if err != nil {
@@ -227,11 +228,10 @@
 	x.logEntry.Status, x.logEntry.Ran = r.status, errkind.RanYes
 	x.logEntry.TimeToFirstByte = x.opts.Clock.Now().Sub(x.arrivedAt)
 	x.w.WriteHeader(r.status)
-	for _, block := range r.body.Blocks() {
-		if _, err := x.w.Write(block); err != nil {
-			x.abort = true
-			return &errkind.Error{Kind: errkind.Cancelled, Detail: "the answer could not be written", Dispatched: true, Cause: err}
-		}
+	if err := r.body.Deliver(x.w, x.interruptWrite); err != nil {
+		x.abort = true
+		x.logEntry.AnswerUnread = errors.Is(err, bodylimit.ErrUnread)
+		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the answer could not be written: " + err.Error(), Dispatched: true, Cause: err}
 	}
 	return nil
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -110,7 +110,7 @@
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(), uploads: bodylimit.NewUploads(opts.MemoryBytes)}
+	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes)}
 }
 
 // LogEntry is the access log entry of one request.
@@ -149,7 +149,8 @@
 	FirstAttemptID string
 	// WriterSource is how the writer of that stream is known.
 	WriterSource    streamwriter.Source
-	IncompleteBytes int // bytes after the last complete event of the last stream
+	AnswerUnread    bool // the answer was broken off as the client did not read it
+	IncompleteBytes int  // bytes after the last complete event of the last stream
 	// Failures are what went wrong in attempts, in order, at most maxNotedFailures.
 	Failures []string
 }
@@ -168,6 +169,7 @@
 type exchange struct {
 	*Gateway
 	w                http.ResponseWriter
+	clientConn       *http.ResponseController // of w
 	r                *http.Request
 	clientRequest    wire.ClientRequest // decoded headers of r
 	plan             *plan.Plan         // the configuration for the whole request
@@ -178,6 +180,7 @@
 	allowed          residency.Set       // regions in which the request may be served
 	writer           streamwriter.Writer // of the stream, once it has begun
 	body             *bodylimit.Body     // of the client's request; nil: empty
+	answers          []*bodylimit.Body   // of servers, read into memory
 	bodyUnread       bool                // a part of the body was not read
 	subjects         quarantine.Subjects // to which crashes during the request are attributed
 	arrivedAt        time.Time
@@ -202,10 +205,10 @@
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the response
 // cannot be completed.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Gateway: g, w: w, r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
+	x := &exchange{Gateway: g, w: w, clientConn: http.NewResponseController(w), r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
 	x.logEntry.ID = x.clientRequest.AttemptID
 	x.logEntry.LastEventID, x.logEntry.FirstAttemptID = x.clientRequest.LastEventID, x.clientRequest.FirstAttemptID
-	defer func() { x.body.Release() }()
+	defer x.releaseBodies()
 	if err := x.serve(); err != nil {
 		x.writeError(errkind.From(err))
 	}
@@ -351,7 +354,11 @@
 	}
 	if x.r.Context().Err() != nil {
 		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the client left", Dispatched: x.mayHaveRun, Cause: err}
+		detail := "the client left"
+		if x.logEntry.AnswerUnread {
+			detail = "the client did not read its stream"
+		}
+		return &errkind.Error{Kind: errkind.Cancelled, Detail: detail, Dispatched: x.mayHaveRun, Cause: err}
 	}
 	var known *errkind.Error
 	if errors.As(err, &known) {
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -163,7 +164,7 @@
 	timer := time.AfterFunc(first, a.cancel)
 	defer timer.Stop()
 	r := newEventReader(a.response)
-	flush := http.NewResponseController(x.w)
+	defer func() { _ = x.clientConn.SetWriteDeadline(time.Time{}) }() // the connection may get another request
 	for {
 		event, err := r.next()
 		if err == io.EOF { // the cause of another error may be one, too
@@ -173,17 +174,54 @@
 			x.logEntry.IncompleteBytes = r.incompleteBytes()
 			return fmt.Errorf("%w: %w", invalidResponse(err), err)
 		}
+		timer.Stop() // the time that the client takes is not the server's
 		if err := x.writeEvent(a, progress, event, r.id); err != nil {
-			return err
+			return x.noteUnread(err)
 		}
-		timer.Reset(later)
-		if r.nextBuffered() {
-			continue
+		if !r.nextBuffered() {
+			if err := x.writeClient(x.clientConn.Flush); err != nil {
+				return x.noteUnread(err)
+			}
 		}
-		if err := flush.Flush(); err != nil {
+		timer.Reset(later)
+	}
+}
+
+const (
+	// maxUnreadEventTime ends a stream that its client does not read. Servers cut off a response
+	// that is not read for some seconds, and need their slots before.
+	maxUnreadEventTime = 5 * time.Second
+	// eventPartBytes of an event are written at once, so that progress shows.
+	eventPartBytes = 16 << 10
+)
+
+// writeClient calls a function that writes to the client, and ends it if it takes maxUnreadEventTime.
+// net/http then cancels the request's context.
+func (x *exchange) writeClient(write func() error) error {
+	if err := x.clientConn.SetWriteDeadline(time.Now().Add(maxUnreadEventTime)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return write()
+}
+
+// noteUnread records that a stream ends because its client does not read it, if err says so.
+func (x *exchange) noteUnread(err error) error {
+	x.logEntry.AnswerUnread = errors.Is(err, os.ErrDeadlineExceeded)
+	return err
+}
+
+// writeEventParts writes an event to the client.
+func (x *exchange) writeEventParts(event []byte) error {
+	for part := range slices.Chunk(event, eventPartBytes) {
+		err := x.writeClient(func() error {
+			_, err := x.w.Write(part)
+			return err
+		})
+		if err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 // verifyStreamEnd returns an error if a stream that ended between events may be incomplete.
@@ -207,7 +245,7 @@
 	if !x.headersSent {
 		x.writeHeaders(a)
 	}
-	if _, err := x.w.Write(event); err != nil {
+	if err := x.writeEventParts(event); err != nil {
 		return err
 	}
 	x.logEntry.Events++
