--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -31,7 +30,7 @@
 	"bilberrydale/version/plan"
 )
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields but MemoryBytes are required.
 type Options struct {
 	Domain        string                            // failure domain of this entry host
 	OneWayLatency func(domain string) time.Duration // one-way network latency to a failure domain
@@ -63,6 +62,7 @@
 	// returns the time at which the remaining requests are cut off.
 	ShutdownStarted  <-chan struct{}
 	ShutdownDeadline func() time.Time
+	MemoryBytes      int64 // memory limit of the process; 0: not known
 	// Log is called once for each request, at its end.
 	Log func(*LogEntry)
 }
@@ -112,12 +112,16 @@
 	bodies          *bodylimit.Budget
 	lines           waitingLines
 	priorities      atomic.Pointer[servicePriorities] // of the plan in use
+	uploads         *bodylimit.Uploads
 	prefillTimes    prefillTimes
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, startedAt: opts.Clock.Now(), bodies: bodylimit.NewBudget()}
+	return &Gateway{
+		opts: opts, startedAt: opts.Clock.Now(),
+		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes),
+	}
 }
 
 // LogEntry is the access log entry of one request.
@@ -160,7 +164,8 @@
 	FirstAttemptID string
 	// WriterSource is how the writer of that stream is known.
 	WriterSource    streamwriter.Source
-	IncompleteBytes int // bytes after the last complete event of the last stream
+	AnswerUnread    bool // the answer was broken off as the client did not read it
+	IncompleteBytes int  // bytes after the last complete event of the last stream
 	// Failures are what went wrong in attempts, in order, at most maxNotedFailures.
 	Failures []string
 }
@@ -179,6 +184,7 @@
 type exchange struct {
 	*Gateway
 	w                http.ResponseWriter
+	clientConn       *http.ResponseController // of w
 	r                *http.Request
 	clientRequest    wire.ClientRequest // decoded headers of r
 	plan             *plan.Plan         // the configuration for the whole request
@@ -188,7 +194,9 @@
 	service          string              // that the request itself runs on, after its stages
 	allowed          residency.Set       // regions in which the request may be served
 	writer           streamwriter.Writer // of the stream, once it has begun
-	body             []byte              // of the client's request
+	body             *bodylimit.Body     // of the client's request; nil: empty
+	answers          []*bodylimit.Body   // of servers, read into memory
+	bodyUnread       bool                // a part of the body was not read
 	subjects         quarantine.Subjects // to which crashes during the request are attributed
 	arrivedAt        time.Time
 	targetTime       time.Time      // arrival plus target latency
@@ -217,9 +225,10 @@
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the response
 // cannot be completed.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Gateway: g, w: w, r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
+	x := &exchange{Gateway: g, w: w, clientConn: http.NewResponseController(w), r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
 	x.logEntry.ID = x.clientRequest.AttemptID
 	x.logEntry.LastEventID, x.logEntry.FirstAttemptID = x.clientRequest.LastEventID, x.clientRequest.FirstAttemptID
+	defer x.releaseBodies()
 	if err := x.serve(); err != nil {
 		x.writeError(errkind.From(err))
 	}
@@ -364,33 +373,6 @@
 	return nil
 }
 
-// readBody reads the request body into memory, up to the configured limit.
-func (x *exchange) readBody() error {
-	limit := x.plan.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return errkind.New(errkind.TooLarge, "the body has %d bytes, over %d", x.r.ContentLength, limit)
-	}
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	if err != nil {
-		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the body did not arrive", Cause: err}
-	}
-	if int64(len(body)) > limit {
-		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
-	}
-	x.body = body
-	return nil
-}
-
-// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20 // 4 MiB
-
 // classifyError converts the error that ended a request into a *errkind.Error, and marks the
 // response as aborted if the client has disconnected.
 func (x *exchange) classifyError(ctx context.Context, err error) error {
@@ -399,7 +381,11 @@
 	}
 	if x.r.Context().Err() != nil {
 		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the client left", Dispatched: x.mayHaveRun, Cause: err}
+		detail := "the client left"
+		if x.logEntry.AnswerUnread {
+			detail = "the client did not read its stream"
+		}
+		return &errkind.Error{Kind: errkind.Cancelled, Detail: detail, Dispatched: x.mayHaveRun, Cause: err}
 	}
 	var known *errkind.Error
 	if errors.As(err, &known) {
