serverspeed: each host learns how long work takes at each server, and the choice of a server reads it

What callers saw: with one of three servers five times as slow, requests waited at it: in the simulation of process/balance 6.6 of 100 (4 slots) and 11.0 of 100 (8 slots) took over 200 ms. Cause: the choice counted 2 ms a request and 20 ms a queued one, at any server. Change: process/serverspeed keeps what a host measures, judged with hysteresis; balance.Cost adds the additional time; slow servers are no homes of prefixes; a trial now and then by repeatable requests.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,7 @@
 	"bilberrydale/process/reach"
 	"bilberrydale/process/retrylimit"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
 	"bilberrydale/request/gateway"
@@ -80,6 +81,7 @@
 	evacuationsListed   atomic.Bool
 	coldStart           *coldstart.Limiter
 	serverLimits        *serverlimit.Limiter
+	toldSpeeds          serverspeed.Told
 	guard               *quarantine.SharedGuard
 	quarantineFollower  *objectwatch.Follower[quarantine.Quarantine]
 	quarantinePublisher *quarantinePublisher
@@ -282,7 +284,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.watchReload, h.pruneEntries,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.updateServerSpeeds, h.watchReload, h.pruneEntries,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -215,5 +215,6 @@
 		}
 		return 0
 	})
+	h.meter.Gauge("servers_slow", h.slowServers)
 	h.meter.Gauge("servers_listed", func() float64 { return float64(h.directory.View().Count()) })
 }
--- a/edge/responses.go
+++ b/edge/responses.go
@@ -74,6 +74,7 @@
 	}
 	if r.RelativeServiceTime > 0 {
 		s.RecordRelativeServiceTime(r.RelativeServiceTime)
+		s.Speed.Tell(h.toldSpeeds.Relative(s.Service, r.RelativeServiceTime), now)
 	}
 	h.serverLimits.Observe(s.Process(), &s.RateLimit, serverlimit.Response{
 		PerSecond: r.RateLimit, Limited: r.RateLimited, NotRun: r.NotRun || !newWork, SentAt: head.SentAt,
--- /dev/null
+++ b/edge/serverspeed.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"bilberrydale/process/directory"
+	"bilberrydale/process/serverspeed"
+)
+
+// speedInterval is the time between two updates of what is known of the servers' speeds.
+const speedInterval = time.Second
+
+// updateServerSpeeds lets what is known of the servers' speeds lose weight with time, until ctx ends.
+func (h *Host) updateServerSpeeds(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.clock.After(speedInterval):
+			h.updateSpeeds()
+		}
+	}
+}
+
+// updateSpeeds updates the speeds of all servers, and logs and counts those that have become slow or
+// well.
+func (h *Host) updateSpeeds() {
+	now, hosts := h.clock.Now(), len(h.knownHosts())
+	for _, s := range h.directory.View().All() {
+		if s.Speed.Update(now, hosts) {
+			h.serverSpeedChanged(s, now)
+		}
+	}
+}
+
+// serverSpeedChanged logs and counts that a server has become slow or well.
+func (h *Host) serverSpeedChanged(s *directory.Server, now time.Time) {
+	r := s.Speed.Report(now)
+	outcome := "is as fast as usual again"
+	if r.Slow {
+		outcome = "is slow and gets fewer requests"
+		h.meter.Add("servers_became_slow", 1)
+	}
+	if h.logLimits.allow(false, now) {
+		h.log.Info("backend server", "outcome", outcome, "id", s.ID, "service", s.Service, "relative_time", r.RelativeTime, "room", r.Room,
+			"weight", r.AllWeight, "own_weight", r.OwnWeight, "heard_hosts", r.HeardHosts, "told", r.Told)
+	}
+}
+
+// slowServers returns the number of listed servers that are slow.
+func (h *Host) slowServers() float64 {
+	n := 0
+	for _, s := range h.directory.View().All() {
+		if s.Speed.Slow() {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+// speedState is what is known of a server's speed on the state page.
+type speedState struct {
+	Slow         bool    `json:"slow"`
+	RelativeTime float64 `json:"relative_time"` // of work with few requests at the server; 1: as usual
+	Room         float64 `json:"room"`          // share of its slots up to which requests do not take longer for being many
+	Weight       float64 `json:"weight"`        // of all that the figures rest on
+	OwnWeight    float64 `json:"own_weight"`    // of this host's measurements in it
+	HeardHosts   int     `json:"heard_hosts"`   // other hosts whose measurements are in it
+	Told         float64 `json:"told"`          // mean of what the server tells, 1 as its service usually does; 0: nothing
+	AgeMS        float64 `json:"age_ms"`        // of the newest measurement; 0: there is none
+}
+
+// newSpeedState returns the state page's view of a server's speed; nil: nothing is known of it.
+func newSpeedState(s *serverspeed.State, now time.Time) *speedState {
+	r := s.Report(now)
+	if r.AllWeight < minShownWeight {
+		return nil
+	}
+	state := &speedState{Slow: r.Slow, RelativeTime: r.RelativeTime, Room: r.Room, Weight: r.AllWeight, OwnWeight: r.OwnWeight, HeardHosts: r.HeardHosts, Told: r.Told}
+	if !r.NewestAt.IsZero() {
+		state.AgeMS = ms(now.Sub(r.NewestAt))
+	}
+	return state
+}
+
+// minShownWeight is the weight below which what is known of a server's speed says nothing.
+const minShownWeight = 0.01
--- a/edge/state.go
+++ b/edge/state.go
@@ -50,6 +50,7 @@
 	Load         int         `json:"load"`                       // estimated requests at the server, from all hosts
 	ErrorRate    float64     `json:"errors"`                     // share of recent responses that were failures
 	ServiceTime  float64     `json:"relative_service_time"`      // as the server reported it last, 1 as usual; 0: it does not
+	Speed        *speedState `json:"speed,omitempty"`            // how fast it works; nil: nothing is known
 }
 
 // pauseState is the time in which a server wants no requests of this host.
@@ -90,7 +91,7 @@
 	for _, srv := range view.All() {
 		s.Servers = append(s.Servers, serverState{
 			ID: srv.ID, Service: srv.Service, Version: srv.Version, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv), Pause: pauseOf(srv, now),
-			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now), ServiceTime: srv.RelativeServiceTime(),
+			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now), ServiceTime: srv.RelativeServiceTime(), Speed: newSpeedState(&srv.Speed, now),
 		})
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -32,6 +32,11 @@
 	QueueingCost func(domain string) time.Duration
 	// BeginCost returns the extra cost of a request that begins at a server; nil: none.
 	BeginCost func(*directory.Server) time.Duration
+	// UsualTime is how long such a request usually takes at a server; 0: not known.
+	UsualTime time.Duration
+	// MayRepeat reports that the request may be sent again if its server takes too long. Such
+	// requests show whether a slow server is well again.
+	MayRepeat bool
 	// Exclude reports whether a server must not be selected; nil: none is excluded.
 	Exclude func(*directory.Server) bool
 	Now     time.Time // time of the selection
@@ -179,6 +184,12 @@
 	if s.ColdRemaining > 0 {
 		cost += queuedRequestCost
 	}
+	if load > 0 {
+		cost += min(s.Speed.Overdue(q.Now), maxSpeedCost)
+	}
+	if f, unusual := s.Speed.Figures(); unusual {
+		cost += q.speedCost(s, f, load)
+	}
 	return cost
 }
 
@@ -207,15 +218,15 @@
 }
 
 // homeServers returns the home server and the one that replaces it: the first two servers by
-// rendezvous hashing, so that every host selects the same ones. Servers in backoff and those that
-// want no requests are left out, and either result may be nil.
+// rendezvous hashing, so that every host selects the same ones. Servers in backoff, slow ones and
+// those that want no requests are left out, and either result may be nil.
 func (q *Query) homeServers() (home, next *directory.Server) {
 	if q.AffinityKey == "" || q.PrefixTokens < minPrefixTokens {
 		return nil, nil
 	}
 	var first, second uint64
 	for s := range q.Servers.All() {
-		if s.InBackoff(q.Now) || s.Pauses.Pause(q.Now) != nil {
+		if s.InBackoff(q.Now) || s.Pauses.Pause(q.Now) != nil || s.Speed.Slow() {
 			continue
 		}
 		switch h := q.affinityHash(s); {
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -18,6 +18,7 @@
 	"bilberrydale/process/residency"
 	"bilberrydale/process/retryafter"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/streamwriter"
 )
 
@@ -78,6 +79,7 @@
 	InFlight  atomic.Int64      // requests of this host in flight at the server; callers count them
 	RateLimit serverlimit.State // the limit that the server has named
 	Pauses    retryafter.State  // until when the server wants no requests of this host
+	Speed     serverspeed.State // how long work takes at the server
 	// running and waiting are the requests in the server's last load report.
 	running, waiting atomic.Int64
 	reportedAt       atomic.Int64  // Unix nanoseconds by the clock of RecordLoad's caller; 0: never
--- /dev/null
+++ b/process/serverspeed/usual.go
@@ -0,0 +1,187 @@
+package serverspeed
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"bilberrydale/process/estimate"
+)
+
+// Usual estimates how long requests of one kind usually take at any server, and how much they differ.
+// It follows the median rather than the mean, so that one slow server of several hardly changes it.
+// The zero value has seen none. It is safe for concurrent use.
+type Usual struct {
+	mu       sync.Mutex // guards the following
+	mean     float64    // of the logarithm of the time in seconds, with jitter
+	variance float64    // of the logarithm, at one server
+	trend    float64    // mean of how far the last responses were from the usual time, from -1 to 1
+	last     float64    // logarithm of the relative time of the last response
+	samples  int
+}
+
+const (
+	// usualWeight is the weight of the newest response in the usual time.
+	usualWeight = 1. / 32
+	// maxUsualStep bounds how far from the usual time a response counts as, in its logarithm.
+	maxUsualStep = 0.5
+	// trendWeight is the weight of the newest response in the trend.
+	trendWeight = 1. / 8
+	// commonTrend is the trend from which the usual time follows faster.
+	commonTrend = 0.5
+	maxPace     = 8
+	// firstSamples are averaged before a server is measured against the usual time.
+	firstSamples = 8
+	// certainDeviation is the standard deviation of the logarithm up to which one response has
+	// the full weight. The weight falls with its square: where requests differ much by their
+	// nature, one says little of the server.
+	certainDeviation = 0.3
+	// jitter is added to each time: the differences between very short ones come from elsewhere.
+	jitter = 5 * time.Millisecond
+)
+
+// Time returns the usual time; 0: too few requests were seen.
+func (u *Usual) Time() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.samples < firstSamples {
+		return 0
+	}
+	return max(time.Duration(math.Exp(u.mean)*float64(time.Second))-jitter, 0)
+}
+
+// overdueFactor is the multiple of the usual time after which a response is overdue.
+const overdueFactor = 2
+
+// ExpectedUntil returns the time until which a request that is sent now should be answered, by far, with
+// a number of requests at the server, of slots; zero: it is not known.
+func (u *Usual) ExpectedUntil(load, slots int, now time.Time) time.Time {
+	usual := u.Time()
+	if usual == 0 {
+		return time.Time{}
+	}
+	queued := max(float64(load)/float64(max(slots, 1)), 1)
+	return now.Add(time.Duration(overdueFactor * queued * float64(usual+jitter)))
+}
+
+// Measurement is the time of one response at a server.
+type Measurement struct {
+	Took  time.Duration // at the server, without the network
+	Load  int           // requests at the server, with this one
+	Slots int           // requests that the server runs at once
+	At    time.Time     // of the response
+}
+
+// Observe records a response of a server in the usual time and in what is known of the server.
+func (u *Usual) Observe(s *State, m Measurement) {
+	if m.Took <= 0 {
+		return
+	}
+	log := math.Log((m.Took + jitter).Seconds())
+	queued := math.Log(max(float64(m.Load)/float64(max(m.Slots, 1)), 1))
+	u.mu.Lock()
+	relative := log - u.mean
+	last, known := s.swapLast(relative - queued)
+	if !known {
+		last = u.last
+	}
+	u.update(relative-queued, last)
+	measured, weight := u.samples > firstSamples, u.weight()
+	u.mu.Unlock()
+	if measured {
+		s.Observe(math.Exp(relative), m.Load, m.Slots, weight, m.At)
+	}
+}
+
+// ObserveAtLeast records that a response has not come in a time.
+func (u *Usual) ObserveAtLeast(s *State, m Measurement) {
+	u.mu.Lock()
+	known, weight, mean := u.samples >= firstSamples, u.weight(), u.mean
+	u.mu.Unlock()
+	if known && m.Took > 0 {
+		s.ObserveAtLeast((m.Took+jitter).Seconds()/math.Exp(mean), m.Load, m.Slots, weight, m.At)
+	}
+}
+
+// update adds the logarithm of the relative time of a response. last is that of the last one of the same
+// server, or of any server if there was none: the difference of two in a row tells how much requests
+// differ, also while servers become slow or well.
+func (u *Usual) update(relative, last float64) {
+	u.samples++
+	u.last = relative
+	if u.samples <= firstSamples {
+		u.mean += relative / float64(u.samples)
+		return
+	}
+	u.variance += usualWeight * (math.Pow(relative-last, 2)/2 - u.variance)
+	step := min(max(relative, -maxUsualStep), maxUsualStep)
+	u.trend += trendWeight * (step/maxUsualStep - u.trend)
+	u.mean += usualWeight * u.pace() * step
+}
+
+// pace returns the factor by which the usual time follows faster while nearly all responses take longer
+// than usual, or less: that is not one server of several.
+func (u *Usual) pace() float64 {
+	return 1 + (maxPace-1)*max(math.Abs(u.trend)-commonTrend, 0)/(1-commonTrend)
+}
+
+// weight returns how much one response says of its server.
+func (u *Usual) weight() float64 {
+	return min(certainDeviation*certainDeviation/max(u.variance, 1e-9), 1)
+}
+
+// Kind is a kind of request, whose times are comparable.
+type Kind struct{ Route, Service string }
+
+// Kinds holds the usual times by kind of request. The zero value is empty. It is safe for concurrent
+// use.
+type Kinds struct{ byKind table[Kind, Usual] }
+
+// Usual returns the usual time of a kind of request.
+func (k *Kinds) Usual(kind Kind) *Usual { return k.byKind.get(kind) }
+
+// Told holds, by service, what its servers usually tell of their speed: if all of them tell that they
+// are slow, none is slower than the others. The zero value is empty. It is safe for concurrent use.
+type Told struct {
+	byService table[string, estimate.AtomicFloat64]
+}
+
+// Relative records that a server of a service tells how long work takes there, and returns its ratio to
+// what the servers of the service usually tell. told must be positive.
+func (t *Told) Relative(service string, told float64) float64 {
+	mean := t.byService.get(service)
+	step := math.Log(told) - mean.Load()
+	mean.Add(usualWeight * min(max(step, -maxUsualStep), maxUsualStep))
+	return math.Exp(step)
+}
+
+// table holds values by key, which are created when they are first asked for. The zero value is empty.
+// It is safe for concurrent use.
+type table[K comparable, V any] struct {
+	mu     sync.RWMutex // guards values
+	values map[K]*V
+}
+
+// maxTableSize bounds a table; once reached, all values are forgotten.
+const maxTableSize = 4096
+
+// get returns the value of a key.
+func (t *table[K, V]) get(key K) *V {
+	t.mu.RLock()
+	v := t.values[key]
+	t.mu.RUnlock()
+	if v != nil {
+		return v
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.values[key]; v != nil {
+		return v
+	}
+	if t.values == nil || len(t.values) >= maxTableSize {
+		t.values = map[K]*V{}
+	}
+	v = new(V)
+	t.values[key] = v
+	return v
+}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -23,6 +23,7 @@
 	// progressInterval is the time in which a part of a buffered body has to arrive; 0: there is
 	// no other server to ask.
 	progressInterval time.Duration
+	measurement      measurement
 }
 
 // close ends the attempt. The connection is closed unless complete is set, which requires
@@ -35,6 +36,7 @@
 	}
 	a.cancel()
 	a.server.InFlight.Add(-1)
+	a.measurement.endWait(a.server, time.Time{})
 }
 
 // Errors of an attempt. errNotSent (no byte was sent) and errNotRun (the server states it)
@@ -73,6 +75,7 @@
 	if firstByteTimeout > 0 {
 		timer = time.AfterFunc(firstByteTimeout, cancel)
 	}
+	measurement := x.beginMeasurement(s, lastEventID, now)
 	s.InFlight.Add(1)
 	x.logEntry.Attempts++
 	x.logEntry.Server = s.ID
@@ -84,15 +87,19 @@
 	if err != nil {
 		s.InFlight.Add(-1)
 		cancel()
+		x.measureTimeout(s, measurement, firstByteTimeout)
 		return nil, x.handleSendError(s, now, err)
 	}
 	x.reachedServer, x.logEntry.BodyEnd, x.logEntry.CarriedBy = true, response.BodyEnd, response.CarriedBy
-	a := &attempt{server: s, response: response, cancel: cancel, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
+	a := &attempt{server: s, response: response, cancel: cancel, measurement: measurement, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
 	if err := x.checkResponse(a); err != nil {
 		a.close(errors.Is(err, errNotRun) && a.drain())
 		return nil, err
 	}
 	s.RecordSuccess()
+	if x.route.Kind != plan.Stream {
+		x.measure(a)
+	}
 	return a, nil
 }
 
--- a/request/gateway/choose.go
+++ b/request/gateway/choose.go
@@ -117,6 +117,7 @@
 	q := balance.Query{
 		Servers: x.candidates(), OneWayLatency: x.opts.OneWayLatency,
 		AffinityKey: affinity, PrefixTokens: tokens, PrefillTimePerToken: x.prefillTimes.estimate(x.service), InputDomain: x.inputDomain, InputBytes: x.inputDomainBytes,
+		UsualTime: x.usual().Time(), MayRepeat: x.retryable(),
 		Exclude: func(s *directory.Server) bool { return tried[s.ID] || !x.withinLimits(s, now) || !x.mayBeginAt(s) }, Now: now,
 	}
 	if x.beginsStream() {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
 	"bilberrydale/request/wire"
@@ -105,6 +106,7 @@
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
 	prefillTimes    prefillTimes
+	usualTimes      serverspeed.Kinds
 }
 
 // New returns a Gateway with the given options.
--- /dev/null
+++ b/request/gateway/serverspeed.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"bilberrydale/process/balance"
+	"bilberrydale/process/directory"
+	"bilberrydale/process/serverspeed"
+)
+
+// measurement is what is known of an attempt before its response, for the speed of its server.
+type measurement struct {
+	sentAt time.Time
+	load   int // requests at the server, with this one
+	// comparable reports that other requests of the route take as long.
+	comparable bool
+	awaited    bool // the response has not begun
+}
+
+// usual returns the usual time of such requests.
+func (x *exchange) usual() *serverspeed.Usual {
+	return x.usualTimes.Usual(serverspeed.Kind{Route: x.route.Name, Service: x.service})
+}
+
+// beginMeasurement is called before a request is sent to a server. It leaves out what other requests of
+// the route don't compare to: one that goes on with a stream, and one to a server that may be cold.
+func (x *exchange) beginMeasurement(s *directory.Server, lastEventID string, now time.Time) measurement {
+	m := measurement{sentAt: now, load: balance.EstimatedLoad(s, now) + 1, awaited: true}
+	m.comparable = lastEventID == "" && !s.MayBeCold(now, x.coldStartLimit().ColdDuration)
+	var expected time.Time
+	if m.comparable {
+		expected = x.expectedUntil(s, m.load, now)
+	}
+	s.Speed.RecordSent(now, expected)
+	return m
+}
+
+// expectedUntil returns the time until which a server should answer a request that is sent now, by far.
+func (x *exchange) expectedUntil(s *directory.Server, load int, now time.Time) time.Time {
+	expected := x.usual().ExpectedUntil(load, s.Slots, now)
+	if expected.IsZero() {
+		return expected
+	}
+	return expected.Add(4 * x.opts.OneWayLatency(s.Domain)) // with a new connection
+}
+
+// endWait records once that a response has begun, or that the attempt has failed. expected is the time
+// until which another response of the server is expected, by far; zero: it is not known.
+func (m *measurement) endWait(s *directory.Server, expected time.Time) {
+	if m.awaited {
+		m.awaited = false
+		s.Speed.RecordAwaited(expected)
+	}
+}
+
+// measure records once how long a server took for its response, or for the first event of a stream.
+// Failures are left out, and responses that came by way of another host or spent most of their time in
+// the network.
+func (x *exchange) measure(a *attempt) {
+	if !a.measurement.awaited {
+		return
+	}
+	now := x.opts.Clock.Now()
+	a.measurement.endWait(a.server, x.expectedUntil(a.server, a.measurement.load, now))
+	if !a.measurement.comparable || a.response.CarriedBy != "" || a.response.Status >= http.StatusBadRequest {
+		return
+	}
+	network := 2 * x.opts.OneWayLatency(a.server.Domain)
+	if !a.response.ReusedConn {
+		network *= 2
+	}
+	took := now.Sub(a.measurement.sentAt) - network
+	if took < network {
+		return
+	}
+	load := a.measurement.load
+	if a.headers.LoadReported {
+		load = max(load, a.headers.RunningRequests+a.headers.QueuedRequests)
+	}
+	x.usual().Observe(&a.server.Speed, serverspeed.Measurement{Took: took, Load: load, Slots: a.server.Slots, At: now})
+}
+
+// measureTimeout records that a server has not responded within the timeout of an attempt that failed.
+func (x *exchange) measureTimeout(s *directory.Server, m measurement, timeout time.Duration) {
+	m.endWait(s, time.Time{})
+	now := x.opts.Clock.Now()
+	if took := now.Sub(m.sentAt); timeout > 0 && took >= timeout && m.comparable && x.r.Context().Err() == nil {
+		x.usual().ObserveAtLeast(&s.Speed, serverspeed.Measurement{Took: took, Load: m.load, Slots: s.Slots, At: now})
+	}
+}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -173,6 +173,7 @@
 			x.logEntry.IncompleteBytes = r.incompleteBytes()
 			return fmt.Errorf("%w: %w", invalidResponse(err), err)
 		}
+		x.measure(a)
 		if err := x.writeEvent(a, progress, event, r.id); err != nil {
 			return err
 		}
