serverspeed: hosts tell each other of servers that may be slow; hosts prefer different servers of equal cost

What callers saw: 71 hosts each see a response of a server every two seconds; one that became slow kept its requests, and all hosts chose the same of several equal servers. Cause: each host knew its own responses only; ties were broken by the same hash at all hosts.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,7 +81,8 @@
 	evacuationsListed   atomic.Bool
 	coldStart           *coldstart.Limiter
 	serverLimits        *serverlimit.Limiter
-	toldSpeeds          serverspeed.Told
+	toldSpeeds          serverspeed.Told // what the servers of each service usually tell
+	speedExchange       *serverspeed.Exchange
 	guard               *quarantine.SharedGuard
 	quarantineFollower  *objectwatch.Follower[quarantine.Quarantine]
 	quarantinePublisher *quarantinePublisher
@@ -163,6 +164,7 @@
 		Self: settings.Host, Hosts: h.knownHosts, Clock: h.clock, Link: h.mesh,
 		OnLoan: func(requests int) { h.meter.Add("cold_rate_borrowed", int64(requests)) },
 	})
+	h.createSpeedExchange()
 	h.createGuard()
 	h.gateway = gateway.New(gateway.Options{
 		Domain: settings.Domain, OneWayLatency: h.delayTo, Plan: &h.plan, Directory: h.directory, Servers: h.serverClient, Headers: platform.Headers{},
@@ -284,7 +286,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.updateServerSpeeds, h.watchReload, h.pruneEntries,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.followServerSpeeds, h.watchReload, h.pruneEntries,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
--- a/edge/serverspeed.go
+++ b/edge/serverspeed.go
@@ -2,24 +2,56 @@
 
 import (
 	"context"
+	"iter"
 	"time"
 
 	"bilberrydale/process/directory"
 	"bilberrydale/process/serverspeed"
 )
 
-// speedInterval is the time between two updates of what is known of the servers' speeds.
-const speedInterval = time.Second
+// createSpeedExchange creates the exchange with other hosts of what this host measures at servers.
+func (h *Host) createSpeedExchange() {
+	h.speedExchange = serverspeed.NewExchange(serverspeed.Options{
+		Hosts: func() (string, []string) { return h.self.Host, h.knownHosts() }, Servers: h.serverSpeeds, Link: h.mesh, Clock: h.clock,
+		OnSent: func(findings int) {
+			if findings == 0 {
+				h.meter.Add("server_speeds_not_told", 1)
+				return
+			}
+			h.meter.Add("server_speeds_told", int64(findings))
+		},
+	})
+}
 
-// updateServerSpeeds lets what is known of the servers' speeds lose weight with time, until ctx ends.
-func (h *Host) updateServerSpeeds(ctx context.Context) error {
+// serverSpeeds returns the speeds of the listed servers.
+func (h *Host) serverSpeeds() iter.Seq2[serverspeed.Server, *serverspeed.State] {
+	return func(yield func(serverspeed.Server, *serverspeed.State) bool) {
+		for _, s := range h.directory.View().All() {
+			if !yield(serverspeed.Server{ID: s.ID, StartedUnixMS: s.StartedUnixMS}, &s.Speed) {
+				return
+			}
+		}
+	}
+}
+
+// speedUpdateInterval is the time between two updates of what is known of the servers' speeds.
+const speedUpdateInterval = time.Second
+
+// followServerSpeeds tells other hosts what this host measures at servers, and lets what is known of their
+// speeds lose weight with time, until ctx ends.
+func (h *Host) followServerSpeeds(ctx context.Context) error {
+	updatedAt := h.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-h.clock.After(speedInterval):
+		case <-h.clock.After(serverspeed.Interval):
+		}
+		if now := h.clock.Now(); now.Sub(updatedAt) >= speedUpdateInterval {
+			updatedAt = now
 			h.updateSpeeds()
 		}
+		h.speedExchange.Tell(ctx)
 	}
 }
 
@@ -28,7 +60,7 @@
 func (h *Host) updateSpeeds() {
 	now, hosts := h.clock.Now(), len(h.knownHosts())
 	for _, s := range h.directory.View().All() {
-		if s.Speed.Update(now, hosts) {
+		if s.Speed.Update(now, hosts, h.rand.Float64()) {
 			h.serverSpeedChanged(s, now)
 		}
 	}
--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bilberrydale/process/directory"
+	"bilberrydale/process/rendezvous"
 )
 
 // Query holds the inputs of a server selection.
@@ -21,6 +22,9 @@
 	// region, unless it is more heavily loaded than others. Empty: no shared prefix.
 	AffinityKey  string
 	PrefixTokens int
+	// Seed orders servers of equal cost for requests without an affinity key. It should differ
+	// between hosts: those that see the same loads then do not all choose the same server.
+	Seed uint64
 	// PrefillTimePerToken is the time that a server takes to process one prompt token.
 	PrefillTimePerToken time.Duration
 	// InputDomain is the failure domain that holds the request's inputs of InputBytes
@@ -240,7 +244,10 @@
 }
 
 // affinityHash returns the rank of a server in the order for the affinity key; the highest is
-// preferred. The order of the same servers differs between keys.
+// preferred. The order of the same servers differs between keys, and without a key between seeds.
 func (q *Query) affinityHash(s *directory.Server) uint64 {
+	if q.AffinityKey == "" {
+		return rendezvous.Combine(q.Seed, xxhash.Sum64String(s.ID))
+	}
 	return xxhash.Sum64String(q.AffinityKey + "\x00" + s.ID)
 }
--- a/process/balance/simulation_test.go
+++ b/process/balance/simulation_test.go
@@ -3,11 +3,16 @@
 import (
 	"cmp"
 	"container/heap"
+	"context"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"time"
 
+	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/peer/peertest"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/streamwriter"
@@ -37,21 +42,29 @@
 
 // simulation runs hosts that choose servers for requests. Time and random numbers are its own.
 type simulation struct {
-	hosts        int
-	perSecond    float64 // requests at all hosts together
-	duration     time.Duration
-	servers      []*simServer
-	work         func(r *rand.Rand) time.Duration // of a request on a server as usual
-	reportsLoad  bool                             // servers tell their running and queued requests
-	mayRepeat    float64                          // share of the requests that may be sent again
-	withoutSpeed bool                             // hosts learn nothing of speeds
-	seed         uint64
+	hosts         int
+	perSecond     float64 // requests at all hosts together
+	duration      time.Duration
+	servers       []*simServer
+	work          func(r *rand.Rand) time.Duration // of a request on a server as usual
+	reportsLoad   bool                             // servers tell their running and queued requests
+	mayRepeat     float64                          // share of the requests that may be sent again
+	withoutSpeed  bool                             // hosts learn nothing of speeds
+	tellEachOther bool                             // hosts tell each other what they have measured
+	sameSeed      bool                             // queries of all hosts have the same seed
+	partitioned   int                              // hosts that no message of another host reaches
+	ofBuildBefore int                              // hosts that know no messages and learn nothing
+	seed          uint64
 
 	random      *rand.Rand
 	start       time.Time
 	directories []*directory.Directory
 	usual       []*serverspeed.Usual
 	told        []*serverspeed.Told
+	names       []string // of the hosts
+	exchanges   []*serverspeed.Exchange
+	network     *peertest.Network
+	clock       *clock.Manual
 	events      eventQueue
 	scheduled   int                                   // events so far
 	latencies   []time.Duration                       // of the requests, as they end
@@ -89,7 +102,7 @@
 
 // run runs the simulation to its end.
 func (s *simulation) run() {
-	s.random, s.start = rand.New(rand.NewPCG(s.seed, 1)), now
+	s.random, s.start, s.clock = rand.New(rand.NewPCG(s.seed, 1)), now, clock.NewManual(now)
 	var entries []directory.Entry
 	for i, server := range s.servers {
 		entries = append(entries, directory.Entry{ID: fmt.Sprint("server-", i), Service: "s", Domain: "x", Slots: server.slots})
@@ -99,30 +112,81 @@
 		d.Replace(entries, now)
 		s.directories, s.usual, s.told = append(s.directories, d), append(s.usual, &serverspeed.Usual{}), append(s.told, &serverspeed.Told{})
 	}
+	if s.tellEachOther {
+		s.connect()
+	}
 	s.at(0, s.arrive)
 	s.at(0, s.tick)
 	for s.events.Len() > 0 {
 		e := heap.Pop(&s.events).(event)
+		s.clock.Advance(s.start.Add(e.at).Sub(s.clock.Now()))
 		e.do(e.at)
 	}
 }
 
+// connect creates the exchanges of the hosts.
+func (s *simulation) connect() {
+	s.network = peertest.NewNetwork()
+	for host := range s.hosts {
+		s.names = append(s.names, fmt.Sprint("host-", host))
+	}
+	for host, name := range s.names {
+		for _, other := range s.names[host+1:] {
+			if host < s.partitioned {
+				s.network.Partition(name, other)
+			}
+		}
+		if host < s.ofBuildBefore {
+			s.network.Join(peer.Identity{Host: name, Incarnation: 1})
+			s.exchanges = append(s.exchanges, nil)
+			continue
+		}
+		s.exchanges = append(s.exchanges, serverspeed.NewExchange(serverspeed.Options{
+			Hosts: func() (string, []string) { return name, s.names },
+			Servers: func() iter.Seq2[serverspeed.Server, *serverspeed.State] {
+				return func(yield func(serverspeed.Server, *serverspeed.State) bool) {
+					for i := range s.servers {
+						listed := s.listed(host, i)
+						if !yield(serverspeed.Server{ID: listed.ID}, &listed.Speed) {
+							return
+						}
+					}
+				}
+			},
+			Link: s.network.Join(peer.Identity{Host: name, Incarnation: 1}), Clock: s.clock,
+		}))
+	}
+}
+
 // listed returns a server as a host knows it.
 func (s *simulation) listed(host, server int) *directory.Server {
 	return s.directories[host].View().Server(fmt.Sprint("server-", server))
 }
 
-// tick is a second of each host.
+// tick is what each host does once in an interval, at different times.
 func (s *simulation) tick(at time.Duration) {
 	if at >= s.duration {
 		return
 	}
 	for host := range s.hosts {
-		for i := range s.servers {
-			s.listed(host, i).Speed.Update(s.start.Add(at), s.hosts)
-		}
+		s.at(at+time.Duration(s.random.Float64()*float64(serverspeed.Interval)), func(at time.Duration) {
+			for i := range s.servers {
+				s.listed(host, i).Speed.Update(s.start.Add(at), s.hosts, s.random.Float64())
+			}
+			if s.tellEachOther && host >= s.ofBuildBefore {
+				s.exchanges[host].Tell(context.Background())
+			}
+		})
+	}
+	s.at(at+serverspeed.Interval, s.tick)
+}
+
+// seedOf returns the seed of a host's queries.
+func (s *simulation) seedOf(host int) uint64 {
+	if s.sameSeed {
+		return 0
 	}
-	s.at(at+time.Second, s.tick)
+	return uint64(host + 1)
 }
 
 // arrive sends a request to a server, and schedules the next arrival.
@@ -136,12 +200,12 @@
 	r.mayRepeat = s.random.Float64() < s.mayRepeat
 	chosen := Choose(Query{
 		Servers:       s.directories[r.host].View().Candidates("s", residency.Set{}, streamwriter.Writer{}),
-		OneWayLatency: func(string) time.Duration { return 0 }, UsualTime: s.usual[r.host].Time(), MayRepeat: r.mayRepeat, Now: at0,
+		OneWayLatency: func(string) time.Duration { return 0 }, UsualTime: s.usual[r.host].Time(), MayRepeat: r.mayRepeat, Seed: s.seedOf(r.host), Now: at0,
 	})
 	_, _ = fmt.Sscanf(chosen.ID, "server-%d", &r.server)
 	r.measurement = serverspeed.Measurement{Load: EstimatedLoad(chosen, at0) + 1, Slots: chosen.Slots}
 	chosen.InFlight.Add(1)
-	if !s.withoutSpeed {
+	if !s.withoutSpeed && r.host >= s.ofBuildBefore {
 		chosen.Speed.RecordSent(at0, s.usual[r.host].ExpectedUntil(r.measurement.Load, chosen.Slots, at0))
 	}
 	server := s.servers[r.server]
@@ -174,7 +238,7 @@
 		listed.RecordLoad(server.running, len(server.queue), at0)
 		r.measurement.Load = max(r.measurement.Load, server.running+len(server.queue))
 	}
-	if !s.withoutSpeed {
+	if !s.withoutSpeed && r.host >= s.ofBuildBefore {
 		listed.Speed.RecordAwaited(s.usual[r.host].ExpectedUntil(r.measurement.Load, listed.Slots, at0))
 		if server.tells != nil {
 			listed.Speed.Tell(s.told[r.host].Relative("s", server.tells(at)), at0)
--- a/process/serverspeed/evidence.go
+++ b/process/serverspeed/evidence.go
@@ -13,7 +13,7 @@
 	maxWeight = 8
 	// priorWeight is the weight of the guess that a server works as usual. Two measurements of a
 	// server that takes five times as long outweigh it, a single one does not.
-	priorWeight = 2
+	priorWeight = 2.6
 	// changeThreshold is the logarithm of the factor from which a measurement is far from the mean.
 	changeThreshold = 0.92
 )
--- /dev/null
+++ b/process/serverspeed/serverspeed_test.go
@@ -0,0 +1,252 @@
+package serverspeed
+
+import (
+	"context"
+	"fmt"
+	"iter"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bilberrydale/process/clock"
+	"bilberrydale/process/peer"
+	"bilberrydale/process/peer/peertest"
+)
+
+var now = time.Unix(1000, 0)
+
+// observe records n responses at a server with the full weight.
+func observe(s *State, n int, relative float64, at time.Time) {
+	for range n {
+		s.Observe(relative, 1, 8, 1, at)
+	}
+}
+
+// Guards against a server that counts as slow after one response, or that stays slow for long without
+// any.
+func TestOneResponseIsNoProofAndOldOnesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	observe(&s, 1, 8, now)
+	g.Expect(s.Slow()).To(BeFalse(), "one response")
+	observe(&s, 1, 1, now)
+	g.Expect(s.Slow()).To(BeFalse(), "one of two")
+	observe(&s, 3, 8, now)
+	g.Expect(s.Slow()).To(BeTrue())
+	g.Expect(s.Update(now, 1, 0)).To(BeTrue())
+	g.Expect(s.Update(now, 1, 0)).To(BeFalse(), "told once")
+	at := now.Add(12 * time.Second)
+	g.Expect(s.Update(at, 1, 0)).To(BeTrue())
+	g.Expect(s.Slow()).To(BeFalse())
+}
+
+// Guards against a judgement that changes back and forth around one threshold.
+func TestJudgementHasHysteresis(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	observe(&s, 20, 4, now)
+	changes, slow := 0, true
+	for i := range 200 {
+		s.Observe([]float64{1.6, 2.2}[i%2], 1, 8, 1, now)
+		if s.Slow() != slow {
+			changes, slow = changes+1, !slow
+		}
+	}
+	g.Expect(changes).To(BeZero())
+}
+
+// A server takes two requests at once well, of eight slots. Guards against taking it for one that is
+// slow with any number of requests.
+func TestRoomIsToldFromSpeed(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	for i := range 200 {
+		load := 1 + i%4
+		s.Observe(math.Max(float64(load)/2, 1), load, 8, 1, now.Add(time.Duration(i)*20*time.Millisecond))
+	}
+	f, unusual := s.Figures()
+	g.Expect(unusual).To(BeTrue())
+	g.Expect(f.RelativeTime).To(Equal(1.0))
+	g.Expect(f.Room).To(BeNumerically("~", 0.35, 0.15))
+}
+
+// Guards against a queue of a server that counts as slowness of the server: twice as many requests as
+// slots take twice as long.
+func TestQueueIsNoSlowness(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	for range 100 {
+		s.Observe(2, 16, 8, 1, now)
+	}
+	_, unusual := s.Figures()
+	g.Expect(unusual).To(BeFalse())
+}
+
+// Guards against a response that never comes and so says nothing of its server.
+func TestOverdueResponse(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	g.Expect(s.Overdue(now)).To(BeZero())
+	s.RecordSent(now, now.Add(100*time.Millisecond))
+	g.Expect(s.Overdue(now.Add(90 * time.Millisecond))).To(BeZero())
+	g.Expect(s.Overdue(now.Add(150 * time.Millisecond))).To(Equal(50 * time.Millisecond))
+	s.RecordSent(now.Add(150*time.Millisecond), now.Add(250*time.Millisecond))
+	g.Expect(s.Overdue(now.Add(160*time.Millisecond))).To(Equal(60*time.Millisecond), "another request changes nothing")
+	s.RecordAwaited(now.Add(300 * time.Millisecond))
+	g.Expect(s.Overdue(now.Add(250 * time.Millisecond))).To(BeZero())
+	s.RecordAwaited(time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "none is awaited")
+	s.RecordSent(now, time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "not known how long it takes")
+}
+
+// Guards against all servers of a service that count as slow because all of them tell it.
+func TestToldFiguresAreRelativeToTheService(t *testing.T) {
+	g := NewWithT(t)
+	var told Told
+	servers := make([]State, 3)
+	tell := func(i int, figure float64, at time.Time) { servers[i].Tell(told.Relative("s", figure), at) }
+	for i := range 200 {
+		tell(i%3, 2.5, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	at := now.Add(2 * time.Second)
+	for i := range servers {
+		servers[i].Update(at, 1, 0)
+		g.Expect(servers[i].Slow()).To(BeFalse())
+	}
+	for i := range 60 {
+		tell(i%3, []float64{12, 2.5, 2.5}[i%3], at)
+	}
+	g.Expect(servers[0].Slow()).To(BeTrue())
+	g.Expect(servers[1].Slow()).To(BeFalse())
+	servers[0].Update(at.Add(maxToldAge+time.Millisecond), 1, 0)
+	g.Expect(servers[0].Slow()).To(BeFalse(), "it is old")
+}
+
+// cluster is a few hosts that know one server each by their own state.
+type cluster struct {
+	names     []string
+	network   *peertest.Network
+	clock     *clock.Manual
+	exchanges []*Exchange
+	states    []*State
+	servers   []Server // as each host lists it
+}
+
+// newCluster returns n hosts.
+func newCluster(n int) *cluster {
+	c := &cluster{network: peertest.NewNetwork(), clock: clock.NewManual(now)}
+	for i := range n {
+		c.names = append(c.names, fmt.Sprint("host-", i))
+		c.states, c.servers = append(c.states, &State{}), append(c.servers, Server{ID: "server", StartedUnixMS: 1})
+	}
+	for i, name := range c.names {
+		c.exchanges = append(c.exchanges, NewExchange(Options{
+			Hosts: func() (string, []string) { return name, c.names },
+			Servers: func() iter.Seq2[Server, *State] {
+				return func(yield func(Server, *State) bool) { yield(c.servers[i], c.states[i]) }
+			},
+			Link: c.network.Join(peer.Identity{Host: name, Incarnation: 1}), Clock: c.clock,
+		}))
+	}
+	return c
+}
+
+// tell lets all hosts tell what is new some times.
+func (c *cluster) tell(times int) {
+	for range times {
+		for _, x := range c.exchanges {
+			x.Tell(context.Background())
+		}
+		c.clock.Advance(Interval)
+	}
+}
+
+// slow returns the hosts for which the server is slow.
+func (c *cluster) slow() (out []int) {
+	for i, s := range c.states {
+		if s.Slow() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Guards against findings that do not reach all hosts, and against those that go round for ever.
+func TestFindingsReachAllHostsOnce(t *testing.T) {
+	for _, n := range []int{2, 3, 20, 71, 380} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(n)
+			c.tell(1)
+			observe(c.states[0], 8, 5, c.clock.Now())
+			c.tell(8)
+			g.Expect(c.slow()).To(HaveLen(n))
+			c.tell(20)
+			calls, _ := c.network.Traffic(c.names[0])
+			c.tell(20)
+			again, _ := c.network.Traffic(c.names[0])
+			g.Expect(again).To(Equal(calls))
+			for _, s := range c.states {
+				s.Update(c.clock.Now().Add(maxHeardAge), n, 0)
+			}
+			g.Expect(c.slow()).To(BeEmpty())
+		})
+	}
+}
+
+// A server starts again at its address, and some hosts have not seen it in the list. Guards against
+// findings about the process before that count for the new one.
+func TestFindingsAboutAnEarlierProcessAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	c.servers[1].StartedUnixMS = 2
+	c.tell(1)
+	observe(c.states[0], 8, 5, c.clock.Now())
+	c.tell(5)
+	g.Expect(c.slow()).To(Equal([]int{0, 2}))
+}
+
+// A host was suspended with findings that it has not passed on. Guards against old ones that count as
+// new.
+func TestOldFindingsAreNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	c.tell(1)
+	observe(c.states[0], 8, 5, c.clock.Now())
+	c.clock.Advance(maxFindingAge)
+	c.tell(3)
+	g.Expect(c.slow()).To(Equal([]int{0}))
+}
+
+// Guards against a message that another build, or a fault, fills with anything.
+func TestFindingsOfAnyContentAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s State
+		for range 20 {
+			s.hear(Finding{
+				Origin: rapid.Uint32().Draw(t, "origin"), Time: rapid.Int16().Draw(t, "time"), TimeWeight: rapid.Uint8().Draw(t, "weight"),
+				Room: rapid.Int16().Draw(t, "room"), RoomWeight: rapid.Uint8().Draw(t, "room weight"), AgeMS: rapid.Uint16().Draw(t, "age"),
+			}, now)
+		}
+		f, _ := s.Figures()
+		if !(f.RelativeTime >= 1./8 && f.RelativeTime <= 8.1 && f.Room > 0 && f.Room <= 1) || len(s.heard) > maxHeard {
+			t.Fatalf("%+v of %d hosts", f, len(s.heard))
+		}
+	})
+}
+
+// Guards against messages above the bound of 1 KB a second.
+func TestMessagesAreSmall(t *testing.T) {
+	g := NewWithT(t)
+	f := Finding{Server: math.MaxUint64, Origin: math.MaxUint32, Time: -208, TimeWeight: 80, Room: -208, RoomWeight: 80, AgeMS: math.MaxUint16}
+	payload, err := peer.Marshal(slices.Repeat([]Finding{f}, maxFindings))
+	g.Expect(err).NotTo(HaveOccurred())
+	perSecond := float64(len(payload)*fanout) / Interval.Seconds()
+	t.Logf("%d B a message, %.0f B/s at most", len(payload), perSecond)
+	g.Expect(perSecond).To(BeNumerically("<", 1100))
+}
--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -38,7 +38,9 @@
 	toldAt    time.Time // of the last report; zero: none
 	heard     []heard   // of other hosts, the newest maxHeard
 	sentAt    time.Time // newest measurement of this host that other hosts have been told
-	announced bool      // what Update has returned last
+	announced bool      // whether it was slow at the last call of Update
+	// trialPhase is the part of trialInterval until the first trial.
+	trialPhase float64
 }
 
 // Thresholds of the judgement. Between the two of a pair it stays as it is, so that it does not
@@ -155,12 +157,14 @@
 	f := Figures{math.Exp(e.time.estimate()), math.Exp(e.room.estimate())}
 	if f.RelativeTime < wellBelow || f.RelativeTime < slowAbove && before.RelativeTime == 1 {
 		f.RelativeTime = 1
+	} else {
+		f.RelativeTime = math.Exp(e.time.sum / e.time.weight) // it is slow: no guess that it is not
 	}
 	if f.Room > roomyAbove || f.Room > crowdedBelow && before.Room == 1 {
 		f.Room = 1
 	}
 	if f.RelativeTime > 1 && before.RelativeTime == 1 {
-		s.scheduleTrial(now)
+		s.scheduleFirstTrial(now)
 	}
 	if f == (Figures{1, 1}) {
 		s.judged.Store(0)
@@ -219,16 +223,23 @@
 	s.trialAt.Store(now.UnixNano() + max(s.trialInterval.Load(), int64(minTrialInterval)))
 }
 
+// scheduleFirstTrial sets the time of the first trial, which differs between hosts.
+func (s *State) scheduleFirstTrial(now time.Time) {
+	s.trialAt.Store(now.UnixNano() + max(int64(s.trialPhase*float64(s.trialInterval.Load())), int64(minTrialInterval)))
+}
+
 // Update lets what was seen a while ago lose weight, and sets the time between trials by the number of
-// hosts. It has to be called about once a second, and returns true if the server has become slow or
-// well since the last call.
-func (s *State) Update(now time.Time, hosts int) (changed bool) {
+// hosts. random is a random number in [0,1). It has to be called about once a second, and returns true if
+// the server has become slow or well since the last call.
+func (s *State) Update(now time.Time, hosts int, random float64) (changed bool) {
 	s.trialInterval.Store(int64(hosts) * int64(trialIntervalPerHost))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.trialPhase = random
 	if s.own.newest.IsZero() && len(s.heard) == 0 && s.toldAt.IsZero() {
 		return false
 	}
+	s.forgetHeard(now)
 	s.judge(now)
 	slow := s.Slow()
 	changed = slow != s.announced
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -16,7 +16,7 @@
 	mean     float64    // of the logarithm of the time in seconds, with jitter
 	variance float64    // of the logarithm, at one server
 	trend    float64    // mean of how far the last responses were from the usual time, from -1 to 1
-	last     float64    // logarithm of the relative time of the last response
+	last     float64    // logarithm of the time of the last response
 	samples  int
 }
 
@@ -32,6 +32,8 @@
 	maxPace     = 8
 	// firstSamples are averaged before a server is measured against the usual time.
 	firstSamples = 8
+	// firstVariance is the variance of the logarithm before responses have shown it.
+	firstVariance = 1.
 	// certainDeviation is the standard deviation of the logarithm up to which one response has
 	// the full weight. The weight falls with its square: where requests differ much by their
 	// nature, one says little of the server.
@@ -80,13 +82,14 @@
 	log := math.Log((m.Took + jitter).Seconds())
 	queued := math.Log(max(float64(m.Load)/float64(max(m.Slots, 1)), 1))
 	u.mu.Lock()
-	relative := log - u.mean
+	relative, measured := log-u.mean, u.samples >= firstSamples
 	last, known := s.swapLast(relative - queued)
-	if !known {
-		last = u.last
+	difference := relative - queued - last
+	if !known || !measured {
+		difference = log - queued - u.last
 	}
-	u.update(relative-queued, last)
-	measured, weight := u.samples > firstSamples, u.weight()
+	u.update(log-queued, difference)
+	weight := u.weight()
 	u.mu.Unlock()
 	if measured {
 		s.Observe(math.Exp(relative), m.Load, m.Slots, weight, m.At)
@@ -103,17 +106,22 @@
 	}
 }
 
-// update adds the logarithm of the relative time of a response. last is that of the last one of the same
-// server, or of any server if there was none: the difference of two in a row tells how much requests
-// differ, also while servers become slow or well.
-func (u *Usual) update(relative, last float64) {
+// update adds the logarithm of the time of a response. difference is that to the last one of the same
+// server, or of any server if there was none. Two in a row tell how much requests differ, also while
+// servers become slow or well.
+func (u *Usual) update(log, difference float64) {
 	u.samples++
-	u.last = relative
+	u.last = log
+	if u.samples == 1 {
+		u.mean, u.variance = log, firstVariance
+		return
+	}
+	u.variance += max(usualWeight, 1/float64(u.samples)) * (difference*difference/2 - u.variance)
+	relative := log - u.mean
 	if u.samples <= firstSamples {
 		u.mean += relative / float64(u.samples)
 		return
 	}
-	u.variance += usualWeight * (math.Pow(relative-last, 2)/2 - u.variance)
 	step := min(max(relative, -maxUsualStep), maxUsualStep)
 	u.trend += trendWeight * (step/maxUsualStep - u.trend)
 	u.mean += usualWeight * u.pace() * step
--- a/request/gateway/choose.go
+++ b/request/gateway/choose.go
@@ -115,7 +115,7 @@
 	affinity, tokens := x.sharedPrefix()
 	now := x.opts.Clock.Now()
 	q := balance.Query{
-		Servers: x.candidates(), OneWayLatency: x.opts.OneWayLatency,
+		Servers: x.candidates(), OneWayLatency: x.opts.OneWayLatency, Seed: x.balanceSeed,
 		AffinityKey: affinity, PrefixTokens: tokens, PrefillTimePerToken: x.prefillTimes.estimate(x.service), InputDomain: x.inputDomain, InputBytes: x.inputDomainBytes,
 		UsualTime: x.usual().Time(), MayRepeat: x.retryable(),
 		Exclude: func(s *directory.Server) bool { return tried[s.ID] || !x.withinLimits(s, now) || !x.mayBeginAt(s) }, Now: now,
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -107,11 +107,12 @@
 	bodies          *bodylimit.Budget
 	prefillTimes    prefillTimes
 	usualTimes      serverspeed.Kinds
+	balanceSeed     uint64 // see balance.Query.Seed
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget()}
+	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(), balanceSeed: opts.Rand.Uint64()}
 }
 
 // LogEntry is the access log entry of one request.
