batcher: stage calls show slow servers, and a host that takes the calls over knows them

What callers saw: nothing measured on a deployment; the host that takes over began with every server as usual.

--- a/process/batcher/complete.go
+++ b/process/batcher/complete.go
@@ -129,6 +129,7 @@
 		took := now.Add(-s.oneWayLatency).Sub(c.ExpectedStart)
 		ratio := float64(took) / float64(q.opts.expectedCallTime(len(c.Items)))
 		s.slowdown += slowdownWeight * (min(max(ratio, minSlowdown), maxSlowdown) - s.slowdown)
+		q.measureSpeed(s, ratio, now)
 	}
 	if full {
 		// Less fits than estimated: result sizes are approximate, and other entry
--- a/process/batcher/queue.go
+++ b/process/batcher/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrydale/process/directory"
+	"bilberrydale/process/serverspeed"
 )
 
 // Queue assigns items to servers. It is not safe for concurrent use; Batcher guards it
@@ -15,6 +16,7 @@
 	waiting    []*Job             // jobs with items that are not in a call, by TargetTime
 	servers    map[string]*server // by server id
 	lastSubmit time.Time          // time of the last Submit
+	usual      serverspeed.Usual  // time of calls, each as if it were full
 }
 
 // NewQueue returns an empty queue without servers.
@@ -79,6 +81,7 @@
 
 // Submit adds a job with all its items pending.
 func (q *Queue) Submit(j *Job, now time.Time) {
+	q.learnSpeedsAfterIdle(now)
 	q.probeAfterIdle(now)
 	j.queuedAt = now
 	j.pendingItems = make([]int, len(j.Items))
--- a/process/serverspeed/evidence.go
+++ b/process/serverspeed/evidence.go
@@ -35,7 +35,7 @@
 // the earlier ones: the server may have changed.
 func (a *average) addAfterChange(x, weight float64) {
 	if a.weight > 0 && math.Abs(x-a.sum/a.weight) > changeThreshold {
-		a.scale(1 - weight/2)
+		a.scale(1 - min(weight, 1)/2)
 	}
 	a.add(x, weight)
 }
--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -78,8 +78,8 @@
 }
 
 // Observe records a response's time, relative to the usual time of such requests at any server. load
-// is the number of requests at the server with this one, of slots. weight is between 0 and 1 and tells
-// how much one response says.
+// is the number of requests at the server with this one, of slots. weight tells how much the response
+// says; 1: as much as one of requests that take equally long.
 func (s *State) Observe(relative float64, load, slots int, weight float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -1,6 +1,7 @@
 package serverspeed
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -72,6 +73,9 @@
 	Load  int           // requests at the server, with this one
 	Slots int           // requests that the server runs at once
 	At    time.Time     // of the response
+	// Responses is as how many responses it counts; 0: 1. A call that does the work of many requests
+	// says more than one of them.
+	Responses float64
 }
 
 // Observe records a response of a server in the usual time and in what is known of the server.
@@ -92,7 +96,7 @@
 	weight := u.weight()
 	u.mu.Unlock()
 	if measured {
-		s.Observe(math.Exp(relative), m.Load, m.Slots, weight, m.At)
+		s.Observe(math.Exp(relative), m.Load, m.Slots, weight*cmp.Or(m.Responses, 1), m.At)
 	}
 }
 
