serverspeed: load that slows all servers alike is usual; the cost of too many requests follows the usual time

What callers would see: engines that share their time among requests looked crowded, and a home lost its prefix.

--- a/process/balance/speed.go
+++ b/process/balance/speed.go
@@ -26,8 +26,8 @@
 		usual = queuedRequestCost
 	}
 	slots := max(int(float64(s.Slots)*f.Room), 1)
-	queued, queuedAsUsual := max(load+1-slots, 0), max(load+1-s.Slots, 0)
-	cost := (f.RelativeTime-1)*float64(usual+time.Duration(load)*concurrentRequestCost) +
-		(f.RelativeTime*float64(queued)-float64(queuedAsUsual))*float64(queuedRequestCost)
-	return time.Duration(min(cost, float64(maxSpeedCost)))
+	crowded := max(float64(load+1)/float64(slots)-1, 0) // times the usual time, beyond it
+	cost := (f.RelativeTime-1)*float64(usual+time.Duration(load)*concurrentRequestCost) + f.RelativeTime*crowded*float64(usual)
+	queuedAsUsual := time.Duration(max(load+1-s.Slots, 0)) * queuedRequestCost // counted already
+	return time.Duration(min(max(cost-float64(queuedAsUsual), 0), float64(maxSpeedCost)))
 }
--- a/process/balance/speed_test.go
+++ b/process/balance/speed_test.go
@@ -178,6 +178,32 @@
 	g.Expect(share).To(BeNumerically("<", 0.01))
 }
 
+// All servers take twice as long with half of their slots in use, and four times with all of them, as
+// engines do that share their time among requests. Guards against taking that for a fault of the busy
+// ones: they would get fewer requests than without learning.
+func TestLoadThatSlowsAllServersIsUsual(t *testing.T) {
+	g := NewWithT(t)
+	unusual, responses := 0, 0
+	for seed := range uint64(4) {
+		s := &simulation{hosts: 1, perSecond: 270, duration: 40 * time.Second, reportsLoad: true, seed: seed, work: about(40 * time.Millisecond)}
+		for range 3 {
+			s.servers = append(s.servers, &simServer{slots: 16, slowdown: usualSpeed, stretch: 4})
+		}
+		s.onResponse = func(r *simRequest, at time.Duration) {
+			if at < 20*time.Second {
+				return
+			}
+			responses++
+			if _, is := s.listed(r.host, r.server).Speed.Figures(); is {
+				unusual++
+			}
+		}
+		s.run()
+	}
+	t.Logf("unusual: %d of %d", unusual, responses)
+	g.Expect(unusual).To(BeNumerically("<", responses/50))
+}
+
 // makeSlow records in a state responses that took five times as long as usual.
 func makeSlow(state *serverspeed.State, at time.Time) {
 	for range 8 {
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -19,6 +19,22 @@
 	trend    float64    // mean of how far the last responses were from the usual time, from -1 to 1
 	last     float64    // logarithm of the time of the last response
 	samples  int
+	// atLoad is how much longer than usual requests take at each level of load at any server, as a
+	// logarithm, beyond the wait for a slot.
+	atLoad [loadLevels]float64
+}
+
+// loadLevels is the number of levels of load.
+const loadLevels = 5
+
+// loadLevel returns the level of a number of requests at a server, of slots: up to an eighth of them, a
+// quarter, a half, all of them, and more.
+func loadLevel(load, slots int) int {
+	level := 0
+	for limit := 0.125; level < loadLevels-1 && float64(load) > limit*float64(slots); limit *= 2 {
+		level++
+	}
+	return level
 }
 
 const (
@@ -86,13 +102,17 @@
 	log := math.Log((m.Took + jitter).Seconds())
 	queued := math.Log(max(float64(m.Load)/float64(max(m.Slots, 1)), 1))
 	u.mu.Lock()
-	relative, measured := log-u.mean, u.samples >= firstSamples
+	atLoad := &u.atLoad[loadLevel(m.Load, m.Slots)]
+	relative, measured := log-u.mean-*atLoad, u.samples >= firstSamples
 	last, known := s.swapLast(relative - queued)
 	difference := relative - queued - last
 	if !known || !measured {
 		difference = log - queued - u.last
 	}
 	u.update(log-queued, difference)
+	if measured {
+		*atLoad = bounded(*atLoad + usualWeight*min(max(relative-queued, -maxUsualStep), maxUsualStep))
+	}
 	weight := u.weight()
 	u.mu.Unlock()
 	if measured {
@@ -103,7 +123,7 @@
 // ObserveAtLeast records that a response has not come in a time.
 func (u *Usual) ObserveAtLeast(s *State, m Measurement) {
 	u.mu.Lock()
-	known, weight, mean := u.samples >= firstSamples, u.weight(), u.mean
+	known, weight, mean := u.samples >= firstSamples, u.weight(), u.mean+u.atLoad[loadLevel(m.Load, m.Slots)]
 	u.mu.Unlock()
 	if known && m.Took > 0 {
 		s.ObserveAtLeast((m.Took+jitter).Seconds()/math.Exp(mean), m.Load, m.Slots, weight, m.At)
