--- a/process/balance/speed_test.go
+++ b/process/balance/speed_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"bilberrydale/process/serverspeed"
 )
 
 // slowFactor is how much longer work takes at the slow servers of these tests.
@@ -204,13 +202,6 @@
 	g.Expect(unusual).To(BeNumerically("<", responses/50))
 }
 
-// makeSlow records in a state responses that took five times as long as usual.
-func makeSlow(state *serverspeed.State, at time.Time) {
-	for range 8 {
-		state.Observe(slowFactor, 1, 6, 1, at)
-	}
-}
-
 // Guards against a home server of a prefix that keeps its requests while it is slow, and against one
 // that changes with each measurement: a prefix that is processed twice takes time of engines.
 func TestSlowHomeServerLosesItsPrefixesUntilItIsWell(t *testing.T) {
--- a/process/serverspeed/evidence.go
+++ b/process/serverspeed/evidence.go
@@ -110,10 +110,5 @@
 	return max(math.Log(share)-e.room.estimate(), 0)
 }
 
-// expected returns the logarithm of the relative time of a response at a load.
-func (e *evidence) expected(load, slots int) float64 {
-	return e.time.estimate() + e.stretch(load, slots)
-}
-
 // bounded limits the logarithm of a relative time.
 func bounded(log float64) float64 { return min(max(log, -maxLogRelative), maxLogRelative) }
