serverspeed: all servers slow at once is not told about as many slow ones

What callers would see: at 71 hosts, all servers slow at once made hosts tell each other of each server in turn: up to 50 of 100 judgements were slow for six seconds, so homes of prefixes would move. Change: what nearly all of a host's last responses say of all servers is not held against one.

--- a/edge/serverspeed.go
+++ b/edge/serverspeed.go
@@ -34,34 +34,29 @@
 	}
 }
 
-// speedUpdateInterval is the time between two updates of what is known of the servers' speeds.
-const speedUpdateInterval = time.Second
-
-// followServerSpeeds tells other hosts what this host measures at servers, and lets what is known of their
-// speeds lose weight with time, until ctx ends.
+// followServerSpeeds updates what is known of the servers' speeds, and tells other hosts what this host
+// measures, until ctx ends.
 func (h *Host) followServerSpeeds(ctx context.Context) error {
-	updatedAt := h.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-h.clock.After(serverspeed.Interval):
-		}
-		if now := h.clock.Now(); now.Sub(updatedAt) >= speedUpdateInterval {
-			updatedAt = now
 			h.updateSpeeds()
+			h.speedExchange.Tell(ctx)
 		}
-		h.speedExchange.Tell(ctx)
 	}
 }
 
 // updateSpeeds updates the speeds of all servers, and logs and counts those that have become slow or
 // well.
 func (h *Host) updateSpeeds() {
-	now, hosts := h.clock.Now(), len(h.knownHosts())
+	c := serverspeed.Conditions{Now: h.clock.Now(), Hosts: len(h.knownHosts()), Random: h.rand.Float64()}
+	slowdowns := h.gateway.CommonSlowdowns(c.Now)
 	for _, s := range h.directory.View().All() {
-		if s.Speed.Update(now, hosts, h.rand.Float64()) {
-			h.serverSpeedChanged(s, now)
+		c.CommonSlowdown = slowdowns[s.Service]
+		if s.Speed.Update(c) {
+			h.serverSpeedChanged(s, c.Now)
 		}
 	}
 }
--- a/process/balance/manyhosts_test.go
+++ b/process/balance/manyhosts_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -99,6 +100,35 @@
 	g.Expect(settled).To(BeNumerically("<", 100))
 }
 
+// All servers take five times as long for some seconds. Guards against hosts that tell each other that
+// servers are slow, each of the few that it got responses of, until all of them are.
+func TestAllServersSlowAtOnceIsToldByNoHost(t *testing.T) {
+	for _, servers := range []int{6, 60} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			g := NewWithT(t)
+			s := manyHosts()
+			s.servers = nil
+			for range servers {
+				s.servers = append(s.servers, &simServer{slots: 16, slowdown: slowAt(func(at time.Duration) bool { return at > 8*time.Second && at < 14*time.Second })})
+			}
+			known, slow := 0, 0
+			s.onResponse = func(r *simRequest, at time.Duration) {
+				for i := range s.servers {
+					if at > 8*time.Second {
+						known++
+						if s.listed(r.host, i).Speed.Slow() {
+							slow++
+						}
+					}
+				}
+			}
+			s.run()
+			t.Logf("slow: %.2f %%", 100*float64(slow)/float64(known))
+			g.Expect(slow).To(BeNumerically("<", known/50))
+		})
+	}
+}
+
 // Guards against hosts that depend on being told: one of three is cut off from the others, and learns
 // from its own responses.
 func TestHostThatHearsNothingUsesItsOwnMeasurements(t *testing.T) {
--- a/process/balance/simulation_test.go
+++ b/process/balance/simulation_test.go
@@ -59,7 +59,7 @@
 	random      *rand.Rand
 	start       time.Time
 	directories []*directory.Directory
-	usual       []*serverspeed.Usual
+	kinds       []*serverspeed.Kinds
 	told        []*serverspeed.Told
 	names       []string // of the hosts
 	exchanges   []*serverspeed.Exchange
@@ -110,7 +110,7 @@
 	for range s.hosts {
 		d := directory.New()
 		d.Replace(entries, now)
-		s.directories, s.usual, s.told = append(s.directories, d), append(s.usual, &serverspeed.Usual{}), append(s.told, &serverspeed.Told{})
+		s.directories, s.kinds, s.told = append(s.directories, d), append(s.kinds, &serverspeed.Kinds{}), append(s.told, &serverspeed.Told{})
 	}
 	if s.tellEachOther {
 		s.connect()
@@ -170,9 +170,7 @@
 	}
 	for host := range s.hosts {
 		s.at(at+time.Duration(s.random.Float64()*float64(serverspeed.Interval)), func(at time.Duration) {
-			for i := range s.servers {
-				s.listed(host, i).Speed.Update(s.start.Add(at), s.hosts, s.random.Float64())
-			}
+			s.updateSpeeds(host, s.start.Add(at))
 			if s.tellEachOther && host >= s.ofBuildBefore {
 				s.exchanges[host].Tell(context.Background())
 			}
@@ -181,6 +179,19 @@
 	s.at(at+serverspeed.Interval, s.tick)
 }
 
+// usual returns the usual time of the requests as a host knows it.
+func (s *simulation) usual(host int) *serverspeed.Usual {
+	return s.kinds[host].Usual(serverspeed.Kind{Route: "r", Service: "s"})
+}
+
+// updateSpeeds updates what a host knows of the servers' speeds.
+func (s *simulation) updateSpeeds(host int, now time.Time) {
+	common := s.kinds[host].CommonSlowdowns(now)["s"]
+	for i := range s.servers {
+		s.listed(host, i).Speed.Update(serverspeed.Conditions{Now: now, Hosts: s.hosts, Random: s.random.Float64(), CommonSlowdown: common})
+	}
+}
+
 // seedOf returns the seed of a host's queries.
 func (s *simulation) seedOf(host int) uint64 {
 	if s.sameSeed {
@@ -200,13 +211,13 @@
 	r.mayRepeat = s.random.Float64() < s.mayRepeat
 	chosen := Choose(Query{
 		Servers:       s.directories[r.host].View().Candidates("s", residency.Set{}, streamwriter.Writer{}),
-		OneWayLatency: func(string) time.Duration { return 0 }, UsualTime: s.usual[r.host].Time(), MayRepeat: r.mayRepeat, Seed: s.seedOf(r.host), Now: at0,
+		OneWayLatency: func(string) time.Duration { return 0 }, UsualTime: s.usual(r.host).Time(), MayRepeat: r.mayRepeat, Seed: s.seedOf(r.host), Now: at0,
 	})
 	_, _ = fmt.Sscanf(chosen.ID, "server-%d", &r.server)
 	r.measurement = serverspeed.Measurement{Load: EstimatedLoad(chosen, at0) + 1, Slots: chosen.Slots}
 	chosen.InFlight.Add(1)
 	if !s.withoutSpeed && r.host >= s.ofBuildBefore {
-		chosen.Speed.RecordSent(at0, s.usual[r.host].ExpectedUntil(r.measurement.Load, chosen.Slots, at0))
+		chosen.Speed.RecordSent(at0, s.usual(r.host).ExpectedUntil(r.measurement.Load, chosen.Slots, at0))
 	}
 	server := s.servers[r.server]
 	server.queue = append(server.queue, r)
@@ -239,12 +250,12 @@
 		r.measurement.Load = max(r.measurement.Load, server.running+len(server.queue))
 	}
 	if !s.withoutSpeed && r.host >= s.ofBuildBefore {
-		listed.Speed.RecordAwaited(s.usual[r.host].ExpectedUntil(r.measurement.Load, listed.Slots, at0))
+		listed.Speed.RecordAwaited(s.usual(r.host).ExpectedUntil(r.measurement.Load, listed.Slots, at0))
 		if server.tells != nil {
 			listed.Speed.Tell(s.told[r.host].Relative("s", server.tells(at)), at0)
 		}
 		r.measurement.Took, r.measurement.At = at-r.arrivedAt, at0
-		s.usual[r.host].Observe(&listed.Speed, r.measurement)
+		s.usual(r.host).Observe(&listed.Speed, r.measurement)
 	}
 	s.latencies = append(s.latencies, at-r.arrivedAt)
 	if s.onResponse != nil {
--- a/process/serverspeed/bench_test.go
+++ b/process/serverspeed/bench_test.go
@@ -56,7 +56,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		for i := range states {
-			states[i].Update(now, 71, 0.5)
+			states[i].Update(Conditions{Now: now, Hosts: 71})
 		}
 	}
 }
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -37,10 +37,10 @@
 	g.Expect(s.Slow()).To(BeFalse(), "one of two")
 	observe(&s, 3, 8, now)
 	g.Expect(s.Slow()).To(BeTrue())
-	g.Expect(s.Update(now, 1, 0)).To(BeTrue())
-	g.Expect(s.Update(now, 1, 0)).To(BeFalse(), "told once")
+	g.Expect(s.Update(Conditions{Now: now, Hosts: 1})).To(BeTrue())
+	g.Expect(s.Update(Conditions{Now: now, Hosts: 1})).To(BeFalse(), "told once")
 	at := now.Add(12 * time.Second)
-	g.Expect(s.Update(at, 1, 0)).To(BeTrue())
+	g.Expect(s.Update(Conditions{Now: at, Hosts: 1})).To(BeTrue())
 	g.Expect(s.Slow()).To(BeFalse())
 }
 
@@ -115,7 +115,7 @@
 	}
 	at := now.Add(2 * time.Second)
 	for i := range servers {
-		servers[i].Update(at, 1, 0)
+		servers[i].Update(Conditions{Now: at, Hosts: 1})
 		g.Expect(servers[i].Slow()).To(BeFalse())
 	}
 	for i := range 60 {
@@ -123,7 +123,7 @@
 	}
 	g.Expect(servers[0].Slow()).To(BeTrue())
 	g.Expect(servers[1].Slow()).To(BeFalse())
-	servers[0].Update(at.Add(maxToldAge+time.Millisecond), 1, 0)
+	servers[0].Update(Conditions{Now: at.Add(maxToldAge + time.Millisecond), Hosts: 1})
 	g.Expect(servers[0].Slow()).To(BeFalse(), "it is old")
 }
 
@@ -210,7 +210,7 @@
 			again, _ := c.network.Traffic(c.names[0])
 			g.Expect(again).To(Equal(calls))
 			for _, s := range c.states {
-				s.Update(c.clock.Now().Add(maxHeardAge), n, 0)
+				s.Update(Conditions{Now: c.clock.Now().Add(maxHeardAge), Hosts: n})
 			}
 			g.Expect(c.slow()).To(BeEmpty())
 		})
--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/process/estimate"
 )
 
 // Figures are what is known of a server's speed.
@@ -30,7 +32,10 @@
 	awaited   atomic.Int64 // requests of this host whose response has not begun
 	overdueAt atomic.Int64 // when the next response is overdue, in Unix nanoseconds
 
-	last atomic.Uint64 // bits of swapLast's value; 0: there is none
+	// common is the logarithm of the factor by which all servers have become slower lately, which is
+	// not held against this one.
+	common estimate.AtomicFloat64
+	last   atomic.Uint64 // bits of swapLast's value; 0: there is none
 
 	mu        sync.Mutex // guards the following
 	own       evidence
@@ -139,6 +144,7 @@
 		s.heard[i].decay(now)
 		all = all.plus(s.heard[i].evidence)
 	}
+	all.time.sum -= s.common.Load() * all.time.weight
 	all.time = all.time.plus(s.toldEvidence(now))
 	return all
 }
@@ -228,14 +234,25 @@
 	s.trialAt.Store(now.UnixNano() + max(int64(s.trialPhase*float64(s.trialInterval.Load())), int64(minTrialInterval)))
 }
 
-// Update lets what was seen a while ago lose weight, and sets the time between trials by the number of
-// hosts. random is a random number in [0,1). It has to be called about once a second, and returns true if
-// the server has become slow or well since the last call.
-func (s *State) Update(now time.Time, hosts int, random float64) (changed bool) {
-	s.trialInterval.Store(int64(hosts) * int64(trialIntervalPerHost))
+// Conditions are what Update goes by.
+type Conditions struct {
+	Now    time.Time
+	Hosts  int     // all hosts, which together keep to a rate of trials
+	Random float64 // random number in [0,1)
+	// CommonSlowdown is the factor by which all servers of the service have become slower lately, see
+	// Kinds.CommonSlowdowns; 0 is 1.
+	CommonSlowdown float64
+}
+
+// Update lets what was seen a while ago lose weight. It has to be called a few times a second, and
+// returns true if the server has become slow or well since the last call.
+func (s *State) Update(c Conditions) (changed bool) {
+	now := c.Now
+	s.trialInterval.Store(int64(c.Hosts) * int64(trialIntervalPerHost))
+	s.common.Store(math.Log(max(c.CommonSlowdown, 1)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.trialPhase = random
+	s.trialPhase = c.Random
 	if s.own.newest.IsZero() && len(s.heard) == 0 && s.toldAt.IsZero() {
 		return false
 	}
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,62 @@
 	// atLoad is how much longer than usual requests take at each level of load at any server, as a
 	// logarithm, beyond the wait for a slot.
 	atLoad [loadLevels]float64
+	// recent holds the logarithms of the last times, as they would be at the usual load.
+	recent [recentResponses]float64
+	// earlier is the mean as it was some seconds ago, earlierAt the time of its last update.
+	earlier   float64
+	earlierAt time.Time
+	held      float64   // see hold
+	heldAt    time.Time // when it was measured
+}
+
+const (
+	// recentResponses are the last responses that tell whether all servers have become slow. All but
+	// one of them have to take longer.
+	recentResponses = 6
+	// earlierHalfLife is the half-life of the earlier mean. It is longer than that of evidence, which
+	// is relative to the mean of its time.
+	earlierHalfLife = 2 * evidenceHalfLife
+	commonHeldFor   = 3 * evidenceHalfLife
+	// maxCommonAge is the age of the last response up to which the last ones tell it.
+	maxCommonAge = 10 * time.Second
+)
+
+// common returns the logarithm of the factor by which requests have begun to take longer at nearly all
+// servers within the last seconds; 0: they have not. It is false if there was no response lately.
+func (u *Usual) common(now time.Time) (log float64, known bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.samples < firstSamples+recentResponses || now.Sub(u.earlierAt) > maxCommonAge {
+		return 0, false
+	}
+	return u.held, true
+}
+
+// hold sets what common returns: the highest value of the last commonHeldFor, as what was measured
+// meanwhile counts for so long. The caller holds u.mu.
+func (u *Usual) hold(now time.Time) {
+	sorted := u.recent
+	slices.Sort(sorted[:])
+	if log := max(sorted[1]-u.earlier, 0); log >= u.held || now.Sub(u.heldAt) > commonHeldFor {
+		u.held, u.heldAt = log, now
+	}
+}
+
+// updateCommon adds the logarithm of a time to what common returns. The caller holds u.mu.
+func (u *Usual) updateCommon(log float64, now time.Time) {
+	u.recent[u.samples%recentResponses] = log
+	if u.samples <= firstSamples {
+		u.earlier, u.earlierAt = u.mean, now
+		return
+	}
+	if elapsed := now.Sub(u.earlierAt); elapsed > 0 {
+		u.earlier += (1 - math.Exp2(-elapsed.Seconds()/earlierHalfLife.Seconds())) * (u.mean - u.earlier)
+		u.earlierAt = now
+	}
+	if u.samples >= firstSamples+recentResponses {
+		u.hold(now)
+	}
 }
 
 // loadLevels is the number of levels of load.
@@ -110,11 +167,15 @@
 		difference = log - queued - u.last
 	}
 	u.update(log-queued, difference)
+	u.updateCommon(log-queued-*atLoad, m.At)
 	if measured {
 		*atLoad = bounded(*atLoad + usualWeight*min(max(relative-queued, -maxUsualStep), maxUsualStep))
 	}
 	weight := u.weight()
 	u.mu.Unlock()
+	if common, recent := u.common(m.At); recent {
+		s.common.Store(common)
+	}
 	if measured {
 		s.Observe(math.Exp(relative), m.Load, m.Slots, weight*cmp.Or(m.Responses, 1), m.At)
 	}
@@ -169,6 +230,25 @@
 // use.
 type Kinds struct{ byKind table[Kind, Usual] }
 
+// CommonSlowdowns returns, by service, the factor by which requests of all kinds have begun to take longer
+// at nearly all servers within the last seconds; 1 or missing: they have not.
+func (k *Kinds) CommonSlowdowns(now time.Time) map[string]float64 {
+	least := map[string]float64{}
+	k.byKind.mu.RLock()
+	defer k.byKind.mu.RUnlock()
+	for kind, u := range k.byKind.values {
+		common, known := u.common(now)
+		if !known {
+			continue
+		}
+		factor := math.Exp(common)
+		if other, is := least[kind.Service]; !is || factor < other {
+			least[kind.Service] = factor
+		}
+	}
+	return least
+}
+
 // Usual returns the usual time of a kind of request.
 func (k *Kinds) Usual(kind Kind) *Usual { return k.byKind.get(kind) }
 
--- a/request/gateway/serverspeed.go
+++ b/request/gateway/serverspeed.go
@@ -23,6 +23,12 @@
 	return x.usualTimes.Usual(serverspeed.Kind{Route: x.route.Name, Service: x.service})
 }
 
+// CommonSlowdowns returns, by service, the factor by which requests have begun to take longer at nearly all
+// servers within the last seconds; 1 or missing: they have not.
+func (g *Gateway) CommonSlowdowns(now time.Time) map[string]float64 {
+	return g.usualTimes.CommonSlowdowns(now)
+}
+
 // beginMeasurement is called before a request is sent to a server. It leaves out what other requests of
 // the route don't compare to: one that goes on with a stream, and one to a server that may be cold.
 func (x *exchange) beginMeasurement(s *directory.Server, lastEventID string, now time.Time) measurement {
