serverspeed: one host's word does not outweigh what others measure; a host that was suspended tells nothing of it

What callers would see: a host whose way loses packets, or that was suspended, made servers slow for all hosts. Evidence: TestOneHostDoesNotOutweighOthers, TestSuspendedHostTellsNothingOfThatTime, red without.

--- a/process/serverspeed/exchange.go
+++ b/process/serverspeed/exchange.go
@@ -47,6 +47,7 @@
 	mu      sync.Mutex        // guards the following
 	states  map[uint64]*State // by hash of the server's process
 	pending []heldFinding     // to be passed on
+	toldAt  time.Time         // last call of Tell; zero: never
 }
 
 // heldFinding is a finding that arrived at a time.
@@ -68,6 +69,10 @@
 	tellTimeout = 300 * time.Millisecond
 )
 
+// maxGap is the time between two calls of Tell after which this host has been suspended, or had no processor
+// time: it was not the servers that were slow.
+const maxGap = 4 * Interval
+
 // methodFindings tells some findings, as a list. The response is empty.
 const methodFindings peer.Method = "serverspeed.findings"
 
@@ -112,12 +117,14 @@
 func (x *Exchange) collect(now time.Time) []Finding {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	stalled := !x.toldAt.IsZero() && now.Sub(x.toldAt) > maxGap
+	x.toldAt = now
 	clear(x.states)
 	var out []Finding
 	for server, state := range x.opts.Servers() {
 		key := server.hash()
 		x.states[key] = state
-		if f, isNew := state.news(now); isNew {
+		if f, isNew := state.news(now); isNew && !stalled {
 			f.Server, f.Origin = key, x.self
 			out = append(out, f)
 		}
--- a/process/serverspeed/finding.go
+++ b/process/serverspeed/finding.go
@@ -43,9 +43,13 @@
 	}
 }
 
+// maxHeardWeight bounds the weight of one other host, whose way to a server may be what is slow. Its word on
+// a server that takes five times as long is enough for a host that has measured nothing there.
+const maxHeardWeight = 1.6
+
 // decoded returns an average of a message.
 func decoded(log int16, tenths uint8) average {
-	weight := min(float64(tenths)*weightUnit, maxWeight)
+	weight := min(float64(tenths)*weightUnit, maxHeardWeight)
 	return average{bounded(float64(log)*logUnit) * weight, weight}
 }
 
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -233,14 +233,49 @@
 // new.
 func TestOldFindingsAreNotPassedOn(t *testing.T) {
 	g := NewWithT(t)
-	c := newCluster(3)
+	c := newCluster(4)
 	c.tell(1)
 	observe(c.states[0], 8, 5, c.clock.Now())
+	c.exchanges[0].Tell(context.Background())
 	c.clock.Advance(4 * time.Second)
 	c.tell(3)
+	told := 0
+	for _, s := range c.states {
+		told += s.Report(c.clock.Now()).HeardHosts
+	}
+	g.Expect(told).To(Equal(2), "the hosts that the first one tells itself")
+}
+
+// A host was suspended while it waited for responses. Guards against it telling the others that servers
+// are slow.
+func TestSuspendedHostTellsNothingOfThatTime(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(3)
+	c.tell(1)
+	c.clock.Advance(3 * time.Second)
+	observe(c.states[0], 8, 8, c.clock.Now())
+	c.tell(3)
 	g.Expect(c.slow()).To(Equal([]int{0}))
 }
 
+// A host's way to a server loses packets, others reach it well. Guards against the word of one host that
+// outweighs what the others measure.
+func TestOneHostDoesNotOutweighOthers(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(6)
+	for range 20 {
+		observe(c.states[0], 2, 8, c.clock.Now())
+		for _, s := range c.states[1:] {
+			observe(s, 2, 1, c.clock.Now())
+		}
+		c.tell(1)
+		for i, s := range c.states {
+			s.Update(Conditions{Now: c.clock.Now(), Hosts: 6})
+			g.Expect(i > 0 && s.Slow()).To(BeFalse())
+		}
+	}
+}
+
 // Guards against a message that another build, or a fault, fills with anything.
 func TestFindingsOfAnyContentAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
