--- a/edge/servers.go
+++ b/edge/servers.go
@@ -99,6 +99,6 @@
 	if s == nil || s.InBackoff(now) || s.Pauses.Pause(now) != nil {
 		return stages.Target{}, false
 	}
-	query := balance.Query{OneWayLatency: func(domain string) time.Duration { return h.delayBetween(r.HostDomain, domain) }, Now: now}
+	query := balance.Query{OneWayLatency: func(domain string) time.Duration { return h.delayBetween(r.HostDomain, domain) }, UsualTime: h.gateway.UsualTime(s.Service), Now: now}
 	return stages.Target{ID: id, Domain: s.Domain, Cost: query.Cost(s)}, true
 }
--- a/edge/serverspeed_test.go
+++ b/edge/serverspeed_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"bilberrydale/platform/platformtest"
+	"bilberrydale/process/stages"
 )
 
 const (
@@ -117,3 +118,26 @@
 	}, "20s").Should(BeTrue())
 	g.Expect(speedOf(hosts[1], "ledger-2")).To(And(HaveField("OwnWeight", 0.0), HaveField("HeardHosts", 1)))
 }
+
+// Guards against a slow engine that goes on getting the requests whose prefix it has, when the host that
+// does their stage work adds it to the servers that may run them.
+func TestSlowServerIsADearTarget(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPlatform(t)
+	paceServer(p.servers["model-1"])
+	h := p.startHost("front-1")
+	for range 20 {
+		g.Expect(p.send(h, "POST", "/stream/stream/1", "x").status).To(Equal(http.StatusOK))
+	}
+	r := &stages.Request{HostDomain: "a"}
+	before, listed := h.stageTarget("model-1", r)
+	g.Expect(listed).To(BeTrue())
+	usual := h.gateway.UsualTime("model")
+	g.Expect(usual).To(BeNumerically(">=", usualWork))
+	for range 8 {
+		h.directory.View().Server("model-1").Speed.Observe(5, 1, 8, 1, h.clock.Now())
+	}
+	after, _ := h.stageTarget("model-1", r)
+	g.Expect(after.Cost - before.Cost).To(BeNumerically(">", 2*usual))
+}
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -249,6 +249,19 @@
 	return least
 }
 
+// ServiceTime returns the mean of the usual times of the kinds of a service; 0: none is known.
+func (k *Kinds) ServiceTime(service string) time.Duration {
+	k.byKind.mu.RLock()
+	defer k.byKind.mu.RUnlock()
+	sum, n := time.Duration(0), 0
+	for kind, u := range k.byKind.values {
+		if t := u.Time(); kind.Service == service && t > 0 {
+			sum, n = sum+t, n+1
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
 // Usual returns the usual time of a kind of request.
 func (k *Kinds) Usual(kind Kind) *Usual { return k.byKind.get(kind) }
 
--- a/request/gateway/serverspeed.go
+++ b/request/gateway/serverspeed.go
@@ -29,6 +29,9 @@
 	return g.usualTimes.CommonSlowdowns(now)
 }
 
+// UsualTime returns how long requests usually take at a service; 0: it is not known.
+func (g *Gateway) UsualTime(service string) time.Duration { return g.usualTimes.ServiceTime(service) }
+
 // beginMeasurement is called before a request is sent to a server. It leaves out what other requests of
 // the route don't compare to: one that goes on with a stream, and one to a server that may be cold.
 func (x *exchange) beginMeasurement(s *directory.Server, lastEventID string, now time.Time) measurement {
