--- a/edge/edge.go
+++ b/edge/edge.go
@@ -35,6 +35,7 @@
 	"bilberrydale/process/reach"
 	"bilberrydale/process/retrylimit"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
 	"bilberrydale/request/gateway"
@@ -81,6 +82,8 @@
 	evacuationsListed   atomic.Bool
 	coldStart           *coldstart.Limiter
 	serverLimits        *serverlimit.Limiter
+	toldSpeeds          serverspeed.Told // what the servers of each service usually tell
+	speedExchange       *serverspeed.Exchange
 	guard               *quarantine.SharedGuard
 	quarantineFollower  *objectwatch.Follower[quarantine.Quarantine]
 	quarantinePublisher *quarantinePublisher
@@ -164,6 +167,7 @@
 		Self: settings.Host, Hosts: h.knownHosts, Clock: h.clock, Link: h.mesh,
 		OnLoan: func(requests int) { h.meter.Add("cold_rate_borrowed", int64(requests)) },
 	})
+	h.createSpeedExchange()
 	h.createGuard()
 	h.createShares()
 	h.gateway = gateway.New(gateway.Options{
@@ -286,7 +290,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.watchReload, h.pruneEntries, h.watchStart,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.followServerSpeeds, h.watchReload, h.pruneEntries, h.watchStart,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
--- a/edge/state.go
+++ b/edge/state.go
@@ -58,6 +58,7 @@
 	ErrorRate    float64     `json:"errors"`                     // share of recent responses that were failures
 	ServiceTime  float64     `json:"relative_service_time"`      // as the server reported it last, 1 as usual; 0: it does not
 	SeenAgeMS    float64     `json:"load_seen_ms_ago"`           // since it last reported its load, or refused a request; negative: never
+	Speed        *speedState `json:"speed,omitempty"`            // how fast it works; nil: nothing is known
 }
 
 // pauseState is the time in which a server wants no requests of this host.
@@ -105,7 +106,7 @@
 		s.Servers = append(s.Servers, serverState{
 			ID: srv.ID, Service: srv.Service, Version: srv.Version, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv), Pause: pauseOf(srv, now),
 			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now), ServiceTime: srv.RelativeServiceTime(),
-			SeenAgeMS: seenAgeMS(srv, now),
+			SeenAgeMS: seenAgeMS(srv, now), Speed: newSpeedState(&srv.Speed, now),
 		})
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
 	"bilberrydale/process/waitline"
@@ -114,13 +115,15 @@
 	priorities      atomic.Pointer[servicePriorities] // of the plan in use
 	uploads         *bodylimit.Uploads
 	prefillTimes    prefillTimes
+	usualTimes      serverspeed.Kinds
+	balanceSeed     uint64 // see balance.Query.Seed
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
 	return &Gateway{
 		opts: opts, startedAt: opts.Clock.Now(),
-		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes),
+		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes), balanceSeed: opts.Rand.Uint64(),
 	}
 }
 
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -175,6 +175,7 @@
 			return fmt.Errorf("%w: %w", invalidResponse(err), err)
 		}
 		timer.Stop() // the time that the client takes is not the server's
+		x.measure(a)
 		if err := x.writeEvent(a, progress, event, r.id); err != nil {
 			return x.noteUnread(err)
 		}
