stages: requests that the line shows to be out of reach are refused at once

Callers waited until their own stages no longer fitted, though the line before them showed that they would not be reached. The line is checked every 40 ms; a request that cannot be reached even if nothing else arrives, its account gets all of the servers and these work at their fullest rate of late is refused, with a Retry-After by when the line has drained, spread over ten seconds. Requests that have started, and streams that are taken up, are never refused by it.

The log line of stage work, the state page and counters by reason tell what held a request and what its account is due and has used. Each new test was red without its mechanism.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -139,13 +140,17 @@
 	}
 	if err != nil {
 		h.meter.Add("stage_work_failed", 1)
+		h.countStageRefusal(t, err)
+	}
+	if t.HeldByShare {
+		h.meter.Add("stage_work_held_by_share", 1)
 	}
 	if !h.logLimits.allow(err != nil, h.clock.Now()) {
 		return
 	}
 	kv := []any{
 		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.BlockedBy,
-		"held_by_room", t.BlockedByMemory, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageMilliseconds(t.StageTimes),
+		"held_by_room", t.BlockedByMemory, "account", t.Request.Account, "priority", t.Request.Priority, "held_by_share", t.HeldByShare, "share_due_ms", int64(1000 * t.Due), "share_used_ms", int64(1000 * t.Used), "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageMilliseconds(t.StageTimes),
 		"target", t.TargetID, "target_wait_ms", ms(t.TargetWait), "prompt_from", t.FetchFrom,
 	}
 	if err != nil {
@@ -155,6 +160,18 @@
 	h.log.Info("stage work", kv...)
 }
 
+// countStageRefusal counts stage work that failed, by reason; of that which its account's share held, too.
+func (h *Host) countStageRefusal(t *stages.Ticket, err error) {
+	var failed *stages.Error
+	if !errors.As(err, &failed) {
+		return
+	}
+	h.meter.Add("stage_work_failed_"+string(failed.Reason), 1)
+	if t.HeldByShare {
+		h.meter.Add("stage_work_failed_beyond_share", 1)
+	}
+}
+
 // stageMilliseconds returns the durations of stages in whole milliseconds.
 func stageMilliseconds(durations []time.Duration) []int64 {
 	out := make([]int64, len(durations))
--- a/edge/state.go
+++ b/edge/state.go
@@ -9,26 +9,28 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
 
 // hostState is the state page for operators: what this host currently holds as the
 // configuration, the other entry hosts and the backend servers.
 type hostState struct {
-	Host                 string             `json:"host"`
-	Incarnation          uint64             `json:"incarnation"`
-	Ready                bool               `json:"ready"`
-	CutOff               bool               `json:"cut_off"` // reaches no backend server by itself
-	Stopping             bool               `json:"stopping"`
-	ConfigVersion        int64              `json:"config_version"`
-	ConfigAgeMS          float64            `json:"config_age_ms"`           // time since the last confirmation
-	Readers              []string           `json:"readers"`                 // hosts through which platform objects are read, in failover order
-	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
-	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
-	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
-	Peers                []string           `json:"peers"`                   // names of the other entry hosts
-	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
-	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
+	Host                 string                `json:"host"`
+	Incarnation          uint64                `json:"incarnation"`
+	Ready                bool                  `json:"ready"`
+	CutOff               bool                  `json:"cut_off"` // reaches no backend server by itself
+	Stopping             bool                  `json:"stopping"`
+	ConfigVersion        int64                 `json:"config_version"`
+	ConfigAgeMS          float64               `json:"config_age_ms"`           // time since the last confirmation
+	Readers              []string              `json:"readers"`                 // hosts through which platform objects are read, in failover order
+	StageWorkByRegion    bool                  `json:"stage_work_by_region"`    // each region coordinates its own stage work
+	StageWorkWaiting     int                   `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
+	StageWorkShares      []stages.AccountShare `json:"stage_work_shares"`       // what client accounts are due and have used of the services that are short, while this host runs their stage work
+	StageWorkWaitingLate int                   `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	Peers                []string              `json:"peers"`                   // names of the other entry hosts
+	EvacuatedDomains     []string              `json:"evacuated"`               // failure domains that get no new work
+	Quarantine           []quarantine.Entry    `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
 	// StreamWriters are the software versions, each after its service, that may have begun the
 	// streams of a route which clients can still take up.
 	StreamWriters map[string][]string `json:"stream_writers"`
@@ -67,7 +69,7 @@
 	s := hostState{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Ready: h.isReady(), CutOff: h.reach.CutOff(), Stopping: h.stopping.Load(),
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
-		StageWorkWaiting: waiting, StageWorkWaitingLate: late, Quarantine: h.guard.List(),
+		StageWorkWaiting: waiting, StageWorkWaitingLate: late, StageWorkShares: h.stages.Shares(), Quarantine: h.guard.List(),
 	}
 	p := h.plan.Load()
 	if p != nil {
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -35,6 +35,8 @@
 	onTime       []*Ticket // waiting, by beforeOnTime
 	late         []*Ticket // waiting, by beforeLate
 	shares       *accountShares
+	// lineCheckedAt is when refuseUnreachable last checked the line.
+	lineCheckedAt time.Time
 }
 
 // Ticket is a request that waits for admission or is in flight.
@@ -47,13 +49,19 @@
 	// BlockedByMemory reports whether that service lacked result memory.
 	BlockedBy       string
 	BlockedByMemory bool
-	StageTimes      []time.Duration // duration by stage, as in Request.Stages, once the work is done
-	TargetID        string          // server chosen to run the request, once the work is done
-	TargetWait      time.Duration   // for other prompts pending at that server
-	FetchFrom       string          // server from which that server transfers a prompt prefix
+	// HeldByShare reports that the request last waited behind others because its account was beyond
+	// its due. Due and Used are those of the account in the service where it has least left, in server
+	// seconds, as the wait ended; both are 0 while nothing is divided.
+	HeldByShare bool
+	Due, Used   float64
+	StageTimes  []time.Duration // duration by stage, as in Request.Stages, once the work is done
+	TargetID    string          // server chosen to run the request, once the work is done
+	TargetWait  time.Duration   // for other prompts pending at that server
+	FetchFrom   string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
 	shares        []stageShare  // by stage with items; none for a request without a share
+	retryAfter    time.Duration // when a rejected request may return; 0: unknown
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
 	criticalPath  time.Duration // expected duration of its stages once started, as last computed
 }
@@ -188,10 +196,14 @@
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
 	if a.shares.contended {
-		a.startTurn(now, reserved, (*Ticket).withinDue)
+		a.startTurn(now, reserved, func(t *Ticket) bool {
+			t.HeldByShare = !t.withinDue()
+			return !t.HeldByShare
+		})
 	}
 	a.startTurn(now, reserved, func(*Ticket) bool { return true })
 	a.shares.markShort(reserved, now)
+	a.refuseUnreachable(now)
 }
 
 // startTurn starts the requests that have a turn and fit.
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -234,3 +234,43 @@
 	onTime, late := l.a.Waiting()
 	l.g.Expect(onTime + late).To(BeNumerically(">", 100))
 }
+
+// Two accounts wait for a service that is short, of which one has used more than its due. Guards against
+// operators who cannot see what holds its requests.
+func TestTicketTellsWhatItsShareHeld(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	for i := range 80 {
+		l.enqueueFor("large", fmt.Sprint("large-", i), 0, 4, 3*time.Second, 30*time.Second)
+	}
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.enqueueFor("small", "small", 2, 4, 3*time.Second, 30*time.Second)
+	held := l.enqueueFor("large", "held", 0, 4, 3*time.Second, 30*time.Second)
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.g.Expect(held.HeldByShare).To(BeTrue())
+	l.g.Expect(held.BlockedBy).To(Equal("s"))
+	list := l.a.shares.list(l.now)
+	l.g.Expect(list).To(HaveLen(2))
+	l.g.Expect(list[0]).To(And(HaveField("Account", "large"), HaveField("Service", "s"), HaveField("Waiting", BeNumerically(">", 10))))
+	l.g.Expect(list[0].Used).To(BeNumerically(">=", list[0].Due))
+	l.g.Expect(list[1]).To(And(HaveField("Account", "small"), HaveField("Used", 0.0)))
+	l.a.Remove(held)
+	l.g.Expect(held.Used).To(BeNumerically(">=", held.Due))
+	l.g.Expect(l.a.shares.list(l.now.Add(2*shortageHold))).To(BeEmpty(), "no longer short")
+}
+
+// Guards against accounts that are remembered for ever: an account whose requests have ended is
+// forgotten, one with a waiting request is not.
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	l.a.inFlight["s"] = workAmount{items: 10_000}
+	l.enqueueFor("ends", "1", 0, 4, time.Hour, 2*time.Hour)
+	l.enqueueFor("waits", "2", 0, 4, time.Hour, 2*time.Hour)
+	l.a.Schedule(l.now)
+	l.a.Remove(l.a.onTime[0])
+	l.now = l.now.Add(10 * shareWindow)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.services["s"].accounts).To(HaveLen(1))
+	l.g.Expect(l.a.shares.services["s"].accounts).To(HaveKey("waits"))
+}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -159,6 +159,13 @@
 	return k.admission.Waiting()
 }
 
+// shares returns the shares of accounts in the services that are short.
+func (k *Coordinator) shares() []AccountShare {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.admission.shares.list(k.clock.Now())
+}
+
 // reasonMoved rejects work that another host has to run.
 const reasonMoved batcher.Reason = "moved"
 
@@ -187,7 +194,7 @@
 	case <-admitted:
 		return t, nil
 	case reason := <-rejected:
-		return t, &Error{Reason: reason, RetryAfter: k.pausedFor(r)}
+		return t, &Error{Reason: reason, RetryAfter: max(t.retryAfter, k.pausedFor(r))}
 	case <-ctx.Done():
 	}
 	k.mu.Lock()
--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -153,6 +153,10 @@
 // meet their target latency, and late ones.
 func (p *Pool) Waiting() (onTime, late int) { return p.coordinator.Waiting() }
 
+// Shares returns the shares of client accounts in the services that are short, while this host runs
+// their work: those of the most demand, at most maxListedShares a service.
+func (p *Pool) Shares() []AccountShare { return p.coordinator.shares() }
+
 // notify sends a message without content that may be lost: a host that misses it finds the change
 // in the platform's list.
 func (p *Pool) notify(host string, m peer.Method) { p.sendAsync(host, m, nil) }
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -35,6 +35,9 @@
 	accounts   map[string]*accountShare
 	shortUntil time.Time
 	totalUsed  float64 // server seconds, as of the last computation
+	// peakRate is the highest rate of the servers of late, in items per second: it falls slowly when
+	// servers are away for a moment.
+	peakRate float64
 }
 
 // accountShare is the share of one account in one service. Amounts are server seconds of about the last
@@ -45,6 +48,11 @@
 	used    float64 // of the requests that started
 	due     float64 // up to which its requests come before those of accounts beyond theirs; +Inf: all
 	waiting int     // stages of waiting requests
+
+	service     *serviceShares
+	portion     float64   // of the servers' time that the account may expect; 1: all
+	line        line      // of its waiting requests; see refuseUnreachable
+	bookedUntil time.Time // until when its refused requests were asked to return
 }
 
 func newAccountShares() *accountShares { return &accountShares{services: map[string]*serviceShares{}} }
@@ -68,7 +76,7 @@
 		}
 		share.demand += need
 		share.waiting++
-		t.shares = append(t.shares, stageShare{service: stage.Service, account: share, seconds: need})
+		t.shares = append(t.shares, stageShare{account: share, items: stage.Items, seconds: need})
 	}
 }
 
@@ -81,7 +89,7 @@
 	}
 	share := of.accounts[account]
 	if share == nil {
-		share = &accountShare{weight: 1, due: math.Inf(1)}
+		share = &accountShare{weight: 1, due: math.Inf(1), portion: 1, service: of}
 		of.accounts[account] = share
 	}
 	return share
@@ -89,14 +97,17 @@
 
 // stageShare is the part of a request's stage in the share of its account.
 type stageShare struct {
-	service string
 	account *accountShare
+	items   int
 	seconds float64 // server seconds of the stage
 }
 
 // leave counts the stages of a request that no longer waits; started is whether they run.
 func (t *Ticket) leave(started bool) {
 	for _, s := range t.shares {
+		if a := s.account; !math.IsInf(a.due, 1) && (t.Due == 0 && t.Used == 0 || a.due-a.used < t.Due-t.Used) {
+			t.Due, t.Used = a.due, a.used
+		}
 		s.account.waiting--
 		if started {
 			s.account.used += s.seconds
@@ -140,6 +151,7 @@
 	s.computedAt, s.contended = now, false
 	for name, of := range s.services {
 		of.forget(keep)
+		of.peakRate *= keep
 		if len(of.accounts) == 0 {
 			delete(s.services, name)
 			continue
@@ -173,7 +185,34 @@
 		level = fairshare.Level(of.totalUsed, demands)
 	}
 	for _, a := range of.accounts {
-		a.due = level * a.weight
+		a.due, a.portion = level*a.weight, 1
+		if short && of.totalUsed > 0 {
+			a.portion = min(max(a.due/of.totalUsed, minPortion), 1)
+		}
+	}
+}
+
+// minPortion is the least part of the servers' time that an account may expect.
+const minPortion = 0.01
+
+// serverSeconds returns the time that items occupy all servers of the service at their highest rate of
+// late, in seconds; 0 if that is not known.
+func (a *accountShare) serverSeconds(items int) float64 {
+	if a.service.peakRate <= 0 {
+		return 0
+	}
+	return float64(items) / a.service.peakRate
+}
+
+// clearLines empties the lines of all accounts and records the rates of the services.
+func (s *accountShares) clearLines(service func(name string) (Service, bool)) {
+	for name, of := range s.services {
+		if svc, ok := service(name); ok {
+			of.peakRate = max(of.peakRate, svc.ItemsPerSecond)
+		}
+		for _, a := range of.accounts {
+			a.line = line{}
+		}
 	}
 }
 
--- a/request/gateway/placement_test.go
+++ b/request/gateway/placement_test.go
@@ -155,3 +155,17 @@
 	g.Expect(e.Kind).To(Equal(errkind.NoBackend))
 	g.Expect(e.Ran()).To(Equal(errkind.RanNo))
 }
+
+// Guards against stage work whose owner knows neither the client account nor the urgency, and against a
+// stream that its client takes up and that waits behind new ones of its priority.
+func TestStageWorkTellsAccountAndPriority(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := newExchange(directory.New(), now, residency.Set{})
+	x.route, x.account, x.priority = &plan.Route{Kind: plan.Stream}, "a", 2
+	r := x.stageRequest()
+	g.Expect([]any{r.Account, r.Priority, r.Continues, r.WithoutShare}).To(Equal([]any{"a", 2, false, false}))
+	x.clientRequest.LastEventID = "7"
+	r = x.stageRequest()
+	g.Expect([]any{r.Priority, r.Continues}).To(Equal([]any{1, true}))
+}
