--- a/edge/state.go
+++ b/edge/state.go
@@ -9,32 +9,34 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
 
 // hostState is the state page for operators: what this host currently holds as the
 // configuration, the other entry hosts and the backend servers.
 type hostState struct {
-	Host                 string             `json:"host"`
-	Incarnation          uint64             `json:"incarnation"`
-	Ready                bool               `json:"ready"`
-	CutOff               bool               `json:"cut_off"` // reaches no backend server by itself
-	Stopping             bool               `json:"stopping"`
-	ConfigVersion        int64              `json:"config_version"`
-	ConfigAgeMS          float64            `json:"config_age_ms"`           // time since the last confirmation
-	Readers              []string           `json:"readers"`                 // hosts through which platform objects are read, in failover order
-	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
-	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
-	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
-	RequestsWaiting      map[string]int     `json:"requests_waiting"`        // requests that wait for room at the servers of a service; services without any are left out
-	AnswerBytes          int64              `json:"answer_bytes"`            // memory reserved for answers
-	AnswerMaxBytes       int64              `json:"answer_max_bytes"`        // at most
-	UploadBytes          int64              `json:"upload_bytes"`            // memory reserved for bodies of requests
-	UploadMaxBytes       int64              `json:"upload_max_bytes"`        // at most
-	UploadsWaiting       int                `json:"uploads_waiting"`         // requests whose bodies wait for memory
-	Peers                []string           `json:"peers"`                   // names of the other entry hosts
-	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
-	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
+	Host                 string                `json:"host"`
+	Incarnation          uint64                `json:"incarnation"`
+	Ready                bool                  `json:"ready"`
+	CutOff               bool                  `json:"cut_off"` // reaches no backend server by itself
+	Stopping             bool                  `json:"stopping"`
+	ConfigVersion        int64                 `json:"config_version"`
+	ConfigAgeMS          float64               `json:"config_age_ms"`           // time since the last confirmation
+	Readers              []string              `json:"readers"`                 // hosts through which platform objects are read, in failover order
+	StageWorkByRegion    bool                  `json:"stage_work_by_region"`    // each region coordinates its own stage work
+	StageWorkWaiting     int                   `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
+	StageWorkWaitingLate int                   `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	StageWorkShares      []stages.AccountShare `json:"stage_work_shares"`       // what client accounts are due and have used of the services that are short, while this host runs their stage work
+	RequestsWaiting      map[string]int        `json:"requests_waiting"`        // requests that wait for room at the servers of a service; services without any are left out
+	AnswerBytes          int64                 `json:"answer_bytes"`            // memory reserved for answers
+	AnswerMaxBytes       int64                 `json:"answer_max_bytes"`        // at most
+	UploadBytes          int64                 `json:"upload_bytes"`            // memory reserved for bodies of requests
+	UploadMaxBytes       int64                 `json:"upload_max_bytes"`        // at most
+	UploadsWaiting       int                   `json:"uploads_waiting"`         // requests whose bodies wait for memory
+	Peers                []string              `json:"peers"`                   // names of the other entry hosts
+	EvacuatedDomains     []string              `json:"evacuated"`               // failure domains that get no new work
+	Quarantine           []quarantine.Entry    `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
 	// StreamWriters are the software versions, each after its service, that may have begun the
 	// streams of a route which clients can still take up.
 	StreamWriters map[string][]string `json:"stream_writers"`
@@ -76,7 +78,7 @@
 	s := hostState{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Ready: h.isReady(), CutOff: h.reach.CutOff(), Stopping: h.stopping.Load(),
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
-		StageWorkWaiting: waiting, StageWorkWaitingLate: late, Quarantine: h.guard.List(),
+		StageWorkWaiting: waiting, StageWorkWaitingLate: late, StageWorkShares: h.stages.Shares(), Quarantine: h.guard.List(),
 	}
 	answers := h.gateway.Answers()
 	s.AnswerBytes, s.AnswerMaxBytes = answers.Bytes, answers.MaxBytes
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -153,6 +153,13 @@
 	return k.admission.Waiting()
 }
 
+// shares returns the shares of accounts in the services that are short.
+func (k *Coordinator) shares() []AccountShare {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.admission.shares.list(k.clock.Now())
+}
+
 // reasonMoved rejects work that another host has to run.
 const reasonMoved batcher.Reason = "moved"
 
--- a/process/stages/earlyrefusal_test.go
+++ b/process/stages/earlyrefusal_test.go
@@ -95,6 +95,7 @@
 			returns[ticket.retryAfter.Truncate(time.Second)]++
 		}
 	}
+	l.g.Expect(len(returns)).To(BeNumerically(">=", 4))
 	for second, n := range returns {
 		l.g.Expect(n*4).To(BeNumerically("<=", 1.1*155), "items that return after %v", second)
 	}
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -105,6 +105,9 @@
 // leave counts the stages of a request that no longer waits; started is whether they run.
 func (t *Ticket) leave(started bool) {
 	for _, s := range t.shares {
+		if a := s.account; !math.IsInf(a.due, 1) && (t.Due == 0 && t.Used == 0 || a.due-a.used < t.Due-t.Used) {
+			t.Due, t.Used = a.due, a.used
+		}
 		s.account.waiting--
 		if started {
 			s.account.used += s.seconds
