gateway: a stream is read on while its client takes nothing; bodies have a twelfth of the memory each way

What was seen: while the host writes to a slow client, it does not read from the server, which cuts a response off that is not read for some seconds and keeps a slot for it.

A client that takes nothing for 10 s is given up (5 s before). Of bodies of requests that need as much, the newest goes first: it has the most time left. A twelfth instead of a tenth of the memory for bodies leaves more of the 32 MB that a hundred stalled ones may take.

--- a/connection/bodylimit/uploads.go
+++ b/connection/bodylimit/uploads.go
@@ -1,7 +1,6 @@
 package bodylimit
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +15,7 @@
 	freeUploadBytes = 8 << 10
 	// memoryShare of the memory of a process is for bodies of requests, and as much for those of
 	// responses.
-	memoryShare = 1.0 / 10
+	memoryShare = 1.0 / 12
 	// defaultUploadBytes is for them if the memory is not known, minUploadBytes if it is small.
 	defaultUploadBytes = 16 << 20
 	minUploadBytes     = 8 << 20
@@ -339,8 +338,8 @@
 func (u *Uploads) dispatch(now time.Time) {
 	defer u.scheduleRecheck()
 	for len(u.waiting) > 0 {
-		first := slices.MinFunc(u.waiting, func(a, b *upload) int { return cmp.Compare(a.expected(), b.expected()) })
-		closest := slices.MinFunc(u.waiting, func(a, b *upload) int { return cmp.Compare(a.need, b.need) })
+		first := u.firstWaiting((*upload).expected)
+		closest := u.firstWaiting(func(b *upload) int64 { return b.need })
 		switch {
 		case u.fits(first, first.wants):
 			u.grant(first)
@@ -353,6 +352,18 @@
 	}
 }
 
+// firstWaiting returns the waiting body that needs the least. Of equal ones it is the newest: its client has
+// the most time left.
+func (u *Uploads) firstWaiting(need func(*upload) int64) *upload {
+	first := u.waiting[len(u.waiting)-1]
+	for _, b := range slices.Backward(u.waiting) {
+		if need(b) < need(first) {
+			first = b
+		}
+	}
+	return first
+}
+
 // grant ends the wait of a body with the room that it wants.
 func (u *Uploads) grant(b *upload) {
 	u.take(b, b.wants)
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -210,6 +210,7 @@
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.OpenConnections()) })
 	h.meter.Gauge("peers_known", func() float64 { return float64(len(h.mesh.Peers())) })
 	h.meter.Gauge("stream_records", func() float64 { return float64(h.writers.Records()) })
+	h.meter.Gauge("stream_bytes_waiting", func() float64 { return float64(h.gateway.ReadAheadBytes()) })
 	h.meter.Gauge("answer_bytes", func() float64 { return float64(h.gateway.Answers().Bytes) })
 	h.meter.Gauge("upload_bytes", func() float64 { return float64(h.gateway.Uploads().Bytes) })
 	h.meter.Gauge("uploads_waiting", func() float64 { return float64(h.gateway.Uploads().Waiting) })
--- a/edge/state.go
+++ b/edge/state.go
@@ -28,6 +28,7 @@
 	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
 	AnswerBytes          int64              `json:"answer_bytes"`            // memory reserved for answers
 	AnswerMaxBytes       int64              `json:"answer_max_bytes"`        // at most
+	StreamBytes          int64              `json:"stream_bytes_waiting"`    // bytes of streams that wait for their clients
 	UploadBytes          int64              `json:"upload_bytes"`            // memory reserved for bodies of requests
 	UploadMaxBytes       int64              `json:"upload_max_bytes"`        // at most
 	UploadsWaiting       int                `json:"uploads_waiting"`         // requests whose bodies wait for memory
@@ -76,6 +77,7 @@
 	}
 	answers := h.gateway.Answers()
 	s.AnswerBytes, s.AnswerMaxBytes = answers.Bytes, answers.MaxBytes
+	s.StreamBytes = h.gateway.ReadAheadBytes()
 	uploads := h.gateway.Uploads()
 	s.UploadBytes, s.UploadMaxBytes, s.UploadsWaiting = uploads.Bytes, uploads.MaxBytes, uploads.Waiting
 	p := h.plan.Load()
--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -70,5 +70,8 @@
 // Answers returns figures of the answers that wait in memory for their ends or their clients.
 func (g *Gateway) Answers() bodylimit.BudgetStats { return g.bodies.Stats() }
 
+// ReadAheadBytes returns how many bytes of streams wait for their clients.
+func (g *Gateway) ReadAheadBytes() int64 { return g.readAhead.bytes.Load() }
+
 // Uploads returns figures of the bodies that requests have in memory.
 func (g *Gateway) Uploads() bodylimit.UploadStats { return g.uploads.Stats() }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -105,12 +105,13 @@
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
 	uploads         *bodylimit.Uploads
+	readAhead       *readAheadBudget
 	prefillTimes    prefillTimes
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes)}
+	return &Gateway{opts: opts, bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes), readAhead: newReadAheadBudget(opts.MemoryBytes)}
 }
 
 // LogEntry is the access log entry of one request.
--- /dev/null
+++ b/request/gateway/readahead_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Load: clients that read slowly, of streams as long as usual ones and longer. Their servers are done
+// before them where 64 KiB are enough, and what waits is bounded.
+func TestStreamIsReadOnWhileItsClientIsSlow(t *testing.T) {
+	for name, size := range map[string]int{"short": 48 << 10, "long": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				want := bytes.Repeat([]byte("id: 1\ndata: lye\n\n"), size/16)
+				server, response := io.Pipe()
+				var serverDone time.Time
+				go func() {
+					_, err := response.Write(want)
+					g.Expect(err).NotTo(HaveOccurred())
+					serverDone = time.Now()
+					_ = response.Close() // always nil
+				}()
+				budget := newReadAheadBudget(0)
+				r := newReadAhead(server, budget)
+				began := time.Now()
+				var got bytes.Buffer
+				part := make([]byte, 2048)
+				for {
+					n, err := r.Read(part)
+					got.Write(part[:n])
+					if err == io.EOF {
+						break
+					}
+					g.Expect(err).NotTo(HaveOccurred())
+					r.writing()
+					time.Sleep(time.Second) // the client takes so long
+					r.written()
+					g.Expect(budget.bytes.Load()).To(BeNumerically("<=", maxReadAheadBytes+readAheadPartBytes))
+				}
+				r.stop(func() { t.Error("a whole response is cancelled") })
+				g.Expect(bytes.Equal(got.Bytes(), want)).To(BeTrue())
+				g.Expect(budget.bytes.Load()).To(BeZero())
+				if size <= maxReadAheadBytes {
+					g.Expect(serverDone.Sub(began)).To(BeNumerically("<", time.Second))
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams that wait for many clients and use up the memory together, and against one that
+// never goes on as others have used it up.
+func TestStreamsThatWaitShareTheirMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		budget := newReadAheadBudget(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var streams []*readAhead
+		for range 100 {
+			server, response := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = server.CloseWithError(errors.New("cancelled")) })
+			go func() { _, _ = response.Write(make([]byte, 1<<20)) }() // ends when the reader is closed
+			r := newReadAhead(server, budget)
+			r.writing()
+			streams = append(streams, r)
+		}
+		time.Sleep(time.Minute)
+		g.Expect(budget.bytes.Load()).To(BeNumerically(">", minReadAheadTotal/2))
+		g.Expect(budget.bytes.Load()).To(BeNumerically("<=", minReadAheadTotal+100*readAheadPartBytes))
+		last := streams[99]
+		last.written()
+		n, err := io.CopyN(io.Discard, last, 1<<19)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(BeEquivalentTo(1 << 19))
+		for _, r := range streams {
+			r.stop(cancel)
+		}
+		g.Expect(budget.bytes.Load()).To(BeZero())
+	})
+}
+
+// Guards against a goroutine per stream whose client reads at once.
+func TestStreamOfAQuickClientIsNotReadAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newReadAhead(bytes.NewReader(make([]byte, 1<<20)), newReadAheadBudget(0))
+		part := make([]byte, 2048)
+		for {
+			_, err := r.Read(part)
+			if err == io.EOF {
+				break
+			}
+			r.writing()
+			time.Sleep(readAheadDelay / 2)
+			r.written()
+		}
+		g.Expect(r.started).To(BeFalse())
+		r.stop(func() { t.Error("a whole response is cancelled") })
+	})
+}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -163,7 +163,9 @@
 	first, later := x.eventTimeouts(hist)
 	timer := time.AfterFunc(first, a.cancel)
 	defer timer.Stop()
-	r := newEventReader(a.response)
+	ahead := newReadAhead(a.response, x.readAhead)
+	defer ahead.stop(a.cancel)
+	r := newEventReader(ahead)
 	defer func() { _ = x.clientConn.SetWriteDeadline(time.Time{}) }() // the connection may get another request
 	for {
 		event, err := r.next()
@@ -175,22 +177,23 @@
 			return fmt.Errorf("%w: %w", invalidResponse(err), err)
 		}
 		timer.Stop() // the time that the client takes is not the server's
-		if err := x.writeEvent(a, progress, event, r.id); err != nil {
-			return x.noteUnread(err)
+		ahead.writing()
+		err = x.writeEvent(a, progress, event, r.id)
+		if err == nil && !r.nextBuffered() {
+			err = x.writeClient(x.clientConn.Flush)
 		}
-		if !r.nextBuffered() {
-			if err := x.writeClient(x.clientConn.Flush); err != nil {
-				return x.noteUnread(err)
-			}
+		ahead.written()
+		if err != nil {
+			x.logEntry.AnswerUnread = errors.Is(err, os.ErrDeadlineExceeded)
+			return err
 		}
 		timer.Reset(later)
 	}
 }
 
 const (
-	// maxUnreadEventTime ends a stream that its client does not read. Servers cut off a response
-	// that is not read for some seconds, and need their slots before.
-	maxUnreadEventTime = 5 * time.Second
+	// maxUnreadEventTime ends a stream that its client does not read.
+	maxUnreadEventTime = 10 * time.Second
 	// eventPartBytes of an event are written at once, so that progress shows.
 	eventPartBytes = 16 << 10
 )
@@ -204,12 +207,6 @@
 	return write()
 }
 
-// noteUnread records that a stream ends because its client does not read it, if err says so.
-func (x *exchange) noteUnread(err error) error {
-	x.logEntry.AnswerUnread = errors.Is(err, os.ErrDeadlineExceeded)
-	return err
-}
-
 // writeEventParts writes an event to the client.
 func (x *exchange) writeEventParts(event []byte) error {
 	for part := range slices.Chunk(event, eventPartBytes) {
