--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -114,6 +114,7 @@
 	lines           waitingLines
 	priorities      atomic.Pointer[servicePriorities] // of the plan in use
 	uploads         *bodylimit.Uploads
+	readAhead       *readAheadBudget
 	prefillTimes    prefillTimes
 	usualTimes      serverspeed.Kinds
 	balanceSeed     uint64 // see balance.Query.Seed
@@ -122,8 +123,8 @@
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
 	return &Gateway{
-		opts: opts, startedAt: opts.Clock.Now(),
-		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes), balanceSeed: opts.Rand.Uint64(),
+		opts: opts, startedAt: opts.Clock.Now(), balanceSeed: opts.Rand.Uint64(),
+		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes), readAhead: newReadAheadBudget(opts.MemoryBytes),
 	}
 }
 
