--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -155,6 +155,7 @@
 		Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
+		x.recordNoRoom()
 		if first {
 			go x.runLine(line)
 		} else {
