--- a/edge/serverspeed_test.go
+++ b/edge/serverspeed_test.go
@@ -135,9 +135,12 @@
 	g.Expect(listed).To(BeTrue())
 	usual := h.gateway.UsualTime("model")
 	g.Expect(usual).To(BeNumerically(">=", usualWork))
+	speed := &h.directory.View().Server("model-1").Speed
 	for range 8 {
-		h.directory.View().Server("model-1").Speed.Observe(5, 1, 8, 1, h.clock.Now())
+		speed.Observe(5, 1, 8, 1, h.clock.Now())
 	}
+	figures, unusual := speed.Figures()
+	g.Expect(unusual).To(BeTrue())
 	after, _ := h.stageTarget("model-1", r)
-	g.Expect(after.Cost - before.Cost).To(BeNumerically(">", 2*usual))
+	g.Expect(after.Cost - before.Cost).To(BeNumerically("~", time.Duration((figures.RelativeTime-1)*float64(usual)), usual/2))
 }
