--- a/edge/state.go
+++ b/edge/state.go
@@ -9,6 +9,7 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/spill"
 	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
@@ -28,6 +29,7 @@
 	StageWorkWaiting     int                   `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
 	StageWorkWaitingLate int                   `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
 	StageWorkShares      []stages.AccountShare `json:"stage_work_shares"`       // what client accounts are due and have used of the services that are short, while this host runs their stage work
+	StageWaits           []spill.Told          `json:"stage_waits"`             // expected waits for stage work that owners of regions told this host last
 	RequestsWaiting      map[string]int        `json:"requests_waiting"`        // requests that wait for room at the servers of a service; services without any are left out
 	AnswerBytes          int64                 `json:"answer_bytes"`            // memory reserved for answers
 	AnswerMaxBytes       int64                 `json:"answer_max_bytes"`        // at most
@@ -81,6 +83,7 @@
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
 		StageWorkWaiting: waiting, StageWorkWaitingLate: late, StageWorkShares: h.stages.Shares(), Quarantine: h.guard.List(),
 	}
+	s.StageWaits = h.stages.Waits()
 	answers := h.gateway.Answers()
 	s.AnswerBytes, s.AnswerMaxBytes = answers.Bytes, answers.MaxBytes
 	s.StreamBytes = h.gateway.ReadAheadBytes()
--- a/process/spill/load_test.go
+++ b/process/spill/load_test.go
@@ -207,6 +207,6 @@
 	g.Expect(r.Expected("a", 0, now.Add(2*time.Second))).To(Equal(200 * time.Millisecond))
 	g.Expect(r.Expected("a", 1, now)).To(BeZero(), "another priority waits in a line of its own")
 	g.Expect(r.Expected("b", 0, now)).To(BeZero())
-	g.Expect(r.List(now)).To(Equal([]Told{{"a", 0, 800 * time.Millisecond, 0}}))
+	g.Expect(r.List(now)).To(Equal([]Told{{"a", 0, 800, 0}}))
 	g.Expect(r.List(now.Add(time.Minute))).To(BeEmpty())
 }
--- a/process/spill/reports.go
+++ b/process/spill/reports.go
@@ -1,8 +1,10 @@
 package spill
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,22 +60,29 @@
 
 // Told is the last report of a region and a priority, for operators.
 type Told struct {
-	Region   string
-	Priority int
-	Wait     time.Duration
-	Age      time.Duration
+	Region   string  `json:"region"`
+	Priority int     `json:"priority"`
+	WaitMS   float64 `json:"wait_ms"`
+	AgeMS    float64 `json:"age_ms"`
 }
 
-// List returns the reports that still count, in no particular order.
-func (r *Reports) List(now time.Time) (list []Told) {
+// List returns the reports that still count, ordered by region and priority.
+func (r *Reports) List(now time.Time) []Told {
 	last := r.last.Load()
 	if last == nil {
 		return nil
 	}
+	var list []Told
 	for key, told := range *last {
-		if wait := r.Expected(key.region, key.priority, now); wait >= time.Millisecond {
-			list = append(list, Told{key.region, key.priority, told.wait, now.Sub(told.at)})
+		if r.Expected(key.region, key.priority, now) >= time.Millisecond {
+			list = append(list, Told{key.region, key.priority, milliseconds(told.wait), milliseconds(now.Sub(told.at))})
 		}
 	}
+	slices.SortFunc(list, func(a, b Told) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Priority, b.Priority))
+	})
 	return list
 }
+
+// milliseconds returns a duration in milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/process/stages/expectedwait.go
+++ b/process/stages/expectedwait.go
@@ -1,6 +1,10 @@
 package stages
 
-import "time"
+import (
+	"time"
+
+	"bilberrydale/process/spill"
+)
 
 // lineWait returns how long a request that has just been queued is expected to wait for admission:
 // the time that the servers of one of its services take for the items of the waiting requests
@@ -34,3 +38,6 @@
 func (p *Pool) ExpectedWait(domain string, priority int) time.Duration {
 	return p.waits.Expected(p.regionOfDomain(domain), priority, p.clock.Now())
 }
+
+// Waits returns the expected waits that the owners of regions told this host last.
+func (p *Pool) Waits() []spill.Told { return p.waits.List(p.clock.Now()) }
