--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -125,16 +125,44 @@
 // for a request that is expected to meet its target.
 const lateDeviations = 2
 
-// misses reports whether a request that starts at a time is expected to miss its target.
-func (l *Line) misses(t *Ticket, start time.Time) bool {
+// outlook is what a line expects of the requests that wait.
+type outlook struct {
+	now         time.Time
+	gap         time.Duration // between two turns; 0: not known
+	serviceTime time.Duration // that a request takes at least
+	serverTime  time.Duration // that few requests exceed at a server
+}
+
+// outlook returns what the line expects now. The caller holds l.mu.
+func (l *Line) outlook(now time.Time) outlook {
+	gap, _ := l.pace.gap(now)
 	seconds := l.serverTime.Mean() + lateDeviations*l.serverTime.Deviation()
-	return start.Add(time.Duration(seconds * float64(time.Second))).After(t.Target)
+	return outlook{now, gap, l.ServiceTime(0), time.Duration(seconds * float64(time.Second))}
+}
+
+// startAt returns when the request at a position in the line is expected to have its turn; now if the
+// pace of the line is not known.
+func (o outlook) startAt(position int) time.Time {
+	if o.gap == 0 {
+		return o.now
+	}
+	return o.now.Add(time.Duration(position+1) * o.gap)
+}
+
+// misses reports whether the request at a position in the line is expected to miss its target.
+func (o outlook) misses(t *Ticket, position int) bool {
+	return t.Target.Sub(o.startAt(position)) < o.serverTime
+}
+
+// hopeless reports whether the request at a position in the line is known not to make its deadline.
+func (o outlook) hopeless(t *Ticket, position int) bool {
+	return t.Deadline.Sub(o.startAt(position)) < o.serviceTime
 }
 
 // Join adds a request to the line. first reports whether the line was empty: the caller then has to
 // call Advance until it is empty again. The outcome is Waiting, or a refusal with which the request
 // was not added.
-func (l *Line) Join(r Request, now time.Time) (t *Ticket, first bool, o Outcome) {
+func (l *Line) Join(r Request, now time.Time) (t *Ticket, first bool, outcome Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.joined++
@@ -142,10 +170,11 @@
 	if len(l.tickets) == 0 {
 		l.pace.lineBegins(now)
 	}
+	o := l.outlook(now)
 	position, _ := slices.BinarySearchFunc(l.tickets, t, compare)
-	t.setLate(l.misses(t, l.startAt(position, now)), now)
+	t.setLate(o.misses(t, position), now)
 	position, _ = slices.BinarySearchFunc(l.tickets, t, compare)
-	if l.hopeless(t, position, now) {
+	if o.hopeless(t, position) {
 		return nil, false, Hopeless
 	}
 	if len(l.tickets) >= maxWaiting {
@@ -232,7 +261,8 @@
 func (l *Line) Advance(now time.Time) (next time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refuseHopeless(now)
+	o := l.outlook(now)
+	l.refuseHopeless(o)
 	next = now.Add(maxStep)
 	if l.turn == nil || now.Sub(l.turnAt) >= maxTurn {
 		next = l.giveTurn(now, next)
@@ -241,7 +271,7 @@
 		return time.Time{}
 	}
 	for _, t := range l.tickets {
-		next = earlier(next, t.Deadline.Add(-l.ServiceTime(0)))
+		next = earlier(next, t.Deadline.Add(-o.serviceTime))
 		if t.late {
 			next = earlier(next, t.dueAt())
 		}
@@ -251,12 +281,12 @@
 
 // refuseHopeless ends the requests that are known not to make their deadline, and orders the others
 // by whether they can meet their target. The caller holds l.mu.
-func (l *Line) refuseHopeless(now time.Time) {
+func (l *Line) refuseHopeless(o outlook) {
 	for i := 0; i < len(l.tickets); {
 		switch t := l.tickets[i]; {
-		case l.hopeless(t, i, now):
+		case o.hopeless(t, i):
 			l.end(i, Hopeless)
-		case t.late && !now.Before(t.dueAt()) && l.pace.known():
+		case t.late && o.gap > 0 && !o.now.Before(t.dueAt()):
 			l.end(i, Overdue)
 		default:
 			i++
@@ -264,8 +294,8 @@
 	}
 	changed := false
 	for i, t := range l.tickets {
-		if late := l.misses(t, l.startAt(i, now)); late != t.late {
-			t.setLate(late, now)
+		if late := o.misses(t, i); late != t.late {
+			t.setLate(late, o.now)
 			changed = true
 		}
 	}
@@ -274,22 +304,6 @@
 	}
 }
 
-// startAt returns when the request at a position in the line is expected to have its turn; now if the
-// pace of the line is not known. The caller holds l.mu.
-func (l *Line) startAt(position int, now time.Time) time.Time {
-	gap, known := l.pace.gap(now)
-	if !known {
-		return now
-	}
-	return now.Add(time.Duration(position+1) * gap)
-}
-
-// hopeless reports whether a request at a position in the line is known not to make its deadline.
-// The caller holds l.mu.
-func (l *Line) hopeless(t *Ticket, position int, now time.Time) bool {
-	return l.startAt(position, now).Add(l.ServiceTime(0)).After(t.Deadline)
-}
-
 // giveTurn ends the wait of at most one request, and returns when there may be another turn, or next
 // if that is earlier. A trial goes to the head of the line, whichever request is due for it. The
 // caller holds l.mu.
--- a/process/waitline/pace.go
+++ b/process/waitline/pace.go
@@ -34,12 +34,9 @@
 	p.mean += time.Duration(max(paceWeight, 1/float64(p.samples)) * float64(gap-p.mean))
 }
 
-// known reports whether there were enough turns to tell the pace.
-func (p *pace) known() bool { return p.samples >= minPaceSamples }
-
 // gap returns the time between two turns. It returns false if that is not known.
 func (p *pace) gap(now time.Time) (time.Duration, bool) {
-	if !p.known() {
+	if p.samples < minPaceSamples {
 		return 0, false
 	}
 	return max(p.mean, min(now.Sub(p.last), maxPaceAge)), true
--- a/process/waitline/state.go
+++ b/process/waitline/state.go
@@ -83,7 +83,7 @@
 	}
 	seenAt := s.seenAt.Load()
 	age := time.Duration(q.Now.UnixNano() - seenAt)
-	if seenAt == 0 || age < 0 || age >= maxBeliefAge {
+	if seenAt == 0 || age < 0 {
 		return Belief{Room: true}
 	}
 	load := s.load.Load()
