edge: the test of requests that wait tells the order of the line from the reserve of servers

Each part was seen red once with its mechanism taken away (no line, no order by priority, never hopeless, callers stay in the line, shutdown unnoticed), as were the tests of process/waitline.

--- a/edge/waiting_test.go
+++ b/edge/waiting_test.go
@@ -43,23 +43,24 @@
 	serverTime = 300 * time.Millisecond
 )
 
-// newWaitingHost starts a host with one server of service ledger that has 8 slots, an urgent and a less
-// urgent route to it, and target latencies so long that no request goes for a trial.
-func newWaitingHost(t *testing.T) (*WithT, *testPlatform, *Host, *slowServer) {
+// newWaitingHost starts a host with one server of service ledger that has 8 slots, three routes to it
+// (urgent, transfer and least), and target latencies so long that no request goes for a trial.
+func newWaitingHost(t *testing.T) (*WithT, *testPlatform, *Host, *slowServer, *logBuffer) {
 	t.Helper()
 	t.Parallel()
 	p := newTestPlatform(t)
-	p.config.Routes = append(p.config.Routes, route("urgent", plan.Unsafe, "ledger"))
+	p.config.Routes = append(p.config.Routes, route("urgent", plan.Unsafe, "ledger"), route("least", plan.Unsafe, "ledger"))
 	for i := range p.config.Routes {
 		r := &p.config.Routes[i]
-		r.Timeout, r.TargetLatency, r.Priority = time.Minute, time.Minute, 2
+		r.Timeout, r.TargetLatency, r.Priority = time.Minute, time.Minute, 3
 	}
-	p.route("urgent").Priority = 0
+	p.route("urgent").Priority, p.route("least").Priority = 0, 4
 	p.store.PutConfig(p.config)
 	slow := holdRequests(t, p.servers["ledger-1"])
-	host := p.startHost("front-1")
+	out := &logBuffer{}
+	host := p.startHost("front-1", func(o *Options) { o.LogOutput = out })
 	t.Cleanup(slow.all) // before the host stops
-	return NewWithT(t), p, host, slow
+	return NewWithT(t), p, host, slow, out
 }
 
 // sendMany sends n requests, each in a goroutine of its own, whose responses go to the channel.
@@ -71,9 +72,9 @@
 	}
 }
 
-// Limits of requests at a server with 8 slots, from which requests of the two routes wait.
+// Limits of requests at a server with 8 slots, from which urgent requests and others wait.
 const (
-	lessUrgentLimit = 10
+	lessUrgentLimit = 8
 	urgentLimit     = 16
 )
 
@@ -81,12 +82,14 @@
 // wait for room at a slow server, and an urgent one that comes last is served before them. What
 // cannot make its deadline is refused at once as not run, with a time to return.
 func TestUrgentRequestPassesThoseThatWait(t *testing.T) {
-	g, p, h, slow := newWaitingHost(t)
+	g, p, h, slow, log := newWaitingHost(t)
 	responses := make(chan clientResponse, 100)
 	g.Expect(p.send(h, "POST", warmUp, "x").status).To(Equal(http.StatusOK))
 	sendMany(p, h, "/transfer/first", lessUrgentLimit, responses)
 	g.Eventually(slow.arrived, "10s").Should(HaveLen(lessUrgentLimit))
-	sendMany(p, h, "/transfer/waits", 3, responses)
+	sendMany(p, h, "/least/waits", 2, responses)
+	g.Eventually(func() int { return h.gateway.Waiting("ledger") }, "10s").Should(Equal(2))
+	sendMany(p, h, "/transfer/waits", 1, responses)
 	g.Eventually(func() int { return h.gateway.Waiting("ledger") }, "10s").Should(Equal(3))
 	// Servers keep a reserve for urgent requests.
 	sendMany(p, h, "/urgent/first", urgentLimit-lessUrgentLimit, responses)
@@ -99,6 +102,7 @@
 	g.Expect(hopeless.status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(hopeless.body).To(ContainSubstring(`"kind":"overloaded","ran":"no"`))
 	g.Expect(hopeless.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Eventually(log.String, "10s").Should(ContainSubstring(`"waited_ms":0,"wait_ended":"hopeless"`))
 	g.Expect(h.meter.Counter("requests_refused_waiting_hopeless")).To(BeEquivalentTo(1))
 
 	for range urgentLimit {
@@ -107,6 +111,10 @@
 	slow.release <- struct{}{}
 	g.Eventually(slow.arrived, "10s").Should(Receive(Equal("/urgent/waits")))
 	g.Expect(h.gateway.Waiting("ledger")).To(Equal(3))
+	for range urgentLimit - lessUrgentLimit + 1 {
+		slow.release <- struct{}{}
+	}
+	g.Eventually(slow.arrived, "10s").Should(Receive(Equal("/transfer/waits")))
 	slow.all()
 	for range urgentLimit + 4 {
 		var r clientResponse
@@ -127,7 +135,7 @@
 // that are left without an answer at a shutdown: requests wait, one of the callers leaves, and the
 // host shuts down.
 func TestWaitingRequestsWhenCallersLeaveAndAtShutdown(t *testing.T) {
-	g, p, h, slow := newWaitingHost(t)
+	g, p, h, slow, _ := newWaitingHost(t)
 	responses := make(chan clientResponse, 100)
 	sendMany(p, h, "/transfer/first", lessUrgentLimit, responses)
 	g.Eventually(slow.arrived, "10s").Should(HaveLen(lessUrgentLimit))
