--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -232,6 +233,24 @@
 	g.Expect(conns).To(HaveLen(2))
 }
 
+// Guards against a request that is changed on the way as its body is sent in parts.
+func TestBodyInPartsIsSentWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := newRawServer(t, okResponse, okResponse, okResponse)
+	c := New(Options{})
+	small, large := []byte("lye"), bytes.Repeat([]byte("0123456789"), maxSyncWriteBytes)
+	for i, parts := range [][][]byte{{small, []byte("soap")}, {small, large, large[:7], small}, {}} {
+		a, err := c.Do(t.Context(), s.listener.Addr().String(), &Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: parts, HasBody: true})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(a)
+		g.Expect(err).NotTo(HaveOccurred())
+		a.Close()
+		s.mu.Lock()
+		g.Expect(s.requests[i] == "POST / "+string(bytes.Join(parts, nil))).To(BeTrue())
+		s.mu.Unlock()
+	}
+}
+
 func TestDialErrorIsNotSent(t *testing.T) {
 	g := NewWithT(t)
 	s := newRawServer(t)
--- a/request/gateway/readahead_test.go
+++ b/request/gateway/readahead_test.go
@@ -102,6 +102,7 @@
 			r.writing()
 			time.Sleep(readAheadDelay / 2)
 			r.written()
+			time.Sleep(readAheadDelay) // the server's
 		}
 		g.Expect(r.started).To(BeFalse())
 		r.stop(func() { t.Error("a whole response is cancelled") })
