stages: dues are computed again once use has grown; a decision looks services up faster

The test of an owner that is killed while accounts compete failed in 10 of 25 runs, and in 40 of 40 with a bound of a quarter: servers faster than shareInterval used up all dues before the next computation, and a small account waited behind all requests of the large one. The test waits until the next owner has both accounts, as with servers that take longer than the first computation.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -28,7 +28,7 @@
 	lookupService func(name string) (Service, bool) // false: there is no service of that name
 	// serviceCache holds the services by name as of the start of the current decision. Looking them
 	// up for each waiting request would use the whole processor of an overloaded host.
-	serviceCache map[string]Service
+	serviceCache []cachedService
 	inFlight     map[string]workAmount // admitted and not finished, by service name
 	// lateInFlight is the part of inFlight that belongs to late requests.
 	lateInFlight map[string]workAmount
@@ -69,24 +69,32 @@
 // NewAdmission returns an admission without requests; services looks up a service by name and
 // reports whether it exists.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{lookupService: services, serviceCache: map[string]Service{}, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}, shares: newAccountShares()}
+	return &Admission{lookupService: services, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}, shares: newAccountShares()}
 }
 
-// service returns a service from the cache or the lookup; false: there is none of that name.
-func (a *Admission) service(name string) (Service, bool) {
-	if s, ok := a.serviceCache[name]; ok {
-		return s, true
+// cachedService is the outcome of a lookup.
+type cachedService struct {
+	name    string
+	service Service
+	found   bool
+}
+
+// service returns a service from the cache or the lookup, to be used within the current decision;
+// false: there is none of that name.
+func (a *Admission) service(name string) (*Service, bool) {
+	for i := range a.serviceCache {
+		if c := &a.serviceCache[i]; c.name == name {
+			return &c.service, c.found
+		}
 	}
 	s, ok := a.lookupService(name)
-	if ok {
-		a.serviceCache[name] = s
-	}
-	return s, ok
+	a.serviceCache = append(a.serviceCache, cachedService{name, s, ok})
+	return &a.serviceCache[len(a.serviceCache)-1].service, ok
 }
 
 // Enqueue adds a request to those that wait for admission. Schedule has to be called to start it.
 func (a *Admission) Enqueue(t *Ticket) {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
 	t.serverSeconds = a.serverSeconds(t.Request)
 	a.shares.join(t, a.stageSeconds)
 	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
@@ -191,7 +199,7 @@
 // leave goes to all. In both turns late requests near their latest start come first, up to the late
 // reserve; then all others by priority.
 func (a *Admission) Schedule(now time.Time) {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
 	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
@@ -365,7 +373,7 @@
 // Restart counts the work of a request as in flight again for a repetition. It reports false
 // if the request can no longer finish before its deadline.
 func (a *Admission) Restart(t *Ticket, now time.Time) bool {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
 	t.criticalPath = a.criticalPath(t.Request, now)
 	if now.Add(t.criticalPath).After(t.Request.Deadline) {
 		return false
--- a/process/stages/limits.go
+++ b/process/stages/limits.go
@@ -13,7 +13,7 @@
 }
 
 // pausedFor returns the time until a server wants calls of this host; 0: one does.
-func (s Service) pausedFor(now time.Time) time.Duration {
+func (s *Service) pausedFor(now time.Time) time.Duration {
 	if s.PausedUntil.IsZero() {
 		return 0
 	}
@@ -55,7 +55,7 @@
 // complete between the admission of a request and the end of that stage. Items and result
 // bytes have separate limits (0 bytes: unlimited): otherwise items with small results would
 // use up the server time that items with large results leave.
-func (s Service) inFlightLimit(at stagePosition) workAmount {
+func (s *Service) inFlightLimit(at stagePosition) workAmount {
 	inFlightTime := time.Duration(at.depth+1) * (s.fullCallTime() + callOverhead)
 	if at.depth == 0 {
 		inFlightTime += s.fullCallTime() // so that a full call is waiting when a server becomes idle
@@ -71,7 +71,7 @@
 // fullCallTime is the duration of a full call. If fewer items were in flight than full calls
 // hold, a service would not reach its capacity: under overload its servers were idle for a
 // quarter of the time while requests waited for admission.
-func (s Service) fullCallTime() time.Duration {
+func (s *Service) fullCallTime() time.Duration {
 	return s.CallTime + time.Duration(s.MaxItems)*s.ItemTime
 }
 
@@ -81,7 +81,7 @@
 // resultMemoryFull reports whether a first stage lacks memory for results of need bytes. Its
 // servers keep results until the request runs; items that wait for memory there would
 // block all items behind them.
-func (s Service) resultMemoryFull(need int64) bool {
+func (s *Service) resultMemoryFull(need int64) bool {
 	if s.TotalResultBytes <= 0 {
 		return false
 	}
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -462,6 +462,13 @@
 	third.network.mu.Unlock()
 	close(first.killed)
 	g.Eventually(waiting(second), "10s").Should(Equal(largeRequests + smallRequests))
+	g.Eventually(func() []string {
+		var accounts []string
+		for _, share := range second.pool.Shares() {
+			accounts = append(accounts, share.Service+" "+share.Account)
+		}
+		return accounts
+	}, "10s").Should(ContainElements("floor large", "floor small"))
 	close(second.fixture.blockCalls)
 
 	counts, largeBeforeLastSmall := map[string]int{}, 0
@@ -474,5 +481,5 @@
 		}
 	}
 	g.Expect(counts).To(Equal(map[string]int{"large": largeRequests, "small": smallRequests}))
-	g.Expect(largeBeforeLastSmall).To(BeNumerically("<", largeRequests/2))
+	g.Expect(largeBeforeLastSmall).To(BeNumerically("<", largeRequests/4))
 }
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -13,8 +13,10 @@
 	// shareWindow is the time constant with which demand and use of accounts are forgotten: long
 	// against the wait for one request, short against a shortage.
 	shareWindow = 3 * time.Second
-	// shareInterval is how often dues are computed anew. Use counts at once.
+	// shareInterval is how often dues are computed anew, unless use has grown by shareGrowth of all
+	// use earlier: the dues of fast servers would be used up long before. Use counts at once.
 	shareInterval = 100 * time.Millisecond
+	shareGrowth   = 0.05
 	// shortageHold is how long a service counts as short after a request last waited for it.
 	shortageHold = time.Second
 	// minShareSeconds is the demand, in server seconds, below which an idle account is forgotten.
@@ -35,6 +37,7 @@
 	accounts   map[string]*accountShare
 	shortUntil time.Time
 	totalUsed  float64 // server seconds, as of the last computation
+	usedSince  float64 // server seconds since the last computation
 	// peakRate is the highest rate of the servers of late, in items per second: it falls slowly when
 	// servers are away for a moment.
 	peakRate float64
@@ -111,6 +114,7 @@
 		s.account.waiting--
 		if started {
 			s.account.used += s.seconds
+			s.account.service.usedSince += s.seconds
 		}
 	}
 }
@@ -141,10 +145,10 @@
 	}
 }
 
-// compute forgets a part of the past and computes the dues, at most once in shareInterval.
+// compute forgets a part of the past and computes the dues, if it is time; see shareInterval.
 func (s *accountShares) compute(now time.Time) {
 	elapsed := now.Sub(s.computedAt)
-	if elapsed < shareInterval {
+	if elapsed < shareInterval && !s.useHasGrown(now) {
 		return
 	}
 	keep := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
@@ -161,9 +165,20 @@
 	}
 }
 
+// useHasGrown reports whether the use of a short service has grown by shareGrowth since the last
+// computation.
+func (s *accountShares) useHasGrown(now time.Time) bool {
+	for _, of := range s.services {
+		if of.usedSince > shareGrowth*of.totalUsed && now.Before(of.shortUntil) {
+			return true
+		}
+	}
+	return false
+}
+
 // forget keeps a part of the demand and use of all accounts, and removes idle accounts.
 func (of *serviceShares) forget(keep float64) {
-	of.totalUsed = 0
+	of.totalUsed, of.usedSince = 0, 0
 	for name, a := range of.accounts {
 		a.demand *= keep
 		a.used *= keep
@@ -205,7 +220,7 @@
 }
 
 // clearLines empties the lines of all accounts and records the rates of the services.
-func (s *accountShares) clearLines(service func(name string) (Service, bool)) {
+func (s *accountShares) clearLines(service func(name string) (*Service, bool)) {
 	for name, of := range s.services {
 		if svc, ok := service(name); ok {
 			of.peakRate = max(of.peakRate, svc.ItemsPerSecond)
