--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -81,3 +81,43 @@
 		})
 	}
 }
+
+// BenchmarkComputeShares measures the cost of the dues of three services, which an overloaded owner
+// computes several times a second.
+func BenchmarkComputeShares(b *testing.B) {
+	for _, accounts := range []int{5, 100, 1000} {
+		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
+			s, now := newAccountShares(), time.Unix(1000, 0)
+			s.computedAt = now
+			for _, service := range []string{"encode", "retrieve", "rank"} {
+				for i := range accounts {
+					share := s.share(service, fmt.Sprint("account-", i))
+					share.demand, share.used, share.waiting = float64(1+i%20), float64(1+i%7), 1
+				}
+				s.services[service].shortUntil = now.Add(time.Hour)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.computedAt = now.Add(-shareInterval)
+				s.compute(now)
+			}
+		})
+	}
+}
+
+// BenchmarkRefuseUnreachable measures the cost of checking the line, which an overloaded owner does 25
+// times a second.
+func BenchmarkRefuseUnreachable(b *testing.B) {
+	for _, waiting := range []int{20, 250, 1000} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			k := newOverloadedCoordinator(waiting)
+			now := time.Now()
+			k.admission.Schedule(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				k.admission.lineCheckedAt = time.Time{}
+				k.admission.refuseUnreachable(now)
+			}
+		})
+	}
+}
