--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -207,7 +207,7 @@
 
 // compare orders tickets.
 func compare(a, b *Ticket) int {
-	if c := cmp.Or(compareBools(a.late, b.late), cmp.Compare(b.Worth, a.Worth)); c != 0 {
+	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), compareBools(a.late, b.late), cmp.Compare(b.Worth, a.Worth)); c != 0 {
 		return c
 	}
 	return cmp.Or(a.due().Compare(b.due()), cmp.Compare(a.number, b.number))
