spill: what an owner expects fades while nothing arrives; waits by the priority of the stage work

An idle region whose line had been long would have told the old wait with its first response, and hosts would have avoided it (found in review; the means forgot only with new requests).

--- a/process/spill/reports.go
+++ b/process/spill/reports.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,10 +40,6 @@
 	r.last.Store(&next)
 }
 
-// halfLife is the half-life of reports: they decay so that a region that gets no requests because
-// of its waits, and therefore tells none, gets requests again.
-const halfLife = time.Second
-
 // Expected returns the expected wait in a region; 0 if nothing is known.
 func (r *Reports) Expected(region string, priority int, now time.Time) time.Duration {
 	last := r.last.Load()
@@ -52,10 +47,7 @@
 		return 0
 	}
 	told := (*last)[reportKey{region, slot(priority)}]
-	if told.wait <= 0 {
-		return 0
-	}
-	return time.Duration(float64(told.wait) * math.Exp2(-now.Sub(told.at).Seconds()/halfLife.Seconds()))
+	return decayed(told.wait, now.Sub(told.at))
 }
 
 // Told is the last report of a region and a priority, for operators.
--- a/process/spill/spill.go
+++ b/process/spill/spill.go
@@ -6,6 +6,7 @@
 package spill
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -20,27 +21,45 @@
 // requests of its priority, a fraction of a second under load.
 const newestWeight = 0.08
 
+// halfLife is the half-life of waits that were told, and of those that an owner expects while no
+// requests arrive. They decay so that a region that gets no requests because of its waits gets
+// requests again.
+const halfLife = time.Second
+
+// decayed returns a wait that was recorded some time ago.
+func decayed(wait, age time.Duration) time.Duration {
+	return time.Duration(float64(wait) * math.Exp2(-max(age, 0).Seconds()/halfLife.Seconds()))
+}
+
 // Waits holds the waits that the owner of a region's stage work expects for requests that arrive, by
 // priority. It counts a request when it arrives: the waits of requests that have ended tell of the
 // line as it was before they waited. The zero value expects none. It is safe for concurrent use.
 type Waits struct {
 	mu    sync.Mutex // guards means
-	means [priorities]time.Duration
+	means [priorities]mean
+}
+
+// mean is the expected wait at the arrival of the newest request.
+type mean struct {
+	wait time.Duration
+	at   time.Time
 }
 
 // Record adds the wait that a request is expected to have, when it arrives.
-func (w *Waits) Record(priority int, wait time.Duration) {
+func (w *Waits) Record(priority int, wait time.Duration, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	mean := &w.means[slot(priority)]
-	*mean += time.Duration(newestWeight * float64(wait-*mean))
+	m := &w.means[slot(priority)]
+	old := decayed(m.wait, now.Sub(m.at))
+	*m = mean{old + time.Duration(newestWeight*float64(wait-old)), now}
 }
 
 // Expected returns the wait of a request that arrives now.
-func (w *Waits) Expected(priority int) time.Duration {
+func (w *Waits) Expected(priority int, now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.means[slot(priority)]
+	m := w.means[slot(priority)]
+	return decayed(m.wait, now.Sub(m.at))
 }
 
 const (
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -125,11 +125,13 @@
 	k.mu.Lock()
 	wait := k.admission.lineWait(t)
 	k.mu.Unlock()
-	k.waits.Record(t.Request.Priority, wait)
+	k.waits.Record(t.Request.Priority, wait, k.clock.Now())
 }
 
 // ExpectedWait returns the expected wait for admission of a request of a priority that arrives now.
-func (k *Coordinator) ExpectedWait(priority int) time.Duration { return k.waits.Expected(priority) }
+func (k *Coordinator) ExpectedWait(priority int) time.Duration {
+	return k.waits.Expected(priority, k.clock.Now())
+}
 
 // isInputLost reports whether stage work failed because the result of an earlier stage was lost.
 func isInputLost(err error) bool {
--- a/process/stages/expectedwait.go
+++ b/process/stages/expectedwait.go
@@ -10,6 +10,9 @@
 // the time that the servers of one of its services take for the items of the waiting requests
 // before it, the longest of these times. 0 if it does not wait, or cannot be on time.
 func (a *Admission) lineWait(t *Ticket) time.Duration {
+	if len(a.onTime) == 0 {
+		return 0
+	}
 	before := map[string]int{} // items by service
 	waits := false
 	for _, other := range a.onTime {
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -152,7 +152,7 @@
 	q.QueueingCost = func(domain string) time.Duration {
 		cost, known := costs[domain]
 		if !known {
-			cost = spill.Cost(x.opts.Pool.ExpectedWait(domain, x.priority), u)
+			cost = spill.Cost(x.opts.Pool.ExpectedWait(domain, x.stagePriority()), u)
 			costs[domain] = cost
 		}
 		return cost
