--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -104,7 +104,7 @@
 		return x.takeServer(hist)
 	}
 	line := x.lines.of(x.service)
-	if hist.lastErr == nil {
+	if x.logEntry.Attempts == 0 {
 		x.askedBefore = line.timeoutOf(x.route.Name).Elapsed(x.clientRequest.Timeout)
 	}
 	if line.Len() == 0 {
