--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"bilberrydale/connection/serverpath"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
+	"bilberrydale/process/accountshare"
 	"bilberrydale/process/apihealth"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/coldstart"
@@ -34,6 +35,7 @@
 	"bilberrydale/process/reach"
 	"bilberrydale/process/retrylimit"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
 	"bilberrydale/request/gateway"
@@ -80,6 +82,8 @@
 	evacuationsListed   atomic.Bool
 	coldStart           *coldstart.Limiter
 	serverLimits        *serverlimit.Limiter
+	toldSpeeds          serverspeed.Told // what the servers of each service usually tell
+	speedExchange       *serverspeed.Exchange
 	guard               *quarantine.SharedGuard
 	quarantineFollower  *objectwatch.Follower[quarantine.Quarantine]
 	quarantinePublisher *quarantinePublisher
@@ -99,6 +103,7 @@
 	reach             *reach.Tracker     // whether this host itself reaches backend servers
 	serverClient      *serverpath.Client // sends requests by upstream or by way of other hosts
 	retryLimiter      *retrylimit.Limiter
+	shares            *accountshare.Shares
 	batchers          *batchers
 	stages            *stages.Pool
 	gateway           *gateway.Gateway
@@ -118,6 +123,7 @@
 	clientServer    *http.Server
 	readinessServer *http.Server
 	operatorServer  *http.Server              // metrics and state page
+	started         chan struct{}             // closed once the host is ready for the first time
 	stopping        atomic.Bool               // the shutdown has started
 	stopRequested   chan struct{}             // closed when the shutdown starts
 	stopDeadline    atomic.Pointer[time.Time] // when the remaining requests are aborted; nil before the shutdown
@@ -134,7 +140,7 @@
 	h := &Host{
 		opts: opts, settings: settings, clock: clock.System{}, bootClock: clock.Boot{}, rand: clock.SystemRand{},
 		logWriter: logging.NewAsyncWriter(opts.LogOutput), meter: metrics.New(), store: platform.NewStoreClient(settings.StoreAddress),
-		directory: directory.New(), stopRequested: make(chan struct{}), hostsListed: make(chan struct{}),
+		directory: directory.New(), started: make(chan struct{}), stopRequested: make(chan struct{}), hostsListed: make(chan struct{}),
 	}
 	h.log = logging.NewLogger(h.logWriter, settings.Host)
 	h.logLimits = newLogLimits()
@@ -161,12 +167,14 @@
 		Self: settings.Host, Hosts: h.knownHosts, Clock: h.clock, Link: h.mesh,
 		OnLoan: func(requests int) { h.meter.Add("cold_rate_borrowed", int64(requests)) },
 	})
+	h.createSpeedExchange()
 	h.createGuard()
+	h.createShares()
 	h.gateway = gateway.New(gateway.Options{
 		Domain: settings.Domain, OneWayLatency: h.delayTo, Plan: &h.plan, Directory: h.directory, Servers: h.serverClient, Headers: platform.Headers{},
-		Pool: h.stages, RetryLimiter: h.retryLimiter, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
-		ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
-		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, Log: h.logRequest,
+		Pool: h.stages, RetryLimiter: h.retryLimiter, Shares: h.shares, ColdStart: h.coldStart, ServerLimits: h.serverLimits, Guard: h.guard, Writers: h.writers, Clock: h.clock, Rand: h.rand, KeysFresh: h.keysFresh,
+		Started: h.started, ShuttingDown: h.stopping.Load, RefuseStreams: h.refuseStreams.Load,
+		ShutdownStarted: h.stopRequested, ShutdownDeadline: func() time.Time { return *h.stopDeadline.Load() }, MemoryBytes: settings.MemoryBytes, Log: h.logRequest,
 	})
 	h.createHTTPServers()
 	h.registerGauges()
@@ -282,7 +290,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.watchReload, h.pruneEntries,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.followServerSpeeds, h.watchReload, h.pruneEntries, h.watchStart,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
@@ -329,6 +337,24 @@
 	}
 }
 
+// startCheckInterval is the time between two checks whether the host is ready after its start.
+const startCheckInterval = 10 * time.Millisecond
+
+// watchStart closes h.started once the host is ready for the first time.
+func (h *Host) watchStart(ctx context.Context) error {
+	begun := h.clock.Now()
+	for !h.isReady() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.clock.After(startCheckInterval):
+		}
+	}
+	close(h.started)
+	h.log.Info("ready", "after_ms", ms(h.clock.Now().Sub(begun)))
+	return nil
+}
+
 // watchReload reads the settings again on each reload signal.
 func (h *Host) watchReload(ctx context.Context) error {
 	for {
--- a/edge/logging.go
+++ b/edge/logging.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"bilberrydale/process/errkind"
 	"bilberrydale/process/logging"
 	"bilberrydale/process/stages"
+	"bilberrydale/process/waitline"
 	"bilberrydale/request/gateway"
 )
 
@@ -57,12 +59,16 @@
 	if r.ServerCrashes > 0 {
 		h.meter.Add("server_crashes_during_requests", int64(r.ServerCrashes))
 	}
+	if r.AnswerUnread {
+		h.meter.Add("answers_unread", 1)
+	}
 	if r.CarriedBy != "" {
 		h.meter.Add("requests_carried_by_others", 1)
 	}
 	if r.LastEventID != "" || r.FirstAttemptID != "" {
 		h.meter.Add("streams_taken_up", 1)
 	}
+	h.countWait(r)
 	failed := r.Kind != "" && r.Kind != errkind.Cancelled
 	if !h.logLimits.allow(failed, h.clock.Now()) {
 		return
@@ -78,12 +84,18 @@
 	if r.CarriedBy != "" {
 		kv = append(kv, "carried_by", r.CarriedBy)
 	}
+	if r.WaitOutcome != waitline.NotWaited {
+		kv = append(kv, "waited_ms", ms(r.Waited), "wait_ended", r.WaitOutcome.String())
+	}
 	if r.BodyEnd != "" {
 		kv = append(kv, "body_end", r.BodyEnd)
 	}
 	if r.Events > 0 || r.IncompleteBytes > 0 {
 		kv = append(kv, "events", r.Events, "incomplete_bytes", r.IncompleteBytes)
 	}
+	if r.AnswerUnread {
+		kv = append(kv, "answer_unread", true)
+	}
 	if len(r.EventVersions) > 0 {
 		kv = append(kv, "event_versions", strings.Join(r.EventVersions, ","))
 	}
@@ -109,6 +121,22 @@
 	h.log.Info("request", kv...)
 }
 
+// countWait updates the metrics of a request that came to the line of its service.
+func (h *Host) countWait(r *gateway.LogEntry) {
+	if r.WaitOutcome == waitline.NotWaited {
+		return
+	}
+	service := r.Service
+	h.meter.Gauge("requests_waiting_"+service, func() float64 { return float64(h.gateway.Waiting(service)) })
+	h.meter.Observe("request_wait_"+service, r.Waited)
+	if r.WaitOutcome.Refused() {
+		h.meter.Add("requests_refused_waiting_"+r.WaitOutcome.String(), 1)
+	}
+	if r.WaitOutcome == waitline.Trial {
+		h.meter.Add("requests_sent_for_trial", 1)
+	}
+}
+
 // CallSent implements batcher.CallLogger.
 func (h *Host) CallSent(service string, c *batcher.Call, waiting int) {
 	h.meter.Add("stage_calls_"+service, 1)
@@ -139,13 +167,17 @@
 	}
 	if err != nil {
 		h.meter.Add("stage_work_failed", 1)
+		h.countStageRefusal(t, err)
+	}
+	if t.HeldByShare {
+		h.meter.Add("stage_work_held_by_share", 1)
 	}
 	if !h.logLimits.allow(err != nil, h.clock.Now()) {
 		return
 	}
 	kv := []any{
 		"id", t.Request.ID, "late", t.Late(), "waited_ms", ms(waited), "took_ms", ms(took), "held_by", t.BlockedBy,
-		"held_by_room", t.BlockedByMemory, "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageMilliseconds(t.StageTimes),
+		"held_by_room", t.BlockedByMemory, "account", t.Request.Account, "priority", t.Request.Priority, "held_by_share", t.HeldByShare, "share_due_ms", int64(1000 * t.Due), "share_used_ms", int64(1000 * t.Used), "waiting", onTime, "waiting_late", lateWaiting, "worth", int(t.Request.Worth), "stages_ms", stageMilliseconds(t.StageTimes),
 		"target", t.TargetID, "target_wait_ms", ms(t.TargetWait), "prompt_from", t.FetchFrom,
 	}
 	if err != nil {
@@ -155,6 +187,18 @@
 	h.log.Info("stage work", kv...)
 }
 
+// countStageRefusal counts stage work that failed, by reason; of that which its account's share held, too.
+func (h *Host) countStageRefusal(t *stages.Ticket, err error) {
+	var failed *stages.Error
+	if !errors.As(err, &failed) {
+		return
+	}
+	h.meter.Add("stage_work_failed_"+string(failed.Reason), 1)
+	if t.HeldByShare {
+		h.meter.Add("stage_work_failed_beyond_share", 1)
+	}
+}
+
 // stageMilliseconds returns the durations of stages in whole milliseconds.
 func stageMilliseconds(durations []time.Duration) []int64 {
 	out := make([]int64, len(durations))
@@ -204,6 +248,12 @@
 	h.meter.Gauge("upstream_connections_open", func() float64 { return float64(h.upstream.OpenConnections()) })
 	h.meter.Gauge("peers_known", func() float64 { return float64(len(h.mesh.Peers())) })
 	h.meter.Gauge("stream_records", func() float64 { return float64(h.writers.Records()) })
+	h.meter.Gauge("stream_bytes_waiting", func() float64 { return float64(h.gateway.ReadAheadBytes()) })
+	h.meter.Gauge("answer_bytes", func() float64 { return float64(h.gateway.Answers().Bytes) })
+	h.meter.Gauge("upload_bytes", func() float64 { return float64(h.gateway.Uploads().Bytes) })
+	h.meter.Gauge("uploads_waiting", func() float64 { return float64(h.gateway.Uploads().Waiting) })
+	h.meter.Gauge("uploads_given_up", func() float64 { return float64(h.gateway.Uploads().GivenUp) })
+	h.meter.Gauge("uploads_without_room", func() float64 { return float64(h.gateway.Uploads().NoRoom) })
 	h.meter.Gauge("log_lines_dropped", func() float64 { return float64(h.logWriter.Dropped()) })
 	h.meter.Gauge("log_lines_left_out", func() float64 {
 		return float64(h.logLimits.ordinary.Suppressed() + h.logLimits.failures.Suppressed())
@@ -215,5 +265,6 @@
 		}
 		return 0
 	})
+	h.meter.Gauge("servers_slow", h.slowServers)
 	h.meter.Gauge("servers_listed", func() float64 { return float64(h.directory.View().Count()) })
 }
--- a/edge/responses.go
+++ b/edge/responses.go
@@ -69,11 +69,15 @@
 		// leaves out says nothing.
 		return retryafter.NoResponse
 	}
-	if r.LoadReported {
+	switch {
+	case r.LoadReported:
 		s.RecordLoad(r.RunningRequests, r.QueuedRequests, now)
+	case newWork && r.NoRoom() && r.Pause == 0:
+		s.Room.Refused(now)
 	}
 	if r.RelativeServiceTime > 0 {
 		s.RecordRelativeServiceTime(r.RelativeServiceTime)
+		s.Speed.Tell(h.toldSpeeds.Relative(s.Service, r.RelativeServiceTime), now)
 	}
 	h.serverLimits.Observe(s.Process(), &s.RateLimit, serverlimit.Response{
 		PerSecond: r.RateLimit, Limited: r.RateLimited, NotRun: r.NotRun || !newWork, SentAt: head.SentAt,
--- a/edge/state.go
+++ b/edge/state.go
@@ -9,29 +9,41 @@
 	"bilberrydale/process/balance"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/quarantine"
+	"bilberrydale/process/spill"
+	"bilberrydale/process/stages"
 	"bilberrydale/version/plan"
 )
 
 // hostState is the state page for operators: what this host currently holds as the
 // configuration, the other entry hosts and the backend servers.
 type hostState struct {
-	Host                 string             `json:"host"`
-	Incarnation          uint64             `json:"incarnation"`
-	Ready                bool               `json:"ready"`
-	CutOff               bool               `json:"cut_off"` // reaches no backend server by itself
-	Stopping             bool               `json:"stopping"`
-	ConfigVersion        int64              `json:"config_version"`
-	ConfigAgeMS          float64            `json:"config_age_ms"`           // time since the last confirmation
-	Readers              []string           `json:"readers"`                 // hosts through which platform objects are read, in failover order
-	StageWorkByRegion    bool               `json:"stage_work_by_region"`    // each region coordinates its own stage work
-	StageWorkWaiting     int                `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
-	StageWorkWaitingLate int                `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
-	Peers                []string           `json:"peers"`                   // names of the other entry hosts
-	EvacuatedDomains     []string           `json:"evacuated"`               // failure domains that get no new work
-	Quarantine           []quarantine.Entry `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
+	Host                 string                `json:"host"`
+	Incarnation          uint64                `json:"incarnation"`
+	Ready                bool                  `json:"ready"`
+	CutOff               bool                  `json:"cut_off"` // reaches no backend server by itself
+	Stopping             bool                  `json:"stopping"`
+	ConfigVersion        int64                 `json:"config_version"`
+	ConfigAgeMS          float64               `json:"config_age_ms"`           // time since the last confirmation
+	Readers              []string              `json:"readers"`                 // hosts through which platform objects are read, in failover order
+	StageWorkByRegion    bool                  `json:"stage_work_by_region"`    // each region coordinates its own stage work
+	StageWorkWaiting     int                   `json:"stage_work_waiting"`      // requests that wait for stage work here and can still meet their target latency
+	StageWorkWaitingLate int                   `json:"stage_work_waiting_late"` // requests that wait for stage work here and can no longer meet it
+	StageWorkShares      []stages.AccountShare `json:"stage_work_shares"`       // what client accounts are due and have used of the services that are short, while this host runs their stage work
+	StageWaits           []spill.Told          `json:"stage_waits"`             // expected waits for stage work that owners of regions told this host last
+	RequestsWaiting      map[string]int        `json:"requests_waiting"`        // requests that wait for room at the servers of a service; services without any are left out
+	AnswerBytes          int64                 `json:"answer_bytes"`            // memory reserved for answers
+	AnswerMaxBytes       int64                 `json:"answer_max_bytes"`        // at most
+	StreamBytes          int64                 `json:"stream_bytes_waiting"`    // bytes of streams that wait for their clients
+	UploadBytes          int64                 `json:"upload_bytes"`            // memory reserved for bodies of requests
+	UploadMaxBytes       int64                 `json:"upload_max_bytes"`        // at most
+	UploadsWaiting       int                   `json:"uploads_waiting"`         // requests whose bodies wait for memory
+	Peers                []string              `json:"peers"`                   // names of the other entry hosts
+	EvacuatedDomains     []string              `json:"evacuated"`               // failure domains that get no new work
+	Quarantine           []quarantine.Entry    `json:"quarantine"`              // requests that are suspected of crashing servers, or refused for it
 	// StreamWriters are the software versions, each after its service, that may have begun the
 	// streams of a route which clients can still take up.
 	StreamWriters map[string][]string `json:"stream_writers"`
+	Shortages     []shortageState     `json:"shortages"` // services that are short of room, and the shares of client accounts
 	Servers       []serverState       `json:"servers"`
 }
 
@@ -50,6 +62,8 @@
 	Load         int         `json:"load"`                       // estimated requests at the server, from all hosts
 	ErrorRate    float64     `json:"errors"`                     // share of recent responses that were failures
 	ServiceTime  float64     `json:"relative_service_time"`      // as the server reported it last, 1 as usual; 0: it does not
+	SeenAgeMS    float64     `json:"load_seen_ms_ago"`           // since it last reported its load, or refused a request; negative: never
+	Speed        *speedState `json:"speed,omitempty"`            // how fast it works; nil: nothing is known
 }
 
 // pauseState is the time in which a server wants no requests of this host.
@@ -67,8 +81,14 @@
 	s := hostState{
 		Host: h.self.Host, Incarnation: h.self.Incarnation, Ready: h.isReady(), CutOff: h.reach.CutOff(), Stopping: h.stopping.Load(),
 		ConfigAgeMS: ms(age), Readers: h.readers(), StageWorkByRegion: h.batchers.splitByRegion.Load(),
-		StageWorkWaiting: waiting, StageWorkWaitingLate: late, Quarantine: h.guard.List(),
+		StageWorkWaiting: waiting, StageWorkWaitingLate: late, StageWorkShares: h.stages.Shares(), Quarantine: h.guard.List(),
 	}
+	s.StageWaits = h.stages.Waits()
+	answers := h.gateway.Answers()
+	s.AnswerBytes, s.AnswerMaxBytes = answers.Bytes, answers.MaxBytes
+	s.StreamBytes = h.gateway.ReadAheadBytes()
+	uploads := h.gateway.Uploads()
+	s.UploadBytes, s.UploadMaxBytes, s.UploadsWaiting = uploads.Bytes, uploads.MaxBytes, uploads.Waiting
 	p := h.plan.Load()
 	if p != nil {
 		s.ConfigVersion = p.Version
@@ -80,10 +100,12 @@
 		}
 	}
 	sort.Strings(s.EvacuatedDomains)
+	s.Shortages = h.shortages(now)
 	s.StreamWriters = map[string][]string{}
 	for route, possible := range h.writers.Routes() {
 		s.StreamWriters[route] = writerTexts(possible)
 	}
+	s.RequestsWaiting = h.gateway.AllWaiting()
 	for _, id := range h.mesh.Peers() {
 		s.Peers = append(s.Peers, id.Host)
 	}
@@ -91,12 +113,22 @@
 		s.Servers = append(s.Servers, serverState{
 			ID: srv.ID, Service: srv.Service, Version: srv.Version, Address: srv.Address, Domain: srv.Domain, UnusedReason: unusedReason(srv, now), Cold: isCold(p, srv, now), RateLimit: rateLimit(srv), Pause: pauseOf(srv, now),
 			InFlight: srv.InFlight.Load(), Load: balance.EstimatedLoad(srv, now), ErrorRate: srv.FailureRate(now), ServiceTime: srv.RelativeServiceTime(),
+			SeenAgeMS: seenAgeMS(srv, now), Speed: newSpeedState(&srv.Speed, now),
 		})
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
 	return s
 }
 
+// seenAgeMS returns the milliseconds since the load of a server was seen; negative: it was not.
+func seenAgeMS(s *directory.Server, now time.Time) float64 {
+	at := s.Room.SeenAt()
+	if at.IsZero() {
+		return -1
+	}
+	return ms(now.Sub(at))
+}
+
 // unusedReason returns why a server gets no new work, or "" if it may get some.
 func unusedReason(s *directory.Server, now time.Time) string {
 	switch {
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -13,6 +13,13 @@
 // A request is on time if its stages can end by its target time when started now, and late if
 // they cannot. Late requests still run if they can end before their deadline.
 //
+// The order in which requests start is: the client accounts that are within their due of the services
+// that are short, before those beyond it; within an account, and among all that are beyond, the more
+// urgent one; of one priority, those that can be on time by worth per second of server time, then late
+// ones by deadline. No server is left idle for the sake of a share: what accounts within their due
+// leave goes to the others at once. A part of the capacity goes first to late requests near their latest start
+// (the late reserve), in the same order.
+//
 // Items in flight are limited for each service to what its servers complete in the time that
 // an item is in flight (Little's law). Up to this limit calls are full. Above it, requests
 // would only wait after their start, occupying results and memory, and requests that will
@@ -21,12 +28,15 @@
 	lookupService func(name string) (Service, bool) // false: there is no service of that name
 	// serviceCache holds the services by name as of the start of the current decision. Looking them
 	// up for each waiting request would use the whole processor of an overloaded host.
-	serviceCache map[string]Service
+	serviceCache []cachedService
 	inFlight     map[string]workAmount // admitted and not finished, by service name
 	// lateInFlight is the part of inFlight that belongs to late requests.
 	lateInFlight map[string]workAmount
-	onTime       []*Ticket // waiting, by worth per second of server time, highest first
-	late         []*Ticket // waiting, by deadline, earliest first
+	onTime       []*Ticket // waiting, by beforeOnTime
+	late         []*Ticket // waiting, by beforeLate
+	shares       *accountShares
+	// lineCheckedAt is when refuseUnreachable last checked the line.
+	lineCheckedAt time.Time
 }
 
 // Ticket is a request that waits for admission or is in flight.
@@ -39,12 +49,19 @@
 	// BlockedByMemory reports whether that service lacked result memory.
 	BlockedBy       string
 	BlockedByMemory bool
-	StageTimes      []time.Duration // duration by stage, as in Request.Stages, once the work is done
-	TargetID        string          // server chosen to run the request, once the work is done
-	TargetWait      time.Duration   // for other prompts pending at that server
-	FetchFrom       string          // server from which that server transfers a prompt prefix
+	// HeldByShare reports that the request last waited behind others because its account was beyond
+	// its due. Due and Used are those of the account in the service where it has least left, in server
+	// seconds, as the wait ended; both are 0 while nothing is divided.
+	HeldByShare bool
+	Due, Used   float64
+	StageTimes  []time.Duration // duration by stage, as in Request.Stages, once the work is done
+	TargetID    string          // server chosen to run the request, once the work is done
+	TargetWait  time.Duration   // for other prompts pending at that server
+	FetchFrom   string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
+	shares        []stageShare  // by stage with items; none for a request without a share
+	retryAfter    time.Duration // when a rejected request may return; 0: unknown
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
 	criticalPath  time.Duration // expected duration of its stages once started, as last computed
 }
@@ -52,26 +69,52 @@
 // NewAdmission returns an admission without requests; services looks up a service by name and
 // reports whether it exists.
 func NewAdmission(services func(name string) (Service, bool)) *Admission {
-	return &Admission{lookupService: services, serviceCache: map[string]Service{}, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}}
+	return &Admission{lookupService: services, inFlight: map[string]workAmount{}, lateInFlight: map[string]workAmount{}, shares: newAccountShares()}
+}
+
+// cachedService is the outcome of a lookup.
+type cachedService struct {
+	name    string
+	service Service
+	found   bool
 }
 
-// service returns a service from the cache or the lookup; false: there is none of that name.
-func (a *Admission) service(name string) (Service, bool) {
-	if s, ok := a.serviceCache[name]; ok {
-		return s, true
+// service returns a service from the cache or the lookup, to be used within the current decision;
+// false: there is none of that name.
+func (a *Admission) service(name string) (*Service, bool) {
+	for i := range a.serviceCache {
+		if c := &a.serviceCache[i]; c.name == name {
+			return &c.service, c.found
+		}
 	}
 	s, ok := a.lookupService(name)
-	if ok {
-		a.serviceCache[name] = s
-	}
-	return s, ok
+	a.serviceCache = append(a.serviceCache, cachedService{name, s, ok})
+	return &a.serviceCache[len(a.serviceCache)-1].service, ok
 }
 
 // Enqueue adds a request to those that wait for admission. Schedule has to be called to start it.
 func (a *Admission) Enqueue(t *Ticket) {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
 	t.serverSeconds = a.serverSeconds(t.Request)
-	a.onTime = insertSorted(a.onTime, t, func(x, y *Ticket) bool { return x.worthPerSecond() > y.worthPerSecond() })
+	a.shares.join(t, a.stageSeconds)
+	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
+}
+
+// beforeOnTime orders requests that can be on time: by priority, then by worth per second of server
+// time, highest first.
+func beforeOnTime(x, y *Ticket) bool {
+	if x.Request.Priority != y.Request.Priority {
+		return x.Request.Priority < y.Request.Priority
+	}
+	return x.worthPerSecond() > y.worthPerSecond()
+}
+
+// beforeLate orders late requests: by priority, then by deadline, earliest first.
+func beforeLate(x, y *Ticket) bool {
+	if x.Request.Priority != y.Request.Priority {
+		return x.Request.Priority < y.Request.Priority
+	}
+	return x.Request.Deadline.Before(y.Request.Deadline)
 }
 
 // insertSorted inserts a ticket behind all that it is not ordered before.
@@ -100,19 +143,27 @@
 func (a *Admission) serverSeconds(r *Request) float64 {
 	var sum float64
 	for _, s := range r.Stages {
-		if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.ItemsPerSecond > 0 {
-			sum += float64(s.Items) / svc.ItemsPerSecond
-		}
+		sum += a.stageSeconds(s)
 	}
 	return sum
 }
 
+// stageSeconds returns the time that the items of a stage occupy all servers of its service, in
+// seconds; 0 if that is not known.
+func (a *Admission) stageSeconds(s Stage) float64 {
+	if svc, ok := a.service(s.Service); ok && s.Items > 0 && svc.ItemsPerSecond > 0 {
+		return float64(s.Items) / svc.ItemsPerSecond
+	}
+	return 0
+}
+
 // Remove removes a waiting request and reports whether it was waiting.
 func (a *Admission) Remove(t *Ticket) bool {
 	for _, list := range []*[]*Ticket{&a.onTime, &a.late} {
 		for i, other := range *list {
 			if other == t {
 				*list = append((*list)[:i], (*list)[i+1:]...)
+				t.leave(false)
 				return true
 			}
 		}
@@ -124,7 +175,7 @@
 func (a *Admission) RejectAll(r batcher.Reason) {
 	for _, list := range [][]*Ticket{a.onTime, a.late} {
 		for _, t := range list {
-			t.Reject(r)
+			a.reject(t, r)
 		}
 	}
 	a.onTime, a.late = nil, nil
@@ -143,16 +194,56 @@
 // latency, and late ones.
 func (a *Admission) Waiting() (onTime, late int) { return len(a.onTime), len(a.late) }
 
-// Schedule admits and rejects waiting requests according to the state at now. Late requests near
-// their latest start come first, up to the late reserve; then those that can be on time, then the
-// other late ones.
+// Schedule admits and rejects waiting requests according to the state at now. While several accounts
+// ask for a service that is short, the requests of those within their due come first, and what they
+// leave goes to all. In both turns late requests near their latest start come first, up to the late
+// reserve; then all others by priority.
 func (a *Admission) Schedule(now time.Time) {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
+	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
-	a.late = a.startFitting(a.late, func(t *Ticket) bool { return a.nearLatestStart(t, now) && a.fitsLateReserve(t.Request) })
-	a.onTime = a.startFitting(a.onTime, func(t *Ticket) bool { return a.fits(t, reserved) })
-	a.late = a.startFitting(a.late, func(t *Ticket) bool { return a.fits(t, reserved) })
+	if a.shares.contended {
+		a.startTurn(now, reserved, func(t *Ticket) bool {
+			t.HeldByShare = !t.withinDue()
+			return !t.HeldByShare
+		})
+	}
+	a.startTurn(now, reserved, func(*Ticket) bool { return true })
+	a.shares.markShort(reserved, now)
+	a.refuseUnreachable(now)
+}
+
+// startTurn starts the requests that have a turn and fit.
+func (a *Admission) startTurn(now time.Time, reserved *reservations, hasTurn func(*Ticket) bool) {
+	a.late = a.startFitting(a.late, func(t *Ticket) bool {
+		return a.nearLatestStart(t, now) && hasTurn(t) && a.fitsLateReserve(t.Request)
+	})
+	a.startByPriority(reserved, hasTurn)
+}
+
+// startByPriority starts the requests that have a turn and fit, the most urgent first; of one priority those that
+// can be on time, then late ones. Late requests do not wait behind less urgent ones: these would be
+// served more often than they in a lasting shortage.
+func (a *Admission) startByPriority(reserved *reservations, hasTurn func(*Ticket) bool) {
+	onTimeBefore, lateBefore := a.onTime, a.late
+	onTime, late := a.onTime, a.late
+	a.onTime, a.late = a.onTime[:0], a.late[:0]
+	for len(onTime) > 0 || len(late) > 0 {
+		from, kept := &late, &a.late
+		if len(late) == 0 || len(onTime) > 0 && onTime[0].Request.Priority <= late[0].Request.Priority {
+			from, kept = &onTime, &a.onTime
+		}
+		t := (*from)[0]
+		*from = (*from)[1:]
+		if hasTurn(t) && a.fits(t, reserved) {
+			a.start(t)
+			continue
+		}
+		*kept = append(*kept, t)
+	}
+	clear(onTimeBefore[len(a.onTime):])
+	clear(lateBefore[len(a.late):])
 }
 
 // classify moves requests that can no longer be on time to the late list and rejects those
@@ -163,7 +254,7 @@
 			return true
 		}
 		t.late = true
-		a.late = insertSorted(a.late, t, func(x, y *Ticket) bool { return x.Request.Deadline.Before(y.Request.Deadline) })
+		a.late = insertSorted(a.late, t, beforeLate)
 		return false
 	})
 	a.late = a.filterViable(a.late, now, func(*Ticket) bool { return true })
@@ -180,11 +271,11 @@
 			needs = t.latePath()
 		}
 		if now.Add(needs).After(t.Request.Deadline) {
-			t.Reject(batcher.TooLate)
+			a.reject(t, batcher.TooLate)
 			continue
 		}
 		if a.lacksServer(t.Request) {
-			t.Reject(batcher.NoServer)
+			a.reject(t, batcher.NoServer)
 			continue
 		}
 		if stay(t) {
@@ -282,7 +373,7 @@
 // Restart counts the work of a request as in flight again for a repetition. It reports false
 // if the request can no longer finish before its deadline.
 func (a *Admission) Restart(t *Ticket, now time.Time) bool {
-	clear(a.serviceCache)
+	a.serviceCache = a.serviceCache[:0]
 	t.criticalPath = a.criticalPath(t.Request, now)
 	if now.Add(t.criticalPath).After(t.Request.Deadline) {
 		return false
@@ -292,8 +383,15 @@
 	return true
 }
 
+// reject ends the wait of a request and calls its Reject.
+func (a *Admission) reject(t *Ticket, r batcher.Reason) {
+	t.leave(false)
+	t.Reject(r)
+}
+
 // start admits a request and calls its Start.
 func (a *Admission) start(t *Ticket) {
+	t.leave(true)
 	a.addInFlight(t)
 	t.Start()
 }
--- a/process/stages/expectedwait.go
+++ b/process/stages/expectedwait.go
@@ -1,11 +1,18 @@
 package stages
 
-import "time"
+import (
+	"time"
+
+	"bilberrydale/process/spill"
+)
 
 // lineWait returns how long a request that has just been queued is expected to wait for admission:
 // the time that the servers of one of its services take for the items of the waiting requests
 // before it, the longest of these times. 0 if it does not wait, or cannot be on time.
 func (a *Admission) lineWait(t *Ticket) time.Duration {
+	if len(a.onTime) == 0 {
+		return 0
+	}
 	before := map[string]int{} // items by service
 	waits := false
 	for _, other := range a.onTime {
@@ -28,9 +35,12 @@
 	return time.Duration(longest * float64(time.Second))
 }
 
-// ExpectedWait returns the expected wait for admission of stage work whose results are used in a
-// failure domain; 0 if nothing is known. It takes no lock because each request calls it for several
+// ExpectedWait returns the expected wait for admission of stage work of a priority whose results are
+// used in a failure domain; 0 if nothing is known. It takes no lock because each request calls it for several
 // domains.
-func (p *Pool) ExpectedWait(domain string) time.Duration {
-	return p.waits.Expected(p.regionOfDomain(domain), 0, p.clock.Now())
+func (p *Pool) ExpectedWait(domain string, priority int) time.Duration {
+	return p.waits.Expected(p.regionOfDomain(domain), priority, p.clock.Now())
 }
+
+// Waits returns the expected waits that the owners of regions told this host last.
+func (p *Pool) Waits() []spill.Told { return p.waits.List(p.clock.Now()) }
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -30,6 +30,7 @@
 	// their responses.
 	lostResponses int
 	down          bool
+	killed        chan struct{} // if set, calls in progress at this node end without a response once it is closed
 	calls         int
 	// staleList has outdated identities of hosts; a call to a host corrects its entry.
 	staleList map[string]peer.Identity
@@ -71,7 +72,7 @@
 		delete(n.staleList, host)
 	}
 	lose := false
-	if to != nil && m == methodRun {
+	if to != nil && (m == methodRun || m == methodRunFor) {
 		to.calls++
 		lose = to.lostResponses > 0
 		to.lostResponses = max(to.lostResponses-1, 0)
@@ -88,7 +89,14 @@
 		go func() { _, _ = to.handlers[m](context.Background(), n.self, payload) }()
 		return peer.ErrNoResponse
 	}
-	answer, err := to.handlers[m](ctx, n.self, payload)
+	handler := to.handlers[m]
+	if handler == nil {
+		return fmt.Errorf("%w: no handler for %s", peer.ErrFailureResponse, m)
+	}
+	answer, err := to.answer(ctx, handler, n.self, payload)
+	if errors.Is(err, peer.ErrNoResponse) {
+		return err
+	}
 	if err != nil {
 		return errors.Join(peer.ErrFailureResponse, err)
 	}
@@ -98,6 +106,21 @@
 	return peer.Unmarshal(answer, out)
 }
 
+// answer runs a handler of the node; the error is peer.ErrNoResponse if the node is killed meanwhile.
+func (n *node) answer(ctx context.Context, handler peer.Handler, from peer.Identity, payload []byte) (answer []byte, err error) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		answer, err = handler(ctx, from, payload)
+	}()
+	select {
+	case <-done:
+		return answer, err
+	case <-n.killed:
+		return nil, peer.ErrNoResponse
+	}
+}
+
 func (x *network) add(t *testing.T, id peer.Identity) *node {
 	n := x.start(t, id)
 	n.pool.MarkPeersKnown()
@@ -218,16 +241,16 @@
 // again.
 func TestExpectedWaitFollowsReportsAndDecays(t *testing.T) {
 	g, first, _, third := newThreeHosts(t)
-	g.Expect(third.pool.ExpectedWait("x")).To(BeZero())
+	g.Expect(third.pool.ExpectedWait("x", 0)).To(BeZero())
 	for range 100 {
-		first.fixture.k.waits.Record(0, time.Second)
+		first.fixture.k.waits.Record(0, time.Second, third.pool.clock.Now())
 	}
 	_, err := third.run("r")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(third.pool.ExpectedWait("x")).To(BeNumerically(">", 500*time.Millisecond))
-	g.Expect(third.pool.ExpectedWait("y")).To(BeZero())
+	g.Expect(third.pool.ExpectedWait("x", 0)).To(BeNumerically(">", 500*time.Millisecond))
+	g.Expect(third.pool.ExpectedWait("y", 0)).To(BeZero())
 	third.pool.waits.Record("x", 0, time.Second, third.pool.clock.Now().Add(-5*time.Second))
-	g.Expect(third.pool.ExpectedWait("x")).To(BeNumerically("<", 50*time.Millisecond))
+	g.Expect(third.pool.ExpectedWait("x", 0)).To(BeNumerically("<", 50*time.Millisecond))
 }
 
 // The owner fails. The next host becomes owner, and the failed one is retried only after a while.
@@ -363,3 +386,98 @@
 		return len(first.fixture.k.prompts.pendingByServer)
 	}, "10s").Should(BeZero())
 }
+
+// The owner is a host of the build before, which knows neither accounts nor priorities of stage work
+// and refuses the message that holds them. Guards against work that is refused, or an owner that is
+// taken for failed, because of that; and against a refused message before each request.
+func TestOwnerOfBuildBeforeRunsWork(t *testing.T) {
+	g, first, second, third := newThreeHosts(t)
+	delete(first.handlers, methodRunFor)
+	for i := range 3 {
+		results, err := third.run(fmt.Sprint(i))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(results.Owner).To(Equal("first"))
+	}
+	g.Expect(first.calls).To(Equal(4), "one of them refused")
+	g.Expect(second.itemsMade() + third.itemsMade()).To(BeZero())
+
+	first.self.Incarnation = 11
+	g.Expect(third.pool.confirmOwner(t.Context(), "first")).To(Succeed())
+	g.Expect(third.pool.acceptsRunFor("first")).To(BeTrue(), "its next incarnation may be of another build")
+}
+
+// A host of the build before sends work without account and priority. Guards against work that passes
+// all other work, or waits behind all, or uses the share of requests without account.
+func TestWorkOfBuildBeforeIsExemptFromShares(t *testing.T) {
+	g, first, _, third := newThreeHosts(t)
+	r := chainRequest("r")
+	r.Account, r.Priority = "a", 3
+	sent := third.pool.newRunRequest(r)
+	received := sent.request(first.pool.clock.Now())
+	g.Expect(received.WithoutShare).To(BeTrue())
+	g.Expect(received.Priority).To(Equal(defaultPriority))
+	forAccount := third.pool.newAccountRunRequest(r)
+	received = forAccount.request(first.pool.clock.Now())
+	g.Expect(received.WithoutShare).To(BeFalse())
+	g.Expect([]any{received.Account, received.Priority}).To(Equal([]any{"a", 3}))
+}
+
+// The owner is killed while a large account and a small one compete for its servers. The next owner
+// knows nothing of what they have used, and gets the requests of both again. Guards against lost
+// requests, and against a small account that waits behind all of the large one there.
+func TestNextOwnerSharesBetweenCompetingAccounts(t *testing.T) {
+	g, first, second, third := newThreeHosts(t)
+	first.killed, first.fixture.blockCalls, second.fixture.blockCalls = make(chan struct{}), make(chan struct{}), make(chan struct{})
+	defer close(first.fixture.blockCalls)
+	const largeRequests, smallRequests = 400, 20
+	finished := make(chan string, largeRequests+smallRequests)
+	run := func(account string, n int) {
+		for i := range n {
+			go func() {
+				r := chainRequest(fmt.Sprint(account, i))
+				r.Account = account
+				if _, err := third.pool.Run(t.Context(), r); err != nil {
+					account += " failed"
+				}
+				finished <- account
+			}()
+		}
+	}
+	waiting := func(n *node) func() int {
+		return func() int {
+			n.fixture.k.mu.Lock()
+			defer n.fixture.k.mu.Unlock()
+			onTime, late := n.fixture.k.admission.Waiting()
+			return onTime + late + n.fixture.k.admission.inFlight["floor"].items/2
+		}
+	}
+	run("large", largeRequests)
+	g.Eventually(waiting(first), "10s").Should(Equal(largeRequests))
+	run("small", smallRequests)
+	g.Eventually(waiting(first), "10s").Should(Equal(largeRequests + smallRequests))
+	third.network.mu.Lock()
+	first.down = true
+	third.network.mu.Unlock()
+	close(first.killed)
+	g.Eventually(waiting(second), "10s").Should(Equal(largeRequests + smallRequests))
+	g.Eventually(func() []string {
+		var accounts []string
+		for _, share := range second.pool.Shares() {
+			accounts = append(accounts, share.Service+" "+share.Account)
+		}
+		return accounts
+	}, "10s").Should(ContainElements("floor large", "floor small"))
+	close(second.fixture.blockCalls)
+
+	counts, largeBeforeLastSmall := map[string]int{}, 0
+	for range largeRequests + smallRequests {
+		var account string
+		g.Eventually(finished, "20s").Should(Receive(&account))
+		counts[account]++
+		if account == "small" {
+			largeBeforeLastSmall = counts["large"]
+		}
+	}
+	g.Expect(counts).To(Equal(map[string]int{"large": largeRequests, "small": smallRequests}))
+	g.Expect(largeBeforeLastSmall).To(BeNumerically("<", largeRequests/4))
+}
--- a/request/gateway/choose.go
+++ b/request/gateway/choose.go
@@ -24,6 +24,8 @@
 	q := x.balanceQuery(hist.tried)
 	if excluded, now := q.Exclude, q.Now; hist.refusedByBrittle {
 		q.Exclude = func(s *directory.Server) bool { return excluded(s) || !hasRoom(s, now) }
+	} else if hist.needsRoom {
+		q.Exclude = func(s *directory.Server) bool { return excluded(s) || x.lacksRoom(s, now) }
 	}
 	return balance.Choose(q)
 }
@@ -115,8 +117,9 @@
 	affinity, tokens := x.sharedPrefix()
 	now := x.opts.Clock.Now()
 	q := balance.Query{
-		Servers: x.candidates(), OneWayLatency: x.opts.OneWayLatency,
+		Servers: x.candidates(), OneWayLatency: x.opts.OneWayLatency, Seed: x.balanceSeed,
 		AffinityKey: affinity, PrefixTokens: tokens, PrefillTimePerToken: x.prefillTimes.estimate(x.service), InputDomain: x.inputDomain, InputBytes: x.inputDomainBytes,
+		UsualTime: x.usual().Time(), MayRepeat: x.retryable(),
 		Exclude: func(s *directory.Server) bool { return tried[s.ID] || !x.withinLimits(s, now) || !x.mayBeginAt(s) }, Now: now,
 	}
 	if x.beginsStream() {
--- a/request/gateway/errors.go
+++ b/request/gateway/errors.go
@@ -42,6 +42,10 @@
 		x.opts.Headers.SetRetryAfter(h, wait)
 	}
 	x.closeIfShuttingDown(h)
+	if x.bodyUnread {
+		// net/http would read the rest of the body before it answers, and the client may send none.
+		h["Connection"] = []string{"close"}
+	}
 	x.logEntry.Status = status
 	x.w.WriteHeader(status)
 	// A write error only means that the client has disconnected.
@@ -83,6 +87,7 @@
 	if x.candidates().Empty() {
 		return x.noServerError("takes work", noServerRetryAfter)
 	}
+	x.recordNoRoom()
 	// Another host may have some of its share of the servers left.
 	return x.noServerError("takes more from this host now", limitedRetryAfter)
 }
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -24,13 +23,15 @@
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/serverlimit"
+	"bilberrydale/process/serverspeed"
 	"bilberrydale/process/stages"
 	"bilberrydale/process/streamwriter"
+	"bilberrydale/process/waitline"
 	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
 
-// Options configures a Gateway. All fields are required.
+// Options configures a Gateway. All fields but MemoryBytes are required.
 type Options struct {
 	Domain        string                            // failure domain of this entry host
 	OneWayLatency func(domain string) time.Duration // one-way network latency to a failure domain
@@ -40,6 +41,7 @@
 	Headers       wire.Headers // header format of the platform
 	Pool          *stages.Pool // runs the stages
 	RetryLimiter  RetryLimiter
+	Shares        AccountShares
 	ColdStart     *coldstart.Limiter   // limits requests to cold servers
 	ServerLimits  *serverlimit.Limiter // limits that servers name
 	Guard         quarantine.Guard     // refuses requests that crash backend servers
@@ -49,6 +51,8 @@
 	// KeysFresh reports whether the API keys of the current plan were confirmed recently enough
 	// to be accepted, and the time since that confirmation.
 	KeysFresh func() (ok bool, age time.Duration)
+	// Started is closed once the host can serve requests after the start of the process.
+	Started <-chan struct{}
 	// ShuttingDown reports whether the process is shutting down. Responses then carry
 	// "Connection: close".
 	ShuttingDown func() bool
@@ -59,6 +63,7 @@
 	// returns the time at which the remaining requests are cut off.
 	ShutdownStarted  <-chan struct{}
 	ShutdownDeadline func() time.Time
+	MemoryBytes      int64 // memory limit of the process; 0: not known
 	// Log is called once for each request, at its end.
 	Log func(*LogEntry)
 }
@@ -102,38 +107,53 @@
 type Gateway struct {
 	opts            Options
 	streamDurations streamDurations
+	startedAt       time.Time    // creation of the gateway
+	startWaiters    atomic.Int64 // requests in awaitStart
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
+	lines           waitingLines
+	priorities      atomic.Pointer[servicePriorities] // of the plan in use
+	uploads         *bodylimit.Uploads
+	readAhead       *readAheadBudget
 	prefillTimes    prefillTimes
+	usualTimes      serverspeed.Kinds
+	balanceSeed     uint64 // see balance.Query.Seed
 }
 
 // New returns a Gateway with the given options.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, bodies: bodylimit.NewBudget()}
+	return &Gateway{
+		opts: opts, startedAt: opts.Clock.Now(), balanceSeed: opts.Rand.Uint64(),
+		bodies: bodylimit.NewBudget(opts.MemoryBytes), uploads: bodylimit.NewUploads(opts.MemoryBytes), readAhead: newReadAheadBudget(opts.MemoryBytes),
+	}
 }
 
 // LogEntry is the access log entry of one request.
 type LogEntry struct {
-	ID                  string
-	Route               string                 // empty: no route matched
-	Account             string                 // empty: none, or not identified
-	Service             string                 // that the request itself runs on; empty: refused before it was chosen
-	PlanVersion         int64                  // configuration version
-	Status              int                    // of the response; 0: none was sent
-	Kind                errkind.Kind           // empty: the response of a backend server was relayed
-	Ran                 errkind.Ran            // whether a backend server ran the request
-	Detail              string                 // reason of an error
-	Server              string                 // ID of the last backend server that the request was sent to
-	Attempts            int                    // sends to backend servers
-	Fingerprint         quarantine.Fingerprint // of the content; 0: the body was not read
-	PromptParts         []string               // IDs of the parts of the prompt
-	ServerCrashes       int                    // attempts during which the server crashed
-	Trial               bool                   // the request is in quarantine, and this was its trial
-	Duration            time.Duration
-	StageDuration       time.Duration // from arrival to the end of the stage work
-	TimeToFirstByte     time.Duration // since arrival; 0: no byte was sent
-	DeadlineRemaining   time.Duration // until the deadline, at the end of the request; negative: exceeded
-	RetryAfter          time.Duration // sent to the client; 0: none
+	ID                string
+	Route             string                 // empty: no route matched
+	Account           string                 // empty: none, or not identified
+	Service           string                 // that the request itself runs on; empty: refused before it was chosen
+	PlanVersion       int64                  // configuration version
+	Status            int                    // of the response; 0: none was sent
+	Kind              errkind.Kind           // empty: the response of a backend server was relayed
+	Ran               errkind.Ran            // whether a backend server ran the request
+	Detail            string                 // reason of an error
+	Server            string                 // ID of the last backend server that the request was sent to
+	Attempts          int                    // sends to backend servers
+	Fingerprint       quarantine.Fingerprint // of the content; 0: the body was not read
+	PromptParts       []string               // IDs of the parts of the prompt
+	ServerCrashes     int                    // attempts during which the server crashed
+	Trial             bool                   // the request is in quarantine, and this was its trial
+	Duration          time.Duration
+	StageDuration     time.Duration // from arrival to the end of the stage work
+	TimeToFirstByte   time.Duration // since arrival; 0: no byte was sent
+	DeadlineRemaining time.Duration // until the deadline, at the end of the request; negative: exceeded
+	RetryAfter        time.Duration // sent to the client; 0: none
+	// Waited is the time in the line of the service for room at a server.
+	Waited time.Duration
+	// WaitOutcome is how the last wait in that line ended.
+	WaitOutcome         waitline.Outcome
 	StreamInterruptions int           // attempts whose stream broke off, resumed or not
 	KeyAge              time.Duration // time since the API keys were last confirmed
 	CarriedBy           string        // host by way of which the last response came; empty: directly
@@ -148,7 +168,8 @@
 	FirstAttemptID string
 	// WriterSource is how the writer of that stream is known.
 	WriterSource    streamwriter.Source
-	IncompleteBytes int // bytes after the last complete event of the last stream
+	AnswerUnread    bool // the answer was broken off as the client did not read it
+	IncompleteBytes int  // bytes after the last complete event of the last stream
 	// Failures are what went wrong in attempts, in order, at most maxNotedFailures.
 	Failures []string
 }
@@ -167,6 +188,7 @@
 type exchange struct {
 	*Gateway
 	w                http.ResponseWriter
+	clientConn       *http.ResponseController // of w
 	r                *http.Request
 	clientRequest    wire.ClientRequest // decoded headers of r
 	plan             *plan.Plan         // the configuration for the whole request
@@ -176,7 +198,9 @@
 	service          string              // that the request itself runs on, after its stages
 	allowed          residency.Set       // regions in which the request may be served
 	writer           streamwriter.Writer // of the stream, once it has begun
-	body             []byte              // of the client's request
+	body             *bodylimit.Body     // of the client's request; nil: empty
+	answers          []*bodylimit.Body   // of servers, read into memory
+	bodyUnread       bool                // a part of the body was not read
 	subjects         quarantine.Subjects // to which crashes during the request are attributed
 	arrivedAt        time.Time
 	targetTime       time.Time      // arrival plus target latency
@@ -189,20 +213,26 @@
 	inputDomain      string         // failure domain that holds most bytes of the stage results; empty: none
 	inputDomainBytes int64          // number of these bytes in inputDomain
 	logEntry         LogEntry
-	headersSent      bool      // the response headers have been written
-	abort            bool      // the connection has to be aborted, as the response is incomplete
-	mayHaveRun       bool      // a backend server may have run the request
-	reachedServer    bool      // the request may have reached a backend server, whether or not it ran
-	firstEventAt     time.Time // when the headers of a stream were written, with its first event
-	lastEventAt      time.Time // when the last event of a stream was written
+	askedBefore      time.Duration    // for which the client has probably been asking before this attempt
+	headersSent      bool             // the response headers have been written
+	abort            bool             // the connection has to be aborted, as the response is incomplete
+	mayHaveRun       bool             // a backend server may have run the request
+	shared           bool             // admitted by Options.Shares, without a final outcome so far
+	noRoom           bool             // recordNoRoom has counted the request
+	refusedForRoom   bool             // a server has refused the request for want of room
+	reachedServer    bool             // the request may have reached a backend server, whether or not it ran
+	firstEventAt     time.Time        // when the headers of a stream were written, with its first event
+	lastEventAt      time.Time        // when the last event of a stream was written
+	turn             *waitline.Ticket // with which the request left the line and that it has not used yet; nil: none
 }
 
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler if the response
 // cannot be completed.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Gateway: g, w: w, r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
+	x := &exchange{Gateway: g, w: w, clientConn: http.NewResponseController(w), r: r, arrivedAt: g.opts.Clock.Now(), clientRequest: g.opts.Headers.DecodeClientRequest(r.Header)}
 	x.logEntry.ID = x.clientRequest.AttemptID
 	x.logEntry.LastEventID, x.logEntry.FirstAttemptID = x.clientRequest.LastEventID, x.clientRequest.FirstAttemptID
+	defer x.releaseBodies()
 	if err := x.serve(); err != nil {
 		x.writeError(errkind.From(err))
 	}
@@ -235,12 +265,16 @@
 // serve handles the request up to the end of the response. The caller reports a non-nil error
 // to the client.
 func (x *exchange) serve() error {
+	x.awaitStart()
 	if err := x.admit(); err != nil {
 		return err
 	}
 	if err := x.checkServable(); err != nil {
 		return err
 	}
+	if err := x.takeAccountShare(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -258,6 +292,9 @@
 		return x.classifyError(ctx, err)
 	}
 	err := x.serveBackend(ctx)
+	if x.mayHaveRun {
+		x.recordTaken()
+	}
 	if err == nil && x.logEntry.Status < http.StatusMultipleChoices {
 		x.clearSuspicion()
 	}
@@ -340,33 +377,6 @@
 	return nil
 }
 
-// readBody reads the request body into memory, up to the configured limit.
-func (x *exchange) readBody() error {
-	limit := x.plan.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return errkind.New(errkind.TooLarge, "the body has %d bytes, over %d", x.r.ContentLength, limit)
-	}
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	if err != nil {
-		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the body did not arrive", Cause: err}
-	}
-	if int64(len(body)) > limit {
-		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
-	}
-	x.body = body
-	return nil
-}
-
-// defaultMaxBodyBytes limits request bodies if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20 // 4 MiB
-
 // classifyError converts the error that ended a request into a *errkind.Error, and marks the
 // response as aborted if the client has disconnected.
 func (x *exchange) classifyError(ctx context.Context, err error) error {
@@ -375,7 +385,11 @@
 	}
 	if x.r.Context().Err() != nil {
 		x.abort = true
-		return &errkind.Error{Kind: errkind.Cancelled, Detail: "the client left", Dispatched: x.mayHaveRun, Cause: err}
+		detail := "the client left"
+		if x.logEntry.AnswerUnread {
+			detail = "the client did not read its stream"
+		}
+		return &errkind.Error{Kind: errkind.Cancelled, Detail: detail, Dispatched: x.mayHaveRun, Cause: err}
 	}
 	var known *errkind.Error
 	if errors.As(err, &known) {
