serverspeed: what a host awaited while it was suspended is not measured

Callers saw: a host that was stopped for 3 s told three others that sound servers are slow. On waking, Tell and the responses that wait race: if Tell came first, it dropped news that were not there yet, and the next call told them. If it came second, they were not told, but the host itself and the usual times kept them, and the next response of the server told them after all.

A State notes its calls of Update, which stop with the host, and leaves out responses that were sent before the end of a time of maxGap without one.

TestResponsesOfASuspensionAreNotMeasured, both orders: red without the check (slow at hosts 0, 1, 2 and at host 0), green with it; packages serverspeed and balance pass.

--- a/process/serverspeed/exchange.go
+++ b/process/serverspeed/exchange.go
@@ -69,7 +69,7 @@
 	tellTimeout = 300 * time.Millisecond
 )
 
-// maxGap is the time between two calls of Tell after which this host has been suspended, or had no processor
+// maxGap is the time between two calls of Tell, or of a State's Update, after which this host has been suspended, or had no processor
 // time: it was not the servers that were slow.
 const maxGap = 4 * Interval
 
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -258,6 +258,47 @@
 	g.Expect(c.slow()).To(Equal([]int{0}))
 }
 
+// A host was suspended while it waited for responses, which it handles before or after it first updates what
+// it knows. Guards against servers that it, and those that it tells, take for slow for that time.
+func TestResponsesOfASuspensionAreNotMeasured(t *testing.T) {
+	for name, updatesFirst := range map[string]bool{"updates first": true, "responses first": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(3)
+			var usual Usual
+			respond := func(s *State, took time.Duration) {
+				usual.Observe(s, Measurement{Took: took, Load: 1, Slots: 8, At: c.clock.Now()})
+			}
+			update := func() {
+				for _, s := range c.states {
+					s.Update(Conditions{Now: c.clock.Now(), Hosts: 3})
+				}
+				c.tell(1)
+			}
+			update()
+			for range 20 {
+				respond(&State{}, 20*time.Millisecond)
+			}
+			c.clock.Advance(3 * time.Second)
+			if updatesFirst {
+				update()
+			}
+			for range 8 {
+				respond(c.states[0], 3*time.Second)
+			}
+			usual.ObserveAtLeast(c.states[0], Measurement{Took: 3 * time.Second, Load: 1, Slots: 8, At: c.clock.Now()})
+			for range 4 {
+				update()
+			}
+			g.Expect(c.slow()).To(BeEmpty())
+			for range 4 {
+				respond(c.states[0], 200*time.Millisecond)
+			}
+			g.Expect(c.slow()).To(Equal([]int{0}), "it is measured again")
+		})
+	}
+}
+
 // A host's way to a server loses packets, others reach it well. Guards against the word of one host that
 // outweighs what the others measure.
 func TestOneHostDoesNotOutweighOthers(t *testing.T) {
--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -37,6 +37,9 @@
 	common estimate.AtomicFloat64
 	last   atomic.Uint64 // bits of swapLast's value; 0: there is none
 
+	updatedAt      atomic.Int64 // of the last call of Update, in Unix nanoseconds; 0: none
+	suspendedUntil atomic.Int64 // end of the last time of maxGap without a call, in Unix nanoseconds; 0: none
+
 	mu        sync.Mutex // guards the following
 	own       evidence
 	told      average   // logarithm of what the server has told of its speed
@@ -248,6 +251,10 @@
 // returns true if the server has become slow or well since the last call.
 func (s *State) Update(c Conditions) (changed bool) {
 	now := c.Now
+	if s.suspendedSince(now, now) {
+		s.suspendedUntil.Store(now.UnixNano())
+	}
+	s.updatedAt.Store(now.UnixNano())
 	s.trialInterval.Store(int64(c.Hosts) * int64(trialIntervalPerHost))
 	s.common.Store(math.Log(max(c.CommonSlowdown, 1)))
 	s.mu.Lock()
@@ -264,6 +271,13 @@
 	return changed
 }
 
+// suspendedSince reports whether this host has been suspended after a time, as of now: Update was not called
+// for maxGap.
+func (s *State) suspendedSince(at, now time.Time) bool {
+	updatedAt := s.updatedAt.Load()
+	return at.UnixNano() < s.suspendedUntil.Load() || updatedAt != 0 && now.UnixNano()-updatedAt > int64(maxGap)
+}
+
 // Report is what operators see of a server's speed.
 type Report struct {
 	Figures
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -151,9 +151,15 @@
 	Responses float64
 }
 
+// duringSuspension reports whether this host was suspended while the response was awaited: the time is not
+// the server's.
+func (m Measurement) duringSuspension(s *State) bool {
+	return s.suspendedSince(m.At.Add(-m.Took), m.At)
+}
+
 // Observe records a response of a server in the usual time and in what is known of the server.
 func (u *Usual) Observe(s *State, m Measurement) {
-	if m.Took <= 0 {
+	if m.Took <= 0 || m.duringSuspension(s) {
 		return
 	}
 	log := math.Log((m.Took + jitter).Seconds())
@@ -186,7 +192,7 @@
 	u.mu.Lock()
 	known, weight, mean := u.samples >= firstSamples, u.weight(), u.mean+u.atLoad[loadLevel(m.Load, m.Slots)]
 	u.mu.Unlock()
-	if known && m.Took > 0 {
+	if known && m.Took > 0 && !m.duringSuspension(s) {
 		s.ObserveAtLeast((m.Took+jitter).Seconds()/math.Exp(mean), m.Load, m.Slots, weight, m.At)
 	}
 }
