gateway: a drained read-ahead buffer gives its memory back

A bytes.Buffer that has been read empty keeps its memory, of which the budget counts nothing, until the stream ends.

Read drops the buffer once it is empty. While it is not, its capacity may be twice what is counted; that is left.

TestDrainedStreamKeepsNoMemory: red without the change, green with it.

--- a/request/gateway/readahead.go
+++ b/request/gateway/readahead.go
@@ -137,6 +137,9 @@
 	}
 	n, _ := r.waiting.Read(b) // it is not empty
 	r.budget.bytes.Add(-int64(n))
+	if r.waiting.Len() == 0 {
+		r.waiting = bytes.Buffer{} // an empty one keeps its memory, which the budget does not count
+	}
 	r.changed.Broadcast()
 	return n, nil
 }
--- a/request/gateway/readahead_test.go
+++ b/request/gateway/readahead_test.go
@@ -88,6 +88,30 @@
 	})
 }
 
+// Load: many streams whose clients take nothing for a while, each in turn, and then read at once. Guards
+// against memory that streams keep, beside the budget, until they end.
+func TestDrainedStreamKeepsNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		server, response := io.Pipe()
+		context.AfterFunc(ctx, func() { _ = server.CloseWithError(errors.New("cancelled")) })
+		go func() { _, _ = response.Write(make([]byte, 48<<10)) }() // ends when the reader is closed
+		budget := newReadAheadBudget(0)
+		r := newReadAhead(server, budget)
+		r.writing()
+		time.Sleep(time.Second)
+		r.written()
+		g.Expect(r.waiting.Cap()).To(BeNumerically(">=", 48<<10))
+		_, err := io.CopyN(io.Discard, r, 48<<10)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(budget.bytes.Load()).To(BeZero())
+		g.Expect(r.waiting.Cap()).To(BeZero())
+		r.stop(cancel)
+	})
+}
+
 // Guards against a goroutine per stream whose client reads at once.
 func TestStreamOfAQuickClientIsNotReadAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
