gateway: a stream that waits for the read-ahead budget looks again

Would be seen: while other streams use up the budget, a stream whose client takes nothing is not read on. As they give it back, nobody wakes it: its server keeps a slot until the client reads, or cuts the stream off.

It looks again every 100 ms while the budget, not its own limit, is what it waits for.

TestStreamIsReadOnOnceOthersGiveMemoryBack: red without the change (the server is not done), green with it, also with -race.

--- a/request/gateway/readahead.go
+++ b/request/gateway/readahead.go
@@ -18,6 +18,8 @@
 	maxReadAheadBytes = 64 << 10
 	// readAheadPartBytes are read at once.
 	readAheadPartBytes = 4 << 10
+	// budgetRecheckInterval is the time after which a stream that waits for the budget looks again.
+	budgetRecheckInterval = 100 * time.Millisecond
 	// readAheadMemoryShare of the memory of a process is for all streams together,
 	// minReadAheadTotal at least.
 	readAheadMemoryShare = 1.0 / 40
@@ -115,12 +117,26 @@
 func (r *readAhead) awaitRoom() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for !r.stopped && r.waiting.Len() > 0 && (r.waiting.Len() >= maxReadAheadBytes || r.budget.bytes.Load() >= r.budget.max) {
-		r.changed.Wait()
+	for !r.stopped && r.waiting.Len() > 0 {
+		switch {
+		case r.waiting.Len() >= maxReadAheadBytes:
+			r.changed.Wait()
+		case r.budget.bytes.Load() >= r.budget.max:
+			r.waitForBudget()
+		default:
+			return true
+		}
 	}
 	return !r.stopped
 }
 
+// waitForBudget waits for a change or for budgetRecheckInterval: other streams do not tell that they have
+// given memory back. The caller holds r.mu.
+func (r *readAhead) waitForBudget() {
+	defer time.AfterFunc(budgetRecheckInterval, r.changed.Broadcast).Stop()
+	r.changed.Wait()
+}
+
 // Read implements io.Reader.
 func (r *readAhead) Read(b []byte) (int, error) {
 	r.mu.Lock()
--- a/request/gateway/readahead_test.go
+++ b/request/gateway/readahead_test.go
@@ -88,6 +88,36 @@
 	})
 }
 
+// The budget is used up by others while a client takes nothing, and given back later. Guards against a
+// server that keeps a slot for a stream which is not read on, though there is room.
+func TestStreamIsReadOnOnceOthersGiveMemoryBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		server, response := io.Pipe()
+		done := make(chan struct{})
+		go func() {
+			_, _ = response.Write(make([]byte, 48<<10)) // checked by what is read
+			_ = response.Close()                        // always nil
+			close(done)
+		}()
+		budget := newReadAheadBudget(0)
+		budget.bytes.Add(budget.max)
+		r := newReadAhead(server, budget)
+		r.writing()
+		time.Sleep(time.Second)
+		g.Expect(done).NotTo(BeClosed())
+		g.Expect(budget.bytes.Load()).To(BeEquivalentTo(budget.max + readAheadPartBytes))
+		budget.bytes.Add(-budget.max)
+		time.Sleep(time.Second)
+		g.Expect(done).To(BeClosed())
+		r.written()
+		n, err := io.Copy(io.Discard, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(BeEquivalentTo(48 << 10))
+		r.stop(func() { t.Error("a whole response is cancelled") })
+	})
+}
+
 // Load: many streams whose clients take nothing for a while, each in turn, and then read at once. Guards
 // against memory that streams keep, beside the budget, until they end.
 func TestDrainedStreamKeepsNoMemory(t *testing.T) {
