gateway: whether the network hides a server's time is decided by what is usual

Would be seen: a far server that is as fast as the others counts as slow and gets fewer requests. A response was left out if less than the network's latency remained of it, so of a server whose work takes less than that only the late ones counted, such as those after a lost packet.

A server is left out whole where the usual time is less than the network's; its responses go on into the usual time, so that it is measured once work takes longer. Elsewhere each response counts, as 1 ms at least.

The case "mostly the network" of TestOnlyComparableResponsesAreMeasured asked that a response of 6 ms beside 4 ms of network be left out where 20 ms are usual: that is the choice by outcome, so it was wrong. In its place, a server whose network takes longer than is usual is not measured, whatever its responses take; that case is red before. TestLateResponsesOfAFarServerAreNoSlowness (near, as far as the work takes, farther, very far): three of four red before, green now.

--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -154,10 +154,11 @@
 // duringSuspension reports whether this host was suspended while the response was awaited: the time is not
 // the server's.
 func (m Measurement) duringSuspension(s *State) bool {
-	return s.suspendedSince(m.At.Add(-m.Took), m.At)
+	return s != nil && s.suspendedSince(m.At.Add(-m.Took), m.At)
 }
 
-// Observe records a response of a server in the usual time and in what is known of the server.
+// Observe records a response of a server in the usual time and in what is known of the server; nil: in the
+// usual time only.
 func (u *Usual) Observe(s *State, m Measurement) {
 	if m.Took <= 0 || m.duringSuspension(s) {
 		return
@@ -167,7 +168,10 @@
 	u.mu.Lock()
 	atLoad := &u.atLoad[loadLevel(m.Load, m.Slots)]
 	relative, measured := log-u.mean-*atLoad, u.samples >= firstSamples
-	last, known := s.swapLast(relative - queued)
+	last, known := 0., false
+	if s != nil {
+		last, known = s.swapLast(relative - queued)
+	}
 	difference := relative - queued - last
 	if !known || !measured {
 		difference = log - queued - u.last
@@ -179,6 +183,9 @@
 	}
 	weight := u.weight()
 	u.mu.Unlock()
+	if s == nil {
+		return
+	}
 	if common, recent := u.common(m.At); recent {
 		s.common.Store(common)
 	}
--- a/request/gateway/serverspeed.go
+++ b/request/gateway/serverspeed.go
@@ -64,8 +64,9 @@
 }
 
 // measure records once how long a server took for its response, or for the first event of a stream.
-// Failures are left out, and responses that came by way of another host or spent most of their time in
-// the network.
+// Failures are left out, and responses that came by way of another host. Where requests usually spend most
+// of their time in the network, only the usual time is recorded. That goes by what is usual, not by this
+// response: if only the late ones of a far server counted, it would seem slow.
 func (x *exchange) measure(a *attempt) {
 	if !a.measurement.awaited {
 		return
@@ -79,17 +80,22 @@
 	if !a.response.ReusedConn {
 		network *= 2
 	}
-	took := now.Sub(a.measurement.sentAt) - network
-	if took < network {
-		return
-	}
+	took := max(now.Sub(a.measurement.sentAt)-network, minMeasured)
 	load := a.measurement.load
 	if a.headers.LoadReported {
 		load = max(load, a.headers.RunningRequests+a.headers.QueuedRequests)
 	}
-	x.usual().Observe(&a.server.Speed, serverspeed.Measurement{Took: took, Load: load, Slots: a.server.Slots, At: now})
+	speed, usual := &a.server.Speed, x.usual()
+	if t := usual.Time(); t > 0 && t < network {
+		speed = nil
+	}
+	usual.Observe(speed, serverspeed.Measurement{Took: took, Load: load, Slots: a.server.Slots, At: now})
 }
 
+// minMeasured is the least time that a response counts as: the network's latency is an assumption, and may be
+// less.
+const minMeasured = time.Millisecond
+
 // measureTimeout records that a server has not responded within the timeout of an attempt that failed.
 func (x *exchange) measureTimeout(s *directory.Server, m measurement, timeout time.Duration) {
 	m.endWait(s, time.Time{})
