serverspeed: a failed attempt leaves the others at its server overdue

Would be seen: a server hangs with several requests; one fails at its timeout, or its client leaves, and the server is not overdue any more, so that it gets new ones. A failure has no time until which the next response is expected, and that turned Overdue off for all.

A failure changes nothing for the others. So that a refusal and an error of a stream go on to count as a response, the gateway now records them as one; that part has no test of its own.

TestFailedAttemptLeavesOthersOverdue: red before (0 in place of 50 ms), green now; packages serverspeed, balance and gateway pass.

--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -104,6 +104,24 @@
 	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "not known how long it takes")
 }
 
+// A server hangs with several requests, of which one fails at its timeout, or as its client leaves. Guards
+// against a server that is not overdue any more for that.
+func TestFailedAttemptLeavesOthersOverdue(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	for range 3 {
+		s.RecordSent(now, now.Add(100*time.Millisecond))
+	}
+	s.RecordAwaited(time.Time{})
+	g.Expect(s.Overdue(now.Add(150 * time.Millisecond))).To(Equal(50 * time.Millisecond))
+	s.RecordAwaited(now.Add(200 * time.Millisecond))
+	g.Expect(s.Overdue(now.Add(150*time.Millisecond))).To(BeZero(), "it has responded")
+	s.RecordAwaited(time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "none is awaited")
+	s.RecordSent(now, time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "not known how long it takes")
+}
+
 // Guards against all servers of a service that count as slow because all of them tell it.
 func TestToldFiguresAreRelativeToTheService(t *testing.T) {
 	g := NewWithT(t)
--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -203,10 +203,13 @@
 }
 
 // RecordAwaited records that a request of RecordSent is not awaited any more. expected is the time until
-// which another one is expected to be, by far; zero: it is not known.
+// which another one is expected to be, by far; zero: this one has failed, or it is not known, which
+// changes nothing for the others.
 func (s *State) RecordAwaited(expected time.Time) {
 	s.awaited.Add(-1)
-	s.setOverdueAt(expected)
+	if !expected.IsZero() {
+		s.setOverdueAt(expected)
+	}
 }
 
 // setOverdueAt sets the time from which the server is overdue.
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -93,6 +93,9 @@
 	x.reachedServer, x.logEntry.BodyEnd, x.logEntry.CarriedBy = true, response.BodyEnd, response.CarriedBy
 	a := &attempt{server: s, response: response, cancel: cancel, measurement: measurement, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
 	if err := x.checkResponse(a); err != nil {
+		if errors.Is(err, errNotRun) {
+			x.endWait(a)
+		}
 		a.close(errors.Is(err, errNotRun) && a.drain())
 		return nil, err
 	}
--- a/request/gateway/serverspeed.go
+++ b/request/gateway/serverspeed.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// endWait records once that the response of a server has begun. It returns the time.
+func (x *exchange) endWait(a *attempt) time.Time {
+	now := x.opts.Clock.Now()
+	a.measurement.endWait(a.server, x.expectedUntil(a.server, a.measurement.load, now))
+	return now
+}
+
 // measure records once how long a server took for its response, or for the first event of a stream.
 // Failures are left out, and responses that came by way of another host. Where requests usually spend most
 // of their time in the network, only the usual time is recorded. That goes by what is usual, not by this
@@ -71,8 +78,7 @@
 	if !a.measurement.awaited {
 		return
 	}
-	now := x.opts.Clock.Now()
-	a.measurement.endWait(a.server, x.expectedUntil(a.server, a.measurement.load, now))
+	now := x.endWait(a)
 	if !a.measurement.comparable || a.response.CarriedBy != "" || a.response.Status >= http.StatusBadRequest {
 		return
 	}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -93,6 +93,7 @@
 // once the client has the complete response.
 func (x *exchange) relayStream(a *attempt, progress *streamProgress, hist *attemptHistory) error {
 	if a.response.Status/100 != 2 {
+		x.endWait(a)
 		r, err := x.readBuffered(a)
 		if err != nil {
 			return err
