gateway: a server is free once its stream is read ahead to its end

Would be seen: a server that is done with a stream gets no other request, as its client reads slowly: InFlight fell only when the client had taken all.

InFlight falls once, when the response ends in order or with the attempt.

TestServerIsFreeOnceItsStreamIsReadAhead: red without it (1 in place of 0); package gateway passes with -race.

--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"bilberrydale/connection/upstream"
@@ -24,6 +25,7 @@
 	// no other server to ask.
 	progressInterval time.Duration
 	measurement      measurement
+	isOver           sync.Once // the server is done with it, or it has ended
 }
 
 // close ends the attempt. The connection is closed unless complete is set, which requires
@@ -35,10 +37,23 @@
 		a.response.Discard()
 	}
 	a.cancel()
-	a.server.InFlight.Add(-1)
+	a.leaveServer()
 	a.measurement.endWait(a.server, time.Time{})
 }
 
+// leaveServer records once that the server has nothing to do for the attempt any more.
+func (a *attempt) leaveServer() { a.isOver.Do(func() { a.server.InFlight.Add(-1) }) }
+
+// Read reads the body of the response. At its end the server is done, also while the client has yet to take
+// what was read ahead.
+func (a *attempt) Read(b []byte) (int, error) {
+	n, err := a.response.Read(b)
+	if err == io.EOF { // not one that is the cause of another error
+		a.leaveServer()
+	}
+	return n, err
+}
+
 // Errors of an attempt. errNotSent (no byte was sent) and errNotRun (the server states it)
 // prove that the server did not run the request. After errInvalidResponse it may have run.
 var (
--- a/request/gateway/readahead_test.go
+++ b/request/gateway/readahead_test.go
@@ -6,10 +6,14 @@
 	"errors"
 	"io"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"bilberrydale/connection/upstream"
+	"bilberrydale/process/directory"
 )
 
 // Load: clients that read slowly, of streams as long as usual ones and longer. Their servers are done
@@ -118,6 +122,45 @@
 	})
 }
 
+// readerBody is a body of a response from a reader.
+type readerBody struct{ io.Reader }
+
+func (readerBody) Close()   {}
+func (readerBody) Discard() {}
+
+// A server has sent its whole response, of which the client takes nothing. Guards against a server that gets
+// no other request as it seems to be at work.
+func TestServerIsFreeOnceItsStreamIsReadAhead(t *testing.T) {
+	for name, end := range map[string]error{"in order": io.EOF, "broken off": io.ErrUnexpectedEOF} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				dir := directory.New()
+				dir.Replace([]directory.Entry{{ID: "a", Service: "s", Slots: 1}}, time.Now())
+				s := dir.View().Server("a")
+				s.InFlight.Add(1)
+				body := io.MultiReader(bytes.NewReader(make([]byte, 48<<10)), iotest.ErrReader(end))
+				a := &attempt{server: s, response: &upstream.Response{Body: readerBody{body}}, cancel: func() {}}
+				r := newReadAhead(a, newReadAheadBudget(0))
+				r.writing()
+				time.Sleep(readAheadDelay / 2)
+				g.Expect(s.InFlight.Load()).To(BeEquivalentTo(1))
+				time.Sleep(time.Second)
+				if end == io.EOF {
+					g.Expect(s.InFlight.Load()).To(BeZero())
+				} else {
+					g.Expect(s.InFlight.Load()).To(BeEquivalentTo(1))
+				}
+				r.written()
+				_, _ = io.Copy(io.Discard, r) // the error is end
+				r.stop(func() {})
+				a.close(true)
+				g.Expect(s.InFlight.Load()).To(BeZero())
+			})
+		})
+	}
+}
+
 // Load: many streams whose clients take nothing for a while, each in turn, and then read at once. Guards
 // against memory that streams keep, beside the budget, until they end.
 func TestDrainedStreamKeepsNoMemory(t *testing.T) {
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -164,7 +164,7 @@
 	first, later := x.eventTimeouts(hist)
 	timer := time.AfterFunc(first, a.cancel)
 	defer timer.Stop()
-	ahead := newReadAhead(a.response, x.readAhead)
+	ahead := newReadAhead(a, x.readAhead)
 	defer ahead.stop(a.cancel)
 	r := newEventReader(ahead)
 	defer func() { _ = x.clientConn.SetWriteDeadline(time.Time{}) }() // the connection may get another request
