serverspeed: that all servers are slow takes responses of two of them

Would be seen: six responses in a row from one slow server excuse all for 6 s, and the slow one goes on getting requests. The last responses told that all servers had become slow, whichever server they came from.

The slow ones of the last six have to come from two servers, unless only one has ever responded.

TestResponsesOfOneServerDoNotTellOfAll: two of five cases red before, green now; packages serverspeed, balance and gateway pass.

--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -317,6 +317,47 @@
 	}
 }
 
+// Several responses in a row come from one server: it has most of the requests of a kind. Guards against one
+// slow server that makes all count as slow, so that none is told from the others, and against a service of
+// one server that is slower than itself.
+func TestResponsesOfOneServerDoNotTellOfAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers int     // that respond at first
+		slow    []int   // servers of the responses that then take five times as long, in turn
+		fast    bool    // and a server between them responds as before
+		common  float64 // log of the factor for all
+	}{
+		"one of two":                    {servers: 2, slow: []int{0}},
+		"one of two, the other as ever": {servers: 2, slow: []int{0, 0, 0, 0, 0}, fast: true},
+		"both":                          {servers: 2, slow: []int{0, 1}, common: math.Log(5)},
+		"both, most of one":             {servers: 2, slow: []int{0, 0, 0, 0, 0, 1}, common: math.Log(5)},
+		"the only one":                  {servers: 1, slow: []int{0}, common: math.Log(5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var usual Usual
+			states := make([]State, 2)
+			at := now
+			respond := func(i int, took time.Duration) {
+				at = at.Add(10 * time.Millisecond)
+				usual.Observe(&states[i], Measurement{Took: took, Load: 1, Slots: 8, At: at})
+			}
+			for i := range 40 {
+				respond(i%c.servers, 95*time.Millisecond) // 100 ms with jitter
+			}
+			for i := range 12 {
+				respond(c.slow[i%len(c.slow)], 495*time.Millisecond)
+				if c.fast && i%len(c.slow) == len(c.slow)-1 {
+					respond(1, 95*time.Millisecond)
+				}
+			}
+			common, known := usual.common(at)
+			g.Expect(known).To(BeTrue())
+			g.Expect(common).To(BeNumerically("~", c.common, 0.2))
+		})
+	}
+}
+
 // A host's way to a server loses packets, others reach it well. Guards against the word of one host that
 // outweighs what the others measure.
 func TestOneHostDoesNotOutweighOthers(t *testing.T) {
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -23,8 +23,9 @@
 	// atLoad is how much longer than usual requests take at each level of load at any server, as a
 	// logarithm, beyond the wait for a slot.
 	atLoad [loadLevels]float64
-	// recent holds the logarithms of the last times, as they would be at the usual load.
-	recent [recentResponses]float64
+	recent [recentResponses]recentResponse
+	// several reports that two servers have responded. One alone tells of all, as it is all.
+	several bool
 	// earlier is the mean as it was some seconds ago, earlierAt the time of its last update.
 	earlier   float64
 	earlierAt time.Time
@@ -32,6 +33,12 @@
 	heldAt    time.Time // when it was measured
 }
 
+// recentResponse is one of the last responses.
+type recentResponse struct {
+	log    float64 // logarithm of its time, as it would be at the usual load
+	server *State
+}
+
 const (
 	// recentResponses are the last responses that tell whether all servers have become slow. All but
 	// one of them have to take longer.
@@ -58,16 +65,33 @@
 // hold sets what common returns: the highest value of the last commonHeldFor, as what was measured
 // meanwhile counts for so long. The caller holds u.mu.
 func (u *Usual) hold(now time.Time) {
-	sorted := u.recent
-	slices.Sort(sorted[:])
-	if log := max(sorted[1]-u.earlier, 0); log >= u.held || now.Sub(u.heldAt) > commonHeldFor {
+	if log := max(u.recentLog()-u.earlier, 0); log >= u.held || now.Sub(u.heldAt) > commonHeldFor {
 		u.held, u.heldAt = log, now
 	}
 }
 
-// updateCommon adds the logarithm of a time to what common returns. The caller holds u.mu.
-func (u *Usual) updateCommon(log float64, now time.Time) {
-	u.recent[u.samples%recentResponses] = log
+// recentLog returns the logarithm of the time that the last responses of at least two servers took, but for
+// one of them; if they are of one server of several, the usual one. The caller holds u.mu.
+func (u *Usual) recentLog() float64 {
+	sorted := u.recent
+	slices.SortFunc(sorted[:], func(a, b recentResponse) int { return cmp.Compare(a.log, b.log) })
+	if !u.several {
+		return sorted[1].log
+	}
+	for least := 1; least >= 0; least-- {
+		slow := sorted[least:]
+		if slices.ContainsFunc(slow, func(r recentResponse) bool { return r.server != slow[0].server }) {
+			return sorted[least].log
+		}
+	}
+	return u.earlier
+}
+
+// updateCommon adds a response of a server to what common returns. The caller holds u.mu.
+func (u *Usual) updateCommon(s *State, log float64, now time.Time) {
+	last := u.recent[(u.samples+recentResponses-1)%recentResponses].server
+	u.several = u.several || u.samples > 1 && s != last
+	u.recent[u.samples%recentResponses] = recentResponse{log, s}
 	if u.samples <= firstSamples {
 		u.earlier, u.earlierAt = u.mean, now
 		return
@@ -177,7 +201,7 @@
 		difference = log - queued - u.last
 	}
 	u.update(log-queued, difference)
-	u.updateCommon(log-queued-*atLoad, m.At)
+	u.updateCommon(s, log-queued-*atLoad, m.At)
 	if measured {
 		*atLoad = bounded(*atLoad + usualWeight*min(max(relative-queued, -maxUsualStep), maxUsualStep))
 	}
