serverspeed: findings that waited for a suspended host are left out

Would be seen: a host that was stopped for 10 s takes servers for slow that were slow then, and tells it on: messages that waited in its queues count as of their arrival, and a finding that is held to be passed on keeps its weight.

Findings that come before the first Tell after maxGap are left out. One that is held loses weight as evidence does. Messages still queued after that Tell are not told from new ones.

TestFindingsThatWaitedForASuspendedHostAreLeftOut and TestHeldFindingsLoseWeight: red before, green now; packages serverspeed and balance pass.

--- a/process/serverspeed/exchange.go
+++ b/process/serverspeed/exchange.go
@@ -149,7 +149,8 @@
 	}
 }
 
-// onFindings handles methodFindings.
+// onFindings handles methodFindings. A host that has been suspended leaves out what comes before it calls Tell
+// again: it may have waited since, and its age is not known.
 func (x *Exchange) onFindings(_ context.Context, _ peer.Identity, payload []byte) ([]byte, error) {
 	var findings []Finding
 	if err := peer.Unmarshal(payload, &findings); err != nil {
@@ -158,6 +159,9 @@
 	now := x.opts.Clock.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if now.Sub(x.toldAt) > maxGap {
+		return nil, nil
+	}
 	for _, f := range findings[:min(len(findings), maxFindings)] {
 		// A server that this host does not list, or lists with another start, is left out.
 		if state := x.states[f.Server]; f.Origin != x.self && state != nil && state.hear(f, now) {
--- a/process/serverspeed/finding.go
+++ b/process/serverspeed/finding.go
@@ -53,8 +53,10 @@
 	return average{bounded(float64(log)*logUnit) * weight, weight}
 }
 
-// older returns the finding as of a later time.
+// older returns the finding as of a later time. Its weights decay as those of evidence do.
 func (f Finding) older(elapsed time.Duration) Finding {
+	left := math.Exp2(-max(elapsed, 0).Seconds() / evidenceHalfLife.Seconds())
+	f.TimeWeight, f.RoomWeight = uint8(math.Round(left*float64(f.TimeWeight))), uint8(math.Round(left*float64(f.RoomWeight)))
 	f.AgeMS = uint16(min(time.Duration(f.AgeMS)+max(elapsed, 0)/time.Millisecond, math.MaxUint16))
 	return f
 }
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -358,6 +358,39 @@
 	}
 }
 
+// A host was suspended, and handles messages that have waited for it before it calls Tell again. Guards against
+// findings of some seconds ago that count as of now, and that it passes on.
+func TestFindingsThatWaitedForASuspendedHostAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(2)
+	c.tell(1)
+	observe(c.states[0], 8, 5, c.clock.Now())
+	f, isNew := c.states[0].news(c.clock.Now())
+	g.Expect(isNew).To(BeTrue())
+	f.Server, f.Origin = c.servers[0].hash(), c.exchanges[0].self
+	payload, err := peer.Marshal([]Finding{f})
+	g.Expect(err).NotTo(HaveOccurred())
+	receive := func() {
+		_, err := c.exchanges[1].onFindings(context.Background(), peer.Identity{}, payload)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	c.clock.Advance(10 * time.Second)
+	receive()
+	g.Expect(c.slow()).To(Equal([]int{0}))
+	c.tell(1)
+	receive()
+	g.Expect(c.slow()).To(Equal([]int{0, 1}), "it hears again")
+}
+
+// Guards against a finding that is held to be passed on and keeps its weight meanwhile.
+func TestHeldFindingsLoseWeight(t *testing.T) {
+	g := NewWithT(t)
+	f := Finding{TimeWeight: 80, RoomWeight: 40, AgeMS: 100}
+	g.Expect(f.older(0)).To(Equal(f))
+	g.Expect(f.older(evidenceHalfLife)).To(Equal(Finding{TimeWeight: 40, RoomWeight: 20, AgeMS: 2100}))
+	g.Expect(f.older(-time.Second)).To(Equal(f))
+}
+
 // A host's way to a server loses packets, others reach it well. Guards against the word of one host that
 // outweighs what the others measure.
 func TestOneHostDoesNotOutweighOthers(t *testing.T) {
