bodylimit: a suspension of the process is no stall of its uploads

Would be seen: after the process was stopped, or had no processor, for 500 ms, sound uploads are given up as stalled for others that wait for room: the recheck comes before their bytes are read.

A look that comes more than three intervals after the last one gives nobody up, and the gap does not count as the uploads' own time. If none waited when the suspension began, there is no last look, and nothing is excused.

TestSuspensionIsNoStall: red without the excuse, green with it; package bodylimit passes.

--- a/connection/bodylimit/uploads.go
+++ b/connection/bodylimit/uploads.go
@@ -21,6 +21,9 @@
 	minUploadBytes     = 8 << 20
 	// recheckInterval is the time between two looks at the progress of others while a body waits.
 	recheckInterval = 100 * time.Millisecond
+	// maxRecheckGap is the time between two looks after which this process has been suspended, or had no
+	// processor time.
+	maxRecheckGap = 3 * recheckInterval
 	// spareBytes is the size of a block for a body that has no more bytes, but has not ended.
 	spareBytes = 512
 )
@@ -44,6 +47,7 @@
 	uploads map[*upload]struct{} // with bytes that are counted
 	waiting []*upload            // for room, in order of arrival
 	recheck *time.Timer          // runs while some wait; nil before the first
+	looked  time.Time            // last look at those that wait; zero: none waits
 	givenUp int64                // since the start
 	noRoom  int64                // since the start
 }
@@ -336,7 +340,8 @@
 // dispatch gives room to bodies that wait, those that are expected to need the least first, and gives
 // others up for them. The caller holds u.mu.
 func (u *Uploads) dispatch(now time.Time) {
-	defer u.scheduleRecheck()
+	defer u.scheduleRecheck(now)
+	suspended := u.excuseSuspension(now)
 	for len(u.waiting) > 0 {
 		first := u.firstWaiting((*upload).expected)
 		closest := u.firstWaiting(func(b *upload) int64 { return b.need })
@@ -345,6 +350,8 @@
 			u.grant(first)
 		case u.fits(closest, closest.wants):
 			u.grant(closest)
+		case suspended:
+			return
 		default:
 			u.giveUpFor(first, now)
 			return
@@ -352,6 +359,29 @@
 	}
 }
 
+// excuseSuspension reports whether the process was suspended since the last look. The time does not count as
+// the bodies' own: nobody read them. The caller holds u.mu.
+func (u *Uploads) excuseSuspension(now time.Time) bool {
+	gap := now.Sub(u.looked)
+	if u.looked.IsZero() || gap <= maxRecheckGap {
+		return false
+	}
+	for b := range u.uploads {
+		if b.wants == 0 {
+			b.began, b.progressAt = earlier(b.began.Add(gap), now), earlier(b.progressAt.Add(gap), now)
+		}
+	}
+	return true
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // firstWaiting returns the waiting body that needs the least. Of equal ones it is the newest: its client has
 // the most time left.
 func (u *Uploads) firstWaiting(need func(*upload) int64) *upload {
@@ -372,7 +402,11 @@
 }
 
 // scheduleRecheck looks again after recheckInterval if bodies wait. The caller holds u.mu.
-func (u *Uploads) scheduleRecheck() {
+func (u *Uploads) scheduleRecheck(now time.Time) {
+	u.looked = now
+	if len(u.waiting) == 0 {
+		u.looked = time.Time{}
+	}
 	switch {
 	case len(u.waiting) == 0 && u.recheck != nil:
 		u.recheck.Stop()
--- a/connection/bodylimit/uploads_test.go
+++ b/connection/bodylimit/uploads_test.go
@@ -134,6 +134,36 @@
 	})
 }
 
+// The process is suspended for some seconds while a body arrives that another one waits for. Guards against
+// giving up a sound body as stalled before what has come meanwhile is read.
+func TestSuspensionIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // so that the recheck does not come by itself
+		g := NewWithT(t)
+		u := NewUploads(smallHost)
+		now := time.Now()
+		arriving := u.begin(mebibyte, Upload{Length: mebibyte, Limit: mebibyte, Interrupt: func() {}})
+		u.take(arriving, u.max-1)
+		arriving.need = 1
+		waiting := u.begin(mebibyte, Upload{Length: mebibyte, Limit: mebibyte})
+		waiting.wants, waiting.waitBegan, waiting.granted = blockBytes, now, make(chan struct{})
+		u.waiting = append(u.waiting, waiting)
+		look := func(after time.Duration) bool {
+			now = now.Add(after)
+			u.dispatch(now)
+			return arriving.givenUp
+		}
+		g.Expect(look(0)).To(BeFalse())
+		g.Expect(look(recheckInterval)).To(BeFalse())
+		g.Expect(look(5*time.Second)).To(BeFalse(), "suspended")
+		g.Expect(look(recheckInterval)).To(BeFalse())
+		for at := time.Duration(0); at < stallTime; at += recheckInterval {
+			look(recheckInterval)
+		}
+		g.Expect(arriving.givenUp).To(BeTrue(), "stalled")
+		u.recheck.Stop()
+	})
+}
+
 // Guards against giving up a slow client where nobody needs its memory, and against one that holds a
 // request past its time.
 func TestStalledBodyAloneLastsToItsTimeout(t *testing.T) {
