bodylimit: the uploads that wait for room are bounded

Would be seen: while the memory for bodies is full, every further upload holds 8 KiB that are not counted, for as long as its timeout, and each look at those that wait costs more under the lock.

At most 1,024 wait without counted bytes (8 MiB); a further one is told at once that there is no room. Uploads that hold counted bytes may wait as before: these bytes bound them. The cost of a look is now bounded, not less.

TestUploadsThatWaitAreBounded: red without the bound (2,048 wait), green with it; package bodylimit passes.

--- a/connection/bodylimit/uploads.go
+++ b/connection/bodylimit/uploads.go
@@ -24,6 +24,9 @@
 	// maxRecheckGap is the time between two looks after which this process has been suspended, or had no
 	// processor time.
 	maxRecheckGap = 3 * recheckInterval
+	// maxWaitingUploads bounds the bodies that wait without any counted bytes: freeUploadBytes of each are
+	// in memory. Others that wait are bounded by the bytes that they hold.
+	maxWaitingUploads = 1024
 	// spareBytes is the size of a block for a body that has no more bytes, but has not ended.
 	spareBytes = 512
 )
@@ -33,7 +36,7 @@
 	ErrTooLarge = errors.New("the body is larger than allowed")
 	ErrStalled  = errors.New("the body was given up for others that make progress")
 	ErrLate     = errors.New("the body did not arrive in time")
-	ErrNoRoom   = errors.New("the bodies of other requests left no room in time")
+	ErrNoRoom   = errors.New("the bodies of other requests left no room in time") // or too many wait for it
 )
 
 // Uploads reads bodies of clients' requests into memory. All of them together are bounded: memory is
@@ -260,6 +263,11 @@
 		u.mu.Unlock()
 		return nil
 	}
+	if b.held == 0 && len(u.waiting) >= maxWaitingUploads {
+		u.noRoom++
+		u.mu.Unlock()
+		return ErrNoRoom
+	}
 	b.wants, b.waitBegan, b.granted = n, time.Now(), make(chan struct{})
 	u.waiting = append(u.waiting, b)
 	u.dispatch(b.waitBegan)
--- a/connection/bodylimit/uploads_test.go
+++ b/connection/bodylimit/uploads_test.go
@@ -134,6 +134,37 @@
 	})
 }
 
+// Load: twice as many uploads as may wait come while others fill the memory. Guards against memory without a
+// bound: the beginning of each that waits is held, and not counted.
+func TestUploadsThatWaitAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		u := NewUploads(smallHost)
+		u.total = u.max // by bodies in service
+		began := time.Now()
+		refused := 0
+		var group sync.WaitGroup
+		var mu sync.Mutex // guards refused
+		for range 2 * maxWaitingUploads {
+			group.Go(func() {
+				_, err := u.Read(newSender(1, 64<<10, 64<<10, fastLink).upload(10*time.Second, false))
+				g.Expect(err).To(MatchError(ErrNoRoom))
+				mu.Lock()
+				defer mu.Unlock()
+				if time.Since(began) < time.Second {
+					refused++
+				}
+			})
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(u.Stats().Waiting).To(Equal(maxWaitingUploads))
+		group.Wait()
+		g.Expect(refused).To(Equal(maxWaitingUploads))
+		g.Expect(u.Stats().NoRoom).To(BeEquivalentTo(2 * maxWaitingUploads))
+		g.Expect(u.uploads).To(BeEmpty())
+	})
+}
+
 // The process is suspended for some seconds while a body arrives that another one waits for. Guards against
 // giving up a sound body as stalled before what has come meanwhile is read.
 func TestSuspensionIsNoStall(t *testing.T) {
