bodylimit: a delivery whose time ended just as a part was taken is unread

Would be seen: a client that does not read gets its end logged as an error of the connection, not as an unread answer. The timer interrupts the delivery, the part under way still succeeds and starts the timer again, and the next one fails with the interrupt's error. Besides, a delivery that the timer had ended could still be given up for others.

The timer notes that it has fired, and the delivery ends in either case.

TestProgressAtTheEndOfTheTimeIsTooLate: red before ("interrupted"), green now; package bodylimit passes with -race.

--- a/connection/bodylimit/deliver.go
+++ b/connection/bodylimit/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,10 +29,15 @@
 		}
 		return nil
 	}
-	timer := time.AfterFunc(maxUnreadTime, interrupt)
+	var expired atomic.Bool // progress may start the timer again after that
+	timer := time.AfterFunc(maxUnreadTime, func() {
+		expired.Store(true)
+		interrupt()
+	})
 	d.beginDelivery(interrupt)
 	err := d.writeParts(w, func() { timer.Reset(maxUnreadTime) })
-	if !timer.Stop() || d.endDelivery() {
+	stopped, givenUp := timer.Stop(), d.endDelivery()
+	if !stopped || givenUp || expired.Load() {
 		return ErrUnread
 	}
 	return err
--- a/connection/bodylimit/deliver_test.go
+++ b/connection/bodylimit/deliver_test.go
@@ -98,3 +98,31 @@
 		g.Expect(b.Stats().Bytes).To(BeZero())
 	})
 }
+
+// lateReceiver takes a part just as it is interrupted, and none after it.
+type lateReceiver struct{ *receiver }
+
+// Write implements io.Writer.
+func (r lateReceiver) Write(b []byte) (int, error) {
+	select {
+	case <-r.interrupted:
+		return 0, errors.New("interrupted")
+	default:
+		<-r.interrupted
+		return len(b), nil
+	}
+}
+
+// A client takes a part just as its time ends. Guards against an error of the connection in place of the
+// reason, and against an answer that can still be given up after its delivery.
+func TestProgressAtTheEndOfTheTimeIsTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		body, err := NewBudget(0).Read(bytes.NewReader(content(5, mebibyte)), 0, func() {})
+		g.Expect(err).NotTo(HaveOccurred())
+		defer body.Release()
+		r := newReceiver(0)
+		g.Expect(body.Deliver(lateReceiver{r}, r.interrupt)).To(MatchError(ErrUnread))
+		g.Expect(body.reader.delivering).To(BeFalse())
+	})
+}
