balance, serverspeed: tests ask for what the figures are worth

TestFewRequestsWaitAtASlowServer asked for less than 5 in 100 only, which seven of its twelve cases also reach without figures. It now asks besides for less than 0.6 of what the run without figures shows, or 0.5 in 100 where few wait anyway; the worst is 1.6 beside 2.9 in 100. Run without figures, seven cases are red. The other five cannot tell: at most 0.2 in 100 wait there without.

TestMessagesAreSmall states 1 KB a second and allowed 1,100 B; now 1,024. 948 B were measured.

--- a/process/balance/speed_test.go
+++ b/process/balance/speed_test.go
@@ -68,9 +68,10 @@
 			t.Run(fmt.Sprintf("%s, %d slots", name, slots), func(t *testing.T) {
 				g := NewWithT(t)
 				over := shareOver(slots, change)
-				t.Logf("over 200 ms: %.1f %%, without figures %.1f %%", 100*over,
-					100*shareOver(slots, func(s *simulation) { change(s); s.withoutSpeed = true }))
+				without := shareOver(slots, func(s *simulation) { change(s); s.withoutSpeed = true })
+				t.Logf("over 200 ms: %.1f %%, without figures %.1f %%", 100*over, 100*without)
 				g.Expect(over).To(BeNumerically("<", 0.05))
+				g.Expect(over).To(BeNumerically("<", max(0.6*without, 0.005)), "few wait without figures, or much fewer with them")
 			})
 		}
 	}
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -434,5 +434,5 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	perSecond := float64(len(payload)*fanout) / Interval.Seconds()
 	t.Logf("%d B a message, %.0f B/s at most", len(payload), perSecond)
-	g.Expect(perSecond).To(BeNumerically("<", 1100))
+	g.Expect(perSecond).To(BeNumerically("<=", 1024))
 }
