gateway: the tests of a host that starts see requests wait

They could pass without a request that waits: nothing showed that it had begun to when the host was ready, and an impatient one might end at any time. They now wait until it is counted, and ask that the impatient one ends at 20 ms and the patient one at maxStartWait, not 1 ns before.

--- a/request/gateway/start_test.go
+++ b/request/gateway/start_test.go
@@ -37,11 +37,18 @@
 	return done
 }
 
+// awaitWaiters waits until a number of requests wait.
+func (h *startingHost) awaitWaiters(n int) {
+	h.Eventually(h.gateway.startWaiters.Load, "10s").Should(BeEquivalentTo(n))
+	h.Eventually(h.clock.Waiters, "10s").Should(Equal(n))
+}
+
 // Guards against requests that are refused, and told to come back much later, by a host that knows
 // its configuration a moment after it has started.
 func TestRequestsOfAStartingHostWaitForItsConfiguration(t *testing.T) {
 	h := newStartingHost(t)
 	done := h.arrive(0)
+	h.awaitWaiters(1)
 	h.Consistently(done, "50ms").ShouldNot(BeClosed())
 	close(h.started)
 	h.Eventually(done, "10s").Should(BeClosed())
@@ -52,10 +59,18 @@
 // Guards against requests that wait for a configuration which does not come, as the platform is away.
 func TestRequestsOfAStartingHostWaitForAShortTime(t *testing.T) {
 	h := newStartingHost(t)
-	h.Consistently(h.arrive(0), "50ms").ShouldNot(BeClosed())
+	patient := h.arrive(0)
+	h.awaitWaiters(1)
 	impatient := h.arrive(60 * time.Millisecond)
-	h.Eventually(func() chan struct{} { h.clock.Advance(20 * time.Millisecond); return impatient }, "10s").Should(BeClosed())
-	h.clock.Advance(maxStartWait)
+	h.awaitWaiters(2)
+	h.clock.Advance(20*time.Millisecond - 1)
+	h.Consistently(impatient, "50ms").ShouldNot(BeClosed())
+	h.clock.Advance(1)
+	h.Eventually(impatient, "10s").Should(BeClosed())
+	h.clock.Advance(maxStartWait - 20*time.Millisecond - 1)
+	h.Consistently(patient, "50ms").ShouldNot(BeClosed())
+	h.clock.Advance(1)
+	h.Eventually(patient, "10s").Should(BeClosed())
 	h.Eventually(h.arrive(0), "10s").Should(BeClosed(), "the host has not just started")
 }
 
