--- a/edge/serverspeed.go
+++ b/edge/serverspeed.go
@@ -69,10 +69,10 @@
 		outcome = "is slow and gets fewer requests"
 		h.meter.Add("servers_became_slow", 1)
 	}
-	if h.logLimits.allow(false, now) {
-		h.log.Info("backend server", "outcome", outcome, "id", s.ID, "service", s.Service, "relative_time", r.RelativeTime, "room", r.Room,
-			"weight", r.AllWeight, "own_weight", r.OwnWeight, "heard_hosts", r.HeardHosts, "told", r.Told)
-	}
+	// Without the limit of lines about requests, which would leave it out under load; the hysteresis
+	// of the judgement keeps these few.
+	h.log.Info("backend server", "outcome", outcome, "id", s.ID, "service", s.Service, "relative_time", r.RelativeTime, "room", r.Room,
+		"weight", r.AllWeight, "own_weight", r.OwnWeight, "heard_hosts", r.HeardHosts, "told", r.Told)
 }
 
 // slowServers returns the number of listed servers that are slow.
--- a/process/accountshare/decide.go
+++ b/process/accountshare/decide.go
@@ -130,8 +130,8 @@
 // limits is which requests of a service are admitted.
 type limits struct {
 	capacity float64 // cost per second that is divided; 0: not known
-	level    float64 // share of each account that asks for more; cost per second
-	// cuts has the accounts that ask for more than their share. Requests with a priority below
+	level    float64 // share of each account that asks for more, of the priority that is short; cost per second
+	// cuts has the accounts that ask for more than there is for them. Requests with a priority below
 	// the whole part of the number are admitted, and its fraction of those with that priority.
 	cuts map[accountID]float32
 }
@@ -145,50 +145,88 @@
 	return min(max(float64(cut)-float64(c.priority), 0), 1)
 }
 
-// decide divides a capacity, in cost per second, among accounts. An account that is alone is not
-// limited.
+// decide divides a capacity, in cost per second, among classes: the most urgent priority first, and
+// the requests of one priority among accounts by max-min. An account that is alone is not limited.
 func decide(t *totals, capacity float64) limits {
-	var (
-		accounts []accountID
-		demands  []fairshare.Demand // of accounts, in the same order
-		demand   float64
-	)
-	classes := t.classes()
-	for _, c := range classes {
-		if n := len(accounts); n == 0 || accounts[n-1] != c.account {
-			accounts, demands = append(accounts, c.account), append(demands, fairshare.Demand{Weight: 1})
+	byPriority := t.byPriority()
+	accounts := map[accountID]bool{}
+	demand := t.rest
+	for _, classes := range byPriority {
+		for _, c := range classes {
+			accounts[c.account] = true
+			demand += t.demand[c]
 		}
-		demand += t.demand[c]
-		demands[len(demands)-1].Amount += t.demand[c]
-	}
-	demand += t.rest
-	if t.restOf > 0 {
-		demands = append(demands, fairshare.Demand{Amount: t.rest, Weight: float64(t.restOf)})
 	}
+	l := limits{capacity: capacity}
 	if len(accounts)+t.restOf < 2 || t.taken < minTakenShare*demand || capacity >= demand {
-		return limits{capacity: capacity}
+		return l
 	}
-	l := limits{capacity: capacity, level: fairshare.Level(capacity, demands), cuts: map[accountID]float32{}}
-	for i, account := range accounts {
-		if demands[i].Amount > l.level {
-			l.cuts[account] = t.cut(classes, account, l.level)
+	l.cuts = map[accountID]float32{}
+	left := capacity
+	for i, classes := range byPriority {
+		rest := fairshare.Demand{}
+		if i == 0 { // whatever the priorities of the rest are, its accounts ask for little
+			rest = fairshare.Demand{Amount: t.rest, Weight: float64(t.restOf)}
+		}
+		asked, level := t.share(classes, rest, left)
+		left -= asked
+		if left >= 0 {
+			continue
+		}
+		l.level = level
+		l.cutAt(t, classes)
+		for _, lessUrgent := range byPriority[i+1:] {
+			l.refuse(lessUrgent)
 		}
+		return l
 	}
 	return l
 }
 
-// cut returns up to which priority an account's requests fit into its share; see limits. classes are
-// those of t in order.
-func (t *totals) cut(classes []class, account accountID, share float64) float32 {
+// byPriority returns the classes by priority, the most urgent first, each in the order of accounts.
+func (t *totals) byPriority() (list [][]class) {
+	classes := slices.SortedFunc(maps.Keys(t.demand), func(a, b class) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.account, b.account))
+	})
+	for len(classes) > 0 {
+		end := slices.IndexFunc(classes, func(c class) bool { return c.priority != classes[0].priority })
+		if end < 0 {
+			end = len(classes)
+		}
+		list, classes = append(list, classes[:end]), classes[end:]
+	}
+	return list
+}
+
+// share returns what classes of one priority and the rest ask for, and the share of each account of
+// a capacity.
+func (t *totals) share(classes []class, rest fairshare.Demand, capacity float64) (asked, level float64) {
+	demands := make([]fairshare.Demand, 0, len(classes)+1)
 	for _, c := range classes {
-		if c.account != account {
-			continue
+		demands = append(demands, fairshare.Demand{Amount: t.demand[c], Weight: 1})
+		asked += t.demand[c]
+	}
+	if rest.Weight > 0 {
+		demands = append(demands, rest)
+		asked += rest.Amount
+	}
+	return asked, fairshare.Level(max(capacity, 0), demands)
+}
+
+// cutAt admits each account of classes of one priority up to the level.
+func (l *limits) cutAt(t *totals, classes []class) {
+	for _, c := range classes {
+		if amount := t.demand[c]; amount > l.level {
+			l.cuts[c.account] = float32(c.priority) + float32(l.level/amount)
 		}
-		amount := t.demand[c]
-		if amount > share {
-			return float32(c.priority) + float32(share/amount)
+	}
+}
+
+// refuse admits none of the classes of one priority.
+func (l *limits) refuse(classes []class) {
+	for _, c := range classes {
+		if _, cut := l.cuts[c.account]; !cut {
+			l.cuts[c.account] = float32(c.priority)
 		}
-		share -= amount
 	}
-	return maxPriority + 1 // all of them fit
 }
--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -13,12 +14,12 @@
 // A request is on time if its stages can end by its target time when started now, and late if
 // they cannot. Late requests still run if they can end before their deadline.
 //
-// The order in which requests start is: the client accounts that are within their due of the services
-// that are short, before those beyond it; within an account, and among all that are beyond, the more
-// urgent one; of one priority, those that can be on time by worth per second of server time, then late
-// ones by deadline. No server is left idle for the sake of a share: what accounts within their due
-// leave goes to the others at once. A part of the capacity goes first to late requests near their latest start
-// (the late reserve), in the same order.
+// The order in which requests start: the more urgent one first; of one priority, those of client
+// accounts within their due of the services that are short, before those of accounts beyond it; then
+// those that can be on time by worth per second of server time, then late ones by deadline. No server
+// is left idle for the sake of a share: what accounts within their due leave goes to the others at
+// once. A part of the capacity goes first to late requests near their latest start (the late reserve),
+// in the same order.
 //
 // Items in flight are limited for each service to what its servers complete in the time that
 // an item is in flight (Little's law). Up to this limit calls are full. Above it, requests
@@ -194,32 +195,62 @@
 // latency, and late ones.
 func (a *Admission) Waiting() (onTime, late int) { return len(a.onTime), len(a.late) }
 
-// Schedule admits and rejects waiting requests according to the state at now. While several accounts
-// ask for a service that is short, the requests of those within their due come first, and what they
-// leave goes to all. In both turns late requests near their latest start come first, up to the late
-// reserve; then all others by priority.
+// Schedule admits and rejects waiting requests according to the state at now. Late requests near their
+// latest start come first, up to the late reserve; then all others by priority. While several accounts
+// ask for a service that is short, of the requests of one priority those of accounts within their due
+// come first, and what they leave goes to all.
 func (a *Admission) Schedule(now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
 	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
 	if a.shares.contended {
-		a.startTurn(now, reserved, func(t *Ticket) bool {
-			t.HeldByShare = !t.withinDue()
-			return !t.HeldByShare
-		})
+		a.startShared(now, reserved)
+	} else {
+		a.startLateReserve(now, anyTicket)
+		a.startByPriority(reserved, anyTicket)
 	}
-	a.startTurn(now, reserved, func(*Ticket) bool { return true })
 	a.shares.markShort(reserved, now)
 	a.refuseUnreachable(now)
 }
 
-// startTurn starts the requests that have a turn and fit.
-func (a *Admission) startTurn(now time.Time, reserved *reservations, hasTurn func(*Ticket) bool) {
+// anyTicket gives all requests a turn.
+func anyTicket(*Ticket) bool { return true }
+
+// startShared starts requests while several accounts ask for a service that is short.
+func (a *Admission) startShared(now time.Time, reserved *reservations) {
+	withinDue := func(t *Ticket) bool {
+		t.HeldByShare = !t.withinDue()
+		return !t.HeldByShare
+	}
+	a.startLateReserve(now, withinDue)
+	a.startLateReserve(now, anyTicket)
+	for _, priority := range a.waitingPriorities() {
+		samePriority := func(t *Ticket) bool { return t.Request.Priority == priority }
+		a.startByPriority(reserved, func(t *Ticket) bool { return samePriority(t) && withinDue(t) })
+		a.startByPriority(reserved, samePriority)
+	}
+}
+
+// waitingPriorities returns the priorities of the waiting requests, the most urgent first.
+func (a *Admission) waitingPriorities() (list []int) {
+	for _, waiting := range [][]*Ticket{a.onTime, a.late} { // each in the order of priorities
+		for _, t := range waiting {
+			if n := len(list); n == 0 || list[n-1] != t.Request.Priority {
+				list = append(list, t.Request.Priority)
+			}
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// startLateReserve starts the late requests near their latest start that have a turn, up to the late
+// reserve.
+func (a *Admission) startLateReserve(now time.Time, hasTurn func(*Ticket) bool) {
 	a.late = a.startFitting(a.late, func(t *Ticket) bool {
 		return a.nearLatestStart(t, now) && hasTurn(t) && a.fitsLateReserve(t.Request)
 	})
-	a.startByPriority(reserved, hasTurn)
 }
 
 // startByPriority starts the requests that have a turn and fit, the most urgent first; of one priority those that
