--- a/request/gateway/serverspeed_test.go
+++ b/request/gateway/serverspeed_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"bilberrydale/connection/upstream"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
+	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
 
@@ -123,3 +127,47 @@
 	g.Expect(s.Speed.Slow()).To(BeTrue())
 	g.Expect(s.Speed.Overdue(c.Now().Add(time.Hour))).To(BeZero())
 }
+
+// oneResponse is a ServerClient and Headers with one response to every request.
+type oneResponse struct {
+	ServerClient
+	wire.Headers
+	headers wire.ServerResponse
+}
+
+func (oneResponse) EncodeServerRequest(http.Header, wire.ServerRequest) http.Header { return nil }
+
+func (r oneResponse) DecodeServerResponse(int, http.Header, time.Time) wire.ServerResponse {
+	return r.headers
+}
+
+func (oneResponse) Do(context.Context, string, *upstream.Request) (*upstream.Response, error) {
+	return &upstream.Response{Status: http.StatusServiceUnavailable, Body: readerBody{strings.NewReader("")}}, nil
+}
+
+// A request waits at a server for longer than usual, and the server refuses another one. Guards against a
+// server that counts as hung while it responds, and against the answer of another process in its place that
+// counts as one of its own.
+func TestRefusalShowsThatAServerResponds(t *testing.T) {
+	for name, c := range map[string]struct {
+		headers wire.ServerResponse
+		overdue bool
+	}{
+		"a refusal":        {headers: wire.ServerResponse{NotRun: true}},
+		"another's answer": {headers: wire.ServerResponse{AttemptID: "other"}, overdue: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, s, at := newMeasuredExchange(time.Unix(1000, 0))
+			x.opts.Headers, x.opts.Servers = oneResponse{headers: c.headers}, oneResponse{}
+			x.deadline = at.Now().Add(time.Minute)
+			x.beginMeasurement(s, "", at.Now())
+			at.Advance(time.Second)
+			g.Expect(s.Speed.Overdue(at.Now())).To(BeNumerically(">", 0))
+			_, err := x.send(t.Context(), s, "", 0)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(s.Speed.Overdue(at.Now()) > 0).To(Equal(c.overdue))
+			g.Expect(s.InFlight.Load()).To(BeZero())
+		})
+	}
+}
