waitline: each kind of request is looked at, wherever it stands in the line

Callers whose requests may run in an idle region waited behind 16 or more requests that may run in a full one only, until one of them was due for a trial: only the first 16 tickets were looked at in a step. Room is now asked once a step for each distinct key of what it depends on: allowed regions, rank, servers tried. A request without a key is asked for itself.

Evidence: TestRequestsOfAFullRegionDoNotBlockOthers, red without the change (the request of the idle region stays).

--- a/process/waitline/bench_test.go
+++ b/process/waitline/bench_test.go
@@ -13,7 +13,7 @@
 			l, room := &Line{}, false
 			for range waiting {
 				r := request(1, &room)
-				r.MaxWait = time.Hour
+				r.MaxWait, r.RoomKey = time.Hour, "all"
 				l.Join(r, start)
 			}
 			for b.Loop() {
--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -49,6 +49,9 @@
 	// MaxWait is the time after which the request is due for a trial, and from when it is late that
 	// after which it is refused. It is short, as what is known of servers may be wrong.
 	MaxWait time.Duration
+	// RoomKey is the same for requests for which Room returns the same. Room of only one of them is called
+	// in each step. Empty: no other request has the same.
+	RoomKey string
 	// Room returns whether a server on which the request may run has room. It is called with the
 	// lock of the line held, and has to return at once.
 	Room func(now time.Time) Belief
@@ -74,7 +77,6 @@
 // Bounds of a line.
 const (
 	maxWaiting = 512 // requests, with their bodies
-	maxLooks   = 16  // requests at the head of the line for which servers are looked at in one step
 	// maxTurn is the time for which a request may keep its turn. It is long for a step between two
 	// goroutines, so that a request that has left without a word doesn't stop the others.
 	maxTurn     = 50 * time.Millisecond
@@ -309,9 +311,9 @@
 // caller holds l.mu.
 func (l *Line) giveTurn(now, next time.Time) time.Time {
 	l.turn = nil
-	trialAt := next
+	trialAt, lacksRoom := next, map[string]bool{} // by RoomKey
 	for i, t := range l.tickets {
-		if i < maxLooks {
+		if !lacksRoom[t.RoomKey] {
 			b := t.Room(now)
 			if b.Room {
 				l.endWithTurn(i, Proceed, now)
@@ -320,6 +322,7 @@
 			if !b.RoomAt.IsZero() {
 				next = earlier(next, b.RoomAt)
 			}
+			lacksRoom[t.RoomKey] = t.RoomKey != ""
 		}
 		trialAt = earlier(trialAt, t.dueAt())
 	}
--- a/process/waitline/line_test.go
+++ b/process/waitline/line_test.go
@@ -85,6 +85,26 @@
 	g.Expect(c.Outcome()).To(Equal(Proceed))
 }
 
+// Guards against servers that stay idle: many requests of one region, which is full, are before those that
+// may run in another.
+func TestRequestsOfAFullRegionDoNotBlockOthers(t *testing.T) {
+	g := NewWithT(t)
+	l, full, looks := &Line{}, false, 0
+	for range 100 {
+		r := request(0, &full)
+		r.RoomKey = "full"
+		r.Room = func(time.Time) Belief { looks++; return Belief{} }
+		join(g, l, r, start)
+	}
+	idle := true
+	r := request(1, &idle)
+	r.RoomKey = "idle"
+	other := join(g, l, r, start)
+	l.Advance(start)
+	g.Expect(other.Done()).To(BeClosed())
+	g.Expect(looks).To(Equal(1))
+}
+
 // Guards against requests that wait for what does not come: each goes for a trial in the end, the
 // head of the line first and one after the other.
 func TestTrialsArePaced(t *testing.T) {
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,7 +155,7 @@
 	}
 	ticket, first, outcome := line.Join(waitline.Request{
 		Priority: x.priority, Worth: x.worth(), Target: target, Deadline: x.deadline, MaxWait: max(maxWait-x.logEntry.Waited, 0),
-		Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
+		RoomKey: x.roomKey(hist), Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
 		x.recordNoRoom()
@@ -255,6 +258,11 @@
 	return all
 }
 
+// roomKey returns a key of what room depends on besides the state of the servers.
+func (x *exchange) roomKey(hist *attemptHistory) string {
+	return fmt.Sprint(x.allowed.RouteRegions, x.allowed.AccountRegions, x.rank(), slices.Sorted(maps.Keys(hist.tried)))
+}
+
 // lacksRoom reports whether a server has no room for the request.
 func (x *exchange) lacksRoom(s *directory.Server, now time.Time) bool {
 	return !s.Room.Room(x.roomQuery(s, now)).Room
