waitline: a late request without a known pace does not keep the line busy

A host looked at a line 1,000 times a second for as long as a late request was past its time and no pace was known: Advance returned that time, in the past, though such a request is refused only at a known pace. It now does so only then.

Evidence: TestLateRequestsDoNotKeepTheLineBusy, red without the change (next look after 1 ms instead of 25).

--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -274,7 +274,7 @@
 	}
 	for _, t := range l.tickets {
 		next = earlier(next, t.Deadline.Add(-o.serviceTime))
-		if t.late {
+		if t.late && o.gap > 0 {
 			next = earlier(next, t.dueAt())
 		}
 	}
--- a/process/waitline/line_test.go
+++ b/process/waitline/line_test.go
@@ -162,6 +162,23 @@
 	g.Expect(tickets[4].Outcome()).To(Equal(Waiting))
 }
 
+// Guards against a line that is looked at every millisecond: a late request has waited for as long as it may,
+// and while the pace is not known only a trial, later, ends its wait.
+func TestLateRequestsDoNotKeepTheLineBusy(t *testing.T) {
+	g := NewWithT(t)
+	l, room := &Line{}, false
+	l.ObserveServerTime(400*time.Millisecond, true, start)
+	late := request(1, &room)
+	late.Target, late.MaxWait = start, time.Millisecond
+	join(g, l, late, start)
+	second := join(g, l, late, start)
+	now := after(2 * time.Millisecond)
+	l.Advance(now)
+	l.EndTurn(l.turn)
+	g.Expect(l.Advance(now)).To(Equal(now.Add(maxStep)))
+	g.Expect(second.Outcome()).To(Equal(Waiting))
+}
+
 // Guards against late requests that wait for as long as others keep passing them.
 func TestLateRequestsWaitForAShortTime(t *testing.T) {
 	g := NewWithT(t)
