waitline: one goroutine runs a line

A host with callers that leave kept a goroutine for each line that had been empty for a moment: Leave may empty a line, its runner sleeps on, and the next Join started another one. The line now knows that it is run, until Advance returns zero.

Evidence: TestOneRunner, red without the change (the second Join starts a runner).

--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -96,6 +96,7 @@
 	mu        sync.Mutex // guards the fields below
 	tickets   []*Ticket  // in order
 	joined    uint64     // number of tickets so far
+	running   bool       // the caller of a Join calls Advance
 	turn      *Ticket    // that left the line last and has not sent its request yet; nil: none
 	turnAt    time.Time  // when it left the line
 	lastTrial time.Time
@@ -161,10 +162,9 @@
 	return t.Deadline.Sub(o.startAt(position)) < o.serviceTime
 }
 
-// Join adds a request to the line. first reports whether the line was empty: the caller then has to
-// call Advance until it is empty again. The outcome is Waiting, or a refusal with which the request
-// was not added.
-func (l *Line) Join(r Request, now time.Time) (t *Ticket, first bool, outcome Outcome) {
+// Join adds a request to the line. run reports whether nobody calls Advance: the caller then has to,
+// until it returns zero. The outcome is Waiting, or a refusal with which the request was not added.
+func (l *Line) Join(r Request, now time.Time) (t *Ticket, run bool, outcome Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.joined++
@@ -187,7 +187,8 @@
 	}
 	l.tickets = slices.Insert(l.tickets, position, t)
 	l.length.Store(int64(len(l.tickets)))
-	return t, len(l.tickets) == 1, Waiting
+	run, l.running = !l.running, true
+	return t, run, Waiting
 }
 
 // setLate records whether the request is expected to miss its target.
@@ -270,6 +271,7 @@
 		next = l.giveTurn(now, next)
 	}
 	if len(l.tickets) == 0 {
+		l.running = false
 		return time.Time{}
 	}
 	for _, t := range l.tickets {
--- a/process/waitline/line_test.go
+++ b/process/waitline/line_test.go
@@ -105,6 +105,21 @@
 	g.Expect(looks).To(Equal(1))
 }
 
+// Guards against several goroutines that run one line: callers leave, the line is empty, and others join
+// before the first goroutine has seen that.
+func TestOneRunner(t *testing.T) {
+	g := NewWithT(t)
+	l, room := &Line{}, false
+	for i := range 3 {
+		ticket, run, _ := l.Join(request(0, &room), start)
+		g.Expect(run).To(Equal(i == 0))
+		l.Leave(ticket)
+	}
+	g.Expect(l.Advance(start)).To(BeZero())
+	_, run, _ := l.Join(request(0, &room), start)
+	g.Expect(run).To(BeTrue())
+}
+
 // Guards against requests that wait for what does not come: each goes for a trial in the end, the
 // head of the line first and one after the other.
 func TestTrialsArePaced(t *testing.T) {
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -153,13 +153,13 @@
 	if x.route.TargetLatency <= 0 {
 		target = x.deadline
 	}
-	ticket, first, outcome := line.Join(waitline.Request{
+	ticket, run, outcome := line.Join(waitline.Request{
 		Priority: x.priority, Worth: x.worth(), Target: target, Deadline: x.deadline, MaxWait: max(maxWait-x.logEntry.Waited, 0),
 		RoomKey: x.roomKey(hist), Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
 		x.recordNoRoom()
-		if first {
+		if run {
 			go x.runLine(line)
 		} else {
 			line.notify()
