gateway: a request counts at its server before the next one has its turn

Two requests of a line could be sent to the same free slot, of which the server refused or queued one: the turn ended before the request was counted in flight at its server. The turn now ends in send, after that.

Evidence: TestTurnEndsWhenTheRequestCounts, red without the change (the next request sees none in flight).

--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -77,6 +77,7 @@
 	}
 	measurement := x.beginMeasurement(s, lastEventID, now)
 	s.InFlight.Add(1)
+	x.endTurn() // the next request of the line sees this one in flight
 	x.logEntry.Attempts++
 	x.logEntry.Server = s.ID
 	response, err := x.opts.Servers.Do(ctx, s.Address, req)
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -207,10 +207,10 @@
 	line.notify()
 }
 
-// attemptBegins records that the request is about to be sent to a server, and returns the time.
+// attemptBegins records that the request is about to be sent to a server, and returns the time. The
+// turn of the request ends in send.
 func (x *exchange) attemptBegins(s *directory.Server) time.Time {
 	s.Room.Sent()
-	x.endTurn()
 	return x.opts.Clock.Now()
 }
 
--- /dev/null
+++ b/request/gateway/wait_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bilberrydale/connection/upstream"
+	"bilberrydale/process/directory"
+	"bilberrydale/process/residency"
+	"bilberrydale/process/waitline"
+	"bilberrydale/request/wire"
+)
+
+// sendFunc is a ServerClient that calls a function for each request and then fails.
+type sendFunc struct {
+	ServerClient
+	do func()
+}
+
+func (f sendFunc) Do(context.Context, string, *upstream.Request) (*upstream.Response, error) {
+	f.do()
+	return nil, &upstream.Error{DialFailed: true, Cause: errors.New("no path")}
+}
+
+func (sendFunc) CloseIdle(string) {}
+
+// plainHeaders are Headers that send none to servers.
+type plainHeaders struct{ wire.Headers }
+
+func (plainHeaders) EncodeServerRequest(http.Header, wire.ServerRequest) http.Header {
+	return http.Header{}
+}
+
+// newWaitingExchange returns a request for the only server of a service, of which a deadline and a route
+// with a target latency are set.
+func newWaitingExchange(now time.Time) (*exchange, *directory.Server) {
+	dir := directory.New()
+	dir.Replace([]directory.Entry{{ID: "a", Service: "s", Slots: 1}}, now)
+	x := newExchange(dir, now, residency.Set{})
+	x.r, x.route.TargetLatency = httptest.NewRequest("GET", "/", nil), time.Second
+	x.opts.Headers = plainHeaders{}
+	x.targetTime, x.deadline = now.Add(time.Second), now.Add(4*time.Second)
+	return x, dir.View().Server("a")
+}
+
+// holdTurn has the request leave a line with its turn, which is now.
+func (x *exchange) holdTurn(now time.Time) *waitingLine {
+	line := x.lines.of(x.service)
+	x.turn, _, _ = line.Join(waitline.Request{Deadline: x.deadline, Target: x.deadline, Room: func(time.Time) waitline.Belief { return waitline.Belief{Room: true} }}, now)
+	line.Advance(now)
+	return line
+}
+
+// Guards against two requests that take the same slot: the next request of the line has its turn while the
+// one before it is about to be sent and does not count at the server yet.
+func TestTurnEndsWhenTheRequestCounts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x, s := newWaitingExchange(now)
+	line := x.holdTurn(now)
+	var inFlight []int64
+	_, _, _ = line.Join(waitline.Request{Deadline: x.deadline, Target: x.deadline, MaxWait: time.Hour, Room: func(time.Time) waitline.Belief {
+		inFlight = append(inFlight, int64(s.InFlight.Load()))
+		return waitline.Belief{}
+	}}, now)
+	x.opts.Servers = sendFunc{do: func() { line.Advance(now) }}
+	x.attemptBegins(s)
+	line.Advance(now)
+	_, err := x.send(t.Context(), s, "", 0)
+	g.Expect(err).To(MatchError(errNotSent))
+	g.Expect(inFlight).To(Equal([]int64{1}))
+}
