gateway: a retry of which no attempt was made is given back

Requests that could be sent again were refused for want of retry budget while the line refused others that had taken a retry before their wait: the service's budget shrank by retries that nobody made. It is given back when a request ends without the attempt. The oldest count goes, so that the bound holds whichever it was.

Evidence: TestRetryOfARefusedRequestIsGivenBack, red without the change (0 of 1 left); TestOldestRetryIsReturned, red if the newest count goes instead.

--- a/process/retrylimit/retrylimit.go
+++ b/process/retrylimit/retrylimit.go
@@ -75,6 +75,20 @@
 	return true
 }
 
+// ReturnRetry takes back the count of a retry that was allowed and not made. The oldest one is taken, so
+// that the bound holds whichever it was.
+func (l *Limiter) ReturnRetry(service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.windowOf(service)
+	for slot := max(w.currentSlot-windowSlots, 0); slot <= w.currentSlot; slot++ {
+		if i := slot % (windowSlots + 1); w.retries[i] > 0 {
+			w.retries[i]--
+			return
+		}
+	}
+}
+
 // windowOf returns the window of a service, advanced to the current time. The caller holds l.mu.
 func (l *Limiter) windowOf(service string) *slidingWindow {
 	now := l.opts.Clock.Now().UnixNano() / int64(l.opts.Window/windowSlots)
--- a/process/retrylimit/retrylimit_test.go
+++ b/process/retrylimit/retrylimit_test.go
@@ -60,3 +60,20 @@
 	g.Expect(p.AllowRetry("a")).To(BeFalse())
 	g.Expect(p.AllowRetry("b")).To(BeTrue())
 }
+
+// Guards against retries over the bound after one was given back: the newest one was made, and may count
+// no shorter than it does.
+func TestOldestRetryIsReturned(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.NewManual(time.Unix(1000, 0))
+	p := New(Options{Window: 10 * time.Second, Slack: 3, Hosts: func() int { return 1 }, Clock: now})
+	g.Expect(p.AllowRetry("s")).To(BeTrue())
+	now.Advance(5 * time.Second)
+	g.Expect(p.AllowRetry("s")).To(BeTrue())
+	g.Expect(p.AllowRetry("s")).To(BeFalse())
+	p.ReturnRetry("s")
+	g.Expect(p.AllowRetry("s")).To(BeTrue())
+	now.Advance(6 * time.Second)
+	g.Expect(p.AllowRetry("s")).To(BeFalse())
+	p.ReturnRetry("other")
+}
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -136,6 +136,10 @@
 // of a server if there is one, and returns an error otherwise.
 func (x *exchange) finish(hist *attemptHistory) error {
 	x.endTurn()
+	if hist.retryTaken {
+		hist.retryTaken = false
+		x.opts.RetryLimiter.ReturnRetry(x.service)
+	}
 	switch {
 	case hist.failedResponse != nil:
 		return x.writeBuffered(hist.failedResponse)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -101,6 +101,8 @@
 	// AllowRetry takes a retry from the retry budget of the service. It returns false if none
 	// is left.
 	AllowRetry(service string) bool
+	// ReturnRetry gives back a retry for which no attempt was made.
+	ReturnRetry(service string)
 }
 
 // Gateway is the http.Handler for client requests. It is safe for concurrent use.
--- a/request/gateway/placement_test.go
+++ b/request/gateway/placement_test.go
@@ -26,6 +26,7 @@
 
 func (unlimitedRetries) RecordRequest(string)   {}
 func (unlimitedRetries) AllowRetry(string) bool { return true }
+func (unlimitedRetries) ReturnRetry(string)     {}
 
 // noPeers is the peer link of a host without peers.
 type noPeers struct{ stages.Link }
--- a/request/gateway/wait_test.go
+++ b/request/gateway/wait_test.go
@@ -76,3 +76,30 @@
 	g.Expect(err).To(MatchError(errNotSent))
 	g.Expect(inFlight).To(Equal([]int64{1}))
 }
+
+// countedRetries is a RetryLimiter with a budget.
+type countedRetries struct {
+	unlimitedRetries
+	left *int
+}
+
+func (c countedRetries) AllowRetry(string) bool { *c.left--; return *c.left >= 0 }
+func (c countedRetries) ReturnRetry(string)     { *c.left++ }
+
+// Guards against a retry budget that is used up by requests which the line refuses: others that could be
+// sent again are refused then.
+func TestRetryOfARefusedRequestIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x, s := newWaitingExchange(now)
+	left := 1
+	x.opts.RetryLimiter, x.reachedServer = countedRetries{left: &left}, true
+	s.InFlight.Store(9)
+	x.lines.of(x.service).ObserveServerTime(time.Minute, true, now)
+	hist := newAttemptHistory()
+	hist.record(errNotRun)
+	g.Expect(x.nextServer(t.Context(), hist)).To(BeNil())
+	g.Expect(hist.refusedInLine).To(Equal(waitline.Hopeless))
+	g.Expect(x.finish(hist)).To(HaveOccurred())
+	g.Expect(left).To(Equal(1))
+}
