gateway: a turn ends where it has found no server

Requests that had a server stood behind one that had its turn and none: it kept the turn while it asked other hosts for shares and waited for the end of a pause, up to the 50 ms after which a turn is lost. The turn now ends first.

Evidence: TestTurnEndsBeforeAnotherWait, red without the change (the turn is held in the wait).

--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -62,6 +62,9 @@
 		return nil
 	}
 	s := x.takeInTurn(ctx, hist)
+	if s == nil {
+		x.endTurn() // others may have servers
+	}
 	if s == nil && (hist.refusedInLine.Refused() || hist.retryRefused || ctx.Err() != nil) {
 		return nil
 	}
--- a/request/gateway/wait_test.go
+++ b/request/gateway/wait_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"bilberrydale/connection/upstream"
+	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/waitline"
@@ -103,3 +104,34 @@
 	g.Expect(x.finish(hist)).To(HaveOccurred())
 	g.Expect(left).To(Equal(1))
 }
+
+// watchedClock calls a function for each wait, which does not end.
+type watchedClock struct {
+	clock.Clock
+	wait func()
+}
+
+func (c watchedClock) After(time.Duration) <-chan time.Time {
+	c.wait()
+	return nil
+}
+
+// Guards against a line that stands still: the request that has its turn waits for the end of a pause, while
+// others have servers.
+func TestTurnEndsBeforeAnotherWait(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x, s := newWaitingExchange(now)
+	s.Pauses.Observe(time.Second, "", now, 1, 0)
+	x.holdTurn(now)
+	g.Expect(x.turn).NotTo(BeNil())
+	ctx, cancel := context.WithCancel(t.Context())
+	waits := 0
+	x.opts.Clock = watchedClock{x.opts.Clock, func() {
+		waits++
+		g.Expect(x.turn).To(BeNil())
+		cancel()
+	}}
+	g.Expect(x.nextServer(ctx, newAttemptHistory())).To(BeNil())
+	g.Expect(waits).To(Equal(1))
+}
