gateway: quarantine holds for requests that wait in a line

Servers could crash by an input that had been quarantined: the check was made before the wait for a turn or for the end of a pause and not after. It is made again after the wait, unless the attempt is a trial, which is taken once.

Evidence: TestQuarantineHoldsForRequestsThatWait, red without the change (the request gets a server).

--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -35,6 +35,7 @@
 	retryRefused     bool              // the retry budget is used up
 	needsRoom        bool              // servers without room for the request are passed over
 	refusedInLine    waitline.Outcome  // set if the request was refused by the line of its service
+	trial            bool              // the next attempt is a trial of a request in quarantine
 	quarantined      error             // set if the request was quarantined between two attempts
 	failedResponse   *bufferedResponse // 5xx response of a server, relayed if no later attempt succeeds
 	lastErr          error             // error of the last attempt; nil: none has failed
@@ -58,20 +59,20 @@
 	if hist.possibleRuns > 0 && (!x.retryable() || hist.possibleRuns >= x.route.MaxAttempts) {
 		return nil
 	}
-	if hist.quarantined = x.checkAttempt(); hist.quarantined != nil {
+	if hist.trial, hist.quarantined = x.checkAttempt(); hist.quarantined != nil {
 		return nil
 	}
 	s := x.takeInTurn(ctx, hist)
 	if s == nil {
 		x.endTurn() // others may have servers
 	}
-	if s == nil && (hist.refusedInLine.Refused() || hist.retryRefused || ctx.Err() != nil) {
+	if s == nil && (hist.quarantined != nil || hist.refusedInLine.Refused() || hist.retryRefused || ctx.Err() != nil) {
 		return nil
 	}
 	if s == nil && x.borrowShares(ctx, hist) {
 		s = x.takeServer(hist)
 	}
-	for s == nil && x.awaitPause(ctx, hist) {
+	for s == nil && x.awaitPause(ctx, hist) && x.checkAfterWait(hist) {
 		s = x.takeServer(hist)
 	}
 	if s == nil {
--- a/request/gateway/crash.go
+++ b/request/gateway/crash.go
@@ -105,15 +105,24 @@
 	return err
 }
 
-// checkAttempt returns an error if the request is in quarantine and gets no trial. The trial is
-// one attempt.
-func (x *exchange) checkAttempt() error {
-	_, trial, err := quarantine.PermitAttempt(x.opts.Guard, x.subjects, !x.reachedServer)
+// checkAttempt returns an error if the request is in quarantine and gets no trial. The trial, if it is
+// one, is one attempt.
+func (x *exchange) checkAttempt() (trial bool, err error) {
+	_, trial, err = quarantine.PermitAttempt(x.opts.Guard, x.subjects, !x.reachedServer)
 	if err != nil {
-		return notSent(err)
+		return false, notSent(err)
 	}
 	x.logEntry.Trial = x.logEntry.Trial || trial
-	return nil
+	return trial, nil
+}
+
+// checkAfterWait reports whether an attempt that checkAttempt has permitted may still be made. An attempt
+// that is a trial keeps its permission.
+func (x *exchange) checkAfterWait(hist *attemptHistory) bool {
+	if !hist.trial {
+		hist.trial, hist.quarantined = x.checkAttempt()
+	}
+	return hist.quarantined == nil
 }
 
 // notSent marks the error of a refusal as one of an attempt that has not been sent, unless it was
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -121,7 +121,11 @@
 	if !x.takeRetry(hist) {
 		return nil // it would wait in vain
 	}
-	switch x.waitForTurn(ctx, line, hist) {
+	outcome := x.waitForTurn(ctx, line, hist)
+	if !outcome.Refused() && ctx.Err() == nil && !x.checkAfterWait(hist) {
+		return nil
+	}
+	switch outcome {
 	case waitline.Proceed:
 		if s := x.takeServerWithRoom(hist); s != nil {
 			return s
--- a/request/gateway/wait_test.go
+++ b/request/gateway/wait_test.go
@@ -13,6 +13,7 @@
 	"bilberrydale/connection/upstream"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/directory"
+	"bilberrydale/process/quarantine"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/waitline"
 	"bilberrydale/request/wire"
@@ -135,3 +136,34 @@
 	g.Expect(x.nextServer(ctx, newAttemptHistory())).To(BeNil())
 	g.Expect(waits).To(Equal(1))
 }
+
+// laterGuard is a Guard that refuses a request from its second check on.
+type laterGuard struct {
+	quarantine.AllowAll
+	checks *int
+}
+
+func (l laterGuard) Check(quarantine.Subjects) quarantine.Decision {
+	*l.checks++
+	if *l.checks > 1 {
+		return quarantine.Decision{Verdict: quarantine.Refused}
+	}
+	return quarantine.Decision{}
+}
+
+// Guards against servers that crash one after the other: requests that wait in a line go on to them, although
+// their input has been quarantined in the meantime.
+func TestQuarantineHoldsForRequestsThatWait(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x, s := newWaitingExchange(now)
+	checks := 0
+	x.opts.Guard = laterGuard{checks: &checks}
+	s.InFlight.Store(9)
+	x.logEntry.Waited = time.Minute // its trial is due at once
+	hist := newAttemptHistory()
+	g.Expect(x.nextServer(t.Context(), hist)).To(BeNil())
+	g.Expect(x.logEntry.WaitOutcome).To(Equal(waitline.Trial))
+	g.Expect(hist.quarantined).To(HaveOccurred())
+	g.Expect(checks).To(Equal(2))
+}
