gateway: a short wait for a turn is no shortage

A wait now counts when it ends, if that was by a trial or a refusal or after one and a half service times.

--- a/process/accountshare/accountshare.go
+++ b/process/accountshare/accountshare.go
@@ -58,7 +58,7 @@
 // Outcomes of an admitted request. One that is not sent for another reason than want of room has none.
 const (
 	Taken   Outcome = iota + 1 // a server took it, whether or not it succeeded
-	Refused                    // no server had room for it at first; Taken may follow if it waits
+	Refused                    // no server had room for it for a time; Taken may follow if it waited
 )
 
 // Shares decides which requests this host admits. It is safe for concurrent use.
--- a/process/accountshare/simulation_test.go
+++ b/process/accountshare/simulation_test.go
@@ -10,6 +10,7 @@
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
 	"bilberrydale/process/peer/peertest"
+	"bilberrydale/process/waitline"
 )
 
 // simServer is a server with slots and a queue, which refuses a request when both are full.
@@ -41,6 +42,7 @@
 	shares *Shares // nil: all requests are admitted
 	next   time.Time
 	frozen bool // sends no reports and gets no requests
+	line   waitline.Line
 }
 
 // simAccount is the load of a client account.
@@ -70,6 +72,9 @@
 	// patience is how long a request waits at its host for room; 0: it does not.
 	patience time.Duration
 	waiting  []*simRequest // in the order of their arrival
+	// inLine is set if requests wait in the lines of their hosts, which know the load of the servers, instead
+	// of for patience.
+	inLine bool
 	// returning is set if clients whose requests are refused send them once more, after the time
 	// that they are told, or backoff.
 	returning bool
@@ -85,6 +90,8 @@
 	until    time.Time // when it gives up
 	back     time.Time // when its client sends it again
 	again    bool      // it is sent for the second time
+	ticket   *waitline.Ticket
+	joinedAt time.Time
 }
 
 // backoff is after what time clients come back that are told none.
@@ -170,7 +177,11 @@
 			f()
 		}
 		now := s.clock.Now()
-		s.sendWaiting(now)
+		if s.inLine {
+			s.giveTurns(now)
+		} else {
+			s.sendWaiting(now)
+		}
 		s.sendAgain(now)
 		for _, a := range s.accounts {
 			for range s.arrivals(a, t) {
@@ -218,6 +229,10 @@
 		s.comeBack(r, now.Add(retryAfter))
 		return
 	}
+	if s.inLine {
+		s.join(r, now)
+		return
+	}
 	if s.send(r, now) {
 		return
 	}
--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -191,6 +191,13 @@
 	return t, run, Waiting
 }
 
+// LackedRoom reports whether a wait that has ended shows that servers are short of room: none had any for
+// one and a half service times, in which each slot is free once or twice. Shorter waits come about by chance.
+// Every wait does before a service time was observed.
+func (l *Line) LackedRoom(o Outcome, waited time.Duration) bool {
+	return o == Trial || o.Refused() || waited >= l.ServiceTime(0)*3/2
+}
+
 // setLate records whether the request is expected to miss its target.
 func (t *Ticket) setLate(late bool, now time.Time) { t.late, t.lateAt = late, now }
 
--- a/request/gateway/share.go
+++ b/request/gateway/share.go
@@ -42,8 +42,7 @@
 	}
 }
 
-// recordNoRoom counts that no server had room for the request, once: when that is first known,
-// whether or not one takes the request later.
+// recordNoRoom counts that no server had room for the request, once, whether or not one takes it later.
 func (x *exchange) recordNoRoom() {
 	if x.shared && !x.noRoom {
 		x.noRoom = true
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -162,14 +162,17 @@
 		RoomKey: x.roomKey(hist), Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
-		x.recordNoRoom()
 		if run {
 			go x.runLine(line)
 		} else {
 			line.notify()
 		}
 		outcome = x.awaitTurn(ctx, line, ticket)
-		x.logEntry.Waited += x.opts.Clock.Now().Sub(began)
+		waited := x.opts.Clock.Now().Sub(began)
+		x.logEntry.Waited += waited
+		if line.LackedRoom(outcome, waited) {
+			x.recordNoRoom()
+		}
 	}
 	x.logEntry.WaitOutcome = outcome
 	if outcome.Refused() {
