accountshare: only a build without the method is passed over for half a minute

A host that refused one report, as too many calls ran or a message was malformed, got none for 30 s, and the reports of those below it took another way until then: each failure response counted as a build without the method. peer.ErrNoHandler now tells that one apart, by the text with which all builds respond; others count for 5 s.

--- a/connection/peerconn/conn.go
+++ b/connection/peerconn/conn.go
@@ -335,7 +335,7 @@
 // responseBody returns the body of a response, or peer.ErrFailureResponse for a failure.
 func responseBody(f *frame) ([]byte, error) {
 	if f.Kind == frameFailure {
-		return nil, fmt.Errorf("%w: %s", peer.ErrFailureResponse, f.Body)
+		return nil, peer.FailureResponse(string(f.Body))
 	}
 	return f.Body, nil
 }
--- a/process/accountshare/accountshare_test.go
+++ b/process/accountshare/accountshare_test.go
@@ -344,3 +344,21 @@
 	}
 	g.Expect(superiors(simService, "unlisted", hosts)).To(BeEmpty())
 }
+
+// Guards against a host that is passed over for half a minute for one failure, as if it ran a build without
+// the method: the reports of those below it take another way until then.
+func TestOnlyABuildWithoutTheMethodIsPassedOverLong(t *testing.T) {
+	g := NewWithT(t)
+	var s suspects
+	now := time.Unix(1000, 0)
+	for host, err := range map[string]error{
+		"busy": peer.FailureResponse("too many calls"), "failed": peer.FailureResponse("accountshare: malformed report: no handler for it"), "silent": peer.ErrNoResponse,
+		"before": peer.FailureResponse("no handler for accountshare.report"),
+	} {
+		s.record(host, err, now)
+		g.Expect(s.has(host, now.Add(suspectTime-1))).To(BeTrue(), host)
+		g.Expect(s.has(host, now.Add(suspectTime))).To(Equal(host == "before"), host)
+	}
+	g.Expect(s.has("before", now.Add(unsupportedTime-1))).To(BeTrue())
+	g.Expect(s.has("before", now.Add(unsupportedTime))).To(BeFalse())
+}
--- a/process/accountshare/tree.go
+++ b/process/accountshare/tree.go
@@ -87,7 +87,7 @@
 // record records that a host has not taken a report.
 func (s *suspects) record(host string, err error, now time.Time) {
 	d := suspectTime
-	if errors.Is(err, peer.ErrFailureResponse) {
+	if errors.Is(err, peer.ErrNoHandler) {
 		d = unsupportedTime
 	}
 	s.mu.Lock()
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 )
 
 // Errors of Link.Call. Compare with errors.Is.
@@ -20,8 +22,24 @@
 	// failed, it has no handler for the method, or too many calls are running. A
 	// handler that failed may have had an effect.
 	ErrFailureResponse = errors.New("peer: refused")
+	// ErrNoHandler is an ErrFailureResponse of a peer that has no handler for the method, as its build
+	// does not know it.
+	ErrNoHandler = fmt.Errorf("%w: no handler", ErrFailureResponse)
 )
 
+// noHandlerText begins the text with which a peer responds that has no handler for a method; also builds
+// before do so.
+const noHandlerText = "no handler for "
+
+// FailureResponse returns the error of a call to which a peer responded with the text of an error:
+// ErrNoHandler or another ErrFailureResponse.
+func FailureResponse(text string) error {
+	if strings.HasPrefix(text, noHandlerText) {
+		return fmt.Errorf("%w: %s", ErrNoHandler, text)
+	}
+	return fmt.Errorf("%w: %s", ErrFailureResponse, text)
+}
+
 // Identity identifies one process of an entry host.
 type Identity struct {
 	Host        string // name of the entry host
--- a/process/peer/peertest/network.go
+++ b/process/peer/peertest/network.go
@@ -133,7 +133,7 @@
 		return peer.ErrNoResponse
 	}
 	if h == nil {
-		return fmt.Errorf("%w: no handler for %s", peer.ErrFailureResponse, m)
+		return peer.FailureResponse("no handler for " + string(m))
 	}
 	response, err := h(ctx, l.self, payload)
 	l.net.countBytes(l.self.Host, host, len(payload)+len(response))
