gateway: the requests of a service have one unit of cost

An account that states no tokens was never cut at a service where others state thousands: its requests counted 1 each in the same sums. All requests of a service count 1 now, unless routes of streams lead to it; there one without stated tokens counts the mean of the stated ones at its host. A request keeps the cost with which it was admitted.

--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -114,10 +114,11 @@
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
 	lines           waitingLines
-	priorities      atomic.Pointer[servicePriorities] // of the plan in use
+	uses            atomic.Pointer[serviceUses] // of the plan in use
 	uploads         *bodylimit.Uploads
 	readAhead       *readAheadBudget
 	prefillTimes    prefillTimes
+	statedCosts     statedCosts
 	usualTimes      serverspeed.Kinds
 	balanceSeed     uint64 // see balance.Query.Seed
 }
@@ -220,6 +221,7 @@
 	abort            bool             // the connection has to be aborted, as the response is incomplete
 	mayHaveRun       bool             // a backend server may have run the request
 	shared           bool             // admitted by Options.Shares, without a final outcome so far
+	sharedCost       float64          // of which Options.Shares was told
 	noRoom           bool             // recordNoRoom has counted the request
 	refusedForRoom   bool             // a server has refused the request for want of room
 	reachedServer    bool             // the request may have reached a backend server, whether or not it ran
--- a/request/gateway/share.go
+++ b/request/gateway/share.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"bilberrydale/process/accountshare"
@@ -24,7 +25,8 @@
 	if x.account == "" || len(x.route.Stages) > 0 || x.continues() {
 		return nil
 	}
-	admitted, retryAfter := x.opts.Shares.Admit(accountshare.Request{Service: x.service, Account: x.account, Priority: x.priority, Cost: x.cost()})
+	x.sharedCost = x.cost()
+	admitted, retryAfter := x.opts.Shares.Admit(accountshare.Request{Service: x.service, Account: x.account, Priority: x.priority, Cost: x.sharedCost})
 	if !admitted {
 		e := errkind.New(errkind.Overloaded, "account %s asks for more than its share of %s, which has not room for all", x.account, x.service)
 		e.RetryAfter = retryAfter
@@ -38,7 +40,7 @@
 func (x *exchange) recordTaken() {
 	if x.shared {
 		x.shared = false
-		x.opts.Shares.Record(x.service, x.cost(), accountshare.Taken)
+		x.opts.Shares.Record(x.service, x.sharedCost, accountshare.Taken)
 	}
 }
 
@@ -46,10 +48,47 @@
 func (x *exchange) recordNoRoom() {
 	if x.shared && !x.noRoom {
 		x.noRoom = true
-		x.opts.Shares.Record(x.service, x.cost(), accountshare.Refused)
+		x.opts.Shares.Record(x.service, x.sharedCost, accountshare.Refused)
 	}
 }
 
-// cost returns the expected work of a server for the request: its tokens, if the client says them,
-// or 1.
-func (x *exchange) cost() float64 { return max(x.size(), 1) }
+// cost returns the expected work of a server for the request, and counts it. At a service of streams it is
+// the tokens that the client states, or the mean of those that others state; elsewhere, and before one was
+// stated, 1: all requests of a service are counted in one unit.
+func (x *exchange) cost() float64 {
+	if !x.usesOfServices().streams[x.service] {
+		return 1
+	}
+	return x.statedCosts.of(x.service, x.size())
+}
+
+// statedCosts are the mean costs that clients state of their requests, by service. The zero value knows
+// none. It is safe for concurrent use.
+type statedCosts struct {
+	mu    sync.Mutex
+	means map[string]float64 // tokens
+}
+
+// statedCostWeight is the weight of the newest request in the mean.
+const statedCostWeight = 0.02
+
+// of returns the cost of a request whose client states a cost in tokens, or none with 0.
+func (c *statedCosts) of(service string, stated float64) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mean, known := c.means[service]
+	switch {
+	case stated <= 0 && !known:
+		return 1
+	case stated <= 0:
+		return mean
+	case !known:
+		if c.means == nil {
+			c.means = map[string]float64{}
+		}
+		c.means[service] = stated
+	default:
+		c.means[service] += statedCostWeight * (stated - mean)
+	}
+	return stated
+}
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -281,28 +281,35 @@
 	return waitline.Query{Slots: s.Slots, InFlight: int(s.InFlight.Load()), Rank: x.rank(), ServiceTime: serviceTime, Now: now}
 }
 
-// servicePriorities are the most urgent priorities of the routes of a plan, by service.
-type servicePriorities struct {
+// serviceUses is how the routes of a plan use its services, by service.
+type serviceUses struct {
 	plan       *plan.Plan
-	mostUrgent map[string]int
+	mostUrgent map[string]int  // priority of the most urgent route
+	streams    map[string]bool // a route of streams leads there
 }
 
-// rank returns how many priorities the request is below the most urgent route of its service: servers
-// need a reserve for more urgent requests only if there can be such.
-func (x *exchange) rank() int {
-	p := x.priorities.Load()
-	if p == nil || p.plan != x.plan {
-		p = &servicePriorities{x.plan, map[string]int{}}
-		for r := range x.plan.Routes() {
-			for _, t := range r.Targets {
-				if known, ok := p.mostUrgent[t.Service]; !ok || r.Priority < known {
-					p.mostUrgent[t.Service] = r.Priority
-				}
+// usesOfServices returns how the routes of the request's plan use its services.
+func (x *exchange) usesOfServices() *serviceUses {
+	if u := x.uses.Load(); u != nil && u.plan == x.plan {
+		return u
+	}
+	u := &serviceUses{x.plan, map[string]int{}, map[string]bool{}}
+	for r := range x.plan.Routes() {
+		for _, t := range r.Targets {
+			if known, ok := u.mostUrgent[t.Service]; !ok || r.Priority < known {
+				u.mostUrgent[t.Service] = r.Priority
 			}
+			u.streams[t.Service] = u.streams[t.Service] || r.Kind == plan.Stream
 		}
-		x.priorities.Store(p)
 	}
-	return max(x.priority-p.mostUrgent[x.service], 0)
+	x.uses.Store(u)
+	return u
+}
+
+// rank returns how many priorities the request is below the most urgent route of its service: servers
+// need a reserve for more urgent requests only if there can be such.
+func (x *exchange) rank() int {
+	return max(x.priority-x.usesOfServices().mostUrgent[x.service], 0)
 }
 
 // refusedInLine returns the error of a request that was refused while it waited, or on its arrival at
