accountshare: what is idle is forgotten without requests, too

An entry host kept each service that a request or a report had ever named, and the accounts of a service until it was asked of again: only Admit swept them. Run does so now, each 10 s, and removes services that are idle and not short.

--- a/process/accountshare/accountshare.go
+++ b/process/accountshare/accountshare.go
@@ -87,7 +87,6 @@
 	mu         sync.Mutex // guards the fields below
 	classes    map[class]*classState
 	names      map[accountID]string // of the accounts in classes
-	sweptAt    time.Time            // when classes were last swept
 	taken      rate
 	refused    rate
 	short      bool                // reports are sent
@@ -117,7 +116,7 @@
 	keepTime = 3 * time.Second
 	// shortTime is how long a service counts as short after a refusal.
 	shortTime = 3 * time.Second
-	// sweepInterval is the time between two removals of accounts that are idle.
+	// sweepInterval is the time between two removals of what is idle, and the time after which it is.
 	sweepInterval = 10 * time.Second
 	// maxPriority is the least urgent priority that is told apart.
 	maxPriority = 255
@@ -151,7 +150,7 @@
 	c := class{idOf(r.Account), uint8(min(max(r.Priority, 0), maxPriority))}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	state := svc.class(c, now)
+	state := svc.classes[c]
 	if state == nil {
 		state = &classState{credit: s.opts.Rand.Float64()}
 		svc.classes[c], svc.names[c.account] = state, r.Account
@@ -173,18 +172,32 @@
 	return false, retryAfterShare(part, s.opts.Rand.Float64())
 }
 
-// class returns the state of a class, or nil. The caller holds svc.mu.
-func (svc *service) class(c class, now time.Time) *classState {
-	if now.Sub(svc.sweptAt) >= sweepInterval {
-		svc.sweptAt = now
-		maps.DeleteFunc(svc.classes, func(_ class, s *classState) bool { return now.Sub(s.demand.at) >= sweepInterval })
-		kept := map[accountID]string{}
-		for c := range svc.classes {
-			kept[c.account] = svc.names[c.account]
+// sweep removes the accounts that have been idle for sweepInterval, and the services without any that are
+// not short. A request that is just being counted at such a service may get lost.
+func (s *Shares) sweep() {
+	now := s.opts.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := map[string]*service{}
+	for name, svc := range *s.services.Load() {
+		if !svc.sweep(now) {
+			kept[name] = svc
 		}
-		svc.names = kept
 	}
-	return svc.classes[c]
+	s.services.Store(&kept)
+}
+
+// sweep removes accounts that are idle, and reports whether the service is.
+func (svc *service) sweep(now time.Time) (idle bool) {
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	maps.DeleteFunc(svc.classes, func(_ class, s *classState) bool { return now.Sub(s.demand.at) >= sweepInterval })
+	kept := map[accountID]string{}
+	for c := range svc.classes {
+		kept[c.account] = svc.names[c.account]
+	}
+	svc.names = kept
+	return !svc.short && len(svc.classes) == 0 && now.Sub(svc.taken.at) >= sweepInterval
 }
 
 // fraction returns the part of the requests of a class that is admitted. The caller holds svc.mu.
--- a/process/accountshare/accountshare_test.go
+++ b/process/accountshare/accountshare_test.go
@@ -1,6 +1,7 @@
 package accountshare
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -362,3 +363,41 @@
 	g.Expect(s.has("before", now.Add(unsupportedTime-1))).To(BeTrue())
 	g.Expect(s.has("before", now.Add(unsupportedTime))).To(BeFalse())
 }
+
+// Guards against a host that grows with each account and service that it has ever seen.
+func TestWhatIsIdleIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.NewManual(time.Unix(1000, 0))
+	s := New(Options{Hosts: func() (string, []string) { return "a", []string{"a"} }, Clock: now, Rand: clock.NewSeeded(1)})
+	for i := range 100 {
+		s.Admit(Request{Service: fmt.Sprint("s", i%10), Account: fmt.Sprint("a", i), Cost: 1})
+	}
+	s.Record("s0", 1, Refused)
+	s.Record("s1", 1, Taken)
+	s.sweep()
+	g.Expect(*s.services.Load()).To(HaveLen(10))
+	g.Expect(s.get("s0").classes).To(HaveLen(10))
+	now.Advance(sweepInterval)
+	s.Admit(Request{Service: "s2", Account: "a2", Cost: 1})
+	s.sweep()
+	g.Expect(*s.services.Load()).To(HaveLen(2), "that which is short, and that which was asked for")
+	g.Expect(s.get("s0").names).To(BeEmpty())
+	g.Expect(s.get("s2").names).To(HaveLen(1))
+	s.reportAll(t.Context())
+	s.sweep()
+	g.Expect(*s.services.Load()).To(HaveLen(1))
+}
+
+// Guards against a host that forgets only while it is asked.
+func TestIdleHostForgets(t *testing.T) {
+	g := NewWithT(t)
+	now := clock.NewManual(time.Unix(1000, 0))
+	s := New(Options{Hosts: func() (string, []string) { return "a", []string{"a"} }, Clock: now, Rand: clock.NewSeeded(1)})
+	s.Admit(Request{Service: "s", Account: "a", Cost: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- s.Run(ctx) }()
+	g.Eventually(func() map[string]*service { now.Advance(sweepInterval); return *s.services.Load() }, "20s").Should(BeEmpty())
+	cancel()
+	g.Expect(<-done).To(Succeed())
+}
--- a/process/accountshare/report.go
+++ b/process/accountshare/report.go
@@ -79,13 +79,18 @@
 	at     time.Time
 }
 
-// Run sends reports and makes decisions while a service is short, until ctx ends. It returns nil.
+// Run sends reports and makes decisions while a service is short, and forgets what is idle, until ctx ends. It returns nil.
 func (s *Shares) Run(ctx context.Context) error {
 	var next <-chan time.Time // nil while no service is short
+	sweep := s.opts.Clock.After(sweepInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-sweep:
+			s.sweep()
+			sweep = s.opts.Clock.After(sweepInterval)
+			continue
 		case <-s.wake:
 		case <-next:
 		}
