gateway: lines of services that a plan no longer has are forgotten

With the first use of a newer plan it removes the idle lines of services, and the timeouts of routes, that the plan doesn't have. The state page no longer creates lines.

Evidence: TestLinesOfRemovedServicesAreForgotten, red without the change.

--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -63,8 +63,35 @@
 	return line.(*waitingLine)
 }
 
+// sweep removes the idle lines of services, and what is known of routes, that are not in a plan.
+func (l *waitingLines) sweep(p *plan.Plan, services map[string]int) {
+	routes := map[string]bool{}
+	for r := range p.Routes() {
+		routes[r.Name] = true
+	}
+	l.byService.Range(func(service, line any) bool {
+		w := line.(*waitingLine)
+		if _, used := services[service.(string)]; !used && w.Len() == 0 {
+			l.byService.Delete(service)
+		}
+		w.timeouts.Range(func(route, _ any) bool {
+			if !routes[route.(string)] {
+				w.timeouts.Delete(route)
+			}
+			return true
+		})
+		return true
+	})
+}
+
 // Waiting returns the number of requests that wait for room at the servers of a service.
-func (g *Gateway) Waiting(service string) int { return g.lines.of(service).Len() }
+func (g *Gateway) Waiting(service string) int {
+	line, ok := g.lines.byService.Load(service)
+	if !ok {
+		return 0
+	}
+	return line.(*waitingLine).Len()
+}
 
 // AllWaiting returns the number of requests that wait, by service; services without any are left out.
 func (g *Gateway) AllWaiting() map[string]int {
@@ -302,7 +329,9 @@
 			u.streams[t.Service] = u.streams[t.Service] || r.Kind == plan.Stream
 		}
 	}
-	x.uses.Store(u)
+	if last := x.uses.Swap(u); last != nil && last.plan.Version < u.plan.Version {
+		x.lines.sweep(u.plan, u.mostUrgent)
+	}
 	return u
 }
 
--- a/request/gateway/wait_test.go
+++ b/request/gateway/wait_test.go
@@ -17,6 +17,7 @@
 	"bilberrydale/process/residency"
 	"bilberrydale/process/waitline"
 	"bilberrydale/request/wire"
+	"bilberrydale/version/plan"
 )
 
 // sendFunc is a ServerClient that calls a function for each request and then fails.
@@ -167,3 +168,38 @@
 	g.Expect(hist.quarantined).To(HaveOccurred())
 	g.Expect(checks).To(Equal(2))
 }
+
+// Guards against a host that grows with each service and route that a plan has ever had.
+func TestLinesOfRemovedServicesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	x, _ := newWaitingExchange(now)
+	use := func(version int64, services ...string) {
+		c := plan.Config{Version: version}
+		for _, s := range services {
+			c.Routes = append(c.Routes, plan.Route{Name: "to " + s, PathPrefix: "/" + s, Targets: []plan.Target{{Service: s}}})
+		}
+		x.plan = plan.Compile(c)
+		x.rank()
+	}
+	lines := func() (names []string) {
+		x.lines.byService.Range(func(service, _ any) bool { names = append(names, service.(string)); return true })
+		return names
+	}
+	use(1, "kept", "idle", "busy")
+	for _, s := range []string{"kept", "idle", "busy"} {
+		x.lines.of(s).timeoutOf("to " + s)
+	}
+	x.lines.of("kept").timeoutOf("to idle")
+	_, _, _ = x.lines.of("busy").Join(waitline.Request{Deadline: x.deadline, Room: func(time.Time) waitline.Belief { return waitline.Belief{} }}, now)
+	use(2, "kept")
+	g.Expect(lines()).To(ConsistOf("kept", "busy"))
+	_, known := x.lines.of("kept").timeouts.Load("to idle")
+	g.Expect(known).To(BeFalse())
+	_, known = x.lines.of("kept").timeouts.Load("to kept")
+	g.Expect(known).To(BeTrue())
+	use(1)
+	g.Expect(lines()).To(ConsistOf("kept", "busy"), "a request of the plan before")
+	g.Expect(x.Waiting("unknown")).To(BeZero())
+	g.Expect(lines()).NotTo(ContainElement("unknown"))
+}
