--- a/process/accountshare/accountshare.go
+++ b/process/accountshare/accountshare.go
@@ -1,7 +1,7 @@
 // Package accountshare divides the room of a service that is short of it among client accounts, over
-// all entry hosts. While servers refuse requests for want of room, each account first gets its due,
-// the max-min fair share; inside an account the most urgent requests go first; what an account
-// leaves goes to the others.
+// all entry hosts. While servers refuse requests for want of room, the most urgent requests go first;
+// requests of one urgency are divided among accounts by max-min fairness, and what an account leaves
+// goes to the others.
 //
 // The hosts that see the shortage count what accounts ask of the service and what its servers take,
 // and add the counts up along a tree, which rendezvous hashing gives for each service. The host at
