stages: work is charged at its start, at the rate of all servers

Requests that arrived while all servers of a service were paused or in backoff had no share: their account came first for the whole wait, and their use was never counted. What arrived while four of five servers were away for a moment was charged five times the time that it takes. Cause: server seconds were computed on arrival from the rate of that moment, and stages without a rate were left out. Each stage now joins its account's share; its seconds follow from the peak rate at its start, as those of the line do. The peak is recorded with each decision and stays as it is while there is no rate: it would fall towards 0 in an outage and make what starts afterwards dear.

TestRequestsThatArriveInAnOutageAreCharged was red before (use 0.002 s instead of 0.2 s), and so was TestUseIsChargedAtTheRateOfAllServers (1.0 s instead of 0.2 s). go test ./process/stages passes.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -96,7 +96,7 @@
 func (a *Admission) Enqueue(t *Ticket) {
 	a.serviceCache = a.serviceCache[:0]
 	t.serverSeconds = a.serverSeconds(t.Request)
-	a.shares.join(t, a.stageSeconds)
+	a.shares.join(t, a.service)
 	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
 }
 
@@ -200,6 +200,7 @@
 // reserve; then all others by priority.
 func (a *Admission) Schedule(now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
+	a.shares.recordRates(a.service)
 	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
--- a/process/stages/earlyrefusal.go
+++ b/process/stages/earlyrefusal.go
@@ -39,7 +39,7 @@
 		return
 	}
 	a.lineCheckedAt = now
-	a.shares.clearLines(a.service)
+	a.shares.clearLines()
 	candidates := slices.Clone(a.late)
 	for _, t := range a.onTime {
 		if !t.joinOnTime(now) {
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -38,9 +38,10 @@
 	shortUntil time.Time
 	totalUsed  float64 // server seconds, as of the last computation
 	usedSince  float64 // server seconds since the last computation
-	// peakRate is the highest rate of the servers of late, in items per second: it falls slowly when
-	// servers are away for a moment.
-	peakRate float64
+	// rate is that of the servers as last looked up, and peakRate the highest of late, both in items per
+	// second. The peak falls slowly when some servers are away for a moment, and stays while all are:
+	// what was last known is the best estimate then.
+	rate, peakRate float64
 }
 
 // accountShare is the share of one account in one service. Amounts are server seconds of about the last
@@ -60,26 +61,28 @@
 
 func newAccountShares() *accountShares { return &accountShares{services: map[string]*serviceShares{}} }
 
-// join counts the stages of a request that begins to wait. seconds returns the server seconds of a
-// stage.
-func (s *accountShares) join(t *Ticket, seconds func(Stage) float64) {
+// join counts the stages of a request that begins to wait, also while no server of their services can be
+// used.
+func (s *accountShares) join(t *Ticket, service serviceLookup) {
 	r := t.Request
 	if r.WithoutShare {
 		return
 	}
 	t.shares = make([]stageShare, 0, len(r.Stages))
 	for i, stage := range r.Stages {
-		need := seconds(stage)
-		if need <= 0 {
+		svc, ok := service(stage.Service)
+		if !ok || stage.Items <= 0 {
 			continue
 		}
 		share := s.share(stage.Service, r.Account)
+		share.service.recordRate(svc.ItemsPerSecond)
 		if r.Weight > 0 {
 			share.weight = r.Weight
 		}
-		share.demand += need
+		demand := share.serverSeconds(stage.Items)
+		share.demand += demand
 		share.waiting++
-		t.shares = append(t.shares, stageShare{account: share, stage: i, items: stage.Items, seconds: need})
+		t.shares = append(t.shares, stageShare{account: share, stage: i, items: stage.Items, demand: demand})
 	}
 }
 
@@ -103,7 +106,8 @@
 	account *accountShare
 	stage   int // index in Request.Stages
 	items   int
-	seconds float64 // server seconds of the stage
+	demand  float64 // server seconds counted as demand on arrival; 0: no rate was known
+	seconds float64 // server seconds counted as used at the last start
 }
 
 // leave counts the stages of a request that no longer waits; started is whether they run.
@@ -121,9 +125,20 @@
 
 // use counts the stages of a request that starts, or starts again, as used.
 func (t *Ticket) use() {
-	for _, s := range t.shares {
-		s.account.used += s.seconds
-		s.account.service.usedSince += s.seconds
+	for i := range t.shares {
+		t.shares[i].use()
+	}
+}
+
+// use counts the stage as used, at the rate that is known now: on arrival servers may have been away for a
+// moment.
+func (s *stageShare) use() {
+	s.seconds = s.account.serverSeconds(s.items)
+	s.account.used += s.seconds
+	s.account.service.usedSince += s.seconds
+	if s.demand == 0 {
+		s.demand = s.seconds
+		s.account.demand += s.seconds
 	}
 }
 
@@ -172,7 +187,7 @@
 	s.computedAt, s.contended = now, false
 	for name, of := range s.services {
 		of.forget(keep)
-		of.peakRate *= keep
+		of.forgetPeak(keep)
 		if len(of.accounts) == 0 {
 			delete(s.services, name)
 			continue
@@ -206,6 +221,19 @@
 	}
 }
 
+// recordRate records the rate of the servers, in items per second.
+func (of *serviceShares) recordRate(rate float64) {
+	of.rate = rate
+	of.peakRate = max(of.peakRate, rate)
+}
+
+// forgetPeak lets the highest rate fall towards the present one.
+func (of *serviceShares) forgetPeak(keep float64) {
+	if of.rate > 0 {
+		of.peakRate = max(of.peakRate*keep, of.rate)
+	}
+}
+
 // computeDues computes the dues of a service; without a shortage they are unlimited.
 func (of *serviceShares) computeDues(short bool) {
 	level := math.Inf(1)
@@ -236,12 +264,21 @@
 	return float64(items) / a.service.peakRate
 }
 
-// clearLines empties the lines of all accounts and records the rates of the services.
-func (s *accountShares) clearLines(service func(name string) (*Service, bool)) {
+// serviceLookup returns a service, and false if there is none of that name.
+type serviceLookup func(name string) (*Service, bool)
+
+// recordRates records the present rates of the services.
+func (s *accountShares) recordRates(service serviceLookup) {
 	for name, of := range s.services {
 		if svc, ok := service(name); ok {
-			of.peakRate = max(of.peakRate, svc.ItemsPerSecond)
+			of.recordRate(svc.ItemsPerSecond)
 		}
+	}
+}
+
+// clearLines empties the lines of all accounts.
+func (s *accountShares) clearLines() {
+	for _, of := range s.services {
 		for _, a := range of.accounts {
 			a.line = line{}
 		}
