peer, stages: only a host without the method gets work without accounts

Found in review. An owner that was full, or whose handler failed, got a second call at once, and for a minute all requests of this host without account and priority, just when they matter. Cause: any refusal of the method with accounts counted as that of a host of the build before. peer.IsUnknownMethod tells the refusal that builds without a handler send from others, by its text, which is now a constant; other refusals are returned as they were for the old method. The test network joins refusals with the text as connections do.

TestRefusedWorkKeepsItsAccount was red before (the second call ran the work).

--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sort"
 	"sync"
@@ -143,7 +144,7 @@
 	h := m.handlers[method]
 	m.mu.Unlock()
 	if h == nil {
-		return nil, fmt.Errorf("no handler for %s", method)
+		return nil, errors.New(unknownMethodText + string(method))
 	}
 	return h(ctx, from, payload)
 }
--- a/process/stages/callrun.go
+++ b/process/stages/callrun.go
@@ -2,29 +2,28 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"bilberrydale/process/peer"
 )
 
-// runForRefusal records that an incarnation of a host refused methodRunFor and accepted methodRun.
+// runForRefusal records that an incarnation of a host has no handler for methodRunFor and accepted
+// methodRun.
 type runForRefusal struct {
 	incarnation uint64
 	until       time.Time // when methodRunFor is tried again
 }
 
 // refusalTTL is how long methodRunFor is not tried after a refusal. A host of a build that lacks the
-// method costs one refused message in this time; a host that refused it for another reason, such as
-// too many calls, gets the accounts again.
+// method costs one refused message in this time.
 const refusalTTL = time.Minute
 
 // callRun asks another host once to run the work of a request: by methodRunFor, or by methodRun if the
-// host refuses that. The error is that of Link.Call.
+// host has no handler for that. The error is that of Link.Call.
 func (p *Pool) callRun(ctx context.Context, owner string, r *Request) (response runResponse, err error) {
 	if p.acceptsRunFor(owner) {
 		err = p.link.Call(ctx, owner, methodRunFor, p.newAccountRunRequest(r), &response)
-		if err == nil || ctx.Err() != nil || !errors.Is(err, peer.ErrFailureResponse) {
+		if !peer.IsUnknownMethod(err) || ctx.Err() != nil {
 			return response, err
 		}
 		response = runResponse{}
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	if err != nil {
-		return errors.Join(peer.ErrFailureResponse, err)
+		return fmt.Errorf("%w: %w", peer.ErrFailureResponse, err)
 	}
 	if out == nil {
 		return nil
@@ -406,6 +406,23 @@
 	g.Expect(third.pool.acceptsRunFor("first")).To(BeTrue(), "its next incarnation may be of another build")
 }
 
+// The owner is full and refuses calls. Guards against a second call to it for each request, and against
+// requests that lose their account and priority for a while just when it is short.
+func TestRefusedWorkKeepsItsAccount(t *testing.T) {
+	g, first, _, third := newThreeHosts(t)
+	runFor := first.handlers[methodRunFor]
+	first.handlers[methodRunFor] = func(context.Context, peer.Identity, []byte) ([]byte, error) {
+		return nil, errors.New("too many calls")
+	}
+	_, err := third.pool.callRun(t.Context(), "first", chainRequest("1"))
+	g.Expect(err).To(MatchError(peer.ErrFailureResponse))
+	g.Expect(first.calls).To(Equal(1))
+	g.Expect(third.pool.acceptsRunFor("first")).To(BeTrue())
+	first.handlers[methodRunFor] = runFor
+	_, err = third.pool.callRun(t.Context(), "first", chainRequest("2"))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // A host of the build before sends work without account and priority. Guards against work that passes
 // all other work, or waits behind all, or uses the share of requests without account.
 func TestWorkOfBuildBeforeIsExemptFromShares(t *testing.T) {
