stages: the line tells all priorities apart and leaves out streams that it cannot reach

Requests were refused behind a stream that a client takes up and that itself cannot be reached, and behind less urgent late work. Causes: a request that goes on waiting in any case joined the line whether or not it is reachable; and priorities 3 to 9 counted as one. The stream goes on waiting, but its work joins only if it is reachable; the line has a place for each of the ten priorities.

TestUnreachableStreamDelaysNoRequest and TestLessUrgentLateWorkDoesNotRefuseUrgentWork were red before: the request behind, and the urgent one, were refused.

--- a/process/stages/earlyrefusal.go
+++ b/process/stages/earlyrefusal.go
@@ -13,9 +13,8 @@
 const (
 	// lineInterval is how often the line is checked for requests that will not be reached in time.
 	lineInterval = 40 * time.Millisecond
-	// linePriorities is the number of priorities that are told apart in the line; less urgent ones
-	// count as the last.
-	linePriorities = 4
+	// linePriorities is the number of priorities, from 0; less urgent ones count as the last.
+	linePriorities = 10
 	// maxLineRetryAfter is the longest time after which a refused request is asked to return.
 	maxLineRetryAfter = 10 * time.Second
 )
@@ -81,17 +80,17 @@
 	return true
 }
 
-// joinLate adds a late request to the lines of its stages and reports whether it will be reached before
-// its deadline. If not, they stay as they are. Late requests wait for those that can be on time, or use
-// the late reserve, whichever is sooner.
+// joinLate adds a late request to the lines of its stages if it will be reached before its deadline. It
+// reports whether the request goes on waiting: one of which the client has a part does so in any case. Late
+// requests wait for those that can be on time, or use the late reserve, whichever is sooner.
 func (t *Ticket) joinLate(now time.Time) bool {
 	p := t.linePriority()
 	wait := t.longestWait(func(l *line) float64 {
 		late := sum(l.late[:p+1])
 		return min(sum(l.onTime[:p+1])+late, late/lateReserveShare)
 	})
-	if !t.Request.Continues && now.Add(wait+t.latePath()).After(t.Request.Deadline) {
-		return false
+	if now.Add(wait + t.latePath()).After(t.Request.Deadline) {
+		return t.Request.Continues
 	}
 	for _, s := range t.shares {
 		s.account.line.late[p] += s.account.serverSeconds(s.items)
--- a/process/stages/earlyrefusal_test.go
+++ b/process/stages/earlyrefusal_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// A client takes up a long stream that can no longer be reached. Guards against requests that are refused
+// behind it though it will be rejected, and start in its place.
+func TestUnreachableStreamDelaysNoRequest(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	l.a.inFlight["s"], l.a.lateInFlight["s"] = workAmount{items: 10_000}, workAmount{items: 10_000}
+	l.enqueueFor("", "line", 0, 300, 10*time.Second, 20*time.Second) // 1.9 s of work
+	l.enqueueFor("", "late", 0, 100, 100*time.Millisecond, 1200*time.Millisecond)
+	taken := l.enqueueFor("", "continued", 0, 900, time.Second, 1500*time.Millisecond)
+	taken.Request.Continues = true
+	l.enqueueFor("", "behind", 1, 4, time.Second, 4*time.Second)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.rejected).To(BeEmpty())
+}
+
+// Requests of priority 3 have deadlines after those of many of priority 9. Guards against urgent requests
+// that are refused behind less urgent late ones.
+func TestLessUrgentLateWorkDoesNotRefuseUrgentWork(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	l.a.inFlight["s"] = workAmount{items: 10_000}
+	for i := range 150 {
+		l.enqueueFor("", fmt.Sprint(i), 9, 20, time.Second, 4*time.Second)
+	}
+	l.enqueueFor("", "urgent", 3, 4, 100*time.Millisecond, 4001*time.Millisecond)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.rejected).NotTo(HaveKey("urgent"))
+}
+
 // enqueueFor adds a request of an account and returns its ticket.
 func (l *admissionSim) enqueueFor(account, id string, priority, items int, targetLatency, timeout time.Duration) *Ticket {
 	r := &Request{
