stages: share_held only while others come first; too late requests return in order

Found in review. Tickets told that a share held them when the second turn had started them at once, or when no other account asked any more; it is now recorded after both turns, for those that still wait. Requests that became too late behind a line of a short service were told no time to return, before those refused earlier; they get a place behind these.

TestOnlyWaitingRequestsOfACompetingAccountAreHeld and TestRequestThatIsTooLateReturnsBehindThoseRefused were red before (held without a competitor; no time to return).

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -60,6 +60,7 @@
 	FetchFrom   string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
+	beyondDue     bool          // its account was beyond its due in the last decision among several accounts
 	shares        []stageShare  // by stage with items; none for a request without a share
 	retryAfter    time.Duration // when a rejected request may return; 0: unknown
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
@@ -206,15 +207,25 @@
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
 	if a.shares.contended {
 		a.startTurn(now, reserved, func(t *Ticket) bool {
-			t.HeldByShare = !t.withinDue()
-			return !t.HeldByShare
+			t.beyondDue = !t.withinDue()
+			return !t.beyondDue
 		})
 	}
 	a.startTurn(now, reserved, func(*Ticket) bool { return true })
+	a.recordHeld()
 	a.shares.markShort(reserved, now)
 	a.refuseUnreachable(now)
 }
 
+// recordHeld records which of the requests that still wait are behind others because of their shares.
+func (a *Admission) recordHeld() {
+	for _, list := range [][]*Ticket{a.onTime, a.late} {
+		for _, t := range list {
+			t.HeldByShare = a.shares.contended && t.beyondDue
+		}
+	}
+}
+
 // startTurn starts the requests that have a turn and fit.
 func (a *Admission) startTurn(now time.Time, reserved *reservations, hasTurn func(*Ticket) bool) {
 	a.late = a.startFitting(a.late, func(t *Ticket) bool {
@@ -272,6 +283,9 @@
 			needs = t.latePath()
 		}
 		if now.Add(needs).After(t.Request.Deadline) {
+			if t.needsShort(now) {
+				t.retryAfter = t.bookReturn(now)
+			}
 			a.reject(t, batcher.TooLate)
 			continue
 		}
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -260,6 +261,43 @@
 	l.g.Expect(l.a.shares.list(l.now.Add(2*shortageHold))).To(BeEmpty(), "no longer short")
 }
 
+// An account beyond its due gets a server that nobody else wants, or waits until no other account asks.
+// Guards against operators who are told that a share held requests that started at once, or that wait for
+// servers alone.
+func TestOnlyWaitingRequestsOfACompetingAccountAreHeld(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	for i := range 80 {
+		l.enqueueFor("large", fmt.Sprint("large-", i), 0, 4, time.Hour, 2*time.Hour)
+	}
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	small := l.enqueueFor("small", "small", 2, 4, time.Hour, 2*time.Hour)
+	held := l.enqueueFor("large", "held", 0, 4, time.Hour, 2*time.Hour)
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.g.Expect(held.HeldByShare).To(BeTrue())
+	l.a.Remove(small)
+	l.now = l.now.Add(20 * shareWindow)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.contended).To(BeFalse())
+	l.g.Expect(held.HeldByShare).To(BeFalse(), "no other account asks")
+
+	small = l.enqueueFor("small", "small", 2, 4, time.Hour, 2*time.Hour)
+	l.a.shares.share("s", "large").used = 1
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.a.Remove(small)
+	for _, t := range slices.Concat(l.a.onTime, l.a.late) {
+		l.a.Remove(t)
+	}
+	delete(l.a.inFlight, "s")
+	atOnce := l.enqueueFor("large", "at once", 0, 4, time.Hour, 2*time.Hour)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.contended).To(BeTrue())
+	l.g.Expect(l.started).To(ContainElement("at once"))
+	l.g.Expect(atOnce.HeldByShare).To(BeFalse())
+}
+
 // Guards against accounts that are remembered for ever: an account whose requests have ended is
 // forgotten, one with a waiting request is not.
 func TestIdleAccountsAreForgotten(t *testing.T) {
--- a/process/stages/earlyrefusal_test.go
+++ b/process/stages/earlyrefusal_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// A request waits behind a line for longer than its deadline allows. Guards against callers who return
+// before those that were refused earlier.
+func TestRequestThatIsTooLateReturnsBehindThoseRefused(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	l.a.inFlight["s"] = workAmount{items: 10_000}
+	l.enqueueFor("", "line", 0, 310, 10*time.Second, 20*time.Second) // 2 s of work
+	late := l.enqueueFor("", "late", 3, 4, time.Second, 3*time.Second)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.rejected).To(BeEmpty())
+	l.a.lineCheckedAt = l.now.Add(time.Hour)
+	l.now = l.now.Add(2900 * time.Millisecond)
+	l.a.shares.markShort(&reservations{services: map[string]bool{"s": true}}, l.now)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.rejected).To(HaveKeyWithValue("late", batcher.TooLate))
+	l.g.Expect(late.retryAfter).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+}
+
 // A client takes up a long stream that can no longer be reached. Guards against requests that are refused
 // behind it though it will be rejected, and start in its place.
 func TestUnreachableStreamDelaysNoRequest(t *testing.T) {
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -162,6 +162,11 @@
 	return true
 }
 
+// needsShort reports whether a service that the request needs is short at now.
+func (t *Ticket) needsShort(now time.Time) bool {
+	return slices.ContainsFunc(t.shares, func(s stageShare) bool { return now.Before(s.account.service.shortUntil) })
+}
+
 // markShort records the services that lack capacity at now.
 func (s *accountShares) markShort(reserved *reservations, now time.Time) {
 	mark := func(name string) {
