stages: new demand is not forgotten as if it were old

Found in review. After a while without requests, the demand of the first request was reduced at once by the time since the last computation, because that ran after the request had joined.

TestNewDemandIsNotForgottenOnArrival was red before (demand 0.135 s instead of 1.135 s). go test ./process/stages passes.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -93,10 +93,12 @@
 	return &a.serviceCache[len(a.serviceCache)-1].service, ok
 }
 
-// Enqueue adds a request to those that wait for admission. Schedule has to be called to start it.
-func (a *Admission) Enqueue(t *Ticket) {
+// Enqueue adds a request that arrives at now to those that wait for admission. Schedule has to be called to
+// start it.
+func (a *Admission) Enqueue(t *Ticket, now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
 	t.serverSeconds = a.serverSeconds(t.Request)
+	a.shares.forgetBeforeArrival(now)
 	a.shares.join(t, a.service)
 	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
 }
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -50,7 +50,7 @@
 		}
 	}
 	t.Reject = func(reason batcher.Reason) { l.rejected[id] = reason }
-	l.a.Enqueue(t)
+	l.a.Enqueue(t, l.now)
 }
 
 // advance lets the service finish items at its rate for d.
@@ -160,7 +160,7 @@
 	l := newAdmissionSim(t, map[string]Service{"s": s})
 	for i, bytes := range []int64{800_000, 8_000} {
 		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ResultBytes: bytes}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(9 * time.Second)}
-		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}})
+		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}}, l.now)
 	}
 	l.a.Schedule(l.now)
 	l.g.Expect(l.started).To(Equal([]string{"1"}))
@@ -176,7 +176,7 @@
 	l.a.inFlight["s"] = workAmount{items: 60, bytes: 60 * 8_000}
 	for i := range 10 {
 		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ResultBytes: 3_000_000}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(9 * time.Second)}
-		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}})
+		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}}, l.now)
 	}
 	l.a.Schedule(l.now)
 	l.g.Expect(len(l.started)).To(BeNumerically(">=", 6), "as many as the memory allows")
@@ -187,7 +187,7 @@
 	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
 	r := &Request{ID: "1", Stages: []Stage{{Service: "s", Items: 1}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(time.Second)}
 	ticket := &Ticket{Request: r, Start: func() { t.Error("begun") }, Reject: func(batcher.Reason) { t.Error("rejected") }}
-	l.a.Enqueue(ticket)
+	l.a.Enqueue(ticket, l.now)
 	l.g.Expect(l.a.Remove(ticket)).To(BeTrue())
 	l.a.Schedule(l.now)
 	l.g.Expect(l.a.Remove(ticket)).To(BeFalse())
--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -59,7 +59,7 @@
 				{Service: "retrieve", Items: 8, ResultBytes: 60_000, DependsOn: []int{0}},
 				{Service: "rank", Items: 16, ResultBytes: 6_000, DependsOn: []int{1}},
 			},
-		}})
+		}}, time.Now())
 	}
 	return k
 }
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -183,7 +183,7 @@
 		Reject:  func(reason batcher.Reason) { rejected <- reason },
 	}
 	k.mu.Lock()
-	k.admission.Enqueue(t)
+	k.admission.Enqueue(t, k.clock.Now())
 	k.mu.Unlock()
 	k.schedule()
 	k.recordExpectedWait(t)
--- a/process/stages/earlyrefusal_test.go
+++ b/process/stages/earlyrefusal_test.go
@@ -153,6 +153,6 @@
 	}
 	t := &Ticket{Request: r, Start: func() { l.started = append(l.started, id) }}
 	t.Reject = func(reason batcher.Reason) { l.rejected[id] = reason }
-	l.a.Enqueue(t)
+	l.a.Enqueue(t, l.now)
 	return t
 }
--- a/process/stages/expectedwait_test.go
+++ b/process/stages/expectedwait_test.go
@@ -20,7 +20,7 @@
 		Worth: 0.5, Stages: []Stage{{Service: "s", Items: 10}, {Service: "other", Items: 1}},
 		TargetTime: l.now.Add(10 * time.Second), Deadline: l.now.Add(20 * time.Second),
 	}}
-	l.a.Enqueue(middle)
+	l.a.Enqueue(middle, l.now)
 	for i := range 10 {
 		l.enqueue(fmt.Sprint("last ", i), 0.1, 10, 10*time.Second, 20*time.Second)
 	}
--- a/process/stages/regions_test.go
+++ b/process/stages/regions_test.go
@@ -100,7 +100,7 @@
 			Request: &Request{AllowedRegions: set, Stages: []Stage{{Service: "s", Items: 1}}, TargetTime: now.Add(time.Second), Deadline: now.Add(time.Minute)},
 			Start:   func() { out = "begun" },
 			Reject:  func(r batcher.Reason) { out = string(r) },
-		})
+		}, now)
 		a.Schedule(now)
 		return out
 	}
--- a/process/stages/shares.go
+++ b/process/stages/shares.go
@@ -27,9 +27,10 @@
 // max-min over their recent demand. What is divided is what all accounts used lately, so that servers
 // that are slower than expected are divided as well.
 type accountShares struct {
-	services   map[string]*serviceShares
-	computedAt time.Time
-	contended  bool // several accounts ask for a short service
+	services    map[string]*serviceShares
+	computedAt  time.Time
+	forgottenAt time.Time // up to when the past has been forgotten
+	contended   bool      // several accounts ask for a short service
 }
 
 // serviceShares holds the shares of one service.
@@ -188,17 +189,32 @@
 	if elapsed < shareInterval && !s.useHasGrown(now) {
 		return
 	}
-	keep := math.Exp(-elapsed.Seconds() / shareWindow.Seconds())
+	s.forget(now)
 	s.computedAt, s.contended = now, false
+	for _, of := range s.services {
+		of.computeDues(now.Before(of.shortUntil))
+		s.contended = s.contended || now.Before(of.shortUntil) && len(of.accounts) > 1
+	}
+}
+
+// forgetBeforeArrival forgets a part of the past if it is time, so that a request that joins at now is not
+// forgotten as if it were as old as the last computation.
+func (s *accountShares) forgetBeforeArrival(now time.Time) {
+	if now.Sub(s.forgottenAt) >= shareInterval {
+		s.forget(now)
+	}
+}
+
+// forget forgets a part of the past, idle accounts, and services without accounts.
+func (s *accountShares) forget(now time.Time) {
+	keep := math.Exp(-now.Sub(s.forgottenAt).Seconds() / shareWindow.Seconds())
+	s.forgottenAt = now
 	for name, of := range s.services {
 		of.forget(keep)
 		of.forgetPeak(keep)
 		if len(of.accounts) == 0 {
 			delete(s.services, name)
-			continue
 		}
-		of.computeDues(now.Before(of.shortUntil))
-		s.contended = s.contended || now.Before(of.shortUntil) && len(of.accounts) > 1
 	}
 }
 
--- a/process/stages/shares_test.go
+++ b/process/stages/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -58,3 +59,16 @@
 	l.a.Schedule(l.now)
 	l.g.Expect(l.a.shares.share("s", "a").used).To(BeNumerically("~", 0.2, 0.01))
 }
+
+// An account asks again after a while without requests. Guards against demand that is forgotten in part as
+// soon as it arrives, as if it were as old as that of the account's last requests.
+func TestNewDemandIsNotForgottenOnArrival(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	l.a.inFlight["s"] = workAmount{items: 10_000}
+	l.enqueueFor("a", "first", 0, 155, time.Hour, 2*time.Hour)
+	l.a.Schedule(l.now)
+	l.now = l.now.Add(2 * shareWindow)
+	l.enqueueFor("a", "second", 0, 155, time.Hour, 2*time.Hour)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.share("s", "a").demand).To(BeNumerically("~", 1+math.Exp(-2), 0.01))
+}
