stages: the expected wait counts late work, refused requests and pauses

Found in review. In the heaviest overload an owner told other regions waits that were too low, so that these sent more. Cause: only requests that can be on time counted, and requests that were late on arrival, refused because of the line, or that found no usable server recorded 0. More urgent late requests now count for those on time; a late or refused request records the work of all that are as urgent; while no server can be used the last known rate holds, and the pause is added. Less urgent work does not count: the waits are told by priority.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -60,6 +60,7 @@
 	FetchFrom   string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
+	refused       bool          // rejected because it would not have ended in time
 	beyondDue     bool          // its account was beyond its due in the last decision among several accounts
 	shares        []stageShare  // by stage with items; none for a request without a share
 	retryAfter    time.Duration // when a rejected request may return; 0: unknown
@@ -403,6 +404,7 @@
 
 // reject ends the wait of a request and calls its Reject.
 func (a *Admission) reject(t *Ticket, r batcher.Reason) {
+	t.refused = r == batcher.TooLate || r == reasonLine
 	t.leave(false)
 	t.Reject(r)
 }
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -122,10 +122,11 @@
 
 // recordExpectedWait adds the expected wait of a request that has just been queued.
 func (k *Coordinator) recordExpectedWait(t *Ticket) {
+	now := k.clock.Now()
 	k.mu.Lock()
-	wait := k.admission.lineWait(t)
+	wait := k.admission.lineWait(t, now)
 	k.mu.Unlock()
-	k.waits.Record(t.Request.Priority, wait, k.clock.Now())
+	k.waits.Record(t.Request.Priority, wait, now)
 }
 
 // ExpectedWait returns the expected wait for admission of a request of a priority that arrives now.
