--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -61,6 +61,8 @@
 	FetchFrom   string          // server from which that server transfers a prompt prefix
 
 	late          bool          // see Late
+	refused       bool          // rejected because it would not have ended in time
+	beyondDue     bool          // its account was beyond its due in the last decision among several accounts
 	shares        []stageShare  // by stage with items; none for a request without a share
 	retryAfter    time.Duration // when a rejected request may return; 0: unknown
 	serverSeconds float64       // time that its items occupy all servers of a service, summed over services
@@ -93,11 +95,13 @@
 	return &a.serviceCache[len(a.serviceCache)-1].service, ok
 }
 
-// Enqueue adds a request to those that wait for admission. Schedule has to be called to start it.
-func (a *Admission) Enqueue(t *Ticket) {
+// Enqueue adds a request that arrives at now to those that wait for admission. Schedule has to be called to
+// start it.
+func (a *Admission) Enqueue(t *Ticket, now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
 	t.serverSeconds = a.serverSeconds(t.Request)
-	a.shares.join(t, a.stageSeconds)
+	a.shares.forgetBeforeArrival(now)
+	a.shares.join(t, a.service)
 	a.onTime = insertSorted(a.onTime, t, beforeOnTime)
 }
 
@@ -201,6 +205,7 @@
 // come first, and what they leave goes to all.
 func (a *Admission) Schedule(now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
+	a.shares.recordRates(a.service)
 	a.shares.compute(now)
 	a.classify(now)
 	reserved := &reservations{services: map[string]bool{}, resultBytes: map[string]int64{}}
@@ -210,6 +215,7 @@
 		a.startLateReserve(now, anyTicket)
 		a.startByPriority(reserved, anyTicket)
 	}
+	a.recordHeld()
 	a.shares.markShort(reserved, now)
 	a.refuseUnreachable(now)
 }
@@ -220,8 +226,8 @@
 // startShared starts requests while several accounts ask for a service that is short.
 func (a *Admission) startShared(now time.Time, reserved *reservations) {
 	withinDue := func(t *Ticket) bool {
-		t.HeldByShare = !t.withinDue()
-		return !t.HeldByShare
+		t.beyondDue = !t.withinDue()
+		return !t.beyondDue
 	}
 	a.startLateReserve(now, withinDue)
 	a.startLateReserve(now, anyTicket)
@@ -245,6 +251,15 @@
 	return slices.Compact(list)
 }
 
+// recordHeld records which of the requests that still wait are behind others because of their shares.
+func (a *Admission) recordHeld() {
+	for _, list := range [][]*Ticket{a.onTime, a.late} {
+		for _, t := range list {
+			t.HeldByShare = a.shares.contended && t.beyondDue
+		}
+	}
+}
+
 // startLateReserve starts the late requests near their latest start that have a turn, up to the late
 // reserve.
 func (a *Admission) startLateReserve(now time.Time, hasTurn func(*Ticket) bool) {
@@ -302,6 +317,9 @@
 			needs = t.latePath()
 		}
 		if now.Add(needs).After(t.Request.Deadline) {
+			if t.needsShort(now) {
+				t.retryAfter = t.bookReturn(now)
+			}
 			a.reject(t, batcher.TooLate)
 			continue
 		}
@@ -417,6 +435,7 @@
 
 // reject ends the wait of a request and calls its Reject.
 func (a *Admission) reject(t *Ticket, r batcher.Reason) {
+	t.refused = r == batcher.TooLate || r == reasonLine
 	t.leave(false)
 	t.Reject(r)
 }
