stages: tests of waits and loads say what they mean

TestNextOwnerSharesBetweenCompetingAccounts wrote a variable shared by goroutines, so that one failure made others look failed.

--- a/process/stages/load_test.go
+++ b/process/stages/load_test.go
@@ -230,10 +230,24 @@
 		time.Sleep(time.Second) // for results to be freed
 		stop()
 		synctest.Wait()
+		expectIdle(NewWithT(t), k)
 	})
 	return out, p
 }
 
+// expectIdle fails the test if requests wait or work counts as in flight: servers would be left idle for it.
+func expectIdle(g *WithT, k *Coordinator) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	onTime, late := k.admission.Waiting()
+	g.Expect(onTime+late).To(BeZero(), "requests that wait")
+	for _, inFlight := range []map[string]workAmount{k.admission.inFlight, k.admission.lateInFlight} {
+		for service, amount := range inFlight {
+			g.Expect(amount).To(BeZero(), "in flight: %s", service)
+		}
+	}
+}
+
 // startService creates the servers of a service and starts its batcher.
 func (p *simulation) startService(ctx context.Context, name string, s simService) *batcher.Batcher {
 	b := batcher.New(name, s.Options, simBackend{p, name, s.Options}, clock.System{}, discardLog{})
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -241,6 +241,8 @@
 // again.
 func TestExpectedWaitFollowsReportsAndDecays(t *testing.T) {
 	g, first, _, third := newThreeHosts(t)
+	manual := clock.NewManual(time.Now())
+	first.fixture.k.clock, third.pool.clock = manual, manual
 	g.Expect(third.pool.ExpectedWait("x", 0)).To(BeZero())
 	for range 100 {
 		first.fixture.k.waits.Record(0, time.Second, third.pool.clock.Now())
@@ -453,10 +455,11 @@
 			go func() {
 				r := chainRequest(fmt.Sprint(account, i))
 				r.Account = account
+				outcome := account
 				if _, err := third.pool.Run(t.Context(), r); err != nil {
-					account += " failed"
+					outcome += " failed"
 				}
-				finished <- account
+				finished <- outcome
 			}()
 		}
 	}
