--- a/connection/bodylimit/uploads_test.go
+++ b/connection/bodylimit/uploads_test.go
@@ -134,6 +134,67 @@
 	})
 }
 
+// Load: twice as many uploads as may wait come while others fill the memory. Guards against memory without a
+// bound: the beginning of each that waits is held, and not counted.
+func TestUploadsThatWaitAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		u := NewUploads(smallHost)
+		u.total = u.max // by bodies in service
+		began := time.Now()
+		refused := 0
+		var group sync.WaitGroup
+		var mu sync.Mutex // guards refused
+		for range 2 * maxWaitingUploads {
+			group.Go(func() {
+				_, err := u.Read(newSender(1, 64<<10, 64<<10, fastLink).upload(10*time.Second, false))
+				g.Expect(err).To(MatchError(ErrNoRoom))
+				mu.Lock()
+				defer mu.Unlock()
+				if time.Since(began) < time.Second {
+					refused++
+				}
+			})
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(u.Stats().Waiting).To(Equal(maxWaitingUploads))
+		group.Wait()
+		g.Expect(refused).To(Equal(maxWaitingUploads))
+		g.Expect(u.Stats().NoRoom).To(BeEquivalentTo(2 * maxWaitingUploads))
+		g.Expect(u.uploads).To(BeEmpty())
+	})
+}
+
+// The process is suspended for some seconds while a body arrives that another one waits for. Guards against
+// giving up a sound body as stalled before what has come meanwhile is read.
+func TestSuspensionIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // so that the recheck does not come by itself
+		g := NewWithT(t)
+		u := NewUploads(smallHost)
+		now := time.Now()
+		arriving := u.begin(mebibyte, Upload{Length: mebibyte, Limit: mebibyte, Interrupt: func() {}})
+		u.take(arriving, u.max-1)
+		arriving.need = 1
+		waiting := u.begin(mebibyte, Upload{Length: mebibyte, Limit: mebibyte})
+		waiting.wants, waiting.waitBegan, waiting.granted = blockBytes, now, make(chan struct{})
+		u.waiting = append(u.waiting, waiting)
+		look := func(after time.Duration) bool {
+			now = now.Add(after)
+			u.dispatch(now)
+			return arriving.givenUp
+		}
+		g.Expect(look(0)).To(BeFalse())
+		g.Expect(look(recheckInterval)).To(BeFalse())
+		g.Expect(look(5*time.Second)).To(BeFalse(), "suspended")
+		g.Expect(look(recheckInterval)).To(BeFalse())
+		for at := time.Duration(0); at < stallTime; at += recheckInterval {
+			look(recheckInterval)
+		}
+		g.Expect(arriving.givenUp).To(BeTrue(), "stalled")
+		u.recheck.Stop()
+	})
+}
+
 // Guards against giving up a slow client where nobody needs its memory, and against one that holds a
 // request past its time.
 func TestStalledBodyAloneLastsToItsTimeout(t *testing.T) {
--- a/process/serverspeed/serverspeed_test.go
+++ b/process/serverspeed/serverspeed_test.go
@@ -104,6 +104,24 @@
 	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "not known how long it takes")
 }
 
+// A server hangs with several requests, of which one fails at its timeout, or as its client leaves. Guards
+// against a server that is not overdue any more for that.
+func TestFailedAttemptLeavesOthersOverdue(t *testing.T) {
+	g := NewWithT(t)
+	var s State
+	for range 3 {
+		s.RecordSent(now, now.Add(100*time.Millisecond))
+	}
+	s.RecordAwaited(time.Time{})
+	g.Expect(s.Overdue(now.Add(150 * time.Millisecond))).To(Equal(50 * time.Millisecond))
+	s.RecordAwaited(now.Add(200 * time.Millisecond))
+	g.Expect(s.Overdue(now.Add(150*time.Millisecond))).To(BeZero(), "it has responded")
+	s.RecordAwaited(time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "none is awaited")
+	s.RecordSent(now, time.Time{})
+	g.Expect(s.Overdue(now.Add(time.Hour))).To(BeZero(), "not known how long it takes")
+}
+
 // Guards against all servers of a service that count as slow because all of them tell it.
 func TestToldFiguresAreRelativeToTheService(t *testing.T) {
 	g := NewWithT(t)
@@ -258,6 +276,121 @@
 	g.Expect(c.slow()).To(Equal([]int{0}))
 }
 
+// A host was suspended while it waited for responses, which it handles before or after it first updates what
+// it knows. Guards against servers that it, and those that it tells, take for slow for that time.
+func TestResponsesOfASuspensionAreNotMeasured(t *testing.T) {
+	for name, updatesFirst := range map[string]bool{"updates first": true, "responses first": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(3)
+			var usual Usual
+			respond := func(s *State, took time.Duration) {
+				usual.Observe(s, Measurement{Took: took, Load: 1, Slots: 8, At: c.clock.Now()})
+			}
+			update := func() {
+				for _, s := range c.states {
+					s.Update(Conditions{Now: c.clock.Now(), Hosts: 3})
+				}
+				c.tell(1)
+			}
+			update()
+			for range 20 {
+				respond(&State{}, 20*time.Millisecond)
+			}
+			c.clock.Advance(3 * time.Second)
+			if updatesFirst {
+				update()
+			}
+			for range 8 {
+				respond(c.states[0], 3*time.Second)
+			}
+			usual.ObserveAtLeast(c.states[0], Measurement{Took: 3 * time.Second, Load: 1, Slots: 8, At: c.clock.Now()})
+			for range 4 {
+				update()
+			}
+			g.Expect(c.slow()).To(BeEmpty())
+			for range 4 {
+				respond(c.states[0], 200*time.Millisecond)
+			}
+			g.Expect(c.slow()).To(Equal([]int{0}), "it is measured again")
+		})
+	}
+}
+
+// Several responses in a row come from one server: it has most of the requests of a kind. Guards against one
+// slow server that makes all count as slow, so that none is told from the others, and against a service of
+// one server that is slower than itself.
+func TestResponsesOfOneServerDoNotTellOfAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers int     // that respond at first
+		slow    []int   // servers of the responses that then take five times as long, in turn
+		fast    bool    // and a server between them responds as before
+		common  float64 // log of the factor for all
+	}{
+		"one of two":                    {servers: 2, slow: []int{0}},
+		"one of two, the other as ever": {servers: 2, slow: []int{0, 0, 0, 0, 0}, fast: true},
+		"both":                          {servers: 2, slow: []int{0, 1}, common: math.Log(5)},
+		"both, most of one":             {servers: 2, slow: []int{0, 0, 0, 0, 0, 1}, common: math.Log(5)},
+		"the only one":                  {servers: 1, slow: []int{0}, common: math.Log(5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var usual Usual
+			states := make([]State, 2)
+			at := now
+			respond := func(i int, took time.Duration) {
+				at = at.Add(10 * time.Millisecond)
+				usual.Observe(&states[i], Measurement{Took: took, Load: 1, Slots: 8, At: at})
+			}
+			for i := range 40 {
+				respond(i%c.servers, 95*time.Millisecond) // 100 ms with jitter
+			}
+			for i := range 12 {
+				respond(c.slow[i%len(c.slow)], 495*time.Millisecond)
+				if c.fast && i%len(c.slow) == len(c.slow)-1 {
+					respond(1, 95*time.Millisecond)
+				}
+			}
+			common, known := usual.common(at)
+			g.Expect(known).To(BeTrue())
+			g.Expect(common).To(BeNumerically("~", c.common, 0.2))
+		})
+	}
+}
+
+// A host was suspended, and handles messages that have waited for it before it calls Tell again. Guards against
+// findings of some seconds ago that count as of now, and that it passes on.
+func TestFindingsThatWaitedForASuspendedHostAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(2)
+	c.tell(1)
+	observe(c.states[0], 8, 5, c.clock.Now())
+	f, isNew := c.states[0].news(c.clock.Now())
+	g.Expect(isNew).To(BeTrue())
+	f.Server, f.Origin = c.servers[0].hash(), c.exchanges[0].self
+	payload, err := peer.Marshal([]Finding{f})
+	g.Expect(err).NotTo(HaveOccurred())
+	receive := func() {
+		_, err := c.exchanges[1].onFindings(context.Background(), peer.Identity{}, payload)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	c.clock.Advance(10 * time.Second)
+	receive()
+	g.Expect(c.slow()).To(Equal([]int{0}))
+	c.tell(1)
+	receive()
+	g.Expect(c.slow()).To(Equal([]int{0, 1}), "it hears again")
+}
+
+// Guards against a finding that is held to be passed on and keeps its weight meanwhile.
+func TestHeldFindingsLoseWeight(t *testing.T) {
+	g := NewWithT(t)
+	f := Finding{TimeWeight: 80, RoomWeight: 40, AgeMS: 100}
+	g.Expect(f.older(0)).To(Equal(f))
+	g.Expect(f.older(evidenceHalfLife)).To(Equal(Finding{TimeWeight: 40, RoomWeight: 20, AgeMS: 2100}))
+	g.Expect(f.older(-time.Second)).To(Equal(f))
+}
+
 // A host's way to a server loses packets, others reach it well. Guards against the word of one host that
 // outweighs what the others measure.
 func TestOneHostDoesNotOutweighOthers(t *testing.T) {
@@ -301,5 +434,5 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	perSecond := float64(len(payload)*fanout) / Interval.Seconds()
 	t.Logf("%d B a message, %.0f B/s at most", len(payload), perSecond)
-	g.Expect(perSecond).To(BeNumerically("<", 1100))
+	g.Expect(perSecond).To(BeNumerically("<=", 1024))
 }
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 		}
 	}
 	t.Reject = func(reason batcher.Reason) { l.rejected[id] = reason }
-	l.a.Enqueue(t)
+	l.a.Enqueue(t, l.now)
 }
 
 // advance lets the service finish items at its rate for d.
@@ -159,7 +160,7 @@
 	l := newAdmissionSim(t, map[string]Service{"s": s})
 	for i, bytes := range []int64{800_000, 8_000} {
 		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ResultBytes: bytes}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(9 * time.Second)}
-		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}})
+		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}}, l.now)
 	}
 	l.a.Schedule(l.now)
 	l.g.Expect(l.started).To(Equal([]string{"1"}))
@@ -175,7 +176,7 @@
 	l.a.inFlight["s"] = workAmount{items: 60, bytes: 60 * 8_000}
 	for i := range 10 {
 		r := &Request{ID: fmt.Sprint(i), Worth: 2, Stages: []Stage{{Service: "s", Items: 2, ResultBytes: 3_000_000}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(9 * time.Second)}
-		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}})
+		l.a.Enqueue(&Ticket{Request: r, Start: func() { l.started = append(l.started, r.ID) }, Reject: func(batcher.Reason) {}}, l.now)
 	}
 	l.a.Schedule(l.now)
 	l.g.Expect(len(l.started)).To(BeNumerically(">=", 6), "as many as the memory allows")
@@ -186,7 +187,7 @@
 	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
 	r := &Request{ID: "1", Stages: []Stage{{Service: "s", Items: 1}}, TargetTime: l.now.Add(time.Second), Deadline: l.now.Add(time.Second)}
 	ticket := &Ticket{Request: r, Start: func() { t.Error("begun") }, Reject: func(batcher.Reason) { t.Error("rejected") }}
-	l.a.Enqueue(ticket)
+	l.a.Enqueue(ticket, l.now)
 	l.g.Expect(l.a.Remove(ticket)).To(BeTrue())
 	l.a.Schedule(l.now)
 	l.g.Expect(l.a.Remove(ticket)).To(BeFalse())
@@ -260,6 +261,43 @@
 	l.g.Expect(l.a.shares.list(l.now.Add(2*shortageHold))).To(BeEmpty(), "no longer short")
 }
 
+// An account beyond its due gets a server that nobody else wants, or waits until no other account asks.
+// Guards against operators who are told that a share held requests that started at once, or that wait for
+// servers alone.
+func TestOnlyWaitingRequestsOfACompetingAccountAreHeld(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	for i := range 80 {
+		l.enqueueFor("large", fmt.Sprint("large-", i), 0, 4, time.Hour, 2*time.Hour)
+	}
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	small := l.enqueueFor("small", "small", 2, 4, time.Hour, 2*time.Hour)
+	held := l.enqueueFor("large", "held", 0, 4, time.Hour, 2*time.Hour)
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.g.Expect(held.HeldByShare).To(BeTrue())
+	l.a.Remove(small)
+	l.now = l.now.Add(20 * shareWindow)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.contended).To(BeFalse())
+	l.g.Expect(held.HeldByShare).To(BeFalse(), "no other account asks")
+
+	small = l.enqueueFor("small", "small", 2, 4, time.Hour, 2*time.Hour)
+	l.a.shares.share("s", "large").used = 1
+	l.now = l.now.Add(shareInterval)
+	l.a.Schedule(l.now)
+	l.a.Remove(small)
+	for _, t := range slices.Concat(l.a.onTime, l.a.late) {
+		l.a.Remove(t)
+	}
+	delete(l.a.inFlight, "s")
+	atOnce := l.enqueueFor("large", "at once", 0, 4, time.Hour, 2*time.Hour)
+	l.a.Schedule(l.now)
+	l.g.Expect(l.a.shares.contended).To(BeTrue())
+	l.g.Expect(l.started).To(ContainElement("at once"))
+	l.g.Expect(atOnce.HeldByShare).To(BeFalse())
+}
+
 // Guards against accounts that are remembered for ever: an account whose requests have ended is
 // forgotten, one with a waiting request is not.
 func TestIdleAccountsAreForgotten(t *testing.T) {
--- a/process/waitline/line_test.go
+++ b/process/waitline/line_test.go
@@ -85,6 +85,41 @@
 	g.Expect(c.Outcome()).To(Equal(Proceed))
 }
 
+// Guards against servers that stay idle: many requests of one region, which is full, are before those that
+// may run in another.
+func TestRequestsOfAFullRegionDoNotBlockOthers(t *testing.T) {
+	g := NewWithT(t)
+	l, full, looks := &Line{}, false, 0
+	for range 100 {
+		r := request(0, &full)
+		r.RoomKey = "full"
+		r.Room = func(time.Time) Belief { looks++; return Belief{} }
+		join(g, l, r, start)
+	}
+	idle := true
+	r := request(1, &idle)
+	r.RoomKey = "idle"
+	other := join(g, l, r, start)
+	l.Advance(start)
+	g.Expect(other.Done()).To(BeClosed())
+	g.Expect(looks).To(Equal(1))
+}
+
+// Guards against several goroutines that run one line: callers leave, the line is empty, and others join
+// before the first goroutine has seen that.
+func TestOneRunner(t *testing.T) {
+	g := NewWithT(t)
+	l, room := &Line{}, false
+	for i := range 3 {
+		ticket, run, _ := l.Join(request(0, &room), start)
+		g.Expect(run).To(Equal(i == 0))
+		l.Leave(ticket)
+	}
+	g.Expect(l.Advance(start)).To(BeZero())
+	_, run, _ := l.Join(request(0, &room), start)
+	g.Expect(run).To(BeTrue())
+}
+
 // Guards against requests that wait for what does not come: each goes for a trial in the end, the
 // head of the line first and one after the other.
 func TestTrialsArePaced(t *testing.T) {
@@ -142,6 +177,23 @@
 	g.Expect(tickets[4].Outcome()).To(Equal(Waiting))
 }
 
+// Guards against a line that is looked at every millisecond: a late request has waited for as long as it may,
+// and while the pace is not known only a trial, later, ends its wait.
+func TestLateRequestsDoNotKeepTheLineBusy(t *testing.T) {
+	g := NewWithT(t)
+	l, room := &Line{}, false
+	l.ObserveServerTime(400*time.Millisecond, true, start)
+	late := request(1, &room)
+	late.Target, late.MaxWait = start, time.Millisecond
+	join(g, l, late, start)
+	second := join(g, l, late, start)
+	now := after(2 * time.Millisecond)
+	l.Advance(now)
+	l.EndTurn(l.turn)
+	g.Expect(l.Advance(now)).To(Equal(now.Add(maxStep)))
+	g.Expect(second.Outcome()).To(Equal(Waiting))
+}
+
 // Guards against late requests that wait for as long as others keep passing them.
 func TestLateRequestsWaitForAShortTime(t *testing.T) {
 	g := NewWithT(t)
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"bilberrydale/connection/upstream"
@@ -24,6 +25,7 @@
 	// no other server to ask.
 	progressInterval time.Duration
 	measurement      measurement
+	isOver           sync.Once // the server is done with it, or it has ended
 }
 
 // close ends the attempt. The connection is closed unless complete is set, which requires
@@ -35,10 +37,23 @@
 		a.response.Discard()
 	}
 	a.cancel()
-	a.server.InFlight.Add(-1)
+	a.leaveServer()
 	a.measurement.endWait(a.server, time.Time{})
 }
 
+// leaveServer records once that the server has nothing to do for the attempt any more.
+func (a *attempt) leaveServer() { a.isOver.Do(func() { a.server.InFlight.Add(-1) }) }
+
+// Read reads the body of the response. At its end the server is done, also while the client has yet to take
+// what was read ahead.
+func (a *attempt) Read(b []byte) (int, error) {
+	n, err := a.response.Read(b)
+	if err == io.EOF { // not one that is the cause of another error
+		a.leaveServer()
+	}
+	return n, err
+}
+
 // Errors of an attempt. errNotSent (no byte was sent) and errNotRun (the server states it)
 // prove that the server did not run the request. After errInvalidResponse it may have run.
 var (
@@ -77,6 +92,7 @@
 	}
 	measurement := x.beginMeasurement(s, lastEventID, now)
 	s.InFlight.Add(1)
+	x.endTurn() // the next request of the line sees this one in flight
 	x.logEntry.Attempts++
 	x.logEntry.Server = s.ID
 	response, err := x.opts.Servers.Do(ctx, s.Address, req)
@@ -93,6 +109,9 @@
 	x.reachedServer, x.logEntry.BodyEnd, x.logEntry.CarriedBy = true, response.BodyEnd, response.CarriedBy
 	a := &attempt{server: s, response: response, cancel: cancel, measurement: measurement, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
 	if err := x.checkResponse(a); err != nil {
+		if errors.Is(err, errNotRun) {
+			x.endWait(a)
+		}
 		a.close(errors.Is(err, errNotRun) && a.drain())
 		return nil, err
 	}
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,8 +63,35 @@
 	return line.(*waitingLine)
 }
 
+// sweep removes the idle lines of services, and what is known of routes, that are not in a plan.
+func (l *waitingLines) sweep(p *plan.Plan, services map[string]int) {
+	routes := map[string]bool{}
+	for r := range p.Routes() {
+		routes[r.Name] = true
+	}
+	l.byService.Range(func(service, line any) bool {
+		w := line.(*waitingLine)
+		if _, used := services[service.(string)]; !used && w.Len() == 0 {
+			l.byService.Delete(service)
+		}
+		w.timeouts.Range(func(route, _ any) bool {
+			if !routes[route.(string)] {
+				w.timeouts.Delete(route)
+			}
+			return true
+		})
+		return true
+	})
+}
+
 // Waiting returns the number of requests that wait for room at the servers of a service.
-func (g *Gateway) Waiting(service string) int { return g.lines.of(service).Len() }
+func (g *Gateway) Waiting(service string) int {
+	line, ok := g.lines.byService.Load(service)
+	if !ok {
+		return 0
+	}
+	return line.(*waitingLine).Len()
+}
 
 // AllWaiting returns the number of requests that wait, by service; services without any are left out.
 func (g *Gateway) AllWaiting() map[string]int {
@@ -118,7 +148,11 @@
 	if !x.takeRetry(hist) {
 		return nil // it would wait in vain
 	}
-	switch x.waitForTurn(ctx, line, hist) {
+	outcome := x.waitForTurn(ctx, line, hist)
+	if !outcome.Refused() && ctx.Err() == nil && !x.checkAfterWait(hist) {
+		return nil
+	}
+	switch outcome {
 	case waitline.Proceed:
 		if s := x.takeServerWithRoom(hist); s != nil {
 			return s
@@ -150,19 +184,22 @@
 	if x.route.TargetLatency <= 0 {
 		target = x.deadline
 	}
-	ticket, first, outcome := line.Join(waitline.Request{
+	ticket, run, outcome := line.Join(waitline.Request{
 		Priority: x.priority, Worth: x.worth(), Target: target, Deadline: x.deadline, MaxWait: max(maxWait-x.logEntry.Waited, 0),
-		Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
+		RoomKey: x.roomKey(hist), Room: func(now time.Time) waitline.Belief { return x.room(hist, now) },
 	}, began)
 	if outcome == waitline.Waiting {
-		x.recordNoRoom()
-		if first {
+		if run {
 			go x.runLine(line)
 		} else {
 			line.notify()
 		}
 		outcome = x.awaitTurn(ctx, line, ticket)
-		x.logEntry.Waited += x.opts.Clock.Now().Sub(began)
+		waited := x.opts.Clock.Now().Sub(began)
+		x.logEntry.Waited += waited
+		if line.LackedRoom(outcome, waited) {
+			x.recordNoRoom()
+		}
 	}
 	x.logEntry.WaitOutcome = outcome
 	if outcome.Refused() {
@@ -204,10 +241,10 @@
 	line.notify()
 }
 
-// attemptBegins records that the request is about to be sent to a server, and returns the time.
+// attemptBegins records that the request is about to be sent to a server, and returns the time. The
+// turn of the request ends in send.
 func (x *exchange) attemptBegins(s *directory.Server) time.Time {
 	s.Room.Sent()
-	x.endTurn()
 	return x.opts.Clock.Now()
 }
 
@@ -255,6 +292,11 @@
 	return all
 }
 
+// roomKey returns a key of what room depends on besides the state of the servers.
+func (x *exchange) roomKey(hist *attemptHistory) string {
+	return fmt.Sprint(x.allowed.RouteRegions, x.allowed.AccountRegions, x.rank(), slices.Sorted(maps.Keys(hist.tried)))
+}
+
 // lacksRoom reports whether a server has no room for the request.
 func (x *exchange) lacksRoom(s *directory.Server, now time.Time) bool {
 	return !s.Room.Room(x.roomQuery(s, now)).Room
@@ -266,28 +308,37 @@
 	return waitline.Query{Slots: s.Slots, InFlight: int(s.InFlight.Load()), Rank: x.rank(), ServiceTime: serviceTime, Now: now}
 }
 
-// servicePriorities are the most urgent priorities of the routes of a plan, by service.
-type servicePriorities struct {
+// serviceUses is how the routes of a plan use its services, by service.
+type serviceUses struct {
 	plan       *plan.Plan
-	mostUrgent map[string]int
+	mostUrgent map[string]int  // priority of the most urgent route
+	streams    map[string]bool // a route of streams leads there
 }
 
-// rank returns how many priorities the request is below the most urgent route of its service: servers
-// need a reserve for more urgent requests only if there can be such.
-func (x *exchange) rank() int {
-	p := x.priorities.Load()
-	if p == nil || p.plan != x.plan {
-		p = &servicePriorities{x.plan, map[string]int{}}
-		for r := range x.plan.Routes() {
-			for _, t := range r.Targets {
-				if known, ok := p.mostUrgent[t.Service]; !ok || r.Priority < known {
-					p.mostUrgent[t.Service] = r.Priority
-				}
+// usesOfServices returns how the routes of the request's plan use its services.
+func (x *exchange) usesOfServices() *serviceUses {
+	if u := x.uses.Load(); u != nil && u.plan == x.plan {
+		return u
+	}
+	u := &serviceUses{x.plan, map[string]int{}, map[string]bool{}}
+	for r := range x.plan.Routes() {
+		for _, t := range r.Targets {
+			if known, ok := u.mostUrgent[t.Service]; !ok || r.Priority < known {
+				u.mostUrgent[t.Service] = r.Priority
 			}
+			u.streams[t.Service] = u.streams[t.Service] || r.Kind == plan.Stream
 		}
-		x.priorities.Store(p)
 	}
-	return max(x.priority-p.mostUrgent[x.service], 0)
+	if last := x.uses.Swap(u); last != nil && last.plan.Version < u.plan.Version {
+		x.lines.sweep(u.plan, u.mostUrgent)
+	}
+	return u
+}
+
+// rank returns how many priorities the request is below the most urgent route of its service: servers
+// need a reserve for more urgent requests only if there can be such.
+func (x *exchange) rank() int {
+	return max(x.priority-x.usesOfServices().mostUrgent[x.service], 0)
 }
 
 // refusedInLine returns the error of a request that was refused while it waited, or on its arrival at
