bodylimit: a twentieth of the memory for bodies; chunked ones pass for short up to 16 KiB; uploads take no pooled blocks

What was seen: TestHundredStalledUploadsFitIntoMemory on two cores at a load of 12 to 18, a twelfth of the memory: 20 to 36 MB more alive than beside idle callers, where 32 are allowed (3 of 12 cases failed). A heap profile at the peak shows 16 MB of bodies, as reserved, and 5 MB of the test's own; the rest varies: what is allocated while a collection runs counts as alive. Without pooled blocks it is the same, so bodies of requests do not use them.

Change: a twentieth (8 MiB at least; answers keep 16 MiB). With that, 100 stalled chunked bodies had left no room for large ones: each passed for a short one up to 72 KiB, now up to 16 KiB.

--- a/connection/bodylimit/body.go
+++ b/connection/bodylimit/body.go
@@ -59,15 +59,14 @@
 var freeBlocks = sync.Pool{New: func() any { return new([blockBytes]byte) }}
 
 // grow adds an empty block of n bytes.
-func (d *Body) grow(n int) {
-	if n == blockBytes {
-		d.blocks = append(d.blocks, freeBlocks.Get().(*[blockBytes]byte)[:0])
-		return
-	}
-	d.blocks = append(d.blocks, make([]byte, 0, n))
+func (d *Body) grow(n int) { d.blocks = append(d.blocks, make([]byte, 0, n)) }
+
+// growPooled adds an empty block of blockBytes from freeBlocks.
+func (d *Body) growPooled() {
+	d.blocks = append(d.blocks, freeBlocks.Get().(*[blockBytes]byte)[:0])
 }
 
-// recycle gives the blocks back. Nobody else may hold them.
+// recycle gives the blocks to freeBlocks. Nobody else may hold them.
 func (d *Body) recycle() {
 	for _, b := range d.blocks {
 		if cap(b) == blockBytes {
--- a/connection/bodylimit/bodylimit.go
+++ b/connection/bodylimit/bodylimit.go
@@ -124,7 +124,7 @@
 	if err := r.reserve(blockBytes); err != nil {
 		return err
 	}
-	data.grow(blockBytes)
+	data.growPooled()
 	return nil
 }
 
--- a/connection/bodylimit/uploads.go
+++ b/connection/bodylimit/uploads.go
@@ -15,12 +15,14 @@
 	freeUploadBytes = 8 << 10
 	// memoryShare of the memory of a process is for bodies of requests, and as much for those of
 	// responses.
-	memoryShare = 1.0 / 12
+	memoryShare = 1.0 / 20
 	// defaultUploadBytes is for them if the memory is not known, minUploadBytes if it is small.
 	defaultUploadBytes = 16 << 20
 	minUploadBytes     = 8 << 20
 	// recheckInterval is the time between two looks at the progress of others while a body waits.
 	recheckInterval = 100 * time.Millisecond
+	// shortBytes are the counted bytes of a body of unknown length while it passes for a short one.
+	shortBytes = 8 << 10
 	// spareBytes is the size of a block for a body that has no more bytes, but has not ended.
 	spareBytes = 512
 )
@@ -108,7 +110,6 @@
 		err = ErrStalled
 	}
 	if err != nil {
-		b.data.recycle()
 		b.release()
 		return nil, b.explain(err)
 	}
@@ -166,6 +167,9 @@
 		return nil
 	}
 	n := min(left, blockBytes)
+	if b.upload == nil && b.request.Length < 0 {
+		n = min(left, shortBytes)
+	}
 	if b.upload == nil {
 		b.upload = b.uploads.begin(left, b.request)
 	}
@@ -277,10 +281,10 @@
 // expected returns the bytes that the body is likely to need. One of unknown length is taken for a short
 // one while it is.
 func (b *upload) expected() int64 {
-	if b.known || b.held > blockBytes {
+	if b.known || b.held >= shortBytes {
 		return b.need
 	}
-	return min(b.need, blockBytes)
+	return min(b.need, shortBytes)
 }
 
 // take counts n bytes for a body.
