--- a/process/stages/bench_test.go
+++ b/process/stages/bench_test.go
@@ -88,7 +88,7 @@
 	for _, accounts := range []int{5, 100, 1000} {
 		b.Run(fmt.Sprint("accounts=", accounts), func(b *testing.B) {
 			s, now := newAccountShares(), time.Unix(1000, 0)
-			s.computedAt = now
+			s.computedAt, s.forgottenAt = now, now
 			for _, service := range []string{"encode", "retrieve", "rank"} {
 				for i := range accounts {
 					share := s.share(service, fmt.Sprint("account-", i))
@@ -98,7 +98,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				s.computedAt = now.Add(-shareInterval)
+				s.computedAt, s.forgottenAt = now.Add(-shareInterval), now.Add(-shareInterval)
 				s.compute(now)
 			}
 		})
