--- a/process/serverspeed/state.go
+++ b/process/serverspeed/state.go
@@ -188,11 +188,11 @@
 // trialIntervalPerHost keeps the trials of all hosts together to a few a second.
 const trialIntervalPerHost = 250 * time.Millisecond
 
-// TrialDue reports whether a slow server should get a request to show whether it is well again.
+// TrialDue reports whether a slow server should get a request to show whether it has recovered.
 func (s *State) TrialDue(now time.Time) bool { return now.UnixNano() >= s.trialAt.Load() }
 
-// RecordSent records that the server gets a request, whose response is expected until a time, by far;
-// zero: it is not known. RecordAwaited has to be called when it has come or failed.
+// RecordSent records that the server gets a request. expected is a generous upper limit of the time of its
+// response; zero: it is not known. RecordAwaited has to be called when it has come or failed.
 func (s *State) RecordSent(now, expected time.Time) {
 	if s.judged.Load() != 0 {
 		s.scheduleTrial(now)
@@ -202,9 +202,9 @@
 	}
 }
 
-// RecordAwaited records that a request of RecordSent is not awaited any more. expected is the time until
-// which another one is expected to be, by far; zero: this one has failed, or it is not known, which
-// changes nothing for the others.
+// RecordAwaited records that a request of RecordSent is not awaited any more. expected is a generous upper
+// limit of the time of another response; zero: this one has failed, or it is not known, which changes
+// nothing for the others.
 func (s *State) RecordAwaited(expected time.Time) {
 	s.awaited.Add(-1)
 	if !expected.IsZero() {
--- a/process/serverspeed/usual.go
+++ b/process/serverspeed/usual.go
@@ -153,8 +153,8 @@
 // overdueFactor is the multiple of the usual time after which a response is overdue.
 const overdueFactor = 2
 
-// ExpectedUntil returns the time until which a request that is sent now should be answered, by far, with
-// a number of requests at the server, of slots; zero: it is not known.
+// ExpectedUntil returns a generous upper limit of the time at which a request that is sent now is answered,
+// with a number of requests at the server, of slots; zero: it is not known.
 func (u *Usual) ExpectedUntil(load, slots int, now time.Time) time.Time {
 	usual := u.Time()
 	if usual == 0 {
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -153,7 +153,7 @@
 	return domain, remoteBytes
 }
 
-// remainingTime returns the minimum duration of the stages that follow a stage.
+// minTimeAfter returns the minimum duration of the stages that follow a stage.
 func (w *requestWork) minTimeAfter(i int) time.Duration {
 	var longest time.Duration
 	for j := i + 1; j < len(w.request.Stages); j++ {
--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -78,7 +78,7 @@
 const (
 	maxWaiting = 512 // requests, with their bodies
 	// maxTurn is the time for which a request may keep its turn. It is long for a step between two
-	// goroutines, so that a request that has left without a word doesn't stop the others.
+	// goroutines, so that a request that ended without giving it back doesn't stop the others.
 	maxTurn     = 50 * time.Millisecond
 	minStep     = time.Millisecond
 	maxStep     = 25 * time.Millisecond // between two steps, as servers and their limits change, too
--- a/request/gateway/serverspeed.go
+++ b/request/gateway/serverspeed.go
@@ -45,7 +45,8 @@
 	return m
 }
 
-// expectedUntil returns the time until which a server should answer a request that is sent now, by far.
+// expectedUntil returns a generous upper limit of the time at which a server answers a request that is
+// sent now.
 func (x *exchange) expectedUntil(s *directory.Server, load int, now time.Time) time.Time {
 	expected := x.usual().ExpectedUntil(load, s.Slots, now)
 	if expected.IsZero() {
@@ -54,8 +55,8 @@
 	return expected.Add(4 * x.opts.OneWayLatency(s.Domain)) // with a new connection
 }
 
-// endWait records once that a response has begun, or that the attempt has failed. expected is the time
-// until which another response of the server is expected, by far; zero: it is not known.
+// endWait records once that a response has begun, or that the attempt has failed. expected is a
+// generous upper limit of the time of another response of the server; zero: it is not known.
 func (m *measurement) endWait(s *directory.Server, expected time.Time) {
 	if m.awaited {
 		m.awaited = false
