--- a/internal/edgedaemon/checkconfig_test.go
+++ b/internal/edgedaemon/checkconfig_test.go
@@ -56,6 +56,9 @@
 		ContainSubstring("warning: service ledger: no route uses it"),
 	))
 
+	alone := configCheck{path: check.path}
+	g.Expect(alone.run(&out)).To(MatchError(errConfigFaulty), "without a version in force")
+
 	check.path = write(t, "broken", `{"version": "4"}`)
 	g.Expect(check.run(&out)).To(MatchError(ContainSubstring("cannot unmarshal")))
 	check.path = filepath.Join(t.TempDir(), "missing")
