--- /dev/null
+++ b/review/world/client.go
@@ -0,0 +1,93 @@
+package world
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Call is a request of a client.
+type Call struct {
+	Host      string // name in the route
+	Path      string
+	Key       string
+	Deadline  time.Duration
+	Pieces    string // Pieces header; empty: none
+	Body      string
+	Tokens    string // Token-Counts
+	Prefix    string // Prompt-Prefix
+	FrontAddr string
+}
+
+// Answer is what a client has got.
+type Answer struct {
+	ID     string
+	Status int // 0: no answer
+	Stamp  string
+	Body   string
+	Events int
+	Whole  bool // it ended as complete
+	Err    error
+}
+
+// Clients keeps connections to the fronts open.
+var clients = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second}}
+
+// Do sends a request of a client with a new id and reads its answer.
+func (w *World) Do(c Call) Answer {
+	a := Answer{ID: randomID(8)}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.FrontAddr+c.Path, io.NopCloser(strings.NewReader(c.Body)))
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	r.ContentLength = int64(len(c.Body))
+	r.Host = c.Host
+	for name, value := range map[string]string{
+		"Attempt-Id": a.ID, "Model": "m", "Token-Counts": c.Tokens, "Prompt-Prefix": c.Prefix, "Pieces": c.Pieces, "Piece-Key": randomID(6),
+		"Authorization": "Bearer " + c.Key, "Deadline-Ms": fmt.Sprint(c.Deadline.Milliseconds()),
+	} {
+		if value != "" {
+			r.Header.Set(name, value)
+		}
+	}
+	w.Record.Note("sent", "request %s to %s%s at %s", a.ID, c.Host, c.Path, c.FrontAddr)
+	w.read(&a, r)
+	w.Record.Note("answer", "request %s: status %d, stamp %q, %d events, whole %t, %v", a.ID, a.Status, a.Stamp, a.Events, a.Whole, a.Err)
+	return a
+}
+
+// read sends the request and reads the answer into a.
+func (w *World) read(a *Answer, r *http.Request) {
+	resp, err := clients.Do(r)
+	if err != nil {
+		a.Err = err
+		return
+	}
+	defer resp.Body.Close()
+	a.Status, a.Stamp = resp.StatusCode, resp.Header.Get("Response-Stamp")
+	var text strings.Builder
+	lines := bufio.NewReader(resp.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		text.WriteString(line)
+		if strings.HasPrefix(line, "data:") {
+			a.Events++
+		}
+		if err == io.EOF {
+			a.Whole = true
+			break
+		}
+		if err != nil {
+			a.Err = err
+			break
+		}
+	}
+	a.Body = text.String()
+}
