review: case 2, a stream that must not be repeated runs twice after a refusal that arrives twice

Cause: after a 409 the same attempt is sent again to the same server on the same connection, where a late extra copy of the 409 is taken for the second send's answer.

--- a/review/world/server.go
+++ b/review/world/server.go
@@ -23,6 +23,7 @@
 	mu               sync.Mutex
 	running, waiting int
 	callSeq          int
+	crashed          bool
 	stopBeats        chan struct{}
 }
 
@@ -75,6 +76,9 @@
 // goes after three heartbeats.
 func (s *Server) Crash() {
 	s.world.Record.Note("crash", "%s of %s at %s", s.ID, s.Service, s.Address())
+	s.mu.Lock()
+	s.crashed = true
+	s.mu.Unlock()
 	close(s.stopBeats)
 	s.Listener.Crash()
 	time.AfterFunc(3*heartbeat, func() { s.world.Store.Delete("servers", s.ID) })
@@ -170,7 +174,7 @@
 func (s *StageServer) Holds(handle string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held[handle]
+	return s.held[handle] && !s.crashed
 }
 
 // run makes the pieces of a call, one call at a time.
@@ -266,7 +270,8 @@
 // ModelServer runs streams.
 type ModelServer struct {
 	Server
-	FirstEvent func() time.Duration // from the arrival to the first event
+	QueueTime  func() time.Duration // from the arrival until the inputs are fetched; nil: none
+	FirstEvent func() time.Duration // from there to the first event
 	Events     int
 	EventGap   time.Duration
 	Holds      func(handle string) bool // whether a result can be fetched
@@ -274,6 +279,8 @@
 	Ran func(id string, r *http.Request)
 	// RepeatRefusal reports whether a refusal for lost inputs arrives once more, late.
 	RepeatRefusal func() bool
+	// Answered, if it is not nil, is called after each answer.
+	Answered func()
 }
 
 // StartModelServer starts a model server.
@@ -300,8 +307,14 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
+	if m.QueueTime != nil && !pause(x, m.QueueTime()) {
+		return
+	}
 	if slices.ContainsFunc(strings.Split(inputs, ","), func(h string) bool { return !m.Holds(h) }) {
 		refuse(http.StatusConflict)
+		if m.Answered != nil {
+			m.Answered()
+		}
 		if m.RepeatRefusal != nil && m.RepeatRefusal() {
 			m.world.Record.Note("extra", "%s will refuse request %s once more, late", m.ID, id)
 			x.RepeatLate()
@@ -310,6 +323,9 @@
 	}
 	m.count(1)
 	defer m.count(-1)
+	if m.Answered != nil {
+		defer m.Answered()
+	}
 	if !pause(x, m.FirstEvent()) {
 		return
 	}
