--- a/review/world/client.go
+++ b/review/world/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 // Call is a request of a client.
 type Call struct {
+	Method    string // empty: POST
 	Host      string // name in the route
 	Path      string
 	Key       string
@@ -21,6 +23,7 @@
 	Tokens    string // Token-Counts
 	Prefix    string // Prompt-Prefix
 	FrontAddr string
+	Sending   func(id string) // called before it is sent; nil: nothing
 }
 
 // Answer is what a client has got.
@@ -42,27 +45,57 @@
 	a := Answer{ID: randomID(8)}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.FrontAddr+c.Path, io.NopCloser(strings.NewReader(c.Body)))
+	r, err := http.NewRequestWithContext(ctx, cmp.Or(c.Method, http.MethodPost), "http://"+c.FrontAddr+c.Path, io.NopCloser(strings.NewReader(c.Body)))
 	if err != nil {
 		a.Err = err
 		return a
 	}
 	r.ContentLength = int64(len(c.Body))
+	if c.Body == "" {
+		r.Body = http.NoBody
+	}
 	r.Host = c.Host
 	for name, value := range map[string]string{
-		"Attempt-Id": a.ID, "Model": "m", "Token-Counts": c.Tokens, "Prompt-Prefix": c.Prefix, "Pieces": c.Pieces, "Piece-Key": randomID(6),
-		"Authorization": "Bearer " + c.Key, "Deadline-Ms": fmt.Sprint(c.Deadline.Milliseconds()),
+		"Attempt-Id": a.ID, "Model": model(c), "Token-Counts": c.Tokens, "Prompt-Prefix": c.Prefix, "Pieces": c.Pieces, "Piece-Key": pieceKey(c),
+		"Authorization": bearer(c.Key), "Deadline-Ms": fmt.Sprint(c.Deadline.Milliseconds()),
 	} {
 		if value != "" {
 			r.Header.Set(name, value)
 		}
 	}
+	if c.Sending != nil {
+		c.Sending(a.ID)
+	}
 	w.Record.Note("sent", "request %s to %s%s at %s", a.ID, c.Host, c.Path, c.FrontAddr)
 	w.read(&a, r)
 	w.Record.Note("answer", "request %s: status %d, stamp %q, %d events, whole %t, %v", a.ID, a.Status, a.Stamp, a.Events, a.Whole, a.Err)
 	return a
 }
 
+// model returns the Model of a request to a model.
+func model(c Call) string {
+	if c.Tokens == "" {
+		return ""
+	}
+	return "m"
+}
+
+// pieceKey returns the Piece-Key of a request that has pieces.
+func pieceKey(c Call) string {
+	if c.Pieces == "" {
+		return ""
+	}
+	return randomID(6)
+}
+
+// bearer returns the Authorization header for a key; empty: none.
+func bearer(key string) string {
+	if key == "" {
+		return ""
+	}
+	return "Bearer " + key
+}
+
 // read sends the request and reads the answer into a.
 func (w *World) read(a *Answer, r *http.Request) {
 	resp, err := clients.Do(r)
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -22,14 +22,12 @@
 
 	mu               sync.Mutex
 	running, waiting int
-	callSeq          int
 	crashed          bool
-	stopBeats        chan struct{}
 }
 
 // start opens the server and lists it in the store.
 func (s *Server) start(w *World, h Handler) error {
-	s.world, s.ID, s.Born, s.stopBeats = w, w.nextServer(), time.Now().UnixMilli(), make(chan struct{})
+	s.world, s.ID, s.Born = w, w.nextServer(), time.Now().UnixMilli()
 	var err error
 	s.Listener, err = Listen("", func(x *Exchange) {
 		if expected := x.Request.Header.Get("Expect-Instance"); expected != "" && expected != s.ID {
@@ -41,37 +39,17 @@
 	if err != nil {
 		return err
 	}
-	s.beat("ready")
-	go s.beats()
+	// The entry changes only when more than call_seq does, so heartbeats write nothing here.
+	s.world.Store.Put("servers", s.ID, Fields{
+		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": "ready",
+		"cold_left_ms": 0, "call_seq": 1, "born": s.Born,
+	})
 	return nil
 }
 
 // heartbeat is the interval of the servers' entries.
 const heartbeat = 1200 * time.Millisecond
 
-func (s *Server) beats() {
-	for {
-		select {
-		case <-s.stopBeats:
-			return
-		case <-time.After(heartbeat):
-			s.beat("ready")
-		}
-	}
-}
-
-// beat writes the entry of the server.
-func (s *Server) beat(state string) {
-	s.mu.Lock()
-	s.callSeq++
-	seq := s.callSeq
-	s.mu.Unlock()
-	s.world.Store.Put("servers", s.ID, Fields{
-		"service": s.Service, "address": s.Address(), "zone": s.Zone, "version": "v1", "slots": s.Slots, "state": state,
-		"cold_left_ms": 0, "call_seq": seq, "born": s.Born,
-	})
-}
-
 // Crash ends the server's process: its connections are reset, its results are lost and its entry
 // goes after three heartbeats.
 func (s *Server) Crash() {
@@ -79,7 +57,6 @@
 	s.mu.Lock()
 	s.crashed = true
 	s.mu.Unlock()
-	close(s.stopBeats)
 	s.Listener.Crash()
 	time.AfterFunc(3*heartbeat, func() { s.world.Store.Delete("servers", s.ID) })
 }
@@ -360,3 +337,25 @@
 		return false
 	}
 }
+
+// StartPlainServer starts a server of short requests. ran is called when it runs one.
+func (w *World) StartPlainServer(service, zone string, work time.Duration, ran func(server *Server, id string)) (*Server, error) {
+	s := &Server{Service: service, Zone: zone, Slots: 6}
+	return s, s.start(w, func(x *Exchange) {
+		id := x.Request.Header.Get("Attempt-Id")
+		if id == "" {
+			h := s.load()
+			h.Set("Not-Executed", "1")
+			x.Answer(http.StatusBadRequest, h, nil)
+			return
+		}
+		s.count(1)
+		defer s.count(-1)
+		w.Record.Note("run", "%s of %s runs request %s", s.ID, service, id)
+		ran(s, id)
+		time.Sleep(work)
+		h := s.load()
+		h.Set("Response-Stamp", "3e1b.07."+randomID(8))
+		x.Answer(http.StatusOK, h, []byte("answer of "+service))
+	})
+}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,7 +40,6 @@
 	Hosts  []*Host
 
 	dir         string
-	storeServer net.Listener
 	mu          sync.Mutex
 	serverCount int
 	pieces      map[string]Piece // by handle, of all servers and times
@@ -51,6 +51,8 @@
 	Front, Ready string // addresses
 	settings     string
 	world        *World
+	turnedAway   atomic.Bool
+	storeServer  net.Listener // its way to the store
 	log          *os.File
 	cmd          *exec.Cmd
 	exited       chan struct{}
@@ -63,16 +65,9 @@
 		return nil, err
 	}
 	w := &World{Record: record, Store: platformtest.NewStore(), dir: dir, pieces: map[string]Piece{}}
-	if w.storeServer, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return nil, err
-	}
-	go func() { _ = http.Serve(w.storeServer, w.Store) }()
 	return w, nil
 }
 
-// StoreAddress returns the host:port of the store.
-func (w *World) StoreAddress() string { return w.storeServer.Addr().String() }
-
 // PutConfig stores a configuration, as the operator does.
 func (w *World) PutConfig(version int, routes, services []Fields, keys map[string][]string) {
 	tenants := []Fields{}
@@ -144,13 +139,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := h.openStore(); err != nil {
+		return nil, err
+	}
 	settings := Fields{
 		"node_name": h.Name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": "127.0.0.1", "zone": zone, "region": zones[zone],
 		"zones": zones, "listen": Fields{"front": h.Front, "ready": h.Ready}, "internal_ports": []int{ports, ports + internalPorts - 1}, "seeds": []string{},
 		"bootstrap": true, "tolerance_member": false, "data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
 		"limits":    Fields{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000, "disk_mb": 0},
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "stages"},
-		"bounds":    Bounds, "platform": Fields{"address": w.StoreAddress(), "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
+		"bounds":    Bounds, "platform": Fields{"address": h.storeServer.Addr().String(), "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -167,6 +165,29 @@
 	return h, h.Start()
 }
 
+// openStore opens the address at which the store serves this host.
+func (h *Host) openStore() (err error) {
+	if h.storeServer, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	go func() {
+		_ = http.Serve(h.storeServer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if h.turnedAway.Load() {
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			h.world.Store.ServeHTTP(w, r)
+		}))
+	}()
+	return nil
+}
+
+// TurnAway lets the store answer all calls of this host with 429, or serve them again.
+func (h *Host) TurnAway(away bool) {
+	h.world.Record.Note("store", "%s is turned away: %t", h.Name, away)
+	h.turnedAway.Store(away)
+}
+
 // Start starts the daemon.
 func (h *Host) Start() error {
 	command, err := deployedCommand()
@@ -244,8 +265,8 @@
 		_ = h.cmd.Process.Kill()
 		<-h.exited
 		_ = h.log.Close()
+		_ = h.storeServer.Close()
 	}
-	_ = w.storeServer.Close()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		_ = os.Rename(w.dir, filepath.Join(keep, filepath.Base(w.dir)))
 		return
