--- a/review/2/main.go
+++ b/review/2/main.go
@@ -3,11 +3,13 @@
 package main
 
 import (
+	"cmp"
 	_ "embed"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -110,13 +112,12 @@
 	return nil
 }
 
-// crashStageServers lets one stage server crash at a time, which comes back as a new process.
+// crashStageServers lets one stage server crash at a time, the one that holds most results. It comes
+// back as a new process.
 func (d *deployment) crashStageServers() {
-	for i := 0; ; i++ {
+	for {
 		time.Sleep(crashPause)
-		d.mu.Lock()
-		s := d.stages[i]
-		d.mu.Unlock()
+		s := d.fullestStageServer()
 		s.Crash()
 		time.Sleep(crashTime)
 		if d.addStageServer(s.Zone) != nil {
@@ -125,6 +126,13 @@
 	}
 }
 
+// fullestStageServer returns the stage server that holds most results.
+func (d *deployment) fullestStageServer() *world.StageServer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.MaxFunc(d.stages, func(a, b *world.StageServer) int { return cmp.Compare(a.Held(), b.Held()) })
+}
+
 // holds reports whether a stage server has a result.
 func (d *deployment) holds(handle string) bool {
 	d.mu.Lock()
@@ -180,7 +188,7 @@
 	for i := range modelServers {
 		m := &world.ModelServer{
 			Server: world.Server{Service: "recipe-model", Zone: world.ZoneNames[i%3]}, Events: 20, EventGap: 25 * time.Millisecond, Holds: d.holds,
-			QueueTime:  func() time.Duration { return time.Duration(300+rand.IntN(900)) * time.Millisecond },
+			QueueTime:  func() time.Duration { return time.Duration(500+rand.IntN(1200)) * time.Millisecond },
 			FirstEvent: func() time.Duration { return 230 * time.Millisecond }, // 12,000 tokens at 56.6 a ms
 		}
 		m.Ran = func(id string, _ *http.Request) { d.ran(m.ID, id) }
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -143,6 +143,16 @@
 	delete(s.held, handle)
 }
 
+// Held returns the number of results that the server has; -1: it has crashed.
+func (s *StageServer) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashed {
+		return -1
+	}
+	return len(s.held)
+}
+
 // Holds reports whether the server has a result.
 func (s *StageServer) Holds(handle string) bool {
 	s.mu.Lock()
