review: scripts take ports that the system leaves alone, and end their daemons when told to

Cause: two scripts at once could lose a port to an outgoing connection; a script that was ended left its daemons running.

--- a/review/world/world.go
+++ b/review/world/world.go
@@ -5,10 +5,12 @@
 	"embed"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -84,9 +86,22 @@
 		return nil, err
 	}
 	w := &World{Record: record, Store: platformtest.NewStore(), Bounds: string(mustRead("bounds.json")), dir: dir, pieces: map[string]Piece{}}
+	go w.closeOnSignal()
 	return w, nil
 }
 
+// closeOnSignal ends the daemons if this process is told to end.
+func (w *World) closeOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	<-told
+	w.Close()
+	os.Exit(statusNotRun)
+}
+
+// statusNotRun is the exit status of a case that could not run.
+const statusNotRun = 2
+
 // PutConfig stores a configuration, as the operator does: a template with its values filled in.
 func (w *World) PutConfig(text string, values any) error {
 	t, err := template.New("config").Parse(text)
@@ -116,17 +131,16 @@
 // internalPorts is the number of ports between daemons.
 const internalPorts = 4
 
-// freePorts returns the first of some free ports in a row.
-func freePorts() (int, error) {
-	for range 100 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		base := first.Addr().(*net.TCPAddr).Port
-		_ = first.Close()
-		free := base+internalPorts < 65536
-		for p := base; free && p < base+internalPorts; p++ {
+// Ports for the daemons lie below those that the system takes for outgoing connections: one of these
+// could take a port before its daemon listens there.
+const minPort, maxPort = 12000, 32000
+
+// freePorts returns the first of n free ports in a row.
+func freePorts(n int) (int, error) {
+	for range 1000 {
+		base := minPort + rand.IntN(maxPort-minPort-n)
+		free := true
+		for p := base; free && p < base+n; p++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 			if free = err == nil; free {
 				_ = l.Close()
@@ -136,34 +150,18 @@
 			return base, nil
 		}
 	}
-	return 0, fmt.Errorf("no %d free ports in a row", internalPorts)
-}
-
-// freeAddress returns a free loopback address.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return 0, fmt.Errorf("no %d free ports in a row", n)
 }
 
 // AddHost writes the settings of an entry host and starts its daemon with the command of the deploy
 // file.
 func (w *World) AddHost(zone string) (*Host, error) {
 	h := &Host{Name: fmt.Sprintf("front-%s-%d", zone, len(w.Hosts)+1), Zone: zone, world: w}
-	var err error
-	if h.Front, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	if h.Ready, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	ports, err := freePorts()
+	ports, err := freePorts(internalPorts + 2)
 	if err != nil {
 		return nil, err
 	}
+	h.Front, h.Ready = fmt.Sprintf("127.0.0.1:%d", ports+internalPorts), fmt.Sprintf("127.0.0.1:%d", ports+internalPorts+1)
 	if err := h.openStore(); err != nil {
 		return nil, err
 	}
@@ -286,6 +284,9 @@
 // Close ends the daemons. Their logs are removed unless KEEP names a folder, to which they are moved.
 func (w *World) Close() {
 	for _, h := range w.Hosts {
+		if h.exited == nil {
+			continue // it did not start
+		}
 		_ = h.cmd.Process.Signal(syscall.SIGCONT)
 		_ = h.cmd.Process.Kill()
 		<-h.exited
