gateway: a refusal in the log tells its status, its time and its place on the connection

A line of a request named the servers that refused it, but not when, nor whether the refusal came on a connection that had carried the attempt before. So the log could not tell a refusal that belongs to an earlier send from one of this send, nor a request that two hosts sent from one that one host sent twice.

failed_attempts now has, for each refusal, the status, the time since the send, the number of the connection and the position of the answer on it.

--- a/connection/upstream/response.go
+++ b/connection/upstream/response.go
@@ -25,6 +25,10 @@
 	ContentLength int64
 	// ReusedConn reports that the connection had been used for an earlier request.
 	ReusedConn bool
+	// ConnNumber is the number of the connection among those of this host, and ConnPosition the
+	// position of the response on it, from 1. Both are 0 if CarriedBy is set.
+	ConnNumber   uint64
+	ConnPosition int
 	// CarriedBy is the host by way of which the response came; empty: directly.
 	CarriedBy string
 	// Body is set by those who make a Response.
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -118,6 +118,7 @@
 	mu        sync.Mutex           // guards pools and their content
 	pools     map[string]*idlePool // by address (host:port)
 	openConns atomic.Int64         // open connections, idle or in use
+	lastConn  atomic.Uint64        // number of the newest connection
 }
 
 // idlePool holds the idle connections to one address.
@@ -153,6 +154,7 @@
 // conn is a connection to a backend server.
 type conn struct {
 	client      *Client
+	number      uint64 // counts the connections of the client
 	address     string // host:port of the server
 	tcp         *net.TCPConn
 	head        *headReader   // reads from tcp
@@ -278,7 +280,7 @@
 		c.opts.OnConnect(address)
 	}
 	head := &headReader{tcp: tcpConn}
-	return &conn{client: c, address: address, tcp: tcpConn, head: head, reader: bufio.NewReaderSize(head, 4096)}, nil
+	return &conn{client: c, number: c.lastConn.Add(1), address: address, tcp: tcpConn, head: head, reader: bufio.NewReaderSize(head, 4096)}, nil
 }
 
 // Probe opens a connection to a server's address (host:port) and keeps it for the next
@@ -382,6 +384,7 @@
 	body := &connBody{conn: k, body: httpResp.Body, writeResult: writeResult}
 	resp := &Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, BodyEnd: bodyEnd(httpResp), ContentLength: httpResp.ContentLength, Body: body,
+		ConnNumber: k.number, ConnPosition: k.responses,
 	}
 	body.keepAlive = !httpResp.Close && resp.BodyEnd != EndByClose
 	k.idleTimeout = c.opts.DefaultIdleTimeout
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -20,6 +20,7 @@
 	server   *directory.Server
 	response *upstream.Response
 	headers  wire.ServerResponse
+	sentAt   time.Time
 	cancel   context.CancelFunc // interrupts the reading of the response
 	// progressInterval is the time in which a part of a buffered body has to arrive; 0: there is
 	// no other server to ask.
@@ -107,7 +108,7 @@
 		return nil, x.handleSendError(s, now, err)
 	}
 	x.reachedServer, x.logEntry.BodyEnd, x.logEntry.CarriedBy = true, response.BodyEnd, response.CarriedBy
-	a := &attempt{server: s, response: response, cancel: cancel, measurement: measurement, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
+	a := &attempt{server: s, response: response, sentAt: now, cancel: cancel, measurement: measurement, progressInterval: x.progressInterval(firstByteTimeout), headers: x.opts.Headers.DecodeServerResponse(response.Status, response.Header, x.opts.Clock.Now())}
 	if err := x.checkResponse(a); err != nil {
 		if errors.Is(err, errNotRun) {
 			x.endWait(a)
@@ -226,16 +227,16 @@
 		return fmt.Errorf("%w: %s: the answer carries the id %q", errInvalidResponse, a.server.ID, a.headers.AttemptID)
 	}
 	if a.headers.NotRun && a.response.Status == http.StatusConflict {
-		return fmt.Errorf("%w: %s", errInputsLost, a.server.ID)
+		return fmt.Errorf("%w: %s", errInputsLost, x.describeRefusal(a))
 	}
 	x.refusedForRoom = x.refusedForRoom || a.headers.NoRoom()
 	if a.headers.NoRoom() && a.server.RateLimit.Brittle() != nil {
 		a.recordStatus(x.opts.Clock.Now())
-		return fmt.Errorf("%w: %s", errRefusedByBrittle, a.server.ID)
+		return fmt.Errorf("%w: %s", errRefusedByBrittle, x.describeRefusal(a))
 	}
 	if a.headers.NotRun {
 		a.recordStatus(x.opts.Clock.Now())
-		return fmt.Errorf("%w: %s: status %d", errNotRun, a.server.ID, a.response.Status)
+		return fmt.Errorf("%w: %s", errNotRun, x.describeRefusal(a))
 	}
 	x.mayHaveRun = true
 	if a.headers.ContentEncoded || a.response.Status/100 == 2 && !a.headers.Signed {
@@ -244,6 +245,13 @@
 	return nil
 }
 
+// describeRefusal returns what operators need to tell whether a refusal belongs to its attempt: the
+// server, the status, the time since the send and the place of the answer on its connection.
+func (x *exchange) describeRefusal(a *attempt) string {
+	r, took := a.response, x.opts.Clock.Now().Sub(a.sentAt).Round(100*time.Microsecond)
+	return fmt.Sprintf("%s: status %d after %s, answer %d on connection %d", a.server.ID, r.Status, took, r.ConnPosition, r.ConnNumber)
+}
+
 // recordStatus records whether the response was a failure of the server. A server that only wants
 // no requests for a time has not failed.
 func (a *attempt) recordStatus(now time.Time) {
