upstream: a connection carries the id of an attempt once, as servers repeat answers

Cause: servers repeat the id of the client's attempt in their answers, and an answer may arrive once more when the next one is due. Two sends of one attempt on one kept connection cannot be told apart by that id: the repeated refusal of the first is taken for the answer to the second, that of the second for the third, and the host repeats a request that runs.

Change: upstream.Options.RequestID tells the id; a connection that has carried it is passed over for the next send of that id, at the host and at a carrier, whatever the build of the host that asks. So an answer with the request's id on its connection is that of its one send. The connection stays for other requests; only a second send to the same server may open one. Ruled out: to close connections after refusals (new ones have a price), to give such sends up, to wait for repeats.

--- a/connection/upstream/response.go
+++ b/connection/upstream/response.go
@@ -96,7 +96,7 @@
 		written = err == nil
 	default:
 	}
-	if notInterrupted && b.complete && b.keepAlive && written && b.conn.reader.Buffered() == 0 {
+	if notInterrupted && b.complete && b.keepAlive && written && b.conn.reader.Buffered() == 0 && !b.conn.requestIDs.full() {
 		b.conn.client.putIdle(b.conn)
 		return
 	}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,11 @@
 	// ServerIdleTimeout returns the time after which the server closes an idle connection, from
 	// the headers of a response; 0: not specified. It may be nil.
 	ServerIdleTimeout func(http.Header) time.Duration
+	// RequestID returns the id of a request by its headers, which its server repeats in the
+	// response; empty: it has none. Two requests with one id are not sent on one connection: a
+	// response to the first that arrives once more could not be told from that to the second.
+	// RequestID may be nil.
+	RequestID func(http.Header) string
 	// OnConnect is called for each new connection, with the server's address (host:port). It
 	// may be nil.
 	OnConnect func(address string)
@@ -137,6 +143,9 @@
 	if opts.DefaultIdleTimeout <= 0 {
 		opts.DefaultIdleTimeout = 3 * time.Second
 	}
+	if opts.RequestID == nil {
+		opts.RequestID = func(http.Header) string { return "" }
+	}
 	if opts.Admit == nil {
 		opts.Admit = func(string, *Request) (func(*Head), error) { return func(*Head) {}, nil }
 	}
@@ -160,6 +169,7 @@
 	head        *headReader   // reads from tcp
 	reader      *bufio.Reader // reads from head
 	responses   int           // responses received on the connection
+	requestIDs  requestIDs    // of the requests sent on the connection
 	startedAt   int64         // start of the process at its other end, in Unix milliseconds; 0: not asked for
 	idleSince   time.Time     // start of the current idle period
 	idleTimeout time.Duration // after which an idle connection is not used any more
@@ -174,26 +184,36 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection that is still usable, or nil if there is
-// none.
-func (c *Client) takeIdle(address string) *conn {
+// takeIdle removes and returns an idle connection that is still usable and has not carried the
+// request ID, or nil if there is none.
+func (c *Client) takeIdle(address, requestID string) *conn {
 	for {
-		c.mu.Lock()
-		p := c.pools[address]
-		if p == nil || len(p.idle) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		k := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		c.mu.Unlock()
-		if time.Since(k.idleSince) < k.idleTimeout && k.idleState() == idleOpen {
+		k := c.removeIdle(address, requestID)
+		if k == nil || time.Since(k.idleSince) < k.idleTimeout && k.idleState() == idleOpen {
 			return k
 		}
 		k.close()
 	}
 }
 
+// removeIdle removes and returns the most recently used idle connection that has not carried the
+// request ID, or nil if there is none.
+func (c *Client) removeIdle(address, requestID string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		return nil
+	}
+	for i, k := range slices.Backward(p.idle) {
+		if !k.requestIDs.contains(requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return k
+		}
+	}
+	return nil
+}
+
 // putIdle keeps a connection for the next request to its address.
 func (c *Client) putIdle(k *conn) {
 	k.idleSince = time.Now()
@@ -300,7 +320,7 @@
 // have arrived, whatever their status. An error is always an *Error. When ctx ends, the request
 // is interrupted, also while the body is read.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	k := c.takeIdle(address)
+	k := c.takeIdle(address, c.opts.RequestID(req.Header))
 	reused := k != nil
 	if k == nil {
 		var err error
@@ -375,6 +395,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("write request: %w", err)
 	}
+	k.requestIDs.add(c.opts.RequestID(req.Header))
 	writeResult := k.write(head, req)
 	httpResp, err := k.readHead(httpReq)
 	if err != nil {
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -18,6 +18,7 @@
 		ServerIdleTimeout: func(header http.Header) time.Duration {
 			return platform.Headers{}.DecodeServerResponse(http.StatusOK, header, h.clock.Now()).IdleTimeout
 		},
+		RequestID: platform.RequestID,
 		OnConnect: func(string) {
 			h.meter.Add("upstream_connections_opened", 1)
 			h.reach.Accepted()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -31,6 +32,8 @@
 	refuse         bool          // reset new connections
 	pauseResponses bool          // forward no bytes from the target; connections stay open
 	pauseAll       bool          // forward no bytes in either direction
+	// repeatLate reports whether a transfer from the target arrives once more; nil: none does.
+	repeatLate func(data []byte) bool
 }
 
 // connPair is a connection to the proxy and the corresponding one to the target.
@@ -39,6 +42,8 @@
 	// blackholed is, by direction, whether all further bytes are discarded.
 	blackholed [2]atomic.Bool
 	countOnce  sync.Once // counts the pair once in Proxy.blackholedConns
+	// repeat holds the bytes that the client gets once more before the next ones go to the target.
+	repeat atomic.Pointer[[]byte]
 }
 
 // Directions of a connPair.
@@ -83,6 +88,12 @@
 	r.updateFaults(func(f *faults) { f.pauseResponses, f.pauseAll = false, false })
 }
 
+// RepeatLate lets each transfer of bytes from the target that match reports arrive once more, on
+// its connection, when the next bytes are sent to the target; nil ends that.
+func (r *Proxy) RepeatLate(match func(data []byte) bool) {
+	r.updateFaults(func(f *faults) { f.repeatLate = match })
+}
+
 // ClearFaults ends all faults. If connections were paused, all connections are reset,
 // because both ends have abandoned them by then.
 func (r *Proxy) ClearFaults() {
@@ -246,6 +257,7 @@
 		case blackholed && direction == toTarget && n > 0:
 			p.countOnce.Do(func() { r.blackholedConns.Add(1) })
 		case n > 0 && !blackholed:
+			r.repeatTransfer(p, direction, buf[:n])
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				resetConn(from)
 				return
@@ -264,6 +276,20 @@
 	}
 }
 
+// repeatTransfer applies RepeatLate to bytes that are about to be forwarded.
+func (r *Proxy) repeatTransfer(p *connPair, direction int, data []byte) {
+	if direction == toTarget {
+		if repeat := p.repeat.Swap(nil); repeat != nil {
+			_, _ = p.client.Write(*repeat) // fails if the client is gone
+		}
+		return
+	}
+	if current, _ := r.currentFaults(); current.repeatLate != nil && current.repeatLate(data) {
+		repeat := bytes.Clone(data)
+		p.repeat.Store(&repeat)
+	}
+}
+
 // closeWrite sends an end of stream and leaves the other direction open.
 func closeWrite(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
