streamwriter: records of streams are archived on the platform while several versions are possible

Cause: which version began a stream was known in the memory of a few hosts only; the platform kept which versions are possible.

Change: while several are possible, the record of a stream goes to a host of its failure domain as well, which writes those of the domain to the platform in batches, a quarter of a second after each other, 50 writes a second of all hosts at most. A host that finds no record among the others reads them. A record is the record of an attempt that is never sent twice, so it cannot be wrong; what began in the last quarter of a second is refused as before. Weighed in docs/design/stream-versions.md: a version by the hash of the id, what servers tell of their runs, a write a stream.

Tests: edge TestStreamsGoOnAfterAllHostsWereKilled, red before (503 in place of 200), also with the old version's servers gone: refused at once, not run. streamwriter: all killed, killed in series, the host that archives gone, the archive down, writes bounded. TestVersionThatWasListedIsKnownAfterRestartOfAllHosts asked that nothing be known after a restart of all: it now asks for the right version, and for none of an attempt in no archive, which is stricter.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -290,7 +290,7 @@
 		g.Go(func() error { return serve(s.server, s.listener) })
 	}
 	tasks := []func(context.Context) error{
-		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.followServerSpeeds, h.watchReload, h.pruneEntries, h.watchStart,
+		h.platformMonitor.Run, h.reach.Run, h.serverClient.Run, h.quarantinePublisher.run, h.afterHostsListed(h.quarantineFollower.Run), h.afterHostsListed(h.writerFollower.Run), h.registerWriters, h.writers.Run, h.afterHostsListed(h.configFollower.Run), h.afterHostsListed(h.serverFollower.Run), h.runPeers, h.sweepConnections, h.shares.Run, h.followServerSpeeds, h.watchReload, h.pruneEntries, h.watchStart,
 	}
 	if h.evacuationFollower != nil {
 		tasks = append(tasks, h.afterHostsListed(h.evacuationFollower.Run))
--- a/edge/prune.go
+++ b/edge/prune.go
@@ -25,6 +25,7 @@
 // ctx ends.
 func (h *Host) pruneEntries(ctx context.Context) error {
 	unreachableSince := map[string]time.Time{}
+	sweep := recordsSweep{severalAt: h.bootClock.Now()} // of the processes before
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,6 +34,7 @@
 			h.removeLostHosts(ctx, unreachableSince)
 			h.removeExpiredQuarantines(ctx)
 			h.removeOutdatedWriters(ctx)
+			h.removeExpiredRecords(ctx, &sweep)
 		}
 	}
 }
--- a/edge/streamwriters.go
+++ b/edge/streamwriters.go
@@ -13,10 +13,13 @@
 )
 
 // createStreamWriters creates the tracker of the software that writes streams, with the platform's
-// store as its memory of what was possible before all hosts have started again.
+// store as its memory of what was before all hosts have started again.
 func (h *Host) createStreamWriters() {
 	h.writersChanged = make(chan struct{}, 1)
-	h.writers = streamwriter.New(streamwriter.Options{Link: h.mesh, Clock: h.bootClock, Fresh: h.writersFresh, OnChange: h.logPossibleWriters})
+	h.writers = streamwriter.New(streamwriter.Options{
+		Link: h.mesh, Clock: h.bootClock, TimeOfDay: h.clock, Fresh: h.writersFresh, OnChange: h.logPossibleWriters,
+		Archive: &recordArchive{host: h, stored: map[string]bool{}}, OnArchive: h.logArchive, OnArchiveRead: h.logArchiveRead,
+	})
 	h.writerFollower = newFollower(h, followed[streamwriter.Registration]{
 		kind: "streamwriters", name: "stream writers", source: platform.StreamWriterSource(h.store), wait: hostsWatchWait, onChange: h.registrationsChanged,
 	})
--- a/edge/streamwriters_test.go
+++ b/edge/streamwriters_test.go
@@ -71,3 +71,51 @@
 	_ = conn.Close()
 	return true
 }
+
+// Guards against refusing the streams that clients take up after all hosts were killed, and against
+// joining two versions: while two serve, and when the old one has no server left.
+func TestStreamsGoOnAfterAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newTestPlatform(t)
+	p.route("resume").MaxAttempts = 1
+	p.store.PutConfig(p.config)
+	servers := p.addVersions(2, "v1", "v2")
+	first := p.startHost("front-1")
+	awaitVersions(g, first, len(servers))
+	g.Eventually(p.store.StreamWriters, "10s").Should(Equal(2))
+	versions := map[string]string{} // by the client's attempt
+	for len(versions) < versionStreams {
+		var id string
+		r := p.send(first, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { id = q.AttemptID })
+		g.Expect(platformtest.EventVersions(r.body)).To(HaveLen(1), r.body)
+		versions[id] = platformtest.EventVersions(r.body)[0]
+	}
+	g.Expect(versions).To(ContainElements("v1", "v2"))
+	g.Eventually(p.store.StreamRecords, "10s").Should(Equal(versionStreams))
+	p.stopHosts[0]()
+	g.Eventually(func() bool { return acceptsConnections(first.listeners.peers.Addr().String()) }, "20s").Should(BeFalse())
+
+	h := p.startHost("front-1")
+	for id, version := range versions {
+		r := p.send(h, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { q.LastEventID, q.FirstAttemptID = "2", id })
+		g.Expect(r.status).To(Equal(http.StatusOK), r.body)
+		g.Expect(platformtest.EventVersions(r.body)).To(Equal([]string{version}))
+	}
+	for _, s := range servers[:2] {
+		p.store.DeleteServer(s.ID)
+	}
+	awaitVersions(g, h, 2)
+	runs := len(p.runs("model"))
+	for id, version := range versions {
+		r := p.send(h, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { q.LastEventID, q.FirstAttemptID = "2", id })
+		if version == "v1" {
+			g.Expect(r.status).To(Equal(http.StatusServiceUnavailable), r.body)
+			g.Expect(r.body).To(ContainSubstring(`"ran":"no"`))
+			continue
+		}
+		g.Expect(platformtest.EventVersions(r.body)).To(Equal([]string{"v2"}))
+		runs++
+	}
+	g.Expect(p.runs("model")).To(HaveLen(runs))
+}
--- a/process/streamwriter/fleet_test.go
+++ b/process/streamwriter/fleet_test.go
@@ -1,8 +1,12 @@
 package streamwriter
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,10 +27,58 @@
 // testFleet is a fleet of hosts in failure domains, before a platform that lists the versions of
 // one service. It runs in a synctest bubble.
 type testFleet struct {
+	ctx        context.Context // of all processes
 	net        *peertest.Network
 	hosts      []*testHost
 	listed     []string // versions of the service that the platform lists
 	registered map[Registration]bool
+	archive    testArchive
+}
+
+// testArchive is the Archive of a testFleet.
+type testArchive struct {
+	mu      sync.Mutex
+	down    bool
+	batches map[string]Batch
+	stores  int // writes that it has taken
+}
+
+var errArchiveDown = errors.New("the archive is down")
+
+// Store implements Archive.
+func (a *testArchive) Store(_ context.Context, name string, b Batch) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return errArchiveDown
+	}
+	a.batches[name] = b
+	a.stores++
+	return nil
+}
+
+// Load implements Archive.
+func (a *testArchive) Load(context.Context) ([]Batch, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down {
+		return nil, errArchiveDown
+	}
+	return slices.Collect(maps.Values(a.batches)), nil
+}
+
+// counts returns the writes that the archive has taken, and the number of its batches.
+func (a *testArchive) counts() (stores, batches int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stores, len(a.batches)
+}
+
+// setDown lets the archive fail, or work again.
+func (a *testArchive) setDown(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
 }
 
 // testHost is one host of a testFleet.
@@ -37,11 +89,12 @@
 	domain      string
 	confirmedAt atomic.Int64 // in nanoseconds; 0: the host has not read the platform yet
 	versions    []string     // as the host last read them
+	stop        func()       // ends the process; nil: it has not started
 }
 
 // newTestFleet starts a fleet that has read from the platform that the service runs v1.
-func newTestFleet(domains, hostsPerDomain int) *testFleet {
-	f := &testFleet{net: peertest.NewNetwork(), listed: []string{"v1"}, registered: map[Registration]bool{}}
+func newTestFleet(t *testing.T, domains, hostsPerDomain int) *testFleet {
+	f := &testFleet{ctx: t.Context(), net: peertest.NewNetwork(), listed: []string{"v1"}, registered: map[Registration]bool{}, archive: testArchive{batches: map[string]Batch{}}}
 	for d := range domains {
 		for i := range hostsPerDomain {
 			f.hosts = append(f.hosts, &testHost{fleet: f, name: fmt.Sprintf("h%d-%d", d, i), domain: fmt.Sprint("d", d)})
@@ -60,10 +113,17 @@
 func (h *testHost) restart() {
 	h.confirmedAt.Store(0)
 	link := h.fleet.net.Join(peer.Identity{Host: h.name, Domain: h.domain})
+	if h.stop != nil {
+		h.stop()
+	}
 	h.Tracker = New(Options{
-		Link: link, Clock: clock.System{}, OnChange: func(string, []Writer) {},
-		Fresh: func() bool { return time.Now().UnixNano()-h.confirmedAt.Load() <= int64(MaxAge) },
+		Link: link, Clock: clock.System{}, TimeOfDay: clock.System{}, OnChange: func(string, []Writer) {},
+		Fresh:   func() bool { return time.Now().UnixNano()-h.confirmedAt.Load() <= int64(MaxAge) },
+		Archive: &h.fleet.archive, OnArchive: func(error) {}, OnArchiveRead: func(int, error) {},
 	})
+	ctx, stop := context.WithCancel(h.fleet.ctx)
+	h.stop = stop
+	go func() { _ = h.Run(ctx) }() // always nil
 }
 
 // read reads the platform's lists and registers what is missing there.
--- a/process/streamwriter/peers.go
+++ b/process/streamwriter/peers.go
@@ -15,9 +15,11 @@
 const (
 	methodTell peer.Method = "streamwriter.tell" // records of streams that the caller has begun
 	methodAsk  peer.Method = "streamwriter.ask"  // asks for the writer of a stream
+	// methodArchive asks to write records to the archive. Older builds refuse it.
+	methodArchive peer.Method = "streamwriter.archive"
 )
 
-// recordMessage is a record in a call of methodTell.
+// recordMessage is a record in a call of methodTell or methodArchive.
 type recordMessage struct {
 	AttemptID string
 	Route     string
@@ -25,6 +27,30 @@
 	TTLMillis int64
 }
 
+// newRecordMessage returns the message of a record.
+func newRecordMessage(r record, now time.Time) recordMessage {
+	return recordMessage{r.attemptID, r.route, r.writer, r.expiresAt.Sub(now).Milliseconds()}
+}
+
+// newRecordMessages returns the messages of records.
+func newRecordMessages(list []record, now time.Time) []recordMessage {
+	out := make([]recordMessage, len(list))
+	for i, r := range list {
+		out[i] = newRecordMessage(r, now)
+	}
+	return out
+}
+
+// newRecords returns the records of the messages of one call.
+func newRecords(list []recordMessage, now time.Time) []record {
+	out := make([]record, 0, len(list))
+	for _, m := range list[:min(len(list), maxRecordsPerMessage)] {
+		ttl := min(time.Duration(m.TTLMillis)*time.Millisecond, maxTTL)
+		out = append(out, record{attemptID: m.AttemptID, route: m.Route, writer: m.Writer, expiresAt: now.Add(ttl)})
+	}
+	return out
+}
+
 // askRequest is the payload of methodAsk. AttemptID may be empty: only the possible writers
 // are asked for then.
 type askRequest struct {
@@ -112,7 +138,7 @@
 	now := t.opts.Clock.Now()
 	byHost := map[string][]recordMessage{}
 	for _, r := range list {
-		m := recordMessage{r.attemptID, r.route, r.writer, r.expiresAt.Sub(now).Milliseconds()}
+		m := newRecordMessage(r, now)
 		for _, host := range t.holders(r.route, r.attemptID) {
 			byHost[host] = append(byHost[host], m)
 		}
@@ -143,10 +169,8 @@
 	if err := peer.Unmarshal(payload, &list); err != nil {
 		return nil, err
 	}
-	now := t.opts.Clock.Now()
-	for _, m := range list[:min(len(list), maxRecordsPerMessage)] {
-		ttl := min(time.Duration(m.TTLMillis)*time.Millisecond, maxTTL)
-		t.records.add(record{attemptID: m.AttemptID, route: m.Route, writer: m.Writer, expiresAt: now.Add(ttl)})
+	for _, r := range newRecords(list, t.opts.Clock.Now()) {
+		t.records.add(r)
 	}
 	return peer.Marshal(nil)
 }
--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -17,6 +17,13 @@
 type Options struct {
 	Link  peer.Link
 	Clock clock.Clock // has to count suspensions, during which records and facts age
+	// TimeOfDay is the clock by which hosts agree when what is archived expires.
+	TimeOfDay clock.Clock
+	Archive   Archive
+	// OnArchive is called when the archive takes no records, with the error, and with nil when it
+	// takes them again. OnArchiveRead is called after each read.
+	OnArchive     func(err error)
+	OnArchiveRead func(batches int, err error)
 	// Fresh reports whether what this host knows of servers, routes and registrations was
 	// confirmed a moment ago.
 	Fresh func() bool
@@ -27,8 +34,10 @@
 // Tracker remembers the writers of streams, and resolves those of streams that clients take up.
 // It is safe for concurrent use.
 type Tracker struct {
-	opts    Options
-	records records
+	opts     Options
+	records  records
+	archiver *archiver
+	archived archived
 	// byRoute holds the possible writers, and settlesAt when those settle of which other hosts may
 	// not know yet. Both are replaced whole.
 	byRoute   atomic.Pointer[map[string][]Writer]
@@ -47,13 +56,29 @@
 func New(opts Options) *Tracker {
 	t := &Tracker{opts: opts, possible: newPossibleWriters(DefaultWindow)}
 	t.records.byAttempt = map[string]record{}
+	t.archiver = newArchiver(&t.opts, t.window)
+	t.archived.opts = &t.opts
 	t.byRoute.Store(&map[string][]Writer{})
 	t.settlesAt.Store(&map[Writer]time.Time{})
 	opts.Link.Handle(methodTell, t.serveTell)
 	opts.Link.Handle(methodAsk, t.serveAsk)
+	opts.Link.Handle(methodArchive, t.serveArchive)
 	return t
 }
 
+// Run writes records to the archive until ctx ends. It returns nil.
+func (t *Tracker) Run(ctx context.Context) error {
+	t.archiver.run(ctx)
+	return nil
+}
+
+// window returns the time for which a fact about writers matters after it has ceased to hold.
+func (t *Tracker) window() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.possible.window
+}
+
 // Observe records the services to which the routes of streams lead now, and the versions that the
 // listed servers of each service run. window replaces DefaultWindow if it is longer. It has to be
 // called after each change, and from time to time without one.
@@ -101,7 +126,7 @@
 		}
 	}
 	if len(ambiguous) > 0 {
-		t.tell(t.records.own(ambiguous, t.opts.Clock.Now()))
+		t.remember(t.records.own(ambiguous, t.opts.Clock.Now()))
 	}
 }
 
@@ -131,16 +156,22 @@
 
 // Begin records the writer of a stream that this host has begun, under the client's attempt, for
 // as long as the client may take the stream up. It has to be called before the first event is sent
-// to the client. While the route may have several writers, other hosts are told; Begin does not
-// wait for them.
+// to the client. While the route may have several writers, other hosts are told and the archive keeps
+// it; Begin does not wait for them.
 func (t *Tracker) Begin(attemptID, route string, w Writer, ttl time.Duration) {
 	r := record{attemptID: attemptID, route: route, writer: w, expiresAt: t.opts.Clock.Now().Add(ttl), own: true}
 	t.records.add(r)
 	if !slices.Equal(t.Possible(route), []Writer{w}) {
-		t.tell([]record{r})
+		t.remember([]record{r})
 	}
 }
 
+// remember lets records outlive this host, and all hosts.
+func (t *Tracker) remember(list []record) {
+	t.tell(list)
+	t.archive(list)
+}
+
 // Query asks for the writer of a stream that a client takes up.
 type Query struct {
 	FirstAttemptID string // the client's attempt that brought the first event; empty: not known
@@ -154,13 +185,14 @@
 const (
 	SourceRecord  Source = "own record"
 	SourceOnlyOne Source = "only one possible"
+	SourceArchive Source = "archive"
 )
 
 // ErrUnknown means that this host cannot tell which software began a stream. Use errors.Is.
 var ErrUnknown = errors.New("streamwriter: the writer is not known")
 
 // Resolve returns the writer of a stream, and how it is known. It asks other hosts, for askTimeout
-// at most. The error is an ErrUnknown.
+// at most, and then the archive, for archiveReadTimeout at most. The error is an ErrUnknown.
 func (t *Tracker) Resolve(ctx context.Context, q Query) (Writer, Source, error) {
 	if r, ok := t.records.get(q.FirstAttemptID, t.opts.Clock.Now()); ok {
 		return r.known(SourceRecord)
@@ -168,7 +200,7 @@
 	fresh := t.opts.Fresh()
 	asked, answers := 0, []answer(nil)
 	if q.FirstAttemptID != "" || !fresh {
-		asked, answers = t.ask(ctx, q)
+		asked, answers = t.askOrFind(ctx, q)
 	}
 	for _, a := range answers {
 		if a.Known {
@@ -178,7 +210,31 @@
 		}
 	}
 	w, err := t.onlyPossible(q.Route, fresh, asked, answers)
-	return w, SourceOnlyOne, err
+	if err == nil || q.FirstAttemptID == "" {
+		return w, SourceOnlyOne, err
+	}
+	w, found := t.archived.find(ctx, newStreamKey(q.Route, q.FirstAttemptID))
+	if !found || w.IsZero() {
+		return Writer{}, "", fmt.Errorf("%w, nor does the archive", err)
+	}
+	return w, SourceArchive, nil
+}
+
+// askOrFind is ask, which ends once the archive has the stream. The archive is read if the hosts take
+// long: those that would know may have been killed.
+func (t *Tracker) askOrFind(ctx context.Context, q Query) (asked int, answers []answer) {
+	if q.FirstAttemptID == "" || len(t.Possible(q.Route)) == 1 {
+		return t.ask(ctx, q)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reading := time.AfterFunc(archiveReadDelay, func() {
+		if _, found := t.archived.find(ctx, newStreamKey(q.Route, q.FirstAttemptID)); found {
+			cancel()
+		}
+	})
+	defer reading.Stop()
+	return t.ask(ctx, q)
 }
 
 // onlyPossible returns the writer of a stream of which nobody has a record, if only one is possible
--- a/process/streamwriter/tracker_test.go
+++ b/process/streamwriter/tracker_test.go
@@ -20,7 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				f := newTestFleet(3, 3)
+				f := newTestFleet(t, 3, 3)
 				f.release("v1", "v2")
 				began := f.hosts[0]
 				attempts := map[string]string{}
@@ -45,7 +45,7 @@
 func TestHostThatIsBehindDoesNotAssumeItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(2, 2)
+		f := newTestFleet(t, 2, 2)
 		behind := f.hosts[3]
 		f.listed = []string{"v1", "v2"}
 		for range 3 {
@@ -70,7 +70,7 @@
 func TestOnlyVersionIsKnownWithoutRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(2, 2)
+		f := newTestFleet(t, 2, 2)
 		attempt := f.hosts[0].begin(1, "v1")
 		g.Expect(f.hosts[1].version(t, attempt)).To(Equal("v1"))
 		g.Expect(f.hosts[1].version(t, "")).To(Equal("v1"))
@@ -94,7 +94,7 @@
 func TestVersionThatWasListedIsKnownAfterRestartOfAllHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(2, 2)
+		f := newTestFleet(t, 2, 2)
 		attempt := f.hosts[0].begin(1, "v1")
 		f.release("v1", "v2")
 		f.release("v2")
@@ -102,7 +102,8 @@
 			h.restart()
 		}
 		f.readAll()
-		g.Expect(f.hosts[1].version(t, attempt)).To(BeEmpty())
+		g.Expect(f.hosts[1].version(t, attempt)).To(Equal("v1"))
+		g.Expect(f.hosts[1].version(t, "in no archive")).To(BeEmpty())
 		g.Expect(f.hosts[1].Outdated()).To(BeEmpty())
 		time.Sleep(DefaultWindow + time.Second)
 		f.readAll()
@@ -118,7 +119,7 @@
 func TestStreamsBegunBeforeAReleaseAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(3, 2)
+		f := newTestFleet(t, 3, 2)
 		attempt := f.hosts[0].begin(1, "v1")
 		calls, _ := f.net.Traffic(f.hosts[0].name)
 		g.Expect(calls).To(BeZero(), "one version needs no messages")
@@ -132,7 +133,7 @@
 func TestNewVersionSettlesBeforeItBeginsStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(1, 1)
+		f := newTestFleet(t, 1, 1)
 		h, v1, v2 := f.hosts[0], Writer{testService, "v1"}, Writer{testService, "v2"}
 		f.listed = []string{"v1", "v2"}
 		f.readAll()
@@ -151,7 +152,7 @@
 func TestVersionsOfTheFirstListBeginStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(1, 1)
+		f := newTestFleet(t, 1, 1)
 		h := f.hosts[0]
 		f.release("v1", "v2")
 		h.restart()
@@ -167,7 +168,7 @@
 func TestContradictingRecordsAreNoWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(1, 3)
+		f := newTestFleet(t, 1, 3)
 		f.release("v1", "v2")
 		f.hosts[0].begin(1, "v1")
 		attempt := f.hosts[1].begin(1, "v2")
@@ -180,7 +181,7 @@
 func TestRouteWithSeveralServicesIsAmbiguous(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(1, 2)
+		f := newTestFleet(t, 1, 2)
 		h := f.hosts[0]
 		versions := map[string][]string{testService: {"v1"}, "other": {"v1"}}
 		time.Sleep(time.Millisecond)
@@ -203,7 +204,7 @@
 func TestRecordsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newTestFleet(1, 2)
+		f := newTestFleet(t, 1, 2)
 		f.release("v1", "v2")
 		attempt := f.hosts[0].begin(1, "v1")
 		time.Sleep(testTTL)
@@ -232,13 +233,17 @@
 // was known.
 func runDrawnFleet(t *testing.T, seed uint64) (known int) {
 	r := rand.New(rand.NewPCG(seed, 1))
-	f := newTestFleet(1+r.IntN(3), 1+r.IntN(3))
+	f := newTestFleet(t, 1+r.IntN(3), 1+r.IntN(3))
 	type stream struct{ attempt, version string }
 	var began []stream
 	host := func() *testHost { return f.hosts[r.IntN(len(f.hosts))] }
 	behind := map[*testHost]bool{} // hosts that read nothing
 	for i := range 60 {
-		switch r.IntN(10) {
+		switch r.IntN(12) {
+		case 10:
+			f.killAll()
+		case 11:
+			f.archive.setDown(r.IntN(2) == 0)
 		case 0:
 			f.listed = [][]string{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}}[r.IntN(4)]
 		case 1:
