streamwriter: a version begins streams once the platform knows it, and registrations count once they are current

Change: (1) a version settles 1.5 s after it was listed and registered; without a registration it begins no streams for 5 s, then it does, as a platform that takes no writes must not end the service. (2) registrations count for "only one possible" if they are as current as the time since when the servers have been followed without a gap, less the 1.5 s of a settling version.

TestNewVersionSettlesBeforeItBeginsStreams lets the host read the registration before the platform falls silent; all that it checks stays. (2) has no test of its own.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,6 +94,9 @@
 	// before the first list.
 	listedWriters      atomic.Pointer[map[streamwriter.Registration]objectwatch.Revision]
 	serversConfirmedAt atomic.Int64 // bootClock time in nanoseconds; 0: never confirmed
+	// serversFollowedSince is since when the list of servers has been confirmed without a gap, and
+	// writersConfirmedAt when the registrations of stream writers were; as serversConfirmedAt.
+	serversFollowedSince, writersConfirmedAt atomic.Int64
 	// listedQuarantines holds the platform's last list of quarantined requests; nil before
 	// the first list.
 	listedQuarantines atomic.Pointer[[]objectwatch.Object[quarantine.Quarantine]]
--- a/edge/streamwriters.go
+++ b/edge/streamwriters.go
@@ -22,6 +22,7 @@
 	})
 	h.writerFollower = newFollower(h, followed[streamwriter.Registration]{
 		kind: "streamwriters", name: "stream writers", source: platform.StreamWriterSource(h.store), wait: hostsWatchWait, onChange: h.registrationsChanged,
+		onConfirmed: h.confirmWriters,
 	})
 }
 
@@ -29,12 +30,25 @@
 func (h *Host) writersFresh() bool {
 	now := h.bootClock.Now().UnixNano()
 	recent := func(at int64) bool { return at > 0 && time.Duration(now-at) <= streamwriter.MaxAge }
-	return h.listedWriters.Load() != nil && recent(h.configConfirmedAt.Load()) && recent(h.serversConfirmedAt.Load())
+	// What this host has not seen listed itself has to be registered: versions that had left before it
+	// began to follow the servers.
+	registered := h.writersConfirmedAt.Load() >= h.serversFollowedSince.Load()-int64(streamwriter.MaxAge)
+	return h.listedWriters.Load() != nil && registered && recent(h.configConfirmedAt.Load()) && recent(h.serversConfirmedAt.Load())
 }
 
-// confirmServers records that the list of servers was current at the given time.
+// confirmServers records that the list of servers was current at the given time. After a gap, versions
+// may have come and gone unseen.
 func (h *Host) confirmServers(at time.Time) {
-	h.serversConfirmedAt.Store(max(h.serversConfirmedAt.Load(), at.UnixNano()))
+	before := h.serversConfirmedAt.Load()
+	if at.UnixNano()-before > int64(streamwriter.MaxAge) {
+		h.serversFollowedSince.Store(at.UnixNano())
+	}
+	h.serversConfirmedAt.Store(max(before, at.UnixNano()))
+}
+
+// confirmWriters records that the list of registrations was current at the given time.
+func (h *Host) confirmWriters(at time.Time) {
+	h.writersConfirmedAt.Store(max(h.writersConfirmedAt.Load(), at.UnixNano()))
 }
 
 // observeWriters passes the present configuration and servers to the tracker.
--- a/process/streamwriter/fleet_test.go
+++ b/process/streamwriter/fleet_test.go
@@ -32,6 +32,7 @@
 	hosts      []*testHost
 	listed     []string // versions of the service that the platform lists
 	registered map[Registration]bool
+	readOnly   bool // the platform takes no registrations
 	archive    testArchive
 }
 
@@ -137,6 +138,9 @@
 	}
 	h.SetRegistered(list)
 	h.observe()
+	if h.fleet.readOnly {
+		return
+	}
 	for _, r := range h.Unregistered() {
 		h.fleet.registered[r] = true
 	}
--- a/process/streamwriter/settling.go
+++ b/process/streamwriter/settling.go
@@ -10,7 +10,7 @@
 // seen those that have settled. It is not safe for concurrent use.
 type settling struct {
 	// listedSince holds, for each listed version, when this host first saw it; zero: in its first
-	// list, whose versions count as settled. Nil before the first list.
+	// list. Nil before that.
 	listedSince map[Writer]time.Time
 }
 
@@ -33,12 +33,28 @@
 	s.listedSince = listed
 }
 
+// maxUnregistered is the time for which a listed version waits for its registration. It begins streams
+// without one then: a platform that takes no writes must not end the service.
+const maxUnregistered = 5 * time.Second
+
 // settlesAt returns when the listed versions settle, of services that may have had another version
-// lately. Versions that are not in the result have settled.
-func (s *settling) settlesAt(hadAnother func(Writer) bool) map[Writer]time.Time {
+// lately. Versions that are not in the result have settled. A version settles once it has been listed
+// and registered for MaxAge: if all hosts were killed before the platform knows it, and its servers
+// were gone, nobody would know that it was possible.
+func (s *settling) settlesAt(p *possibleWriters) map[Writer]time.Time {
 	out := map[Writer]time.Time{}
 	for w, since := range s.listedSince {
-		if !since.IsZero() && hadAnother(w) {
+		if !p.hadAnotherVersion(w) {
+			continue
+		}
+		registeredSince, registered := p.registered[Registration{Service: w.Service, Version: w.Version}]
+		switch {
+		case !registered:
+			out[w] = since.Add(maxUnregistered)
+		case since.IsZero(): // in the first list
+		case registeredSince.After(since):
+			out[w] = registeredSince.Add(MaxAge)
+		default:
 			out[w] = since.Add(MaxAge)
 		}
 	}
--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -87,8 +87,6 @@
 		t.possible.window = max(window, DefaultWindow)
 		t.possible.observe(now, services, versions)
 		t.settling.observe(now, versions)
-		settlesAt := t.settling.settlesAt(t.possible.hadAnotherVersion)
-		t.settlesAt.Store(&settlesAt)
 	})
 	t.records.removeExpired(t.opts.Clock.Now())
 }
@@ -114,6 +112,8 @@
 	change(t.opts.Clock.Now())
 	after := t.possible.byRoute()
 	t.byRoute.Store(&after)
+	settlesAt := t.settling.settlesAt(t.possible)
+	t.settlesAt.Store(&settlesAt)
 	t.mu.Unlock()
 	var ambiguous []string
 	for route, list := range after {
--- a/process/streamwriter/tracker_test.go
+++ b/process/streamwriter/tracker_test.go
@@ -137,6 +137,7 @@
 		h, v1, v2 := f.hosts[0], Writer{testService, "v1"}, Writer{testService, "v2"}
 		f.listed = []string{"v1", "v2"}
 		f.readAll()
+		f.readAll() // tells that it is registered
 		g.Expect(h.MayBegin(v1)).To(BeTrue())
 		g.Expect(h.MayBegin(v2)).To(BeFalse())
 		time.Sleep(MaxAge)
@@ -147,6 +148,35 @@
 	})
 }
 
+// Guards against streams of a version that the platform does not know yet, which all hosts would have
+// forgotten if they were killed; and against a service that takes no streams while the platform takes no
+// writes.
+func TestUnregisteredVersionBeginsNoStreamsAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newTestFleet(t, 1, 2)
+		v2 := Writer{testService, "v2"}
+		f.readOnly = true
+		f.listed = []string{"v1", "v2"}
+		f.readAll()
+		time.Sleep(2 * MaxAge)
+		f.readAll()
+		g.Expect(f.hosts[0].MayBegin(v2)).To(BeFalse())
+		f.readOnly = false
+		f.readAll()
+		f.readAll()
+		g.Expect(f.hosts[0].MayBegin(v2)).To(BeFalse(), "others may not have read the registration")
+		time.Sleep(MaxAge)
+		g.Expect(f.hosts[0].MayBegin(v2)).To(BeTrue())
+
+		f.readOnly = true
+		f.listed = []string{"v3"}
+		f.readAll()
+		time.Sleep(maxUnregistered)
+		g.Expect(f.hosts[0].MayBegin(Writer{testService, "v3"})).To(BeTrue())
+	})
+}
+
 // Guards against a host that starts beside several versions, reads the configuration before the
 // servers, and begins no stream until the versions have settled.
 func TestVersionsOfTheFirstListBeginStreams(t *testing.T) {
