stages: an owner whose process has ended is replaced at its first refused connection

Cause: a broken connection is weak evidence, a refused one is not: no process listens there. Change: ECONNREFUSED ends the retries. A restart takes longer than they did.

--- a/process/stages/pool.go
+++ b/process/stages/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"bilberrydale/process/clock"
@@ -113,7 +114,7 @@
 }
 
 // A broken connection is weak evidence of a failed host: the call is retried on a new
-// connection for the time of a few resets. A failed host refuses connections or does not
+// connection for the time of a few resets. A failed host refuses the new one, or does not
 // respond within ownerRetryWindow.
 const (
 	ownerRetryWindow = 300 * time.Millisecond
@@ -137,7 +138,7 @@
 				failingSince = p.clock.Now() // the host was reachable until now
 			}
 		}
-		if p.clock.Now().Sub(failingSince) >= ownerRetryWindow {
+		if p.clock.Now().Sub(failingSince) >= ownerRetryWindow || errors.Is(err, syscall.ECONNREFUSED) {
 			return response, err
 		}
 		select {
--- a/process/stages/pool_test.go
+++ b/process/stages/pool_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 	// their responses.
 	lostResponses int
 	down          bool
+	refuses       bool          // while it is down: no process listens on the host
 	killed        chan struct{} // if set, calls in progress at this node end without a response once it is closed
 	calls         int
 	// staleList has outdated identities of hosts; a call to a host corrects its entry.
@@ -78,6 +80,9 @@
 		to.lostResponses = max(to.lostResponses-1, 0)
 	}
 	n.network.mu.Unlock()
+	if down && to != nil && to.refuses {
+		return fmt.Errorf("%w: %w", peer.ErrUnreachable, syscall.ECONNREFUSED)
+	}
 	if down {
 		return peer.ErrUnreachable
 	}
@@ -272,6 +277,20 @@
 	g.Expect(third.itemsMade()).To(Equal(5), "no other host is left")
 }
 
+// Guards against stage work that waits for an owner whose process has ended, as if a connection had
+// only been reset: one refused connection shows it.
+func TestOwnerWhoseProcessHasEndedIsReplacedAtOnce(t *testing.T) {
+	g, first, second, third := newThreeHosts(t)
+	_, err := third.run("1")
+	g.Expect(err).NotTo(HaveOccurred())
+	calls := first.calls
+	first.down, first.refuses = true, true
+	_, err = third.run("2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.calls).To(Equal(calls + 1))
+	g.Expect(second.itemsMade()).To(Equal(5))
+}
+
 // The owner shuts down. It finishes work in progress. New work goes to the next host, also from
 // a host that missed the notice.
 func TestLeavingOwnerFinishesWorkInProgress(t *testing.T) {
