gateway, stages: stage work of taken-up streams comes before all other

Cause: one level more urgent is none for the most urgent class; the limit in flight held them; and a call is filled with items of its server's domain first, so that it is long and may have no room for the urgent one. Change: a priority of its own before all others, no limit in flight, and calls that carry only items of such streams.

--- a/process/batcher/compose.go
+++ b/process/batcher/compose.go
@@ -102,18 +102,13 @@
 	return a.Domain == j.Domain && b.Domain != j.Domain
 }
 
-// fillCall moves waiting items into the call: first those of jobs in the server's failure
-// domain, then those of jobs that are not held for a server of their own domain.
+// fillCall moves waiting items into the call: those of urgent jobs, or else first those of jobs in the
+// server's failure domain, then those of jobs that are not held for a server of their own domain.
 func (q *Queue) fillCall(c *Call, s *server, now time.Time) {
-	for _, j := range q.waiting {
-		if j.Domain == s.Domain {
-			q.addItems(c, s, j)
-		}
-	}
-	for _, j := range q.waiting {
-		if !j.heldForLocal {
-			q.addItems(c, s, j)
-		}
+	q.addItemsOf(c, s, func(j *Job) bool { return j.Urgent })
+	if len(c.Items) == 0 {
+		q.addItemsOf(c, s, func(j *Job) bool { return j.Domain == s.Domain })
+		q.addItemsOf(c, s, func(j *Job) bool { return !j.heldForLocal })
 	}
 	kept := q.waiting[:0]
 	for _, j := range q.waiting {
@@ -146,6 +141,15 @@
 	return n
 }
 
+// addItemsOf moves waiting items of some jobs into the call.
+func (q *Queue) addItemsOf(c *Call, s *server, wanted func(*Job) bool) {
+	for _, j := range q.waiting {
+		if wanted(j) {
+			q.addItems(c, s, j)
+		}
+	}
+}
+
 // addItems moves as many items of a job into the call as fit.
 func (q *Queue) addItems(c *Call, s *server, j *Job) {
 	if j.failedServers[s.ID] && q.hasOtherServer(j) {
--- a/process/batcher/job.go
+++ b/process/batcher/job.go
@@ -36,6 +36,9 @@
 	// TargetTime is when the results are due; jobs are served in this order. After
 	// Deadline the results are useless: items that cannot end by then get TooLate.
 	TargetTime, Deadline time.Time
+	// Urgent puts the items into the next calls, which carry only items of urgent jobs: each further
+	// one would make them longer.
+	Urgent bool
 	// ResultBytes is the approximate size of the result of one item.
 	ResultBytes int64
 	// OnResult is called once for each item, with its index in Items and its result or the
--- a/process/batcher/queue_test.go
+++ b/process/batcher/queue_test.go
@@ -451,3 +451,23 @@
 	b.complete(behind)
 	b.g.Expect(fetched).To(Equal(1))
 }
+
+// Guards against items that are needed at once and wait for others, or in a call that others make
+// longer.
+func TestUrgentItemsGoIntoTheNextCallByThemselves(t *testing.T) {
+	b := newHarness(t, testOptions, map[string]string{"one": "a"})
+	b.submit("first", 14, time.Second, "a")
+	b.g.Expect(b.nextCalls()).To(HaveLen(1))
+	b.submit("usual", 10, time.Second, "a")
+	for _, id := range []string{"urgent", "urgent too"} {
+		j := b.submit(id, 2, 0, "b")
+		j.Urgent = true
+	}
+	b.advance(time.Second, 0)
+	b.g.Expect(len(b.calls)).To(BeNumerically(">=", 3))
+	var items []string
+	for _, item := range b.calls[1].Items {
+		items = append(items, item.Job.Items[0].RequestID)
+	}
+	b.g.Expect(items).To(Equal([]string{"urgent", "urgent", "urgent too", "urgent too"}))
+}
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -312,3 +312,20 @@
 	l.g.Expect(l.a.shares.services["s"].accounts).To(HaveLen(1))
 	l.g.Expect(l.a.shares.services["s"].accounts).To(HaveKey("waits"))
 }
+
+// Guards against the work of a stream that its client takes up and that waits for new requests, though
+// there is as much in flight as its servers complete.
+func TestTakenUpStreamStartsBeforeAllThatWait(t *testing.T) {
+	l := newAdmissionSim(t, map[string]Service{"s": newTestService()})
+	for i := range 60 {
+		l.enqueue(fmt.Sprintf("new-%d", i), 100, 4, 3*time.Second, 10*time.Second)
+	}
+	l.a.Schedule(l.now)
+	waiting, _ := l.a.Waiting()
+	l.g.Expect(waiting).To(BeNumerically(">", 0))
+	r := &Request{ID: "taken up", Worth: 1, Priority: -1, Continues: true, Stages: []Stage{{Service: "s", Items: 4}}, TargetTime: l.now, Deadline: l.now.Add(10 * time.Second)}
+	started := false
+	l.a.Enqueue(&Ticket{Request: r, Start: func() { started = true }}, l.now)
+	l.a.Schedule(l.now)
+	l.g.Expect(started).To(BeTrue())
+}
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -263,7 +263,10 @@
 		stageStarts: make([]time.Time, len(r.Stages)), stageTimes: make([]time.Duration, len(r.Stages)),
 		finished: make(chan struct{}), inputsFetched: make([]bool, len(r.Stages)),
 	}
-	if late {
+	switch {
+	case r.Continues:
+		w.targetTime = w.startedAt // goes into the next calls
+	case late:
 		w.targetTime = k.clock.Now().Add(lateAllowance)
 	}
 	w.startStages()
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -181,11 +181,15 @@
 	return domain, most
 }
 
-// stagePriority returns the priority of the stage work. A stream that its client takes up is one
-// level more urgent than a new one: what the client has of it is lost otherwise.
+// continuedStagePriority is the priority of the stage work of streams that their clients take up. It
+// comes before all others: what the client has of the stream is lost otherwise, and servers of its
+// version may be leaving.
+const continuedStagePriority = -1
+
+// stagePriority returns the priority of the stage work.
 func (x *exchange) stagePriority() int {
 	if x.continues() {
-		return max(x.priority-1, 0)
+		return continuedStagePriority
 	}
 	return max(x.priority, 0)
 }
