streamwriter: a record in the archive goes before what is deduced; one accept loop in the tests of upstream

A record tells the version that began the stream, "only one possible" is deduced: where the host has read the archive, the record decides.

--- a/connection/upstream/repeats_test.go
+++ b/connection/upstream/repeats_test.go
@@ -25,28 +25,13 @@
 type repeatingServer struct {
 	listener net.Listener
 	rand     *rand.Rand
-	mu       sync.Mutex // guards rand and conns
-	conns    int
+	mu       sync.Mutex // guards rand
 }
 
 func newRepeatingServer(t *testing.T, seed uint64) *repeatingServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
-	s := &repeatingServer{listener: l, rand: rand.New(rand.NewPCG(seed, 0))}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.conns++
-			s.mu.Unlock()
-			go s.serve(c)
-		}
-	}()
+	s := &repeatingServer{rand: rand.New(rand.NewPCG(seed, 0))}
+	s.listener = acceptAll(t, s.serve)
 	return s
 }
 
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -35,24 +35,33 @@
 const closeMark = "\x00"
 
 func newRawServer(t *testing.T, responses ...string) *rawServer {
+	t.Helper()
+	s := &rawServer{responses: responses}
+	s.listener = acceptAll(t, func(c net.Conn) {
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		s.serve(c)
+	})
+	return s
+}
+
+// acceptAll accepts connections until the test ends and calls serve for each, in a goroutine of its own.
+func acceptAll(t *testing.T, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{listener: listener, responses: responses}
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			s.conns++
-			s.mu.Unlock()
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
-	return s
+	return listener
 }
 
 func (s *rawServer) serve(c net.Conn) {
--- a/process/streamwriter/archived.go
+++ b/process/streamwriter/archived.go
@@ -49,6 +49,12 @@
 	return s.writer, ok
 }
 
+// has reports whether a stream was in the archive as last read.
+func (a *archived) has(key StreamKey) bool {
+	_, found := a.get(key)
+	return found
+}
+
 // get returns a stream that has not expired.
 func (a *archived) get(key StreamKey) (archivedStream, bool) {
 	streams := a.streams.Load()
--- a/process/streamwriter/tracker.go
+++ b/process/streamwriter/tracker.go
@@ -1,6 +1,7 @@
 package streamwriter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -210,12 +211,13 @@
 		}
 	}
 	w, err := t.onlyPossible(q.Route, fresh, asked, answers)
-	if err == nil || q.FirstAttemptID == "" {
+	key := newStreamKey(q.Route, q.FirstAttemptID)
+	if !t.archived.has(key) && (err == nil || q.FirstAttemptID == "") {
 		return w, SourceOnlyOne, err
 	}
-	w, found := t.archived.find(ctx, newStreamKey(q.Route, q.FirstAttemptID))
+	w, found := t.archived.find(ctx, key)
 	if !found || w.IsZero() {
-		return Writer{}, "", fmt.Errorf("%w, nor does the archive", err)
+		return Writer{}, "", fmt.Errorf("%w; the archive does not tell", cmp.Or(err, ErrUnknown))
 	}
 	return w, SourceArchive, nil
 }
