gateway: only streams that are known to have begun come before all others in stage work

Any client can name an event that it says it has, and would have gone before all new requests, beyond its account's share. The place before all others now needs a record of the stream: of a host, or of the archive. A stream whose version is known as the only possible one is one level more urgent than new ones, as before.

--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -323,7 +323,7 @@
 	l.a.Schedule(l.now)
 	waiting, _ := l.a.Waiting()
 	l.g.Expect(waiting).To(BeNumerically(">", 0))
-	r := &Request{ID: "taken up", Worth: 1, Priority: -1, Continues: true, Stages: []Stage{{Service: "s", Items: 4}}, TargetTime: l.now, Deadline: l.now.Add(10 * time.Second)}
+	r := &Request{ID: "taken up", Worth: 1, Priority: PriorityBegun, Continues: true, Stages: []Stage{{Service: "s", Items: 4}}, TargetTime: l.now, Deadline: l.now.Add(10 * time.Second)}
 	started := false
 	l.a.Enqueue(&Ticket{Request: r, Start: func() { started = true }}, l.now)
 	l.a.Schedule(l.now)
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -264,7 +264,7 @@
 		finished: make(chan struct{}), inputsFetched: make([]bool, len(r.Stages)),
 	}
 	switch {
-	case r.Continues:
+	case r.begun():
 		w.targetTime = w.startedAt // goes into the next calls
 	case late:
 		w.targetTime = k.clock.Now().Add(lateAllowance)
--- a/process/stages/schedule.go
+++ b/process/stages/schedule.go
@@ -135,7 +135,7 @@
 			continue // an unknown service; the request fails with NoServer when it is submitted
 		}
 		at, used := r.position(i), a.inFlight[s.Service]
-		if !r.Continues && (reserved.services[s.Service] || used.items > 0 && used.plus(s).exceeds(svc.inFlightLimit(at), 1)) {
+		if !r.begun() && (reserved.services[s.Service] || used.items > 0 && used.plus(s).exceeds(svc.inFlightLimit(at), 1)) {
 			fits = false
 			t.BlockedBy, t.BlockedByMemory = s.Service, false
 			reserved.services[s.Service] = true
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -37,7 +37,7 @@
 	// latency. Deadline is when they become useless.
 	TargetTime, Deadline time.Time
 	Worth                float64 // weight of one completed request relative to others
-	Priority             int     // 0: most urgent
+	Priority             int     // 0: most urgent, but for PriorityBegun
 	// Account is the client account whose share of scarce servers the work uses; requests
 	// without an account share that of the empty one.
 	Account string
@@ -55,6 +55,13 @@
 	Prompt  Prompt
 }
 
+// PriorityBegun is the priority of streams that their clients take up and that are known to have
+// begun. They start at once, and their items go into the next calls, by themselves.
+const PriorityBegun = -1
+
+// begun reports whether the request has PriorityBegun.
+func (r *Request) begun() bool { return r.Priority <= PriorityBegun }
+
 // finalStages returns the indexes of the stages that no other stage depends on.
 func (r *Request) finalStages() []int {
 	followed := make([]bool, len(r.Stages))
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -114,7 +114,7 @@
 	domain, remoteBytes := w.preferredDomain(i)
 	job := &batcher.Job{
 		Items: items, Domain: domain, RemoteBytes: remoteBytes, AllowedRegions: w.request.AllowedRegions, ResultBytes: s.ResultBytes,
-		TargetTime: w.targetTime.Add(-remaining), Deadline: w.request.Deadline.Add(-remaining), Urgent: w.request.Continues,
+		TargetTime: w.targetTime.Add(-remaining), Deadline: w.request.Deadline.Add(-remaining), Urgent: w.request.begun(),
 		OnResult: func(piece int, r batcher.Result) { w.onItemResult(i, piece, r) },
 	}
 	if len(s.DependsOn) > 0 {
--- a/request/gateway/placement_test.go
+++ b/request/gateway/placement_test.go
@@ -17,6 +17,7 @@
 	"bilberrydale/process/quarantine"
 	"bilberrydale/process/residency"
 	"bilberrydale/process/stages"
+	"bilberrydale/process/streamwriter"
 	"bilberrydale/request/wire"
 	"bilberrydale/version/plan"
 )
@@ -167,8 +168,12 @@
 	r := x.stageRequest()
 	g.Expect([]any{r.Account, r.Priority, r.Continues, r.WithoutShare}).To(Equal([]any{"a", 2, false, false}))
 	x.clientRequest.LastEventID = "7"
+	x.logEntry.WriterSource = streamwriter.SourceOnlyOne
+	r = x.stageRequest()
+	g.Expect([]any{r.Priority, r.Continues}).To(Equal([]any{1, true}), "only its client says that it has begun")
 	for _, x.priority = range []int{0, 2} {
+		x.logEntry.WriterSource = streamwriter.SourceArchive
 		r = x.stageRequest()
-		g.Expect([]any{r.Priority, r.Continues}).To(Equal([]any{-1, true}), "before the most urgent new ones")
+		g.Expect([]any{r.Priority, r.Continues}).To(Equal([]any{stages.PriorityBegun, true}), "before the most urgent new ones")
 	}
 }
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -11,6 +11,7 @@
 	"bilberrydale/process/errkind"
 	"bilberrydale/process/spill"
 	"bilberrydale/process/stages"
+	"bilberrydale/process/streamwriter"
 )
 
 // runStages runs the stages of the route and stores their results in the exchange.
@@ -181,17 +182,17 @@
 	return domain, most
 }
 
-// continuedStagePriority is the priority of the stage work of streams that their clients take up. It
-// comes before all others: what the client has of the stream is lost otherwise, and servers of its
-// version may be leaving.
-const continuedStagePriority = -1
-
-// stagePriority returns the priority of the stage work.
+// stagePriority returns the priority of the stage work. A stream that its client takes up is more
+// urgent than a new one, as what the client has of it is lost otherwise: before all others if it is
+// known to have begun, else by one level, as each client can say so.
 func (x *exchange) stagePriority() int {
-	if x.continues() {
-		return continuedStagePriority
+	switch {
+	case !x.continues():
+		return max(x.priority, 0)
+	case x.logEntry.WriterSource == streamwriter.SourceOnlyOne:
+		return max(x.priority-1, 0)
 	}
-	return max(x.priority, 0)
+	return stages.PriorityBegun
 }
 
 // priorityWeights scales the worth of a request, by its priority from 0. It does not change the order
