--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -46,24 +46,6 @@
 	return s
 }
 
-// acceptAll accepts connections until the test ends and calls serve for each, in a goroutine of its own.
-func acceptAll(t *testing.T, serve func(net.Conn)) net.Listener {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return listener
-}
-
 func (s *rawServer) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
