--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -314,6 +314,10 @@
 	return strings.HasPrefix(path, "/status") || strings.HasPrefix(path, "/bound")
 }
 
+// runsOnce reports whether requests to a path must not be executed more than once: bookings, and
+// streams that clients may not take up.
+func runsOnce(path string) bool { return !repeatable(path) && path != resumablePath }
+
 // checkRequests compares the responses of clients with the executions of servers.
 func (env *environment) checkRequests(list []clientRequest) {
 	env.mu.Lock()
@@ -322,7 +326,7 @@
 	for _, s := range list {
 		count[s.status]++
 		ran := env.executions[s.id]
-		if strings.HasPrefix(s.path, "/transfer") && len(ran) > 1 {
+		if runsOnce(s.path) && len(ran) > 1 {
 			env.t.Errorf("%s %s ran on %v", s.id, s.path, ran)
 		}
 		if statusMeansNotRun(s.status) && len(ran) > 0 && !repeatable(s.path) {
