soak: servers fall silent while the configuration changes, and wake with what has arrived

TestServersFallSilent plays it with real daemons: servers behind a gate stop as a process does (they neither accept, read, work nor write; what arrives waits in the system's buffers), some or all of a service, 0 to 0.7 s after a change of the idle time, the timeout or the service, in series and overlapping. Beside it, one by one by -soak.silence: queues that refuse for room and for deadlines, answers in two parts, few connections, short accept queues, inputs that are gone, refusals that arrive once more, large bodies, daemons that are stopped. Runs and answers are counted by id, also after the recovery; a connection that ends without a response after the request ran is an error.

No logic has changed.

--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -101,6 +101,7 @@
 	parts    []string // of the prompts, before their own one; nil: sharedPart
 	// validKeys: no request has a key that may have been revoked.
 	validKeys bool
+	timeouts  map[string]time.Duration // of the requests, by path; others have routeTimeout
 }
 
 // run sends requests to random ones of some paths until ctx ends.
@@ -153,6 +154,7 @@
 	c.do(s)
 	s.oldBuild = s.oldBuild || c.host.isOtherBuild()
 	c.requests.add(*s)
+	c.env.silence.recordUnanswered(c.env, c.host, s)
 	c.env.recordTry(c.host, s)
 }
 
@@ -199,12 +201,23 @@
 	return strings.HasPrefix(c.body, crashPrefix) || slices.ContainsFunc(c.parts, func(part string) bool { return strings.HasPrefix(part, crashPrefix) })
 }
 
+// largeBodyBytes is more than a daemon writes to a server at once.
+const largeBodyBytes = 20_000
+
+// requestBody returns the body of the next request.
+func (c *client) requestBody() string {
+	if c.env.silence != nil && c.env.silence.bodies && c.body == "" && c.rand.IntN(4) == 0 {
+		return strings.Repeat("x", largeBodyBytes)
+	}
+	return cmp.Or(c.body, "x")
+}
+
 func (c *client) writeRequest(s *clientRequest) error {
-	req, err := http.NewRequest(http.MethodPost, "http://soap.example"+s.path, strings.NewReader(cmp.Or(c.body, "x")))
+	req, err := http.NewRequest(http.MethodPost, "http://soap.example"+s.path, strings.NewReader(c.requestBody()))
 	if err != nil {
 		return err
 	}
-	q := platformtest.Request{AttemptID: s.id, APIKey: s.key, Timeout: routeTimeout, StageItems: []int{1, 2}, StageInputKey: "k", FirstAttemptID: s.first}
+	q := platformtest.Request{AttemptID: s.id, APIKey: s.key, Timeout: cmp.Or(c.timeouts[s.path], routeTimeout), StageItems: []int{1, 2}, StageInputKey: "k", FirstAttemptID: s.first}
 	q.PromptParts = append(slices.Clone(c.promptParts()), s.id)
 	if s.after > 0 {
 		q.LastEventID = strconv.Itoa(s.after)
--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -60,6 +60,8 @@
 	cuts          []*hostsCut    // in which hosts reached no server
 	breaking      bool           // some streams that clients may take up break off
 	noColdLimit   bool           // engines bear as much cold as warm
+	silence       *silence       // of the servers; nil: they fall silent behind their relays only
+	variant       configVariant  // of the configuration
 	disturbance   disturbance    // of the store
 	replacements  sync.WaitGroup // of crashed servers that are being replaced
 }
@@ -99,7 +101,7 @@
 // backendServer is a stand-in backend server behind a relay.
 type backendServer struct {
 	*platformtest.Server
-	relay    *relay.Proxy
+	relay    *relay.Proxy // nil: daemons reach it without
 	domain   string
 	restarts int          // number of restarts; each makes it cold
 	crashed  bool         // ended by a request or a release, for good
@@ -113,14 +115,16 @@
 	// The end of the latest cold period.
 	coldUntil    time.Time
 	coldRequests [][]time.Time // by restart: when requests reached it while cold
+	queue        *workQueue    // in which requests wait; nil: they run at once
 }
 
-// newEnvironment starts servers and hosts. prepare, if it is not nil, is called in between.
-func newEnvironment(t *testing.T, binary string, hosts int, base int, prepare func(*environment)) *environment {
+// newEnvironment starts servers and hosts.
+func newEnvironment(t *testing.T, binary string, hosts int, base int, p runPlan) *environment {
 	env := &environment{
 		t: t, dir: t.TempDir(), store: platformtest.NewStore(), keys: []string{"key-1", "key-2"},
 		revoked: map[string]time.Time{}, executions: map[string][]string{}, streams: map[string]*stream{}, results: map[string][]string{}, requests: newRequestLog(),
 		senders: map[string]*host{}, sentAt: map[string]time.Time{}, otherBuilds: map[*host]bool{}, crashes: map[string][]crash{},
+		silence: p.silence,
 	}
 	env.storeServer = httptest.NewServer(env.store)
 	t.Cleanup(env.storeServer.Close)
@@ -130,8 +134,8 @@
 	for _, service := range []string{"ledger", "model", "floor", "portal"} {
 		env.addServer(service, platformtest.DefaultVersion, farDomain)
 	}
-	if prepare != nil {
-		prepare(env)
+	if p.prepare != nil {
+		p.prepare(env)
 	}
 	env.putConfig()
 	for i := range hosts {
@@ -159,7 +163,12 @@
 	number := env.serverCount
 	env.serverCount++
 	env.mu.Unlock()
-	s := platformtest.NewServer(fmt.Sprintf("%s-%d", service, number), service)
+	id := fmt.Sprintf("%s-%d", service, number)
+	if env.silence != nil {
+		env.addSilentServer(id, service, domain)
+		return
+	}
+	s := platformtest.NewServer(id, service)
 	if version != platformtest.DefaultVersion {
 		s.Restart(version)
 	}
@@ -211,6 +220,12 @@
 	if env.tell(b, id, w) {
 		return true
 	}
+	if b.queue != nil {
+		if !b.queue.enter(env, b, id, w, req) {
+			return true
+		}
+		defer b.queue.leave()
+	}
 	env.nameLimit(b, id, w.Header())
 	if !env.admitBrittle(b, id, w) {
 		return true
@@ -218,6 +233,9 @@
 	defer env.endBrittle(b)
 	env.mu.Lock()
 	env.executions[id] = append(env.executions[id], b.ID)
+	if env.silence != nil {
+		defer env.silence.begin(id, b.ID)()
+	}
 	if now := time.Now(); now.Before(b.coldUntil) {
 		b.coldRequests[b.restarts-1] = append(b.coldRequests[b.restarts-1], now)
 	}
@@ -235,10 +253,12 @@
 			env.breakOff(b, req.URL.Path, id, i)
 			platformtest.WriteEvents(w, version, i, i)
 			simulateWork(req, eventInterval)
+			b.queue.pass()
 		}
 		return true
 	}
 	simulateWork(req, callDuration)
+	b.queue.pass()
 	_, _ = io.WriteString(w, "answer to "+id)
 	return true
 }
@@ -290,6 +310,8 @@
 		}
 	}
 	chat, draft := route("chat", plan.Stream, "model"), route("draft", plan.Stream, "model")
+	transfer, status := route("transfer", plan.Unsafe, env.variant.ledger()), route("status", plan.Safe, env.variant.ledger())
+	transfer.Timeout = env.variant.timeout()
 	chat.Resumable = true
 	draft.MaxAttempts = 1
 	bound, boundDraft := route("bound", plan.Safe, "ledger"), route("bounddraft", plan.Stream, "model")
@@ -302,14 +324,15 @@
 	}
 	env.store.PutConfig(plan.Config{
 		Version: int64(version),
-		Routes:  []plan.Route{route("transfer", plan.Unsafe, "ledger"), route("status", plan.Safe, "ledger"), chat, draft, bound, boundDraft},
+		Routes:  []plan.Route{transfer, status, chat, draft, bound, boundDraft},
 		Services: []plan.Service{
 			{Name: "ledger"},
+			{Name: otherLedger},
 			{Name: "model", Engine: &plan.Engine{Slots: 8}, ColdStart: cold},
 			{Name: "floor", Batch: batch},
 			{Name: "portal", Batch: batch},
 		},
-		Limits:   plan.Limits{MaxBodyBytes: 100_000},
+		Limits:   plan.Limits{MaxBodyBytes: 100_000, IdleTimeout: env.variant.idleTimeout()},
 		Accounts: []plan.Account{{Name: "soap", Keys: keys}},
 	})
 }
@@ -343,8 +366,11 @@
 	env.must(err)
 	h.links.path = filepath.Join(env.dir, h.name+"-links.json")
 	for _, b := range env.activeServers() {
-		h.links.add(env, b.relay.Address())
+		if b.relay != nil {
+			h.links.add(env, b.relay.Address())
+		}
 	}
+	h.links.heal(env) // writes the file if no server has a relay
 	env.hosts = append(env.hosts, h)
 	env.must(h.start(binary))
 	env.t.Cleanup(func() {
--- /dev/null
+++ b/internal/soak/silence_test.go
@@ -0,0 +1,329 @@
+package soak
+
+import (
+	"cmp"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bilberrydale/platform/platformtest"
+)
+
+var silenceFlag = flag.String("soak.silence", "silent,parts,queue,repeats,conns,accept,inputs,hosts,bodies", "what happens in TestServersFallSilent, with commas between; silent: the servers do fall silent")
+
+// silence is how the servers of TestServersFallSilent are, and what they did.
+type silence struct {
+	slots, queue int   // requests that a server runs, and that wait there; 0: no bound
+	maxConns     int64 // connections that a server takes; 0: no bound
+	acceptQueue  int   // connections that wait until a server accepts them; 0: as the system has it
+	inParts      bool  // responses are sent in two parts
+	repeatOneIn  int64 // one in how many refusals is sent once more, late; 0: none
+	lostOneIn    int   // one in how many streams with stages finds that an input is gone; 0: none
+	silent       bool  // servers fall silent
+	stopsHosts   bool  // daemons are stopped for a moment
+	bodies       bool  // some bodies are larger than what is written at once
+
+	mu         sync.Mutex
+	spans      map[string][]*span // by id
+	unanswered []clientRequest    // without a response, though nothing had happened to the host
+	refusals   map[string]int     // that servers gave, by reason
+	silences   int
+}
+
+// span is one run of a request.
+type span struct {
+	server     string
+	begin, end time.Time
+}
+
+// newSilence returns what -soak.silence asks for.
+func newSilence(traits string) *silence {
+	s := &silence{spans: map[string][]*span{}, refusals: map[string]int{}}
+	for name := range strings.SplitSeq(traits, ",") {
+		switch name {
+		case "silent":
+			s.silent = true
+		case "parts":
+			s.inParts = true
+		case "queue":
+			s.slots, s.queue = 2, 3
+		case "repeats":
+			s.repeatOneIn = 2
+		case "conns":
+			s.maxConns = 12
+		case "accept":
+			s.acceptQueue = 2
+		case "inputs":
+			s.lostOneIn = 5
+		case "hosts":
+			s.stopsHosts = true
+		case "bodies":
+			s.bodies = true
+		}
+	}
+	return s
+}
+
+// addSilentServer starts a server that daemons reach without a relay, and lists it.
+func (env *environment) addSilentServer(id, service, domain string) {
+	g := newGate()
+	s := platformtest.NewServerOn(id, service, func(l net.Listener) net.Listener { return newGatedListener(l, g, env.silence) })
+	env.t.Cleanup(s.HTTP.Close)
+	b := &backendServer{Server: s, domain: domain, queue: newWorkQueue(env.silence, g)}
+	s.SetInterceptor(func(w http.ResponseWriter, req *http.Request) bool { return env.serveRequest(b, w, req) })
+	env.mu.Lock()
+	env.servers = append(env.servers, b)
+	env.mu.Unlock()
+	env.publishEntry(b, false)
+}
+
+// begin records a run of a request. The result ends it.
+func (s *silence) begin(id, server string) (end func()) {
+	run := &span{server: server, begin: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spans[id] = append(s.spans[id], run)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run.end = time.Now()
+	}
+}
+
+// countRefusal counts a refusal of a server.
+func (s *silence) countRefusal(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals[reason]++
+}
+
+// recordUnanswered records a request whose connection ended without a response, unless its client
+// gave up or its host was disturbed.
+func (s *silence) recordUnanswered(env *environment, h *host, r *clientRequest) {
+	var timeout net.Error
+	if s == nil || r.status != 0 || r.err == nil || errors.As(r.err, &timeout) && timeout.Timeout() || errors.Is(r.err, syscall.ECONNREFUSED) {
+		return
+	}
+	env.mu.Lock()
+	inTouch := env.inTouch(h)
+	env.mu.Unlock()
+	if !inTouch {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered = append(s.unanswered, *r)
+}
+
+// overlapAllowance is how long a server may work on for a stream that goes on at another one.
+const overlapAllowance = 400 * time.Millisecond
+
+// check checks that requests that ran got a response, and logs what happened. It is called with env.mu
+// held.
+func (s *silence) check(env *environment) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.unanswered {
+		if ran := env.executions[r.id]; len(ran) > 0 {
+			env.t.Errorf("%s %s ran on %v and its connection ended without a response: %v", r.id, r.path, ran, r.err)
+		}
+	}
+	again, overlaps := 0, 0
+	for _, runs := range s.spans {
+		for i := 1; i < len(runs); i++ {
+			again++
+			if before := runs[i-1]; before.end.IsZero() || before.end.Sub(runs[i].begin) > overlapAllowance {
+				overlaps++
+			}
+		}
+	}
+	env.t.Logf("%d silences; refusals of servers %v; %d requests ran again, %d of them beside an earlier run for over %s; %d connections ended without a response", s.silences, s.refusals, again, overlaps, overlapAllowance, len(s.unanswered))
+}
+
+// workQueue is where the requests of a server wait until it runs them.
+type workQueue struct {
+	gate   *gate
+	traits *silence
+	slots  chan struct{} // holds an element for each running request; nil: no bound
+
+	mu      sync.Mutex
+	waiting int
+}
+
+// newWorkQueue returns the queue of a server.
+func newWorkQueue(traits *silence, g *gate) *workQueue {
+	q := &workQueue{gate: g, traits: traits}
+	if traits.slots > 0 {
+		q.slots = make(chan struct{}, traits.slots)
+	}
+	return q
+}
+
+// pass returns once the server is not silent.
+func (q *workQueue) pass() {
+	if q != nil {
+		q.gate.pass()
+	}
+}
+
+// enter waits for the turn of a request. It returns false if it has refused or dropped it.
+func (q *workQueue) enter(env *environment, b *backendServer, id string, w http.ResponseWriter, req *http.Request) bool {
+	q.pass()
+	deadline := time.Now().Add(cmp.Or(platformtest.Timeout(req), routeTimeout))
+	if !q.wait(req) {
+		q.traits.countRefusal("full")
+		platformtest.RespondNotRun(w)
+		return false
+	}
+	q.pass()
+	switch {
+	case req.Context().Err() != nil:
+		q.traits.countRefusal("dropped")
+	case time.Now().After(deadline):
+		q.traits.countRefusal("late")
+		platformtest.RespondNotRun(w)
+	case q.traits.lostOneIn > 0 && strings.Contains(req.URL.Path, "draft") && hashOf(id, b.ID, fmt.Sprint(time.Now().UnixMilli()/500))%uint32(q.traits.lostOneIn) == 0:
+		q.traits.countRefusal("input gone")
+		platformtest.RespondInputsLost(w)
+	default:
+		return true
+	}
+	q.leave()
+	return false
+}
+
+// wait waits for a slot. It returns false if too many wait.
+func (q *workQueue) wait(req *http.Request) bool {
+	if q.slots == nil {
+		return true
+	}
+	select {
+	case q.slots <- struct{}{}:
+		return true
+	default:
+	}
+	q.mu.Lock()
+	full := q.waiting >= q.traits.queue
+	if !full {
+		q.waiting++
+	}
+	q.mu.Unlock()
+	if full {
+		return false
+	}
+	q.slots <- struct{}{} // requests that run take some milliseconds
+	q.mu.Lock()
+	q.waiting--
+	q.mu.Unlock()
+	return true
+}
+
+// leave ends the turn of a request.
+func (q *workQueue) leave() {
+	if q.slots != nil {
+		<-q.slots
+	}
+}
+
+// configVariant is what changes between two versions of the configuration, beside keys.
+type configVariant struct{ version int }
+
+// otherLedger is the service to which some versions lead bookings.
+const otherLedger = "ledger2"
+
+func (v configVariant) ledger() string {
+	return [...]string{"ledger", "ledger", otherLedger}[v.version%3]
+}
+
+func (v configVariant) timeout() time.Duration {
+	return [...]time.Duration{routeTimeout, routeTimeout / 5}[v.version/3%2]
+}
+
+func (v configVariant) idleTimeout() time.Duration {
+	return [...]time.Duration{0, 15 * time.Second, 2 * time.Second, 400 * time.Millisecond}[v.version%4]
+}
+
+// change writes a version of the configuration that differs from the one before.
+func (env *environment) change(r *rand.Rand) {
+	env.mu.Lock()
+	env.variant.version = r.IntN(12)
+	env.mu.Unlock()
+	env.putConfig()
+}
+
+// silenceServers changes the configuration and lets some or all servers of a service fall silent for a
+// second or so, a moment later.
+func (env *environment) silenceServers(r *rand.Rand) {
+	env.change(r)
+	time.Sleep(randomDuration(r, 0, 700))
+	service := []string{"ledger", otherLedger, "model", "model", "floor", ""}[r.IntN(6)] // empty: all
+	some := r.IntN(2) == 0
+	duration := randomDuration(r, 900, 1400)
+	var ended sync.WaitGroup
+	for _, b := range env.activeServers() {
+		if service != "" && b.Service != service || some && r.IntN(5) < 2 {
+			continue
+		}
+		ended.Go(func() {
+			b.queue.gate.add(1)
+			defer b.queue.gate.add(-1)
+			time.Sleep(duration)
+		})
+	}
+	env.silence.mu.Lock()
+	env.silence.silences++
+	env.silence.mu.Unlock()
+	ended.Wait()
+	env.requests.awaitMore(randomCount(r, 5, 60))
+}
+
+// faults returns the faults of TestServersFallSilent.
+func (s *silence) faults() []fault {
+	kinds := []fault{{"configuration", func(env *environment, r *rand.Rand, _ string) { env.change(r) }}}
+	if s.silent {
+		kinds = append(kinds, fault{"servers fall silent", func(env *environment, r *rand.Rand, _ string) { env.silenceServers(r) }})
+	}
+	if s.stopsHosts {
+		kinds = append(kinds, fault{"host stands still", func(env *environment, r *rand.Rand, _ string) {
+			h := env.randomHost(r)
+			env.disturb(&h.disturbance, func() {
+				h.signal(syscall.SIGSTOP)
+				time.Sleep(randomDuration(r, 100, 1500))
+				h.signal(syscall.SIGCONT)
+			})
+		}})
+	}
+	return kinds
+}
+
+// Guards against requests that run twice, or after they were refused, when sound servers fall silent for
+// a second while the configuration changes, and wake with what has arrived meanwhile.
+func TestServersFallSilent(t *testing.T) {
+	var seeds []uint64
+	for i := range *runsFlag {
+		seeds = append(seeds, *seedFlag+uint64(i))
+	}
+	runSeeds(t, seeds, func(uint64) runPlan {
+		s := newSilence(*silenceFlag)
+		return runPlan{
+			faults: s.faults(), paths: append([]string{"/transfer/1", "/transfer/1", "/stream/draft/1"}, paths...), silence: s, clientsPerHost: 8,
+			timeouts: map[string]time.Duration{"/transfer/1": time.Second},
+			prepare: func(env *environment) {
+				for _, domain := range []string{nearDomain, nearDomain, farDomain} {
+					env.addServer(otherLedger, platformtest.DefaultVersion, domain)
+				}
+			},
+		}
+	})
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -27,6 +28,7 @@
 	hostsFlag    = flag.Int("soak.hosts", 3, "number of daemons of a run")
 	keepFlag     = flag.String("soak.keep", "", "folder to which the daemons' logs of a failed run are copied")
 	parallelFlag = flag.Int("soak.parallel", 4, "runs at the same time")
+	daemonFlag   = flag.String("soak.daemon", "", "path of internal/soak/daemon of another build, which all hosts run; empty: that of this tree")
 	otherFlag    = flag.String("soak.other", "", "path of bilberryedge of another build: hosts of both builds run side by side, and each restart of a host switches its build")
 )
 
@@ -133,6 +135,10 @@
 	faults  []fault            // of which those of the run are drawn
 	paths   []string           // to which clients send requests
 	prepare func(*environment) // called before the daemons start; nil: nothing
+	// clientsPerHost is the number of clients; 0: 3.
+	clientsPerHost int
+	timeouts       map[string]time.Duration // of the clients
+	silence        *silence                 // nil: servers fall silent behind their relays only
 }
 
 // allFaults returns the plan of a run of TestSoak with a seed.
@@ -144,7 +150,9 @@
 func runSeeds(t *testing.T, seeds []uint64, plans func(seed uint64) runPlan) {
 	binary := filepath.Join(t.TempDir(), "bilberryedge")
 	build := exec.Command("go", "build", "-o", binary, "bilberrydale/internal/soak/daemon")
-	if out, err := build.CombinedOutput(); err != nil {
+	if *daemonFlag != "" {
+		binary = *daemonFlag
+	} else if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	slots := make(chan struct{}, *parallelFlag)
@@ -163,15 +171,15 @@
 
 // runSeed runs the soak with a seed. addresses selects the loopback addresses of its daemons.
 func runSeed(t *testing.T, binary string, seed uint64, addresses int, p runPlan) {
-	env := newEnvironment(t, binary, *hostsFlag, addresses%20000, p.prepare)
+	env := newEnvironment(t, binary, *hostsFlag, addresses%20000, p)
 	defer env.keepLogs(seed)
 	env.awaitCondition("all daemons are ready", func() bool { return env.allReady() })
 	ctx, stop := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	requests := env.requests
-	for i := range 3 * len(env.hosts) {
+	for i := range cmp.Or(p.clientsPerHost, 3) * len(env.hosts) {
 		home := env.hosts[i%len(env.hosts)]
-		c := &client{env: env, requests: requests, host: home, home: home, rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		c := &client{env: env, requests: requests, host: home, home: home, rand: rand.New(rand.NewPCG(seed, uint64(i))), timeouts: p.timeouts}
 		clients.Go(func() { c.run(ctx, p.paths) })
 	}
 	env.injectFaults(seed, binary, p.faults)
@@ -181,7 +189,9 @@
 	env.awaitCondition("no server has asked for more time without requests", env.pausesOver)
 	env.awaitCondition("all daemons are ready after the faults", env.allReady)
 	env.checkRecovery()
-	env.checkCrashingRequest(seed)
+	if p.silence == nil { // crashes take the relay of the server
+		env.checkCrashingRequest(seed)
+	}
 	env.checkEvacuation()
 	env.checkRequests(requests.all())
 	env.checkMemory()
@@ -219,7 +229,9 @@
 		h.links.heal(env)
 	}
 	for _, b := range env.activeServers() {
-		b.relay.ClearFaults()
+		if b.relay != nil {
+			b.relay.ClearFaults()
+		}
 		env.publishEntry(b, false)
 	}
 }
@@ -350,6 +362,7 @@
 	env.checkBrittle()
 	env.checkCuts()
 	env.checkStreams()
+	env.silence.check(env)
 	env.t.Logf("%d requests, by status: %v", len(list), count)
 	if count[http.StatusOK] == 0 {
 		env.t.Error("no request got status 200")
