gateway: a stream that has begun runs its stages again in the time that its client still waits for an event

Cause: the stages that run again count the client's patience from the arrival of the request. For a stream of more than that age their deadline has passed, and the owner refuses them at once ("late", 0.03 ms in the log), though the client waits for as long again from its last event. Their target time had passed, too, and they came behind all new work of their priority.

Change: both count from the last event; stage work of a stream that this host has begun comes first, as that of streams that clients take up and that are known to have begun. The duration of the stages in the log stays that of the first ones, from which the time to the first event is learned.

Evidence: TestStreamThatBreaksOffLateGoesOnWithItsStages was red before (unexpected EOF).

--- a/request/gateway/pause.go
+++ b/request/gateway/pause.go
@@ -87,10 +87,7 @@
 		reserve := cmp.Or(x.route.TargetLatency, minReserve)
 		return x.deadline.Add(-min(reserve, x.deadline.Sub(x.arrivedAt)/reserveDivisor))
 	}
-	since := x.arrivedAt
-	if !x.lastEventAt.IsZero() {
-		since = x.lastEventAt
-	}
+	since := x.waitsSince()
 	end := since.Add(x.abandonTime())
 	if x.deadline.Before(end) {
 		end = x.deadline
--- a/request/gateway/stages.go
+++ b/request/gateway/stages.go
@@ -26,7 +26,9 @@
 	ctx, stopWatch := x.cancelBeforeShutdown(ctx)
 	defer stopWatch()
 	results, err := x.opts.Pool.Run(ctx, r)
-	x.logEntry.StageDuration = x.opts.Clock.Now().Sub(x.arrivedAt)
+	if !x.headersSent {
+		x.logEntry.StageDuration = x.opts.Clock.Now().Sub(x.arrivedAt)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errShutdown) {
 		return &errkind.Error{Kind: errkind.Draining, Detail: errShutdown.Error(), RetryAfter: drainingRetryAfter, Cause: err}
 	}
@@ -71,7 +73,7 @@
 func (x *exchange) stageRequest() *stages.Request {
 	r := &stages.Request{
 		ID: x.clientRequest.AttemptID, Round: x.stageRound, InputKey: x.clientRequest.StageInputKey, RunDomain: x.predictedDomain(), HostDomain: x.opts.Domain,
-		AllowedRegions: x.allowed, Worth: x.worth(), Account: x.account, Priority: x.stagePriority(), Continues: x.continues(),
+		AllowedRegions: x.allowed, Worth: x.worth(), Account: x.account, Priority: x.stagePriority(), Continues: x.continues() || x.headersSent,
 		Stages: make([]stages.Stage, len(x.route.Stages)),
 	}
 	for i, s := range x.route.Stages {
@@ -79,8 +81,9 @@
 	}
 	x.setTargets(r)
 	expected := x.streamDurations.estimate(x.route.Name)
-	r.TargetTime = x.targetTime.Add(-expected.toFirstEvent)
-	r.Deadline = x.arrivedAt.Add(x.abandonTime() - min(expected.toFirstEvent, x.abandonTime()/reserveDivisor))
+	since := x.waitsSince()
+	r.TargetTime = since.Add(x.route.TargetLatency - expected.toFirstEvent)
+	r.Deadline = since.Add(x.abandonTime() - min(expected.toFirstEvent, x.abandonTime()/reserveDivisor))
 	timeout := x.deadline.Sub(x.arrivedAt)
 	if end := x.deadline.Add(-min(expected.upperEstimate(), timeout/reserveDivisor)); end.Before(r.Deadline) {
 		r.Deadline = end
@@ -143,6 +146,14 @@
 	return max(minAbandonTime, abandonLatencyFactor*x.route.TargetLatency, abandonGapFactor*x.route.MaxEventGap)
 }
 
+// waitsSince returns the time since which the client waits for an event.
+func (x *exchange) waitsSince() time.Time {
+	if x.lastEventAt.IsZero() {
+		return x.arrivedAt
+	}
+	return x.lastEventAt
+}
+
 // predictedDomain returns the failure domain in which the request would currently run, which
 // is the best place for its stage work. If stage work is queued there, a random share of the
 // requests moves to other failure domains.
@@ -184,9 +195,11 @@
 
 // stagePriority returns the priority of the stage work. A stream that its client takes up is more
 // urgent than a new one, as what the client has of it is lost otherwise: before all others if it is
-// known to have begun, else by one level, as each client can say so.
+// known to have begun, here or by its records, else by one level, as each client can say so.
 func (x *exchange) stagePriority() int {
 	switch {
+	case x.headersSent:
+		return stages.PriorityBegun
 	case !x.continues():
 		return max(x.priority, 0)
 	case x.logEntry.WriterSource == streamwriter.SourceOnlyOne:
