gateway: the run of a silent server is ended only once its stream can go on elsewhere

Cause: the time without an event ended the run by itself, whether or not another server could take the stream: there may be none, the retry budget may be used up, the inputs were released at the first event and the stages may be refused. The class: to give up what one has before what replaces it is there.

Change: while the server is silent, a search runs beside the reading: is there a server, is there budget, do the stages run again. Only then the run is ended. An event meanwhile ends the search. After a run that broke off by itself, the stages run again before the next server is asked, as the host knows that it has released the inputs: one request and one refusal less.

Evidence: TestSilentRunIsKeptWhileTheStreamCannotGoOnElsewhere and TestStreamLeavesASilentServerOnceItCanGoOnElsewhere were red before (unexpected EOF; a request with released inputs).

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,9 @@
 	"bilberrydale/platform/platformtest"
 )
 
+// serverSilence is longer than a stream waits until it looks for another server.
+const serverSilence = 2400 * time.Millisecond
+
 // newStagedStreams starts a host with a resumable route with stages, whose clients wait for an event for
 // patience, and two servers for its streams. A server that runs one calls run, unless it goes on with one.
 func newStagedStreams(t *testing.T, patience time.Duration, run func(p *testPlatform, s *platformtest.Server, w http.ResponseWriter)) (*WithT, *testPlatform, *Host) {
@@ -67,6 +71,27 @@
 	})
 }
 
+// Guards against breaking off the run of a silent server for another server that cannot go on: the
+// inputs of the stream were released at its first event, and the stages are refused.
+func TestSilentRunIsKeptWhileTheStreamCannotGoOnElsewhere(t *testing.T) {
+	g, p, h := newStagedStreams(t, 6*time.Second, func(p *testPlatform, s *platformtest.Server, w http.ResponseWriter) {
+		s.WriteEvents(w, 1, 1)
+		for _, id := range []string{"floor-1", "portal-1"} {
+			p.servers[id].SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
+				if platformtest.IsNewWork(r) {
+					platformtest.RespondNotRun(w)
+				}
+				return platformtest.IsNewWork(r)
+			})
+		}
+		time.Sleep(serverSilence)
+		s.WriteEvents(w, 2, 5)
+	})
+	r := p.sendStaged(h)
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(r.body, "data: piece")).To(Equal(5))
+}
+
 // Guards against ending a stream that breaks off late: the stages whose results it needs to go on count
 // the client's patience from its last event, not from its arrival.
 func TestStreamThatBreaksOffLateGoesOnWithItsStages(t *testing.T) {
@@ -82,3 +107,27 @@
 	g.Expect(r.err).NotTo(HaveOccurred())
 	g.Expect(strings.Count(r.body, "data: piece")).To(Equal(5))
 }
+
+// Guards against a stream that stays with a server that never speaks again: once its stages have run
+// again, it goes on elsewhere, without a request for which the inputs are known to be gone.
+func TestStreamLeavesASilentServerOnceItCanGoOnElsewhere(t *testing.T) {
+	woken := make(chan struct{})
+	var refused atomic.Int64
+	g, p, h := newStagedStreams(t, 6*time.Second, func(_ *testPlatform, s *platformtest.Server, w http.ResponseWriter) {
+		s.WriteEvents(w, 1, 1)
+		<-woken
+	})
+	t.Cleanup(func() { close(woken) })
+	for _, id := range []string{"model-1", "model-2"} {
+		p.servers[id].SetObserver(func(_ http.ResponseWriter, r *http.Request) bool {
+			if platformtest.IsNewWork(r) && p.released(inputsOf(r)) {
+				refused.Add(1)
+			}
+			return false
+		})
+	}
+	r := p.sendStaged(h)
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(r.body, "data: piece")).To(Equal(5))
+	g.Expect(refused.Load()).To(BeZero(), "requests with inputs that were released")
+}
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -53,10 +53,7 @@
 // possible or allowed. A server that it returns has been charged against its limits, and a
 // retry against the retry budget.
 func (x *exchange) nextServer(ctx context.Context, hist *attemptHistory) *directory.Server {
-	if ctx.Err() != nil || hist.refusals >= maxRefusals {
-		return nil
-	}
-	if hist.possibleRuns > 0 && (!x.retryable() || hist.possibleRuns >= x.route.MaxAttempts) {
+	if !x.mayAttempt(ctx, hist) {
 		return nil
 	}
 	if hist.trial, hist.quarantined = x.checkAttempt(); hist.quarantined != nil {
@@ -88,6 +85,15 @@
 	return s
 }
 
+// mayAttempt reports whether a further attempt is allowed by those before, whether or not there is a
+// server for it.
+func (x *exchange) mayAttempt(ctx context.Context, hist *attemptHistory) bool {
+	if ctx.Err() != nil || hist.refusals >= maxRefusals {
+		return false
+	}
+	return hist.possibleRuns == 0 || x.retryable() && hist.possibleRuns < x.route.MaxAttempts
+}
+
 // takeRetry takes a retry from the retry budget if the next attempt needs one and has none yet. It
 // returns false if none is left.
 func (x *exchange) takeRetry(hist *attemptHistory) bool {
@@ -103,6 +109,14 @@
 	return true
 }
 
+// returnRetry gives back a retry that was taken for an attempt that is not made.
+func (x *exchange) returnRetry(hist *attemptHistory) {
+	if hist.retryTaken {
+		hist.retryTaken = false
+		x.opts.RetryLimiter.ReturnRetry(x.service)
+	}
+}
+
 // takeServer chooses a server and charges the request against its limits; nil: there is none.
 func (x *exchange) takeServer(hist *attemptHistory) *directory.Server {
 	s := x.chooseServer(hist)
@@ -140,10 +154,7 @@
 // of a server if there is one, and returns an error otherwise.
 func (x *exchange) finish(hist *attemptHistory) error {
 	x.endTurn()
-	if hist.retryTaken {
-		hist.retryTaken = false
-		x.opts.RetryLimiter.ReturnRetry(x.service)
-	}
+	x.returnRetry(hist)
 	switch {
 	case hist.failedResponse != nil:
 		return x.writeBuffered(hist.failedResponse)
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -211,6 +211,7 @@
 	results          stages.Results // stage results that are not yet freed
 	stageRound       int            // number of times the stages were rerun
 	inputHandles     []string       // handles of the stage results
+	inputsReleased   bool           // the request has had stage results that it needs again for another attempt
 	preferredServer  string         // ID of the server chosen with the stage results; empty: none
 	kvSource         string         // ID of a server that has the KV cache of the shared prompt prefix; empty: unknown
 	inputDomain      string         // failure domain that holds most bytes of the stage results; empty: none
--- /dev/null
+++ b/request/gateway/silence.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// errLeftSilentServer means that a stream has left a server that sent nothing, as it can go on at
+// another one.
+var errLeftSilentServer = fmt.Errorf("%w: the server was silent, and the stream can go on elsewhere", errInvalidResponse)
+
+// If no event arrives within these times, another server is sought for a stream that can go on
+// there. Both are longer than the silences of a second or so in which a server is sound and works on,
+// and leave time for another one before clients give up.
+const (
+	firstEventTimeout = 1600 * time.Millisecond // includes the processing of this and other prompts
+	eventTimeout      = 1700 * time.Millisecond
+	// searchInterval is the time between two searches while there is no other server.
+	searchInterval = 500 * time.Millisecond
+)
+
+// silenceWatch looks for another server while the server of a stream sends nothing. The run goes on
+// meanwhile, and is ended only once the stream can go on elsewhere: a run that was broken off for a
+// server that refuses the stream is lost for its client. The exchange is used by either the search or
+// the goroutine that reads the stream, which calls the methods.
+type silenceWatch struct {
+	x    *exchange
+	hist *attemptHistory
+	// leave interrupts the reading of the stream.
+	leave context.CancelFunc
+
+	mu     sync.Mutex // guards the fields below
+	timer  *time.Timer
+	armed  bool               // a search may begin
+	cancel context.CancelFunc // of the search in progress; nil: none
+	done   chan struct{}      // closed when the last search ends; nil: there was none
+	found  bool               // leave was called
+}
+
+// watchSilence returns the watch of a stream, which begins when it is armed. A stream that cannot go on
+// at another server is awaited until its deadline.
+func (x *exchange) watchSilence(hist *attemptHistory, leave context.CancelFunc) *silenceWatch {
+	return &silenceWatch{x: x, hist: hist, leave: leave}
+}
+
+// arm begins a search once the server has sent nothing for a time.
+func (w *silenceWatch) arm(ctx context.Context, silence time.Duration) {
+	if !w.x.retryable() || w.hist.possibleRuns+1 >= w.x.route.MaxAttempts {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = true
+	w.startTimer(ctx, silence)
+}
+
+// startTimer begins a search after a time. The caller holds w.mu.
+func (w *silenceWatch) startTimer(ctx context.Context, after time.Duration) {
+	if w.timer == nil {
+		w.timer = time.AfterFunc(after, func() { w.search(ctx) })
+		return
+	}
+	w.timer.Reset(after)
+}
+
+// disarm ends a search in progress and waits for it. It reports whether the stream leaves its server.
+func (w *silenceWatch) disarm() bool {
+	w.mu.Lock()
+	w.armed = false
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.cancel != nil {
+		w.cancel()
+	}
+	done := w.done
+	w.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+	return w.found
+}
+
+// search looks for another server. It ends the run if there is one, and is repeated if not.
+func (w *silenceWatch) search(ctx context.Context) {
+	w.mu.Lock()
+	if !w.armed {
+		w.mu.Unlock()
+		return
+	}
+	ctxSearch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.cancel, w.done = cancel, make(chan struct{})
+	defer close(w.done)
+	w.mu.Unlock()
+
+	ready := w.x.prepareElsewhere(ctxSearch, w.hist)
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel = nil
+	switch {
+	case !w.armed:
+	case ready:
+		w.found = true
+		w.leave()
+	case ctx.Err() == nil:
+		w.startTimer(ctx, searchInterval)
+	}
+}
+
+// prepareElsewhere reports whether a stream can go on at another server now. It runs the stages again
+// if the inputs have been released.
+func (x *exchange) prepareElsewhere(ctx context.Context, hist *attemptHistory) bool {
+	if x.chooseServer(hist) == nil || !hist.retryTaken && !x.opts.RetryLimiter.AllowRetry(x.service) {
+		return false
+	}
+	hist.retryTaken = true
+	if err := x.restoreInputs(ctx); err != nil {
+		x.logEntry.noteFailure(fmt.Sprintf("no stage results to go on elsewhere: %v", err))
+		return false
+	}
+	return x.chooseServer(hist) != nil
+}
+
+// restoreInputs runs the stages of the request again if it needs their results and has released them. The
+// error is that of runStages.
+func (x *exchange) restoreInputs(ctx context.Context) error {
+	if !x.inputsReleased {
+		return nil
+	}
+	return x.rerunStages(ctx)
+}
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bilberrydale/connection/upstream"
+	"bilberrydale/process/directory"
 	"bilberrydale/process/errkind"
 )
 
@@ -27,11 +28,11 @@
 	progress := newStreamProgress(x.clientRequest.LastEventID)
 	reruns := 0
 	for {
-		s := x.nextServer(ctx, hist)
-		if s == nil {
-			return x.finishStream(hist)
+		s, err := x.nextStreamServer(ctx, hist)
+		if err != nil {
+			return err
 		}
-		err := x.watchForCrash(s, func() error {
+		err = x.watchForCrash(s, func() error {
 			a, err := x.send(ctx, s, progress.lastEventID, 0)
 			if err != nil {
 				return err
@@ -39,6 +40,7 @@
 			return x.relayStream(a, progress, hist)
 		})
 		if err == nil {
+			x.returnRetry(hist)
 			return nil
 		}
 		if errors.Is(err, errInputsLost) && reruns < maxStageReruns {
@@ -53,6 +55,25 @@
 	}
 }
 
+// nextStreamServer is nextServer for a stream, whose inputs are restored before. The error is that with
+// which the stream ends if no further attempt is possible.
+func (x *exchange) nextStreamServer(ctx context.Context, hist *attemptHistory) (*directory.Server, error) {
+	if !x.mayAttempt(ctx, hist) {
+		return nil, x.finishStream(hist)
+	}
+	if err := x.restoreInputs(ctx); err != nil {
+		if !x.headersSent {
+			return nil, err
+		}
+		hist.lastErr = fmt.Errorf("%w, and its stages cannot run again: %w", hist.lastErr, err)
+		return nil, x.finishStream(hist)
+	}
+	if s := x.nextServer(ctx, hist); s != nil {
+		return s, nil
+	}
+	return nil, x.finishStream(hist)
+}
+
 // errInputsLost means that a stage result that the request needs was lost. The request did
 // not run.
 var errInputsLost = fmt.Errorf("%w: an input is gone", errNotRun)
@@ -62,7 +83,15 @@
 	x.freeResults()
 	x.inputHandles = nil
 	x.stageRound++
-	return x.runStages(ctx)
+	err := x.runStages(ctx)
+	x.inputsReleased = err != nil
+	return err
+}
+
+// releaseInputs frees the stage results. The stream needs new ones to go on elsewhere.
+func (x *exchange) releaseInputs() {
+	x.inputsReleased = len(x.inputHandles) > 0
+	x.freeResults()
 }
 
 // finishStream returns the error of a stream for which no further attempt is possible.
@@ -138,46 +167,31 @@
 	}
 }
 
-// If no event arrives within these times, a stream that can be resumed on another server is
-// resumed there. Both are longer than the silences of a second or so in which a server is sound
-// and works on, and leave time for another one before clients give up.
-const (
-	firstEventTimeout = 1600 * time.Millisecond // includes the processing of this and other prompts
-	eventTimeout      = 1700 * time.Millisecond
-)
-
-// eventTimeouts returns the timeouts for the first event and for each later one. A stream
-// that cannot be resumed elsewhere is awaited until its deadline, as there is no
-// alternative.
-func (x *exchange) eventTimeouts(hist *attemptHistory) (first, later time.Duration) {
-	if !x.retryable() || hist.possibleRuns+1 >= x.route.MaxAttempts {
-		left := x.deadline.Sub(x.opts.Clock.Now())
-		return left, left
-	}
-	return firstEventTimeout, eventTimeout
-}
-
 // relayEvents forwards complete events as they arrive. It returns nil if the stream ended and
 // was complete. The rest of an interrupted event is dropped, so that it is not joined with the
 // first event of the next attempt.
 func (x *exchange) relayEvents(a *attempt, progress *streamProgress, hist *attemptHistory) error {
-	first, later := x.eventTimeouts(hist)
-	timer := time.AfterFunc(first, a.cancel)
-	defer timer.Stop()
+	ctx := x.r.Context()
+	watch := x.watchSilence(hist, a.cancel)
+	defer watch.disarm()
+	watch.arm(ctx, firstEventTimeout)
 	ahead := newReadAhead(a, x.readAhead)
 	defer ahead.stop(a.cancel)
 	r := newEventReader(ahead)
 	defer func() { _ = x.clientConn.SetWriteDeadline(time.Time{}) }() // the connection may get another request
 	for {
 		event, err := r.next()
-		if err == io.EOF { // the cause of another error may be one, too
+		left := watch.disarm() // the time that the client takes is not the server's
+		if err == io.EOF {     // the cause of another error may be one, too
 			return x.verifyStreamEnd(a, progress)
 		}
 		if err != nil {
 			x.logEntry.IncompleteBytes = r.incompleteBytes()
+			if left {
+				return fmt.Errorf("%w: %w", errLeftSilentServer, err)
+			}
 			return fmt.Errorf("%w: %w", invalidResponse(err), err)
 		}
-		timer.Stop() // the time that the client takes is not the server's
 		x.measure(a)
 		ahead.writing()
 		err = x.writeEvent(a, progress, event, r.id)
@@ -189,7 +203,7 @@
 			x.logEntry.AnswerUnread = errors.Is(err, os.ErrDeadlineExceeded)
 			return err
 		}
-		timer.Reset(later)
+		watch.arm(ctx, eventTimeout)
 	}
 }
 
@@ -279,5 +293,5 @@
 	x.firstEventAt = now
 	x.w.WriteHeader(a.response.Status)
 	// The engine has read its inputs before it generates the first event.
-	x.freeResults()
+	x.releaseInputs()
 }
