serverpath: a carrier whose handler failed may have sent the request

Cause: package peer says that a handler that failed may have had an effect; serverpath relied on that its handler fails before it sends only.

Change: peer.NotHandled tells which failures prove that no handler has run: unreachable, no handler for the method, too many calls (told by the text that builds before send, too). All others count as sent.

Evidence: TestRequestIsSentOnceIfItsCarrierFails was red before (sent=false after the server had the request).

--- a/connection/peerconn/conn.go
+++ b/connection/peerconn/conn.go
@@ -31,7 +31,7 @@
 )
 
 // errTooManyCalls is the response to a call, which did not run, when MaxHandlers handlers of the peer are running.
-var errTooManyCalls = errors.New("too many calls in flight")
+var errTooManyCalls = errors.New(peer.TooManyCallsText)
 
 // Options configures connections. Zero values except Self and Secret are replaced by defaults.
 type Options struct {
--- a/connection/serverpath/carrier.go
+++ b/connection/serverpath/carrier.go
@@ -97,7 +97,7 @@
 	return peer.Marshal(checkResponse{Usable: c.opts.Usable()})
 }
 
-// serveSend handles methodSend. It fails only before anything was sent.
+// serveSend handles methodSend. A failure does not tell whether anything was sent.
 func (c *Carrier) serveSend(call context.Context, from peer.Identity, payload []byte) ([]byte, error) {
 	var r sendRequest
 	if err := peer.Unmarshal(payload, &r); err != nil {
@@ -116,7 +116,7 @@
 }
 
 // send sends a request to a server, to the process that started at a time if that is not 0, and
-// returns the encoded response. It fails only before anything was sent.
+// returns the encoded response.
 func (c *Carrier) send(call context.Context, from peer.Identity, r sendRequest, startedUnixMS int64) ([]byte, error) {
 	if reason := c.reasonToDecline(&r); reason != "" {
 		return peer.Marshal(sendResponse{Outcome: declined, Error: reason})
--- a/connection/serverpath/serverpath.go
+++ b/connection/serverpath/serverpath.go
@@ -207,8 +207,7 @@
 		Header: req.Header, Body: slices.Concat(req.Body...), HasBody: req.HasBody, DropWhenLeaves: req.NewWork,
 	}, req.StartedUnixMS)
 	switch {
-	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrFailureResponse):
-		// The handler fails only before it sends anything.
+	case peer.NotHandled(err):
 		return nil, fmt.Errorf("%w: %w", errDeclined, err)
 	case err != nil:
 		c.cancelExchange(host, id)
--- a/connection/serverpath/serverpath_test.go
+++ b/connection/serverpath/serverpath_test.go
@@ -36,6 +36,8 @@
 	usable   map[string]*atomic.Bool
 	// cut is set once the carriers reach no server, which they have not noticed.
 	cut atomic.Bool
+	// failing is set once the handlers of the carriers fail after they have sent a request.
+	failing atomic.Bool
 }
 
 var errCut = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
@@ -83,11 +85,19 @@
 	usable := &atomic.Bool{}
 	usable.Store(true)
 	f.usable[name] = usable
-	NewCarrier(f.net.Join(peer.Identity{Host: name, Incarnation: 1, Domain: place.Domain, Region: place.Region}), CarrierOptions{
+	link := f.net.Join(peer.Identity{Host: name, Incarnation: 1, Domain: place.Domain, Region: place.Region})
+	carrier := NewCarrier(link, CarrierOptions{
 		Upstream: upstream.New(upstream.Options{StartRequest: startRequest, DecodeStart: decodeStart}), Usable: usable.Load, ReachesAny: func(context.Context) bool { return !f.cut.Load() },
 		Listed: func(address string) (bool, bool) { return address == f.address(), false },
 		Begin:  func() { f.active.Add(1) }, End: func() { f.active.Add(-1) },
 	})
+	link.Handle(methodSend, func(ctx context.Context, from peer.Identity, payload []byte) ([]byte, error) {
+		out, err := carrier.serveSend(ctx, from, payload)
+		if f.failing.Load() {
+			return nil, errors.New("handler panicked")
+		}
+		return out, err
+	})
 }
 
 // startRequest and decodeStart ask a server for the start of its process.
@@ -185,6 +195,21 @@
 	g.Eventually(f.active.Load, "5s").Should(BeZero(), "the carrier is told to end it")
 }
 
+// Guards against sending a request by the next carrier after the handler of one has failed, which may have
+// sent it.
+func TestRequestIsSentOnceIfItsCarrierFails(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, func(http.ResponseWriter, *http.Request) {}, map[string]Place{"one": {"a", "r"}, "two": {"a", "r"}})
+	g.Expect(f.client.opts.Reach.Check(t.Context())).To(BeTrue())
+	g.Eventually(func() int { return len(f.client.carriers.choose(t.Context(), Place{}, false, 2)) }, "5s").Should(Equal(2))
+	f.failing.Store(true)
+	_, err := f.send(t.Context())
+	var upstreamErr *upstream.Error
+	g.Expect(errors.As(err, &upstreamErr)).To(BeTrue())
+	g.Expect(upstreamErr.Sent).To(BeTrue())
+	g.Expect(f.requests.Load()).To(BeEquivalentTo(1))
+}
+
 // Guards against failing a request because one host cannot carry it: it was cut off, is stopping,
 // is of an older build or cannot be reached. Nothing was sent then.
 func TestNextCarrierIsAskedIfOneDeclines(t *testing.T) {
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -25,21 +25,35 @@
 	// ErrNoHandler is an ErrFailureResponse of a peer that has no handler for the method, as its build
 	// does not know it.
 	ErrNoHandler = fmt.Errorf("%w: no handler", ErrFailureResponse)
+	// ErrTooManyCalls is an ErrFailureResponse of a peer that runs too many calls to handle another.
+	ErrTooManyCalls = fmt.Errorf("%w: not handled", ErrFailureResponse)
 )
 
-// noHandlerText begins the text with which a peer responds that has no handler for a method; also builds
-// before do so.
-const noHandlerText = "no handler for "
+// Texts with which peers respond to calls that they do not handle, also those of builds before.
+const (
+	noHandlerText = "no handler for " // begins the text
+	// TooManyCallsText is the response to a call beyond those that may run.
+	TooManyCallsText = "too many calls in flight"
+)
 
 // FailureResponse returns the error of a call to which a peer responded with the text of an error:
-// ErrNoHandler or another ErrFailureResponse.
+// ErrNoHandler, ErrTooManyCalls or another ErrFailureResponse.
 func FailureResponse(text string) error {
-	if strings.HasPrefix(text, noHandlerText) {
+	switch {
+	case strings.HasPrefix(text, noHandlerText):
 		return fmt.Errorf("%w: %s", ErrNoHandler, text)
+	case text == TooManyCallsText:
+		return fmt.Errorf("%w: %s", ErrTooManyCalls, text)
 	}
 	return fmt.Errorf("%w: %s", ErrFailureResponse, text)
 }
 
+// NotHandled reports whether an error of Link.Call proves that no handler has run. A handler that failed
+// may have had an effect.
+func NotHandled(err error) bool {
+	return errors.Is(err, ErrUnreachable) || errors.Is(err, ErrNoHandler) || errors.Is(err, ErrTooManyCalls)
+}
+
 // Identity identifies one process of an entry host.
 type Identity struct {
 	Host        string // name of the entry host
