gateway: one rule for what proves that a request has not run, and counters by that proof

The fact was set in three places, for each error apart.

Change: provesNotRun is the only evidence: no byte was sent, or the server states it in the response to this send. Whatever else an attempt ends with, the request may have run. The line of a request and the metrics count attempts by that proof (attempts_not_sent, attempts_refused, attempts_unproven), and the requests that were reported as not run after attempts: what the users' case could not be told apart by.

Evidence: TestOnlyUnsentRequestsProvablyDidNotRun was red before for the error of another kind; the rest of it and TestNoKindOfErrorPromisesWhatMayNotHold (each kind of the closed list) were green.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -43,6 +43,19 @@
 // ms returns a duration in milliseconds, with the precision of a microsecond.
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
+// countOutcomes counts the attempts of a request by what proves that they have not run, and requests that
+// are reported as not run after attempts.
+func (h *Host) countOutcomes(r *gateway.LogEntry) {
+	for name, n := range map[string]int{"attempts_not_sent": r.Outcomes.NotSent, "attempts_refused": r.Outcomes.Refused, "attempts_unproven": r.Outcomes.Unproven} {
+		if n > 0 {
+			h.meter.Add(name, int64(n))
+		}
+	}
+	if r.Attempts > 0 && r.Ran == errkind.RanNo {
+		h.meter.Add("reported_not_run_after_attempts", 1)
+	}
+}
+
 // logRequest logs a finished request and updates the metrics.
 func (h *Host) logRequest(r *gateway.LogEntry) {
 	name := string(r.Kind)
@@ -56,6 +69,7 @@
 	if r.Attempts > 1 {
 		h.meter.Add("repeats", int64(r.Attempts-1))
 	}
+	h.countOutcomes(r)
 	if r.ServerCrashes > 0 {
 		h.meter.Add("server_crashes_during_requests", int64(r.ServerCrashes))
 	}
@@ -78,6 +92,9 @@
 		"fingerprint", fmt.Sprintf("%016x", uint64(r.Fingerprint)), "service", r.Service, "server", r.Server, "attempts", r.Attempts, "status", r.Status,
 		"stages_ms", ms(r.StageDuration), "first_byte_ms", ms(r.TimeToFirstByte), "took_ms", ms(r.Duration), "left_ms", ms(r.DeadlineRemaining),
 	}
+	if o := r.Outcomes; o != (gateway.AttemptOutcomes{}) {
+		kv = append(kv, "attempts_not_sent", o.NotSent, "attempts_refused", o.Refused, "attempts_unproven", o.Unproven)
+	}
 	if r.Trial {
 		kv = append(kv, "quarantine_trial", true)
 	}
--- a/request/gateway/attempt.go
+++ b/request/gateway/attempt.go
@@ -55,8 +55,10 @@
 	return n, err
 }
 
-// Errors of an attempt. errNotSent (no byte was sent) and errNotRun (the server states it)
-// prove that the server did not run the request. After errInvalidResponse it may have run.
+// Errors of an attempt. errNotSent (no byte was sent) and errNotRun (the server states it in the response to
+// this send) prove that the server did not run the request and never will. Nothing else does: not a connection
+// that is closed, reset or cancelled, nor a deadline that passes, as a server that is silent has what was sent
+// in its buffers and runs it when it wakes.
 var (
 	errNotSent         = errors.New("the request did not reach a backend server")
 	errNotRun          = errors.New("the backend server did not run the request")
@@ -69,11 +71,24 @@
 	errNoPath = fmt.Errorf("%w, as this host reaches none", errNotSent)
 )
 
-// send sends the request to a server and returns once the status and headers of the response
-// have been checked. firstByteTimeout limits the wait for them; with 0 only the deadline of the
-// request does. A stream resumes after lastEventID, if that is not empty. The error is
-// errNotSent, errNotRun (of which errInputsLost is one) or errInvalidResponse.
+// provesNotRun reports whether the outcome of an attempt proves that its server has not run the request and
+// never will. It is the only evidence on which the client is told so.
+func provesNotRun(err error) bool { return errors.Is(err, errNotSent) || errors.Is(err, errNotRun) }
+
+// send makes an attempt at a server and records whether the request may have run. It returns once the status
+// and headers of the response have been checked. The error is errNotSent, errNotRun (of which errInputsLost is
+// one) or errInvalidResponse.
 func (x *exchange) send(ctx context.Context, s *directory.Server, lastEventID string, firstByteTimeout time.Duration) (*attempt, error) {
+	a, err := x.dispatch(ctx, s, lastEventID, firstByteTimeout)
+	x.mayHaveRun = x.mayHaveRun || !provesNotRun(err)
+	x.logEntry.Outcomes.count(err)
+	return a, err
+}
+
+// dispatch sends the request to a server. firstByteTimeout limits the wait for the headers of the response;
+// with 0 only the deadline of the request does. A stream resumes after lastEventID, if that is not empty. The
+// error is that of send.
+func (x *exchange) dispatch(ctx context.Context, s *directory.Server, lastEventID string, firstByteTimeout time.Duration) (*attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	now := x.opts.Clock.Now()
 	remaining := x.deadline.Sub(now)
@@ -211,7 +226,7 @@
 	if !upstreamErr.Sent {
 		return fmt.Errorf("%w: %s: %w", errNotSent, s.ID, err)
 	}
-	x.mayHaveRun, x.reachedServer = true, true
+	x.reachedServer = true
 	return fmt.Errorf("%w: %s: %w", invalidResponse(err), s.ID, err)
 }
 
@@ -223,7 +238,6 @@
 	anonymous := a.headers.AttemptID == "" && a.headers.NotRun && !a.response.ReusedConn
 	if a.headers.AttemptID != x.clientRequest.AttemptID && !anonymous {
 		// A response to another request, or output of a faulty server.
-		x.mayHaveRun = true
 		return fmt.Errorf("%w: %s: the answer carries the id %q", errInvalidResponse, a.server.ID, a.headers.AttemptID)
 	}
 	if a.headers.NotRun && a.response.Status == http.StatusConflict {
@@ -238,7 +252,6 @@
 		a.recordStatus(x.opts.Clock.Now())
 		return fmt.Errorf("%w: %s", errNotRun, x.describeRefusal(a))
 	}
-	x.mayHaveRun = true
 	if a.headers.ContentEncoded || a.response.Status/100 == 2 && !a.headers.Signed {
 		return fmt.Errorf("%w: %s: status %d without the server's signature", errInvalidResponse, a.server.ID, a.response.Status)
 	}
--- a/request/gateway/buffered.go
+++ b/request/gateway/buffered.go
@@ -143,7 +143,7 @@
 		return
 	}
 	hist.refusedByBrittle = hist.refusedByBrittle || errors.Is(err, errRefusedByBrittle)
-	if errors.Is(err, errNotSent) || errors.Is(err, errNotRun) {
+	if provesNotRun(err) {
 		hist.refusals++
 		return
 	}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -144,6 +144,7 @@
 	Detail            string                 // reason of an error
 	Server            string                 // ID of the last backend server that the request was sent to
 	Attempts          int                    // sends to backend servers
+	Outcomes          AttemptOutcomes        // of these, but for those with a response
 	Fingerprint       quarantine.Fingerprint // of the content; 0: the body was not read
 	PromptParts       []string               // IDs of the parts of the prompt
 	ServerCrashes     int                    // attempts during which the server crashed
@@ -177,6 +178,26 @@
 	Failures []string
 }
 
+// AttemptOutcomes counts the attempts without a response by what proves that they have not run.
+type AttemptOutcomes struct {
+	NotSent  int // no byte was sent
+	Refused  int // their servers state it
+	Unproven int // nothing does
+}
+
+// count counts an attempt that ended with err.
+func (o *AttemptOutcomes) count(err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, errNotSent):
+		o.NotSent++
+	case errors.Is(err, errNotRun):
+		o.Refused++
+	default:
+		o.Unproven++
+	}
+}
+
 // maxNotedFailures bounds LogEntry.Failures.
 const maxNotedFailures = 8
 
