clientconn, gateway: the limits of the configuration hold for clients' heads and idle connections

What callers saw: of the limits that operators write (max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms) only that of bodies was applied; the others were decoded, and constants of the daemon held (64 KiB, 5 s, 2 min).

Cause: http.Server has its timeouts from its start on.

Change: connections of clients replace the deadlines that http.Server sets at the begin of a head and of an idle period by those of the configuration in force (connection/clientconn); a longer idle time holds for connections that are idle already. Headers over the limit get 431; check-config warns of a limit over the 64 KiB that entry hosts take.

--- /dev/null
+++ b/connection/clientconn/clientconn.go
@@ -0,0 +1,137 @@
+// Package clientconn applies limits of time to the connections of clients of a net/http server that may
+// change while the server runs: the time in which the head of a request has to arrive, and the time for
+// which a connection may be idle. The timeouts of http.Server are those of its start.
+package clientconn
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits are the limits of connections. Both are positive.
+type Limits struct {
+	HeaderTimeout time.Duration // for the head of a request to arrive
+	IdleTimeout   time.Duration // after which a connection without a request is closed
+}
+
+// Listener is a TCP listener whose connections have limits. The ConnState of the http.Server has to be
+// StateChanged, and its IdleTimeout and ReadHeaderTimeout have to be set: their values do not matter.
+type Listener struct {
+	*net.TCPListener
+	// Limits returns the limits that hold now. It is called from any goroutine.
+	Limits func() Limits
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{TCPConn: c, limits: l.Limits, phase: headNext}, nil
+}
+
+// StateChanged is the ConnState of an http.Server.
+func StateChanged(c net.Conn, s http.ConnState) {
+	if conn, ok := c.(*Conn); ok && s == http.StateIdle {
+		conn.beginIdle()
+	}
+}
+
+// phase is what a connection waits for. http.Server sets a deadline at the begin of each but request,
+// and clears it at the begin of request.
+type phase int
+
+const (
+	headNext phase = iota // the next deadline is that of a head
+	head
+	request  // deadlines are those of the handler
+	idleNext // the next deadline is that of an idle connection
+	idle
+)
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	*net.TCPConn
+	limits func() Limits
+
+	mu        sync.Mutex // guards the fields below
+	phase     phase
+	idleSince time.Time
+	extended  bool // the deadline of the head was put off for bytes that had arrived
+}
+
+// beginIdle begins an idle period.
+func (c *Conn) beginIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.idleSince, c.extended = idleNext, time.Now(), false
+}
+
+// SetReadDeadline implements net.Conn. Deadlines of http.Server are replaced.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case headNext, idle:
+		c.phase = head
+		t = time.Now().Add(c.limits().HeaderTimeout)
+	case head:
+		c.phase = request
+	case idleNext:
+		c.phase = idle
+		t = c.idleSince.Add(c.limits().IdleTimeout)
+	case request:
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
+			return n, err
+		}
+	}
+}
+
+// extend puts a deadline off that has passed, and reports whether it has: an idle connection may stay for
+// longer by now, or bytes have arrived that were not read in time, as after a suspension of the process. To
+// close the connection then would reset it, with a request that its client cannot tell from one that was
+// taken.
+func (c *Conn) extend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.phase == idle && c.idleSince.Add(c.limits().IdleTimeout).After(now):
+		return c.TCPConn.SetReadDeadline(c.idleSince.Add(c.limits().IdleTimeout)) == nil
+	case (c.phase == idle || c.phase == head) && !c.extended && c.hasUnread():
+		c.extended = true
+		return c.TCPConn.SetReadDeadline(now.Add(c.limits().HeaderTimeout)) == nil
+	}
+	return false
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *Conn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	// Control, as Read returns at once while the deadline has passed.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = n > 0 && err == nil
+	})
+	return unread && err == nil
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrydale/connection/clientconn"
 	"bilberrydale/connection/serverpath"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/platform"
@@ -184,15 +185,6 @@
 	return h, nil
 }
 
-// Limits of client connections. The limits of the platform's configuration are
-// checked for each request; these only keep a stalled or oversized request header
-// from occupying a connection forever.
-const (
-	headerReadTimeout = 5 * time.Second // for the headers of a request to arrive
-	clientIdleTimeout = 2 * time.Minute // after which an idle connection is closed
-	maxHeaderBytes    = 64 << 10        // of a request
-)
-
 // countActive counts the requests in flight in activeRequests.
 func (h *Host) countActive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -220,6 +212,7 @@
 		}
 		*l.to = listener
 	}
+	h.listeners.clients = &clientconn.Listener{TCPListener: h.listeners.clients.(*net.TCPListener), Limits: h.clientLimits}
 	return nil
 }
 
@@ -410,7 +403,7 @@
 	discardLog := stdlog.New(io.Discard, "", 0) // errors of client connections are not logged
 	h.clientServer = &http.Server{
 		Handler: h.countActive(h.gateway), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: clientIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
+		MaxHeaderBytes: plan.MaxHeaderBytes, ErrorLog: discardLog, ConnState: clientconn.StateChanged,
 	}
 	h.readinessServer = &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerReadTimeout, ErrorLog: discardLog}
 	operatorMux := http.NewServeMux()
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -17,7 +17,7 @@
 	"bilberrydale/platform/platformtest"
 )
 
-var silenceFlag = flag.String("soak.silence", "silent,parts,queue,repeats,conns,accept,inputs,hosts,bodies", "what happens in TestServersFallSilent, with commas between; silent: the servers do fall silent")
+var silenceFlag = flag.String("soak.silence", "silent,parts,queue,repeats,pauses,conns,accept,inputs,hosts,restarts,bodies", "what happens in TestServersFallSilent, with commas between; silent: the servers do fall silent")
 
 // silence is how the servers of TestServersFallSilent are, and what they did.
 type silence struct {
@@ -28,7 +28,9 @@
 	repeatOneIn  int64 // one in how many refusals is sent once more, late; 0: none
 	lostOneIn    int   // one in how many streams with stages finds that an input is gone; 0: none
 	silent       bool  // servers fall silent
+	pauses       bool  // servers that are full want no requests for a moment
 	stopsHosts   bool  // daemons are stopped for a moment
+	restarts     bool  // daemons are ended and started again
 	bodies       bool  // some bodies are larger than what is written at once
 
 	mu         sync.Mutex
@@ -63,6 +65,10 @@
 			s.acceptQueue = 2
 		case "inputs":
 			s.lostOneIn = 5
+		case "pauses":
+			s.pauses = true
+		case "restarts":
+			s.restarts = true
 		case "hosts":
 			s.stopsHosts = true
 		case "bodies":
@@ -182,8 +188,7 @@
 	q.pass()
 	deadline := time.Now().Add(cmp.Or(platformtest.Timeout(req), routeTimeout))
 	if !q.wait(req) {
-		q.traits.countRefusal("full")
-		platformtest.RespondNotRun(w)
+		q.refuseFull(w)
 		return false
 	}
 	q.pass()
@@ -203,6 +208,19 @@
 	return false
 }
 
+// fullPause is how long a server that is full wants no requests.
+const fullPause = 150 * time.Millisecond
+
+// refuseFull refuses a request for want of room.
+func (q *workQueue) refuseFull(w http.ResponseWriter) {
+	q.traits.countRefusal("full")
+	if q.traits.pauses {
+		platformtest.RespondPause(w, fullPause, true)
+		return
+	}
+	platformtest.RespondNotRun(w)
+}
+
 // wait waits for a slot. It returns false if too many wait.
 func (q *workQueue) wait(req *http.Request) bool {
 	if q.slots == nil {
@@ -294,6 +312,11 @@
 	if s.silent {
 		kinds = append(kinds, fault{"servers fall silent", func(env *environment, r *rand.Rand, _ string) { env.silenceServers(r) }})
 	}
+	if s.restarts {
+		kinds = append(kinds, fault{"restart", func(env *environment, r *rand.Rand, binary string) {
+			env.stopAndRestart(env.randomHost(r), []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[r.IntN(2)], binary, randomCount(r, 0, 60))
+		}})
+	}
 	if s.stopsHosts {
 		kinds = append(kinds, fault{"host stands still", func(env *environment, r *rand.Rand, _ string) {
 			h := env.randomHost(r)
--- a/process/errkind/errkind.go
+++ b/process/errkind/errkind.go
@@ -18,6 +18,7 @@
 const (
 	BadRequest         Kind = "bad_request"
 	TooLarge           Kind = "too_large"
+	HeadersTooLarge    Kind = "headers_too_large"
 	BodyTimeout        Kind = "body_timeout"
 	NoRoute            Kind = "no_route"
 	UnknownKey         Kind = "unknown_key"
@@ -76,6 +77,7 @@
 var policies = map[Kind]ResponsePolicy{
 	BadRequest:         {http.StatusBadRequest, RanNo, false, 0, "The request is malformed"},
 	TooLarge:           {http.StatusRequestEntityTooLarge, RanNo, false, 0, "The request body is too large"},
+	HeadersTooLarge:    {http.StatusRequestHeaderFieldsTooLarge, RanNo, false, 0, "The request headers are too large"},
 	BodyTimeout:        {http.StatusRequestTimeout, RanNo, true, time.Second, "The request body did not arrive in time"},
 	NoRoute:            {http.StatusNotFound, RanNo, false, 0, "No route matches the request"},
 	UnknownKey:         {http.StatusUnauthorized, RanNo, false, 0, "No client account holds this API key"},
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -279,7 +278,7 @@
 func (x *exchange) abortResponse() {
 	if x.headersSent && !x.r.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(x.w).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0) // fails only if the connection is closed already
 			}
 			_ = conn.Close()
@@ -343,6 +342,9 @@
 		return errkind.New(errkind.NotReady, "no configuration yet")
 	}
 	x.plan, x.logEntry.PlanVersion = p, p.Version
+	if limit, n := p.Limits.MaxHeaderBytes, headerBytes(x.r.Header); limit > 0 && n > limit {
+		return errkind.New(errkind.HeadersTooLarge, "the headers have %d bytes, over %d", n, limit)
+	}
 	x.route = p.Match(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return errkind.New(errkind.NoRoute, "no route for host %q and path %q", x.r.Host, x.r.URL.Path)
@@ -376,6 +378,16 @@
 	return nil
 }
 
+// headerBytes returns the size of headers as sent.
+func headerBytes(h http.Header) (n int) {
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	return n
+}
+
 // defaultTimeout applies to requests for which neither the client nor the route sets a
 // timeout.
 const defaultTimeout = 30 * time.Second
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -124,6 +124,10 @@
 	IdleTimeout    time.Duration // after which an idle connection is closed
 }
 
+// MaxHeaderBytes is the size of headers that entry hosts take at most, whatever the limit of the
+// configuration.
+const MaxHeaderBytes = 64 << 10
+
 // Config is the decoded configuration from which a Plan is compiled.
 type Config struct {
 	Version  int64 // increases with each new configuration
--- a/version/plancheck/check.go
+++ b/version/plancheck/check.go
@@ -226,6 +226,9 @@
 	if l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
 		k.addError("limits", "a limit is negative")
 	}
+	if l.MaxHeaderBytes > plan.MaxHeaderBytes {
+		k.addWarning("limits", "headers of %d bytes are allowed, but entry hosts take %d at most", l.MaxHeaderBytes, plan.MaxHeaderBytes)
+	}
 	if l.IdleTimeout > 0 && l.HeaderTimeout > l.IdleTimeout {
 		k.addWarning("limits", "the header timeout %s is longer than the idle timeout %s", l.HeaderTimeout, l.IdleTimeout)
 	}
--- a/version/plancheck/plancheck_test.go
+++ b/version/plancheck/plancheck_test.go
@@ -62,9 +62,10 @@
 		"error: account mill: is defined twice": func(c *plan.Config) {
 			c.Accounts = append(c.Accounts, plan.Account{Name: "mill", Keys: []string{"k3"}})
 		},
-		"warning: account mill: route status allows none of its regions":              func(c *plan.Config) { c.Accounts[0].Regions = []string{"south"} },
-		"error: limits: a limit is negative":                                          func(c *plan.Config) { c.Limits.MaxBodyBytes = -1 },
-		"warning: limits: the header timeout 11s is longer than the idle timeout 10s": func(c *plan.Config) { c.Limits.HeaderTimeout = 11 * time.Second },
+		"warning: account mill: route status allows none of its regions":                          func(c *plan.Config) { c.Accounts[0].Regions = []string{"south"} },
+		"error: limits: a limit is negative":                                                      func(c *plan.Config) { c.Limits.MaxBodyBytes = -1 },
+		"warning: limits: headers of 65537 bytes are allowed, but entry hosts take 65536 at most": func(c *plan.Config) { c.Limits.MaxHeaderBytes = plan.MaxHeaderBytes + 1 },
+		"warning: limits: the header timeout 11s is longer than the idle timeout 10s":             func(c *plan.Config) { c.Limits.HeaderTimeout = 11 * time.Second },
 	} {
 		c := sound()
 		spoil(&c)
