--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -269,7 +269,7 @@
 func (env *environment) putConfig() {
 	env.mu.Lock()
 	env.configVersion += 3
-	version, keys := env.configVersion, append([]string(nil), env.keys...)
+	version, keys, variant := env.configVersion, append([]string(nil), env.keys...), env.variant
 	cold := coldstart.Limit{RequestsPerSecond: coldRequestsPerSecond, ColdDuration: coldDuration}
 	if env.noColdLimit {
 		cold = coldstart.Limit{}
@@ -286,8 +286,8 @@
 		}
 	}
 	chat, draft := route("chat", plan.Stream, "model"), route("draft", plan.Stream, "model")
-	transfer, status := route("transfer", plan.Unsafe, env.variant.ledger()), route("status", plan.Safe, env.variant.ledger())
-	transfer.Timeout = env.variant.timeout()
+	transfer, status := route("transfer", plan.Unsafe, variant.ledger()), route("status", plan.Safe, variant.ledger())
+	transfer.Timeout = variant.timeout()
 	chat.Resumable = true
 	draft.MaxAttempts = 1
 	bound, boundDraft := route("bound", plan.Safe, "ledger"), route("bounddraft", plan.Stream, "model")
@@ -308,7 +308,7 @@
 			{Name: "floor", Batch: batch},
 			{Name: "portal", Batch: batch},
 		},
-		Limits:   plan.Limits{MaxBodyBytes: 100_000, IdleTimeout: env.variant.idleTimeout()},
+		Limits:   plan.Limits{MaxBodyBytes: 100_000, IdleTimeout: variant.idleTimeout()},
 		Accounts: []plan.Account{{Name: "soap", Keys: keys}},
 	})
 }
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -264,6 +264,7 @@
 // Guards against requests that run twice, or after they were refused, when sound servers fall silent for
 // a second while the configuration changes, and wake with what has arrived meanwhile.
 func TestServersFallSilent(t *testing.T) {
+	newSilence(t, *silenceFlag) // ends the test if the flag is wrong
 	seeds := slices.Clone(silenceSeeds)
 	for i := range *runsFlag {
 		seeds = append(seeds, *seedFlag+uint64(i))
