gateway: a stream leaves a silent server only if that answers, or has answered nobody for longer than sound ones

A stream that may be resumed ran at a second server while the first one worked on with it for over 400 ms.

Cause: the time without an event holds the time of the prompt and the silence of a sound server, and a server that is stopped drops a run only when it wakes. A silence of 1.3 s that begins 1 s after the send lasts to 2.3 s; the host left after 1.6 s.

Change: before a stream leaves its server, the host asks that for the start of its process on a new connection. If it answers within 0.3 s, it works, and drops the run when the connection is closed; if it answers later, it has just woken, and the usual time begins again; if it answers nobody for 1.5 s, it is not sound, and the stream goes on elsewhere.

Ruled out: longer times to the first event (a prompt above the estimate is a silence again), and the last byte heard from the server on any connection (hosts hear of most servers once a second or less).

Silences longer than 1.5 s, also of several in a row, are not counted.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,3 +132,76 @@
 	g.Expect(strings.Count(r.body, "data: piece")).To(Equal(5))
 	g.Expect(refused.Load()).To(BeZero(), "requests with inputs that were released")
 }
+
+// newSilentModels starts a host and two servers for its streams, whose first run calls run with a function
+// that lets its server be silent until it gets a time, as a process that is stopped is: it answers nobody, and
+// does not notice that a connection is closed.
+func newSilentModels(t *testing.T, run func(s *platformtest.Server, w http.ResponseWriter, stop func(until <-chan time.Time))) (*WithT, *testPlatform, *Host) {
+	t.Helper()
+	t.Parallel()
+	p := newTestPlatform(t)
+	p.route("resume").Timeout = 20 * time.Second
+	p.store.PutConfig(p.config)
+	p.addServer("model-2", "model")
+	var runs atomic.Int64
+	for _, id := range []string{"model-1", "model-2"} {
+		s := p.servers[id]
+		var stopped sync.RWMutex
+		stop := func(until <-chan time.Time) {
+			stopped.Lock()
+			defer stopped.Unlock()
+			<-until
+		}
+		s.SetObserver(func(http.ResponseWriter, *http.Request) bool {
+			stopped.RLock()
+			defer stopped.RUnlock()
+			return false
+		})
+		s.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
+			s.RecordRequest(r)
+			platformtest.Sign(w.Header(), s.ID)
+			if runs.Add(1) > 1 {
+				s.WriteEvents(w, platformtest.LastEventID(r)+1, 5)
+				return true
+			}
+			_ = http.NewResponseController(w).Flush() // fails if the host is gone
+			run(s, w, stop)
+			return true
+		})
+	}
+	return NewWithT(t), p, p.startHost("front-1")
+}
+
+// sendResumable sends a request to a route whose streams may go on at another server.
+func (p *testPlatform) sendResumable(h *Host) clientResponse {
+	return p.send(h, "POST", "/stream/resume/1", "x", func(q *platformtest.Request) { q.Timeout = 20 * time.Second })
+}
+
+// Guards against a stream that runs at two servers: the first one is silent for a second after the time
+// that it took for the prompt, and goes on with its run.
+func TestSilenceAfterThePromptIsAwaited(t *testing.T) {
+	g, p, h := newSilentModels(t, func(s *platformtest.Server, w http.ResponseWriter, stop func(<-chan time.Time)) {
+		time.Sleep(time.Second)
+		stop(time.After(1300 * time.Millisecond))
+		s.WriteEvents(w, 1, 5)
+	})
+	r := p.sendResumable(h)
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.body).To(Equal(firstEvents + lastEvents))
+	g.Expect(p.runs("model")).To(HaveLen(1))
+}
+
+// Guards against a stream that waits for a server that never wakes: it goes on elsewhere once the server
+// has been silent for longer than sound ones are.
+func TestStreamLeavesAServerThatNeverWakes(t *testing.T) {
+	ended := make(chan time.Time)
+	g, p, h := newSilentModels(t, func(s *platformtest.Server, w http.ResponseWriter, stop func(<-chan time.Time)) {
+		s.WriteEvents(w, 1, 2)
+		stop(ended)
+	})
+	t.Cleanup(func() { close(ended) })
+	r := p.sendResumable(h)
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.body).To(Equal(firstEvents + lastEvents))
+	g.Expect(p.runs("model")).To(HaveLen(2))
+}
--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -210,7 +210,7 @@
 	env.mu.Lock()
 	env.executions[id] = append(env.executions[id], b.ID)
 	if env.silence != nil {
-		defer env.silence.begin(env, id, req.URL.Path)()
+		defer env.silence.begin(env, b, id, req.URL.Path)()
 	}
 	if now := time.Now(); now.Before(b.coldUntil) {
 		b.coldRequests[b.restarts-1] = append(b.coldRequests[b.restarts-1], now)
@@ -225,16 +225,19 @@
 		return true
 	}
 	if strings.HasPrefix(req.URL.Path, "/stream/") {
+		prompt, interval := env.silence.streamTimes(id)
+		if prompt > 0 {
+			_ = http.NewResponseController(w).Flush() // the head is there before the prompt has been read
+		}
+		b.queue.work(req, prompt)
 		for i := platformtest.LastEventID(req) + 1; i <= streamEvents; i++ {
 			env.breakOff(b, req.URL.Path, id, i)
 			platformtest.WriteEvents(w, version, i, i)
-			simulateWork(req, eventInterval)
-			b.queue.pass()
+			b.queue.work(req, interval)
 		}
 		return true
 	}
-	simulateWork(req, callDuration)
-	b.queue.pass()
+	b.queue.work(req, callDuration)
 	_, _ = io.WriteString(w, "answer to "+id)
 	return true
 }
--- a/internal/soak/gate_test.go
+++ b/internal/soak/gate_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -17,8 +18,16 @@
 	mu      sync.Mutex
 	closed  int
 	changed sync.Cond // broadcast when closed becomes 0
+	spans   []closure // in order
 }
 
+// closure is a time in which a gate was closed.
+type closure struct{ begin, end time.Time } // end: zero while it is closed
+
+// briefOpening is the time between two closures that counts as a part of them: a server that wakes
+// for less may not get to its work.
+const briefOpening = time.Second
+
 // newGate returns an open gate.
 func newGate() *gate {
 	g := &gate{}
@@ -39,12 +48,37 @@
 func (g *gate) add(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed == 0 {
+		g.spans = append(g.spans, closure{begin: time.Now()})
+	}
 	g.closed += n
 	if g.closed == 0 {
+		g.spans[len(g.spans)-1].end = time.Now()
 		g.changed.Broadcast()
 	}
 }
 
+// silenceAround returns how long the gate was closed in the closures around a time, which may follow each
+// other with a briefOpening between them.
+func (g *gate) silenceAround(t time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var joined []closure
+	for _, c := range g.spans {
+		if n := len(joined); n > 0 && c.begin.Sub(joined[n-1].end) < briefOpening {
+			joined[n-1].end = c.end
+			continue
+		}
+		joined = append(joined, c)
+	}
+	for _, c := range joined {
+		if !t.Before(c.begin) && !t.After(c.end.Add(briefOpening)) {
+			return c.end.Sub(c.begin)
+		}
+	}
+	return 0
+}
+
 // gatedListener is the listener of a server behind a gate.
 type gatedListener struct {
 	net.Listener
--- a/internal/soak/queue_test.go
+++ b/internal/soak/queue_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// workStep is the longest time that a server works on after it has fallen silent.
+const workStep = 20 * time.Millisecond
+
+// work works for d on a request, or until the caller has disconnected. A silent server does no work.
+func (q *workQueue) work(req *http.Request, d time.Duration) {
+	for done := time.Duration(0); done < d && req.Context().Err() == nil; done += workStep {
+		simulateWork(req, min(workStep, d-done))
+		q.pass()
+	}
+}
+
 // enter waits for the turn of a request. It returns false if it has refused or dropped it.
 func (q *workQueue) enter(env *environment, b *backendServer, id string, w http.ResponseWriter, req *http.Request) bool {
 	q.pass()
@@ -62,6 +73,17 @@
 	return false
 }
 
+// longestPromptMS is the time that servers take at most until the first event of a stream, in milliseconds.
+const longestPromptMS = 1200
+
+// streamTimes returns the time before the first event of a stream, and that between two events.
+func (s *silence) streamTimes(id string) (prompt, interval time.Duration) {
+	if s == nil || !s.prompts {
+		return 0, eventInterval
+	}
+	return time.Duration(hashOf(id, "prompt")%longestPromptMS) * time.Millisecond, 10 * eventInterval
+}
+
 // fullPause is how long a server that is full wants no requests.
 const fullPause = 150 * time.Millisecond
 
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -34,6 +34,7 @@
 	restarts     bool  // daemons are ended and started again
 	cuts         bool  // daemons open no connections to servers, so that others carry their requests
 	bodies       bool  // some bodies are larger than what is written at once
+	prompts      bool  // streams begin after the time of their prompts, and last for seconds
 
 	mu         sync.Mutex
 	spans      map[string][]*span // by id
@@ -45,10 +46,17 @@
 // span is one run of a request.
 type span struct {
 	path       string
+	server     *backendServer
 	begin, end time.Time
 	inTouch    bool // the host that sent it was, at its begin
 }
 
+// overlaps reports whether the server of an earlier run of a stream worked on for more than
+// overlapAllowance while a later run had begun, though it was not silent for longer than sound servers are.
+func (earlier *span) overlaps(later *span) bool {
+	return later.inTouch && earlier.end.Sub(later.begin) > overlapAllowance && earlier.server.queue.gate.silenceAround(later.begin) <= maxSoundSilence
+}
+
 // newSilence returns what -soak.silence asks for.
 func newSilence(t *testing.T, traits string) *silence {
 	s := &silence{spans: map[string][]*span{}, refusals: map[string]int{}}
@@ -78,6 +86,8 @@
 			s.stopsHosts = true
 		case "bodies":
 			s.bodies = true
+		case "prompts":
+			s.prompts = true
 		case "":
 		default:
 			t.Fatalf("-soak.silence names %q, which is none of its words", name)
@@ -100,8 +110,8 @@
 }
 
 // begin records a run of a request. The result ends it. It is called with env.mu held.
-func (s *silence) begin(env *environment, id, path string) (end func()) {
-	run := &span{path: path, begin: time.Now(), inTouch: env.inTouch(env.senders[id])}
+func (s *silence) begin(env *environment, b *backendServer, id, path string) (end func()) {
+	run := &span{path: path, server: b, begin: time.Now(), inTouch: env.inTouch(env.senders[id])}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.spans[id] = append(s.spans[id], run)
@@ -137,6 +147,12 @@
 	s.unanswered = append(s.unanswered, *r)
 }
 
+const (
+	maxSilence = 1400 * time.Millisecond // of sound servers
+	// maxSoundSilence is maxSilence, with time for a server to fall silent and to wake on a busy machine.
+	maxSoundSilence = maxSilence + 100*time.Millisecond
+)
+
 // overlapAllowance is how long a server may work on for a stream that goes on at another one.
 const overlapAllowance = 400 * time.Millisecond
 
@@ -153,12 +169,17 @@
 			env.t.Errorf("%s %s ran on %v and its connection ended without a response: %v", r.id, r.path, ran, r.err)
 		}
 	}
-	again, overlaps := 0, 0
-	for _, runs := range s.spans {
+	again, streamsAgain, overlaps := 0, 0, 0
+	for id, runs := range s.spans {
 		for i := 1; i < len(runs); i++ {
 			again++
-			if before := runs[i-1]; runs[i].inTouch && strings.HasPrefix(runs[i].path, "/stream/") && before.end.Sub(runs[i].begin) > overlapAllowance {
+			if !strings.HasPrefix(runs[i].path, "/stream/") {
+				continue
+			}
+			streamsAgain++
+			if before := runs[i-1]; before.overlaps(runs[i]) {
 				overlaps++
+				env.t.Errorf("%s ran on %s beside a run of %s for %s, which was silent for %s", id, runs[i].server.ID, before.server.ID, before.end.Sub(runs[i].begin), before.server.queue.gate.silenceAround(runs[i].begin))
 			}
 		}
 	}
@@ -168,7 +189,7 @@
 		env.must(err)
 		carried += strings.Count(string(lines), "carried_by")
 	}
-	env.t.Logf("%d silences; refusals of servers %v; %d requests ran again, %d streams of them, from hosts in touch, beside an earlier run for over %s; %d connections ended without a response; %d requests were carried", s.silences, s.refusals, again, overlaps, overlapAllowance, len(s.unanswered), carried)
+	env.t.Logf("%d silences; refusals of servers %v; %d requests ran again, %d streams, %d of these beside an earlier run for over %s; %d connections ended without a response; %d requests were carried", s.silences, s.refusals, again, streamsAgain, overlaps, overlapAllowance, len(s.unanswered), carried)
 }
 
 // configVariant is what changes between two versions of the configuration, beside keys.
@@ -203,8 +224,11 @@
 	env.change(r)
 	time.Sleep(randomDuration(r, 0, 700))
 	service := []string{"ledger", otherLedger, "model", "model", "floor", ""}[r.IntN(6)] // empty: all
+	if env.silence.prompts {
+		service = "model"
+	}
 	some := r.IntN(2) == 0
-	duration := randomDuration(r, 900, 1400)
+	duration := randomDuration(r, 900, int(maxSilence.Milliseconds()))
 	var ended sync.WaitGroup
 	for _, b := range env.activeServers() {
 		if service != "" && b.Service != service || some && r.IntN(5) < 2 {
@@ -257,22 +281,41 @@
 	return kinds
 }
 
+// paths returns the paths to which clients send requests.
+func (s *silence) paths() []string {
+	list := append([]string{"/transfer/1", "/transfer/1", "/stream/draft/1"}, paths...)
+	if s.prompts {
+		list = append(list, slices.Repeat([]string{resumablePath}, 6)...)
+	}
+	return list
+}
+
 // silenceSeeds are seeds, with 500 requests, with which requests ran twice or after they were refused where a
 // connection carried an id twice.
 var silenceSeeds = []uint64{2, 3}
 
 // Guards against requests that run twice, or after they were refused, when sound servers fall silent for
 // a second while the configuration changes, and wake with what has arrived meanwhile.
-func TestServersFallSilent(t *testing.T) {
-	newSilence(t, *silenceFlag) // ends the test if the flag is wrong
-	seeds := slices.Clone(silenceSeeds)
+func TestServersFallSilent(t *testing.T) { runSilence(t, *silenceFlag, silenceSeeds) }
+
+// promptSeeds are seeds, with 1000 requests, with which streams ran at two servers where hosts left servers that were silent.
+var promptSeeds = []uint64{200, 203, 204}
+
+// Guards against streams that go on at another server while the one before, which was silent for a second
+// after the time of the prompt or of an event, goes on with them.
+func TestStreamsOfServersThatFallSilent(t *testing.T) { runSilence(t, "silent,prompts", promptSeeds) }
+
+// runSilence runs the soak of servers with traits, with seeds that failed once and those of the flags.
+func runSilence(t *testing.T, traits string, seeds []uint64) {
+	newSilence(t, traits) // ends the test if a word is wrong
+	seeds = slices.Clone(seeds)
 	for i := range *runsFlag {
 		seeds = append(seeds, *seedFlag+uint64(i))
 	}
 	runSeeds(t, seeds, func(uint64) runPlan {
-		s := newSilence(t, *silenceFlag)
+		s := newSilence(t, traits)
 		return runPlan{
-			faults: s.faults(), paths: append([]string{"/transfer/1", "/transfer/1", "/stream/draft/1"}, paths...), silence: s, clientsPerHost: 8,
+			faults: s.faults(), paths: s.paths(), silence: s, clientsPerHost: 8,
 			timeouts: map[string]time.Duration{"/transfer/1": time.Second},
 			prepare: func(env *environment) {
 				for _, domain := range []string{nearDomain, nearDomain, farDomain} {
--- a/request/gateway/crash.go
+++ b/request/gateway/crash.go
@@ -68,14 +68,19 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), processProbeTimeout)
 	defer cancel()
 	asked := x.opts.Clock.Now()
-	err := x.opts.Servers.ProbeProcess(ctx, s.Address, &upstream.Request{
-		StartedUnixMS: s.StartedUnixMS, Header: x.opts.Headers.EncodeServerRequest(http.Header{}, wire.ServerRequest{ServerID: s.ID}),
-	})
-	if err == nil {
+	if x.probeProcess(ctx, s) == nil {
 		s.RecordRunning(asked)
 	}
 }
 
+// probeProcess returns nil if the process of a server that its entry tells of responds. Its errors are those of
+// ServerClient.ProbeProcess.
+func (x *exchange) probeProcess(ctx context.Context, s *directory.Server) error {
+	return x.opts.Servers.ProbeProcess(ctx, s.Address, &upstream.Request{
+		StartedUnixMS: s.StartedUnixMS, Header: x.opts.Headers.EncodeServerRequest(http.Header{}, wire.ServerRequest{ServerID: s.ID}),
+	})
+}
+
 // verifyEnd returns errConnectionBroke if a response whose body was read to its end may be
 // incomplete: a body that ends with its connection is whole only if the connection did not end
 // because the server's process did.
--- a/request/gateway/silence.go
+++ b/request/gateway/silence.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
+
+	"bilberrydale/process/directory"
 )
 
 // errLeftSilentServer means that a stream has left a server that sent nothing, as it can go on at
@@ -23,16 +27,19 @@
 
 // silenceWatch looks for another server while the server of a stream sends nothing. The run goes on
 // meanwhile, and is ended only once the stream can go on elsewhere: a run that was broken off for a
-// server that refuses the stream is lost for its client. The exchange is used by either the search or
-// the goroutine that reads the stream, which calls the methods.
+// server that refuses the stream is lost for its client, and one at a server that is silent as a whole goes
+// on once it wakes. The exchange is used by either the search or the goroutine that reads the stream, which
+// calls the methods.
 type silenceWatch struct {
-	x    *exchange
-	hist *attemptHistory
+	x      *exchange
+	hist   *attemptHistory
+	server *directory.Server
 	// leave interrupts the reading of the stream.
 	leave context.CancelFunc
 
 	mu     sync.Mutex // guards the fields below
 	timer  *time.Timer
+	after  time.Duration      // without an event, after which a search begins
 	armed  bool               // a search may begin
 	cancel context.CancelFunc // of the search in progress; nil: none
 	done   chan struct{}      // closed when the last search ends; nil: there was none
@@ -41,8 +48,8 @@
 
 // watchSilence returns the watch of a stream, which begins when it is armed. A stream that cannot go on
 // at another server is awaited until its deadline.
-func (x *exchange) watchSilence(hist *attemptHistory, leave context.CancelFunc) *silenceWatch {
-	return &silenceWatch{x: x, hist: hist, leave: leave}
+func (x *exchange) watchSilence(a *attempt, hist *attemptHistory) *silenceWatch {
+	return &silenceWatch{x: x, hist: hist, server: a.server, leave: a.cancel}
 }
 
 // arm begins a search once the server has sent nothing for a time.
@@ -52,7 +59,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.armed = true
+	w.armed, w.after = true, silence
 	w.startTimer(ctx, silence)
 }
 
@@ -96,21 +103,69 @@
 	defer close(w.done)
 	w.mu.Unlock()
 
-	ready := w.x.prepareElsewhere(ctxSearch, w.hist)
+	ready, woken := w.prepare(ctxSearch)
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel = nil
 	switch {
-	case !w.armed:
+	case !w.armed || ctx.Err() != nil:
 	case ready:
 		w.found = true
 		w.leave()
-	case ctx.Err() == nil:
+	case woken:
+		w.startTimer(ctx, w.after)
+	default:
 		w.startTimer(ctx, searchInterval)
 	}
 }
 
+// prepare reports whether the stream can leave its server for another one now, and whether the server has
+// just woken.
+func (w *silenceWatch) prepare(ctx context.Context) (ready, woken bool) {
+	if w.x.chooseServer(w.hist) == nil {
+		return false, false
+	}
+	if woken = w.x.awaitSilentServer(ctx, w.server); woken {
+		return false, true
+	}
+	return ctx.Err() == nil && w.x.prepareElsewhere(ctx, w.hist), false
+}
+
+const (
+	// maxSoundSilence is longer than a sound server answers nobody.
+	maxSoundSilence = 1500 * time.Millisecond
+	// promptAnswerTime is the time in which a server answers that is not silent.
+	promptAnswerTime = 300 * time.Millisecond
+	// askInterval is the time between two questions of which the first one failed.
+	askInterval = 200 * time.Millisecond
+)
+
+// awaitSilentServer asks a server whether it is silent as a whole, and reports whether it has woken. It returns
+// false at once if the server answers promptly or has ended: the run is dropped when its connection is
+// closed, or is gone. A server that has the run and is silent goes on with it when it wakes, even if its
+// connection was closed meanwhile; it is awaited for maxSoundSilence.
+func (x *exchange) awaitSilentServer(ctx context.Context, s *directory.Server) (woken bool) {
+	ctx, cancel := context.WithTimeout(ctx, maxSoundSilence)
+	defer cancel()
+	begun := x.opts.Clock.Now()
+	for {
+		err := x.probeProcess(ctx, s)
+		if err == nil {
+			return x.opts.Clock.Now().Sub(begun) > promptAnswerTime
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			x.logEntry.noteFailure(fmt.Sprintf("%s has answered nobody for %s: %v", s.ID, x.opts.Clock.Now().Sub(begun), err))
+			return false
+		case <-time.After(askInterval):
+		}
+	}
+}
+
 // prepareElsewhere reports whether a stream can go on at another server now. It runs the stages again
 // if the inputs have been released.
 func (x *exchange) prepareElsewhere(ctx context.Context, hist *attemptHistory) bool {
--- a/request/gateway/stream.go
+++ b/request/gateway/stream.go
@@ -172,7 +172,7 @@
 // first event of the next attempt.
 func (x *exchange) relayEvents(a *attempt, progress *streamProgress, hist *attemptHistory) error {
 	ctx := x.r.Context()
-	watch := x.watchSilence(hist, a.cancel)
+	watch := x.watchSilence(a, hist)
 	defer watch.disarm()
 	watch.arm(ctx, firstEventTimeout)
 	ahead := newReadAhead(a, x.readAhead)
