waitline: room that comes about during a step goes to the first request of the line

Cause: a step asks for the room of each request, the first one first, and each reads the servers' counts anew. A response that returns between two questions gives the later, less urgent one the room that the first was denied.

Change: the first request is asked about last. Room is still asked for once a RoomKey in each step.

Evidence: TestRoomThatComesAboutGoesToTheMostUrgent was red before.

--- a/process/waitline/line.go
+++ b/process/waitline/line.go
@@ -320,19 +320,16 @@
 // caller holds l.mu.
 func (l *Line) giveTurn(now, next time.Time) time.Time {
 	l.turn = nil
-	trialAt, lacksRoom := next, map[string]bool{} // by RoomKey
-	for i, t := range l.tickets {
-		if !lacksRoom[t.RoomKey] {
-			b := t.Room(now)
-			if b.Room {
-				l.endWithTurn(i, Proceed, now)
-				return next
-			}
-			if !b.RoomAt.IsZero() {
-				next = earlier(next, b.RoomAt)
-			}
-			lacksRoom[t.RoomKey] = t.RoomKey != ""
-		}
+	position, roomAt := l.firstWithRoom(now)
+	if position >= 0 {
+		l.endWithTurn(position, Proceed, now)
+		return next
+	}
+	if !roomAt.IsZero() {
+		next = earlier(next, roomAt)
+	}
+	trialAt := next
+	for _, t := range l.tickets {
 		trialAt = earlier(trialAt, t.dueAt())
 	}
 	trialAt = later(trialAt, l.lastTrial.Add(l.trialGap()))
@@ -344,6 +341,34 @@
 	return earlier(next, trialAt)
 }
 
+// firstWithRoom returns the position of the first request that a server has room for, or -1 and when there may
+// be room; zero: that is not known. The first request is asked about last: room that comes about in between
+// is not seen for a later one alone. The caller holds l.mu.
+func (l *Line) firstWithRoom(now time.Time) (position int, roomAt time.Time) {
+	position = -1
+	for _, i := range slices.Backward(l.firstOfKeys()) {
+		b := l.tickets[i].Room(now)
+		if b.Room {
+			position = i
+		} else if !b.RoomAt.IsZero() && (roomAt.IsZero() || b.RoomAt.Before(roomAt)) {
+			roomAt = b.RoomAt
+		}
+	}
+	return position, roomAt
+}
+
+// firstOfKeys returns the positions of the first request of each RoomKey. The caller holds l.mu.
+func (l *Line) firstOfKeys() (positions []int) {
+	seen := map[string]bool{}
+	for i, t := range l.tickets {
+		if !seen[t.RoomKey] {
+			positions = append(positions, i)
+			seen[t.RoomKey] = t.RoomKey != ""
+		}
+	}
+	return positions
+}
+
 // endWithTurn ends the wait of a request that is to be sent. The caller holds l.mu.
 func (l *Line) endWithTurn(i int, o Outcome, now time.Time) {
 	l.turn, l.turnAt = l.tickets[i], now
--- a/process/waitline/line_test.go
+++ b/process/waitline/line_test.go
@@ -105,6 +105,25 @@
 	g.Expect(looks).To(Equal(1))
 }
 
+// Guards against a less urgent request that takes the room which comes about after the more urgent one
+// before it was asked about, and before it is asked about itself.
+func TestRoomThatComesAboutGoesToTheMostUrgent(t *testing.T) {
+	g := NewWithT(t)
+	var l Line
+	room := false
+	urgent, other := request(0, &room), request(1, &room)
+	urgent.RoomKey, other.RoomKey = "urgent", "other"
+	other.Room = func(time.Time) Belief {
+		room = true // the server has ended a request
+		return Belief{Room: true}
+	}
+	first, _, _ := l.Join(urgent, start)
+	second, _, _ := l.Join(other, start)
+	l.Advance(start)
+	g.Expect(first.Outcome()).To(Equal(Proceed))
+	g.Expect(second.Outcome()).To(Equal(Waiting))
+}
+
 // Guards against several goroutines that run one line: callers leave, the line is empty, and others join
 // before the first goroutine has seen that.
 func TestOneRunner(t *testing.T) {
