gateway: the streams of a host share the question whether a server is silent

What callers could see: with a question of each stream, a server of 64 places that falls silent gets 64 connections more, and over 270 it resets those of requests.

Change: one question at a time for each process of a server; its answer is that of all who wait. silences_awaited on the request's line, and a metric, tell where a stream stayed with a silent server.

Found by reading.

--- a/edge/logging.go
+++ b/edge/logging.go
@@ -95,6 +95,10 @@
 	if o := r.Outcomes; o != (gateway.AttemptOutcomes{}) {
 		kv = append(kv, "attempts_not_sent", o.NotSent, "attempts_refused", o.Refused, "attempts_unproven", o.Unproven)
 	}
+	if r.SilencesAwaited > 0 {
+		h.meter.Add("server_silences_awaited", int64(r.SilencesAwaited))
+		kv = append(kv, "silences_awaited", r.SilencesAwaited)
+	}
 	if r.Trial {
 		kv = append(kv, "quarantine_trial", true)
 	}
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -189,6 +189,7 @@
 	g.Expect(r.err).NotTo(HaveOccurred())
 	g.Expect(r.body).To(Equal(firstEvents + lastEvents))
 	g.Expect(p.runs("model")).To(HaveLen(1))
+	g.Eventually(func() int64 { return h.meter.Counter("server_silences_awaited") }, "10s").Should(BeEquivalentTo(1))
 }
 
 // Guards against a stream that waits for a server that never wakes: it goes on elsewhere once the server
--- a/request/gateway/crash.go
+++ b/request/gateway/crash.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -13,7 +12,6 @@
 	"bilberrydale/process/directory"
 	"bilberrydale/process/errkind"
 	"bilberrydale/process/quarantine"
-	"bilberrydale/request/wire"
 )
 
 // errConnectionBroke means that the server's end closed or reset the connection before the
@@ -73,14 +71,6 @@
 	}
 }
 
-// probeProcess returns nil if the process of a server that its entry tells of responds. Its errors are those of
-// ServerClient.ProbeProcess.
-func (x *exchange) probeProcess(ctx context.Context, s *directory.Server) error {
-	return x.opts.Servers.ProbeProcess(ctx, s.Address, &upstream.Request{
-		StartedUnixMS: s.StartedUnixMS, Header: x.opts.Headers.EncodeServerRequest(http.Header{}, wire.ServerRequest{ServerID: s.ID}),
-	})
-}
-
 // verifyEnd returns errConnectionBroke if a response whose body was read to its end may be
 // incomplete: a body that ends with its connection is whole only if the connection did not end
 // because the server's process did.
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"bilberrydale/connection/bodylimit"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/process/clock"
@@ -113,6 +115,7 @@
 	pauseWaiters    atomic.Int64 // requests in awaitPause
 	bodies          *bodylimit.Budget
 	lines           waitingLines
+	questions       singleflight.Group          // of askServer, by process of a server
 	uses            atomic.Pointer[serviceUses] // of the plan in use
 	uploads         *bodylimit.Uploads
 	readAhead       *readAheadBudget
@@ -144,6 +147,7 @@
 	Server            string                 // ID of the last backend server that the request was sent to
 	Attempts          int                    // sends to backend servers
 	Outcomes          AttemptOutcomes        // of these, but for those with a response
+	SilencesAwaited   int                    // times that the run of a stream was kept as its server answered nobody
 	Fingerprint       quarantine.Fingerprint // of the content; 0: the body was not read
 	PromptParts       []string               // IDs of the parts of the prompt
 	ServerCrashes     int                    // attempts during which the server crashed
--- a/request/gateway/silence.go
+++ b/request/gateway/silence.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"bilberrydale/process/directory"
@@ -126,44 +124,21 @@
 	if w.x.chooseServer(w.hist) == nil {
 		return false, false
 	}
-	if woken = w.x.awaitSilentServer(ctx, w.server); woken {
-		return false, true
+	begun := w.x.opts.Clock.Now()
+	a := w.x.askServer(ctx, w.server)
+	waited := w.x.opts.Clock.Now().Sub(begun) > promptAnswerTime
+	if waited && (a.late() || ctx.Err() != nil) {
+		w.x.logEntry.SilencesAwaited++
 	}
-	return ctx.Err() == nil && w.x.prepareElsewhere(ctx, w.hist), false
-}
-
-const (
-	// maxSoundSilence is longer than a sound server answers nobody.
-	maxSoundSilence = 1500 * time.Millisecond
-	// promptAnswerTime is the time in which a server answers that is not silent.
-	promptAnswerTime = 300 * time.Millisecond
-	// askInterval is the time between two questions of which the first one failed.
-	askInterval = 200 * time.Millisecond
-)
-
-// awaitSilentServer asks a server whether it is silent as a whole, and reports whether it has woken. It returns
-// false at once if the server answers promptly or has ended: the run is dropped when its connection is
-// closed, or is gone. A server that has the run and is silent goes on with it when it wakes, even if its
-// connection was closed meanwhile; it is awaited for maxSoundSilence.
-func (x *exchange) awaitSilentServer(ctx context.Context, s *directory.Server) (woken bool) {
-	ctx, cancel := context.WithTimeout(ctx, maxSoundSilence)
-	defer cancel()
-	begun := x.opts.Clock.Now()
-	for {
-		err := x.probeProcess(ctx, s)
-		if err == nil {
-			return x.opts.Clock.Now().Sub(begun) > promptAnswerTime
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return false
-		}
-		select {
-		case <-ctx.Done():
-			x.logEntry.noteFailure(fmt.Sprintf("%s has answered nobody for %s: %v", s.ID, x.opts.Clock.Now().Sub(begun), err))
-			return false
-		case <-time.After(askInterval):
-		}
+	switch {
+	case ctx.Err() != nil:
+		return false, false
+	case a.late():
+		return false, true
+	case a.err != nil:
+		w.x.logEntry.noteFailure(fmt.Sprintf("%s does not answer after %s: %v", w.server.ID, a.took, a.err))
 	}
+	return w.x.prepareElsewhere(ctx, w.hist), false
 }
 
 // prepareElsewhere reports whether a stream can go on at another server now. It runs the stages again
