membership: a report that follows a contact at once is checked later, not dropped

Cause: a report that a host is unresponsive is not followed up within two intervals of the last contact, and reports spread for about ten heartbeats, at up to ten an interval. If all of them come in that time, nothing comes later: hosts that hold no link to that failure domain send it no heartbeats, and lists of members hold live ones only.

Change: such a host is doubted, and checked once the two intervals have passed without another contact, which ends the doubt.

Evidence: TestReportsSoonAfterAContactAreFollowedUp, a contact just before the partition, was red before.

--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -128,7 +128,7 @@
 			m.opts.Link.AddPeer(u.Identity)
 		}
 	}
-	for _, host := range m.applyGossip(updates, now, 2*m.opts.Interval) {
+	for _, host := range m.applyGossip(updates, now, m.recentContact()) {
 		m.startTask(func() { m.check(host) })
 	}
 }
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -204,6 +204,24 @@
 	f.expectState(membership.Alive, append(as, bs...)...)
 }
 
+// Guards against a host that takes a peer for alive for as long as a partition lasts, as the reports that the
+// peer is unresponsive came a moment after its last contact.
+func TestReportsSoonAfterAContactAreFollowedUp(t *testing.T) {
+	f := newFleet(t)
+	as, bs := f.domain("a", 3, "a-0"), f.domain("b", 3, "a-0")
+	f.expectState(membership.Alive, append(as, bs...)...)
+	f.forEachPair(as, bs, func(a, b string) {
+		f.net.Partition(a, b)
+		p, _ := f.hosts[a].Lookup(b)
+		f.hosts[a].RecordAlive(p.Identity)
+	})
+	for _, a := range as {
+		for _, b := range bs {
+			f.g.Eventually(func() membership.State { p, _ := f.hosts[a].Lookup(b); return p.State }, eventuallyTimeout).Should(Equal(membership.Gone), "%s of %s", a, b)
+		}
+	}
+}
+
 // One host cannot reach a peer that all others reach, and gossips that it is
 // unresponsive. If the others trusted this report, one broken link would remove
 // a healthy host everywhere; each checks the peer itself and keeps it alive.
--- a/process/membership/monitor.go
+++ b/process/membership/monitor.go
@@ -176,6 +176,9 @@
 	for _, host := range heartbeatTargets(m.self, m.current.Load().peers, m.opts.Successors, m.opts.CrossDomainLinks) {
 		m.startTask(func() { m.sendOrCheck(host) })
 	}
+	for _, host := range m.dueDoubts(now, m.recentContact()) {
+		m.startTask(func() { m.check(host) })
+	}
 	for _, host := range m.dueProbes(now, probesPerRound) {
 		m.startTask(func() { m.check(host) })
 	}
@@ -185,6 +188,9 @@
 	m.contactSeeds(now)
 }
 
+// recentContact is the time for which a contact outweighs a report that a host is unresponsive.
+func (m *Monitor) recentContact() time.Duration { return 2 * m.opts.Interval }
+
 // startTask runs f in its own goroutine, unless Run is about to end.
 func (m *Monitor) startTask(f func()) {
 	if m.ctx.Err() == nil {
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -20,6 +20,7 @@
 	nextProbe         time.Time     // next probe of a gone host
 	probeBackoff      time.Duration // between probes of a gone host; doubles with each failure
 	checking          bool          // a check on a new connection is in progress
+	doubted           bool          // reported as unresponsive soon after the last contact, without another one since
 	pendingHeartbeats int           // number of heartbeats that still have to carry the record by gossip
 }
 
@@ -163,7 +164,7 @@
 		if r == nil {
 			return false
 		}
-		r.lastContact = now
+		r.lastContact, r.doubted = now, false
 		if r.State == Gone {
 			t.scheduleDomainProbes(r.Domain, now)
 		}
@@ -191,14 +192,18 @@
 }
 
 // applyGossip records updates of another host. It returns the hosts to check on a
-// new connection: no host is declared gone on gossip alone. Contact less than
-// recent ago outweighs a report that the host is unresponsive.
+// new connection: no host is declared gone on gossip alone. After a contact less than
+// recent ago, a host that is reported as unresponsive is only doubted; see dueDoubts.
 func (t *table) applyGossip(updates []memberUpdate, now time.Time, recent time.Duration) (toCheck []string) {
 	t.update(func() bool {
 		changed := false
 		for _, u := range updates {
 			if u.Unresponsive {
-				if r := t.records[u.Identity.Host]; r != nil && r.Incarnation == u.Identity.Incarnation && r.State == Alive && now.Sub(r.lastContact) > recent {
+				r := t.records[u.Identity.Host]
+				if r == nil || r.Incarnation != u.Identity.Incarnation || r.State != Alive {
+					continue
+				}
+				if r.doubted = now.Sub(r.lastContact) <= recent; !r.doubted {
 					toCheck = append(toCheck, u.Identity.Host)
 				}
 				continue
@@ -268,6 +273,21 @@
 	})
 }
 
+// dueDoubts returns the doubted hosts without contact for longer than recent, and ends their doubts. Reports
+// spread for a few heartbeats only, so that none may come later.
+func (t *table) dueDoubts(now time.Time, recent time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for host, r := range t.records {
+		if r.doubted && now.Sub(r.lastContact) > recent {
+			r.doubted = false
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 // dueProbes returns up to limit gone hosts whose probe is due, at most one per
 // domain.
 func (t *table) dueProbes(now time.Time, limit int) []string {
