gateway: a server is asked again after the stages have run again for a stream that leaves it

The stages take a second or so; a server that answered before them may have fallen silent by their end, and goes on with the run when it wakes.

TestSilenceWhileTheStagesRunAgainIsAwaited: the stream went on at the second server before, and stays now. Found by reading.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -133,9 +133,56 @@
 	g.Expect(refused.Load()).To(BeZero(), "requests with inputs that were released")
 }
 
-// newSilentModels starts a host and two servers for its streams, whose first run calls run with a function
-// that lets its server be silent until it gets a time, as a process that is stopped is: it answers nobody, and
-// does not notice that a connection is closed.
+// stoppable returns a function that lets a server be silent until it gets a time, as a process that is stopped
+// is: it answers nobody, and does not notice that a connection is closed.
+func stoppable(s *platformtest.Server) (stop func(until <-chan time.Time)) {
+	var stopped sync.RWMutex
+	s.SetObserver(func(http.ResponseWriter, *http.Request) bool {
+		stopped.RLock()
+		defer stopped.RUnlock()
+		return false
+	})
+	return func(until <-chan time.Time) {
+		stopped.Lock()
+		defer stopped.Unlock()
+		<-until
+	}
+}
+
+// Guards against a stream that runs at two servers: the first one falls silent while the stages run again that
+// the stream needs to go on at the second one.
+func TestSilenceWhileTheStagesRunAgainIsAwaited(t *testing.T) {
+	var goneOn atomic.Int64
+	g, p, h := newStagedStreams(t, 8*time.Second, func(p *testPlatform, s *platformtest.Server, w http.ResponseWriter) {
+		stop, stagesRun := stoppable(s), make(chan struct{})
+		var once sync.Once
+		p.servers["floor-1"].SetInterceptor(func(_ http.ResponseWriter, r *http.Request) bool {
+			if platformtest.IsNewWork(r) {
+				once.Do(func() { close(stagesRun) })
+				time.Sleep(100 * time.Millisecond)
+			}
+			return false
+		})
+		s.WriteEvents(w, 1, 1)
+		<-stagesRun
+		stop(time.After(1300 * time.Millisecond))
+		s.WriteEvents(w, 2, 5)
+	})
+	for _, id := range []string{"model-1", "model-2"} {
+		p.servers[id].SetObserver(func(_ http.ResponseWriter, r *http.Request) bool {
+			if platformtest.LastEventID(r) > 0 {
+				goneOn.Add(1)
+			}
+			return false
+		})
+	}
+	r := p.sendStaged(h)
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(r.body, "data: piece")).To(Equal(5))
+	g.Expect(goneOn.Load()).To(BeZero())
+}
+
+// newSilentModels starts a host and two stoppable servers for its streams, whose first run calls run.
 func newSilentModels(t *testing.T, run func(s *platformtest.Server, w http.ResponseWriter, stop func(until <-chan time.Time))) (*WithT, *testPlatform, *Host) {
 	t.Helper()
 	t.Parallel()
@@ -146,17 +193,7 @@
 	var runs atomic.Int64
 	for _, id := range []string{"model-1", "model-2"} {
 		s := p.servers[id]
-		var stopped sync.RWMutex
-		stop := func(until <-chan time.Time) {
-			stopped.Lock()
-			defer stopped.Unlock()
-			<-until
-		}
-		s.SetObserver(func(http.ResponseWriter, *http.Request) bool {
-			stopped.RLock()
-			defer stopped.RUnlock()
-			return false
-		})
+		stop := stoppable(s)
 		s.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
 			s.RecordRequest(r)
 			platformtest.Sign(w.Header(), s.ID)
--- a/request/gateway/silence.go
+++ b/request/gateway/silence.go
@@ -124,6 +124,22 @@
 	if w.x.chooseServer(w.hist) == nil {
 		return false, false
 	}
+	rerunsStages := w.x.inputsReleased
+	if ready, woken = w.mayLeave(ctx); !ready {
+		return false, woken
+	}
+	if !w.x.prepareElsewhere(ctx, w.hist) {
+		return false, false
+	}
+	if rerunsStages { // in which time the server may have fallen silent
+		return w.mayLeave(ctx)
+	}
+	return true, false
+}
+
+// mayLeave reports whether the run at the server is dropped if the stream leaves it now, and whether the
+// server has just woken. See askServer.
+func (w *silenceWatch) mayLeave(ctx context.Context) (may, woken bool) {
 	begun := w.x.opts.Clock.Now()
 	a := w.x.askServer(ctx, w.server)
 	waited := w.x.opts.Clock.Now().Sub(begun) > promptAnswerTime
@@ -138,7 +154,7 @@
 	case a.err != nil:
 		w.x.logEntry.noteFailure(fmt.Sprintf("%s does not answer after %s: %v", w.server.ID, a.took, a.err))
 	}
-	return w.x.prepareElsewhere(ctx, w.hist), false
+	return true, false
 }
 
 // prepareElsewhere reports whether a stream can go on at another server now. It runs the stages again
