--- a/request/gateway/serverquestion.go
+++ b/request/gateway/serverquestion.go
@@ -19,18 +19,16 @@
 	// promptAnswerTime is the time in which a server answers that is not silent.
 	promptAnswerTime = 300 * time.Millisecond
 	// askInterval is the time between two questions of which the first one failed.
-	askInterval = 200 * time.Millisecond
+	askInterval = 100 * time.Millisecond
 )
 
 // serverAnswer is the answer of a server to the question whether it is silent as a whole.
 type serverAnswer struct {
 	took time.Duration // until it answered or was given up
+	late bool          // it was silent and has just woken
 	err  error         // nil: it answered
 }
 
-// late reports whether the server was silent and has just woken.
-func (a serverAnswer) late() bool { return a.err == nil && a.took > promptAnswerTime }
-
 // askServer asks a server whether it is silent as a whole. A server that answers, or has ended, drops a run
 // when its connection is closed, or has dropped it. One that is silent goes on with its runs when it wakes, even if
 // their connections were closed meanwhile; it is given up after maxSoundSilence. The requests of the host
@@ -46,14 +44,17 @@
 	}
 }
 
-// awaitAnswer asks a server until it answers, has ended or is given up.
+// awaitAnswer asks a server until it answers, has ended or is given up. Only the time of the last question tells
+// whether the server was silent: this host may not have reached it before.
 func (g *Gateway) awaitAnswer(ctx context.Context, s *directory.Server) (a serverAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, maxSoundSilence)
 	defer cancel()
 	begun := g.opts.Clock.Now()
 	for {
+		asked := g.opts.Clock.Now()
 		a.err = g.probeProcess(ctx, s)
-		a.took = g.opts.Clock.Now().Sub(begun)
+		now := g.opts.Clock.Now()
+		a.took, a.late = now.Sub(begun), a.err == nil && now.Sub(asked) > promptAnswerTime
 		if a.err == nil || errors.Is(a.err, syscall.ECONNREFUSED) {
 			return a
 		}
--- a/request/gateway/serverquestion_test.go
+++ b/request/gateway/serverquestion_test.go
@@ -52,16 +52,23 @@
 // one that waits for a server that has ended or never wakes.
 func TestSilentServersAreToldApart(t *testing.T) {
 	broken := errors.New("reset")
+	var tries atomic.Int64
 	for name, c := range map[string]struct {
 		answer func(context.Context) error
 		late   bool
 		given  bool // the server was given up
 		took   time.Duration
 	}{
-		"works":                {answer: after(20*time.Millisecond, nil), took: 20 * time.Millisecond},
-		"wakes":                {answer: after(time.Second, nil), late: true, took: time.Second},
-		"has ended":            {answer: after(0, syscall.ECONNREFUSED), given: true},
-		"never wakes":          {answer: after(time.Hour, nil), given: true, took: maxSoundSilence},
+		"works":       {answer: after(20*time.Millisecond, nil), took: 20 * time.Millisecond},
+		"wakes":       {answer: after(time.Second, nil), late: true, took: time.Second},
+		"has ended":   {answer: after(0, syscall.ECONNREFUSED), given: true},
+		"never wakes": {answer: after(time.Hour, nil), given: true, took: maxSoundSilence},
+		"is not reached at first": {answer: func(ctx context.Context) error {
+			if tries.Add(1) == 1 {
+				return after(400*time.Millisecond, broken)(ctx)
+			}
+			return after(20*time.Millisecond, nil)(ctx)
+		}, took: 520 * time.Millisecond},
 		"breaks off questions": {answer: after(time.Millisecond, broken), given: true, took: maxSoundSilence},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -69,7 +76,7 @@
 				g := NewWithT(t)
 				gw := New(Options{Clock: clock.System{}, Rand: clock.NewSeeded(1), Headers: requestHeaders{}, Servers: &askedServer{answer: c.answer}})
 				a := gw.askServer(t.Context(), &directory.Server{Entry: directory.Entry{ID: "a"}})
-				g.Expect(a.late()).To(Equal(c.late))
+				g.Expect(a.late).To(Equal(c.late))
 				g.Expect(a.err != nil).To(Equal(c.given))
 				g.Expect(a.took).To(Equal(c.took))
 			})
@@ -89,7 +96,7 @@
 		first.Go(func() { g.Expect(gw.askServer(gone, s).err).To(MatchError(context.Canceled)) })
 		synctest.Wait()
 		for range 20 {
-			others.Go(func() { g.Expect(gw.askServer(t.Context(), s).late()).To(BeTrue()) })
+			others.Go(func() { g.Expect(gw.askServer(t.Context(), s).late).To(BeTrue()) })
 		}
 		synctest.Wait()
 		leave() // ends no question of the others
--- a/request/gateway/silence.go
+++ b/request/gateway/silence.go
@@ -143,13 +143,13 @@
 	begun := w.x.opts.Clock.Now()
 	a := w.x.askServer(ctx, w.server)
 	waited := w.x.opts.Clock.Now().Sub(begun) > promptAnswerTime
-	if waited && (a.late() || ctx.Err() != nil) {
+	if waited && (a.late || ctx.Err() != nil) {
 		w.x.logEntry.SilencesAwaited++
 	}
 	switch {
 	case ctx.Err() != nil:
 		return false, false
-	case a.late():
+	case a.late:
 		return false, true
 	case a.err != nil:
 		w.x.logEntry.noteFailure(fmt.Sprintf("%s does not answer after %s: %v", w.server.ID, a.took, a.err))
