--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -298,7 +298,8 @@
 // a second while the configuration changes, and wake with what has arrived meanwhile.
 func TestServersFallSilent(t *testing.T) { runSilence(t, *silenceFlag, silenceSeeds) }
 
-// promptSeeds are seeds, with 1000 requests, with which streams ran at two servers where hosts left servers that were silent.
+// promptSeeds are seeds, with 1000 requests, with which streams ran at two servers where hosts left servers
+// that were silent.
 var promptSeeds = []uint64{200, 203, 204}
 
 // Guards against streams that go on at another server while the one before, which was silent for a second
