reach: a suspicion that follows an accepted connection at once is checked later, not dropped

What callers could see: a host that reaches no server, and whom nobody helps, stays ready and takes connections.

Cause: within 0.5 s of an accepted connection no check is made, and a suspicion of that time was dropped. If nothing fails later, nobody asks.

Change: the check starts once the 0.5 s have passed without another accepted connection.

Evidence: TestSuspicionSoonAfterAnAcceptedConnectionIsFollowedUp was red before.

--- a/process/reach/reach.go
+++ b/process/reach/reach.go
@@ -56,6 +56,7 @@
 	acceptedAt time.Time  // last connection that a server accepted; zero: none
 	cutSince   time.Time  // last accepted connection before the cut; zero: none
 	running    *check     // nil: none
+	deferred   bool       // a check is to start once minCheckInterval has passed
 }
 
 // check is a check in progress.
@@ -75,9 +76,37 @@
 	t.set(false, 1)
 }
 
-// Suspect starts a check in the background, unless a server accepted a connection a moment ago.
-// It is called after each failure that a cut may have caused.
-func (t *Tracker) Suspect() { t.start() }
+// Suspect starts a check in the background. If a server accepted a connection a moment ago, the check starts
+// later, unless another one accepts until then. It is called after each failure that a cut may have
+// caused.
+func (t *Tracker) Suspect() {
+	if t.start() == nil {
+		t.startLater()
+	}
+}
+
+// startLater starts a check once minCheckInterval has passed since the last accepted connection, if that is
+// still the last one then. There may be no later failure that starts one.
+func (t *Tracker) startLater() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.deferred {
+		return
+	}
+	t.deferred = true
+	acceptedAt := t.acceptedAt
+	due := t.opts.Clock.After(acceptedAt.Add(minCheckInterval).Sub(t.opts.Clock.Now()))
+	go func() {
+		<-due
+		t.mu.Lock()
+		t.deferred = false
+		accepted := t.acceptedAt != acceptedAt
+		t.mu.Unlock()
+		if !accepted {
+			t.start()
+		}
+	}()
+}
 
 // Check returns the result of a check that starts now or is in progress, or false when ctx ends
 // first. Without a check, because a server accepted a connection a moment ago, it is false.
--- a/process/reach/reach_test.go
+++ b/process/reach/reach_test.go
@@ -132,6 +132,22 @@
 	})
 }
 
+// Guards against a host that stays ready while it reaches no server: its connections failed a moment after the
+// last one was accepted, and nothing fails later.
+func TestSuspicionSoonAfterAnAcceptedConnectionIsFollowedUp(t *testing.T) {
+	run(t, func(g *WithT, tracker *Tracker, servers *fakeServers) {
+		tracker.Accepted()
+		servers.fail(time.Millisecond, addresses...)
+		tracker.Suspect()
+		tracker.Suspect()
+		synctest.Wait()
+		g.Expect(servers.dials.Load()).To(BeZero())
+		time.Sleep(2 * minCheckInterval)
+		g.Expect(tracker.CutOff()).To(BeTrue())
+	})
+}
+
+
 // Guards against a host that takes itself for cut off right after the end of a cut: a check that
 // began before the end fails after a server has accepted a connection.
 func TestCheckThatBeganBeforeAnAcceptedConnectionIsOutdated(t *testing.T) {
