--- a/process/reach/reach_test.go
+++ b/process/reach/reach_test.go
@@ -147,7 +147,6 @@
 	})
 }
 
-
 // Guards against a host that takes itself for cut off right after the end of a cut: a check that
 // began before the end fails after a server has accepted a connection.
 func TestCheckThatBeganBeforeAnAcceptedConnectionIsOutdated(t *testing.T) {
