--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,5 @@
 KEEP ?=
 OTHER ?=
 soak:
-	go test -count=1 -timeout 4h -run 'TestSoak$$|TestStreamsThroughReleases$$|TestServersFallSilent$$' -v ./internal/soak \
+	go test -count=1 -timeout 4h -run 'TestSoak$$|TestStreamsThroughReleases$$|TestServersFallSilent$$|TestStreamsOfServersThatFallSilent$$' -v ./internal/soak \
 		-soak.seed=$(SEED) -soak.runs=$(RUNS) -soak.requests=$(N) -soak.keep=$(KEEP) -soak.other=$(OTHER)
