review: a replica that is cold again gets full load while the store is silent (case 8)

Cause: only the list of servers and a host's own failures tell that a replica is cold; Cold-Ms of health answers is read nowhere, and a list that is no longer confirmed still counts.

--- a/review/world2/cut.go
+++ b/review/world2/cut.go
@@ -15,8 +15,8 @@
 // netConn is a connection to a host.
 type netConn = net.Conn
 
-// The answer of the replica that is a process of its own: two halves with work between them, and neither a length
-// nor chunks.
+// The answer of the replica that is a process of its own: two halves with work between them, and neither a length nor
+// chunks.
 const (
 	firstHalf  = "booked: 40 bars from khomas "
 	secondHalf = "to oshana, ledger entry 7781"
@@ -124,20 +124,37 @@
 	_ = p.cmd.Wait()
 }
 
-// frozenAndCut freezes a host while a replica answers it, and lets the replica crash and start again meanwhile.
-func frozenAndCut(w *world) (bool, error) {
+// crashAndRestart lets the replica crash, and start again at its address after 2 s.
+func (w *world) crashAndRestart(p *process, beat int) (*process, error) {
+	w.record.note("replica %s crashes", p.id)
+	p.kill()
+	time.Sleep(2 * time.Second)
+	next, err := w.startProcess(p.id, p.address)
+	if err == nil {
+		w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"born": time.Now().UnixMilli(), "call_seq": beat})
+	}
+	return next, err
+}
+
+// startCut starts the replica that is a process, and three hosts.
+func (w *world) startCut() (*process, error) {
 	port, err := freePorts(1)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	address := fmt.Sprintf("127.0.0.1:%d", port)
-	p, err := w.startProcess("i-0001", address)
+	p, err := w.startProcess("i-0001", fmt.Sprintf("127.0.0.1:%d", port))
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	w.putServer(p.id, "ledger", address, "khomas-a", 6, fields{"born": time.Now().UnixMilli()})
+	w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"born": time.Now().UnixMilli()})
 	w.putConfig(fields{"routes": []fields{route("book", "/book/", "unsafe", 15000)}, "services": []fields{ledger()}, "limits": limits(), "tenants": tenants()})
-	if err := w.startHosts(3, nil); err != nil {
+	return p, w.startHosts(3, nil)
+}
+
+// frozenAndCut freezes a host while a replica answers it, and lets the replica crash and start again meanwhile.
+func frozenAndCut(w *world) (bool, error) {
+	p, err := w.startCut()
+	if err != nil {
 		return false, err
 	}
 	isBroken := false
@@ -154,17 +171,13 @@
 			w.record.note("platform: %s freezes", h.name)
 			h.signal(syscall.SIGSTOP)
 			time.Sleep(200 * time.Millisecond)
-			w.record.note("replica i-0001 crashes")
-			p.kill()
-			time.Sleep(2 * time.Second)
-			if p, err = w.startProcess("i-0001", address); err != nil {
-				h.signal(syscall.SIGCONT)
-				return false, err
-			}
-			w.putServer(p.id, "ledger", address, "khomas-a", 6, fields{"born": time.Now().UnixMilli(), "call_seq": n + 2})
+			p, err = w.crashAndRestart(p, n+2)
 			time.Sleep(800 * time.Millisecond)
 			w.record.note("platform: %s wakes", h.name)
 			h.signal(syscall.SIGCONT)
+			if err != nil {
+				return false, err
+			}
 		}
 		a := <-answers
 		w.record.note("client: %s to %s: %s", q.id, h.name, a.text())
--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -24,6 +24,7 @@
 	"stages": stageGraph,
 	"keys":   lastTenant,
 	"cut":    frozenAndCut,
+	"cold":   coldAgain,
 	"path":   doubleSlash,
 }
 
