review: configurations fill the memory of every host (case 4)

Cause: followers keep the changes of the last 256 responses whatever their size; for the configuration each is the whole of a version. The case of a cold replica (8 before) gives way; the report names it.

--- a/review/world2/main.go
+++ b/review/world2/main.go
@@ -23,8 +23,8 @@
 var cases = map[string]func(*world) (bool, error){
 	"stages": stageGraph,
 	"keys":   lastTenant,
+	"memory": manyVersions,
 	"cut":    frozenAndCut,
-	"cold":   coldAgain,
 	"twice":  encodedSlash,
 }
 
