review: the stand-ins take the platform's names from a file of data

Change: review/world2/names.txt has the names; what is sent and written goes through wire and encode.

--- a/review/world2/cases.go
+++ b/review/world2/cases.go
@@ -20,22 +20,22 @@
 
 // limits are those of the pages' example.
 func limits() fields {
-	return fields{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	return fields{"{headers}": 16384, "{bodies}": 4194304, "{headertime}": 3000, "{idle}": 15000}
 }
 
 // ledger is a service without stages.
 func ledger() fields {
-	return fields{"name": "ledger", "health_path": "/health", "max_conns": 48, "protocol": "h1", "tls": false}
+	return fields{"name": "ledger", "{health}": "/health", "{connections}": 48, "protocol": "h1", "tls": false}
 }
 
 // tenants are one tenant with one key.
 func tenants() []fields {
-	return []fields{{"name": "bozi300", "api_keys": []string{key}, "priority": 1}}
+	return []fields{{"name": "bozi300", "{keys}": []string{key}, "priority": 1}}
 }
 
 // route returns a route without stages.
 func route(name, prefix, kind string, timeoutMS int) fields {
-	return fields{"name": name, "host": clientHost, "path_prefix": prefix, "kind": kind, "timeout_ms": timeoutMS, "target_latency_ms": 200, "priority": 2, "service": "ledger", "max_attempts": 1, "stages": []fields{}, "public": false, "sticky": false, "resumable": false}
+	return fields{"name": name, "host": clientHost, "{prefix}": prefix, "kind": kind, "{timeout}": timeoutMS, "{target}": 200, "priority": 2, "service": "ledger", "{attempts}": 1, "stages": []fields{}, "public": false, "{affinity}": false, "resumable": false}
 }
 
 // startLedger starts replicas of the service.
@@ -56,8 +56,8 @@
 func runsOf(list []*replica, id string) (out []string) {
 	for _, p := range list {
 		for _, q := range p.ran() {
-			if q.header.Get("Attempt-Id") == id {
-				out = append(out, fmt.Sprintf("%s %s %s tenant %q", p.id, q.method, q.target, q.header.Get("Tenant")))
+			if q.header.Get(wire("{attempt}")) == id {
+				out = append(out, fmt.Sprintf("%s %s %s tenant %q", p.id, q.method, q.target, q.header.Get(wire("{account}"))))
 			}
 		}
 	}
@@ -72,7 +72,7 @@
 		return false, err
 	}
 	config := func(t []fields) fields {
-		return fields{"routes": []fields{route("book", "/book/", "unsafe", 2000)}, "services": []fields{ledger()}, "limits": limits(), "tenants": t}
+		return fields{"routes": []fields{route("book", "/book/", "unsafe", 2000)}, "services": []fields{ledger()}, "limits": limits(), "{accounts}": t}
 	}
 	w.putConfig(config(tenants()))
 	if err := w.startHosts(2, nil); err != nil {
@@ -126,15 +126,15 @@
 	w.putServer(prep.id, "prep", prep.address(), "khomas-a", 4, nil)
 	w.putServer(model.id, "model", model.address(), "khomas-a", 64, nil)
 	stream := func(name, prefix string, stages []fields) fields {
-		return fields{"name": name, "host": clientHost, "path_prefix": prefix, "kind": "streaming", "timeout_ms": 6000, "target_latency_ms": 2300, "priority": 1, "service": "model", "max_attempts": 1, "stages": stages, "public": false, "sticky": false, "resumable": false, "gap_aim_ms": 400}
+		return fields{"name": name, "host": clientHost, "{prefix}": prefix, "kind": "streaming", "{timeout}": 6000, "{target}": 2300, "priority": 1, "service": "model", "{attempts}": 1, "stages": stages, "public": false, "{affinity}": false, "resumable": false, "{gap}": 400}
 	}
 	services := []fields{
-		{"name": "model", "health_path": "/health", "max_conns": 270, "protocol": "h1", "tls": false},
-		{"name": "prep", "health_path": "/health", "max_conns": 270, "protocol": "h1", "tls": false, "pieces": fields{"slots": 4, "queue": 8, "batch": 22, "call_ms": 20.0, "item_ms": 0.5, "headroom_mb": 64, "handle_s": 8.0, "link_mbps": 10000}},
+		{"name": "model", "{health}": "/health", "{connections}": 270, "protocol": "h1", "tls": false},
+		{"name": "prep", "{health}": "/health", "{connections}": 270, "protocol": "h1", "tls": false, "{calls}": fields{"slots": 4, "queue": 8, "batch": 22, "{calltime}": 20.0, "{itemtime}": 0.5, "{resultmemory}": 64, "{resulttime}": 8.0, "{link}": 10000}},
 	}
 	draft := stream("draft", "/draft/", []fields{{"service": "prep", "after": []int{}, "bytes": 6000}})
 	config := func(routes ...fields) fields {
-		return fields{"routes": routes, "services": services, "limits": limits(), "tenants": tenants()}
+		return fields{"routes": routes, "services": services, "limits": limits(), "{accounts}": tenants()}
 	}
 	w.putConfig(config(draft))
 	if err := w.startHosts(3, nil); err != nil {
@@ -157,7 +157,7 @@
 	unanswered, late := 0, 0
 	ask := func(n int, path, pieces string) {
 		h := w.hosts[n%len(w.hosts)]
-		q := request{method: http.MethodPost, host: clientHost, path: path, id: ids("57a6", n), key: key, body: "prompt", deadline: 6 * time.Second, header: map[string]string{"Pieces": pieces, "Piece-Key": ids("7c1e", n)}}
+		q := request{method: http.MethodPost, host: clientHost, path: path, id: ids("57a6", n), key: key, body: "prompt", deadline: 6 * time.Second, header: map[string]string{"{items}": pieces, "{inputkey}": ids("7c1e", n)}}
 		a := q.send(h, 12*time.Second)
 		w.record.note("client: %s %s to %s: %s", q.id, path, h.name, a.text())
 		mu.Lock()
@@ -179,7 +179,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	group.Wait()
-	w.record.note("%d requests without an answer at timeout_ms, %d of them half a second later", unanswered, late)
+	w.record.note("%d requests without an answer at the time-out, %d of them half a second later", unanswered, late)
 	before := w.processorTimes()
 	time.Sleep(10 * time.Second)
 	for i, after := range w.processorTimes() {
@@ -190,13 +190,13 @@
 
 // streamEvents answers with a stream of some events.
 func streamEvents(conn netConn, p *replica, q *received) bool {
-	id := q.header.Get("Attempt-Id")
+	id := q.header.Get(wire("{attempt}"))
 	var body strings.Builder
 	for i := 1; i <= 5; i++ {
 		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
 		fmt.Fprintf(&body, "%x\r\n%s\r\n", len(event), event)
 	}
 	body.WriteString("0\r\n\r\n")
-	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+id+"\r\n"+p.stamp(id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+body.String())
+	_, err := io.WriteString(conn, wire("HTTP/1.1 200 OK\r\nAttempt-Id: "+id+"\r\n"+p.stamp(id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")+body.String())
 	return err == nil
 }
--- a/review/world2/cut.go
+++ b/review/world2/cut.go
@@ -40,7 +40,7 @@
 	}
 	p := &replica{id: id, service: "ledger", listener: l, born: time.Now().UnixMilli()}
 	p.answer = func(conn net.Conn, q *received) bool {
-		attempt := q.header.Get("Attempt-Id")
+		attempt := q.header.Get(wire("{attempt}"))
 		fmt.Println("runs", attempt)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+attempt+"\r\n"+p.stamp(attempt)+"Connection: close\r\n\r\n"+firstHalf)
 		fmt.Println("half", attempt)
@@ -131,7 +131,7 @@
 	time.Sleep(2 * time.Second)
 	next, err := w.startProcess(p.id, p.address)
 	if err == nil {
-		w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"born": time.Now().UnixMilli(), "call_seq": beat})
+		w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"{started}": time.Now().UnixMilli(), "{beat}": beat})
 	}
 	return next, err
 }
@@ -146,8 +146,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"born": time.Now().UnixMilli()})
-	w.putConfig(fields{"routes": []fields{route("book", "/book/", "unsafe", 15000)}, "services": []fields{ledger()}, "limits": limits(), "tenants": tenants()})
+	w.putServer(p.id, "ledger", p.address, "khomas-a", 6, fields{"{started}": time.Now().UnixMilli()})
+	w.putConfig(fields{"routes": []fields{route("book", "/book/", "unsafe", 15000)}, "services": []fields{ledger()}, "limits": limits(), "{accounts}": tenants()})
 	return p, w.startHosts(3, nil)
 }
 
--- a/review/world2/memory.go
+++ b/review/world2/memory.go
@@ -29,15 +29,15 @@
 	routes := []fields{route("book", "/book/", "unsafe", 4000)}
 	for i := range addedRoutes {
 		r := route(fmt.Sprintf("r-%d-mgjqnir", i), fmt.Sprintf("/cufi%d/fi50/", i), "streaming", 15000+step)
-		r["service"], r["sticky"], r["gap_aim_ms"] = "model", true, 400
+		r["service"], r["{affinity}"], r["{gap}"] = "model", true, 400
 		r["stages"] = []fields{{"service": "kafi81c", "after": []int{}, "bytes": 8000}, {"service": "lovo22d", "after": []int{0}, "bytes": 60000}, {"service": "lohu93e", "after": []int{1}, "bytes": 6000}}
 		routes = append(routes, r)
 	}
-	services := []fields{ledger(), {"name": "model", "health_path": "/health", "max_conns": 270, "protocol": "h1", "tls": false}}
+	services := []fields{ledger(), {"name": "model", "{health}": "/health", "{connections}": 270, "protocol": "h1", "tls": false}}
 	for _, name := range []string{"kafi81c", "lovo22d", "lohu93e"} {
-		services = append(services, fields{"name": name, "health_path": "/health", "max_conns": 270, "protocol": "h1", "tls": false, "pieces": fields{"slots": 1, "queue": 2, "batch": 8, "call_ms": 240.0, "item_ms": 26.0, "headroom_mb": 9.6, "handle_s": 4.0, "link_mbps": 10000}})
+		services = append(services, fields{"name": name, "{health}": "/health", "{connections}": 270, "protocol": "h1", "tls": false, "{calls}": fields{"slots": 1, "queue": 2, "batch": 8, "{calltime}": 240.0, "{itemtime}": 26.0, "{resultmemory}": 9.6, "{resulttime}": 4.0, "{link}": 10000}})
 	}
-	return fields{"routes": routes, "services": services, "limits": limits(), "tenants": tenants()}
+	return fields{"routes": routes, "services": services, "limits": limits(), "{accounts}": tenants()}
 }
 
 // bookings counts what became of requests. It is safe for concurrent use.
@@ -57,12 +57,12 @@
 	for _, p := range list {
 		p.answer = func(conn net.Conn, q *received) bool {
 			time.Sleep(bookingTime)
-			id := q.header.Get("Attempt-Id")
+			id := q.header.Get(wire("{attempt}"))
 			return p.reply(conn, http.StatusOK, id, p.stamp(id), "done by "+p.id)
 		}
 	}
 	w.putConfig(grownConfig(0))
-	if err := w.startHosts(3, fields{"drain_ms": 4000, "config_apply_ms": 4000}); err != nil {
+	if err := w.startHosts(3, fields{"{drain}": 4000, "{apply}": 4000}); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
@@ -116,7 +116,7 @@
 			if mb <= float64(w.memory) {
 				continue
 			}
-			w.record.note("platform: %s has %.1f MB, over memory_mb %d: killed", h.name, mb, w.memory)
+			w.record.note("platform: %s has %.1f MB, over its limit of %d: killed", h.name, mb, w.memory)
 			h.kill()
 			killed = true
 			if err := w.run(h); err != nil {
--- a/review/world2/replica.go
+++ b/review/world2/replica.go
@@ -99,17 +99,17 @@
 
 // handle answers one request and reports whether the connection stays open.
 func (p *replica) handle(conn net.Conn, q *received) bool {
-	id := q.header.Get("Attempt-Id")
+	id := q.header.Get(wire("{attempt}"))
 	switch {
-	case q.header.Get("Expect-Instance") != "" && q.header.Get("Expect-Instance") != p.id:
-		return p.reply(conn, http.StatusMisdirectedRequest, id, "Not-Executed: 1\r\nInstance-Id: "+p.id+"\r\n", "")
+	case q.header.Get(wire("{expect}")) != "" && q.header.Get(wire("{expect}")) != p.id:
+		return p.reply(conn, http.StatusMisdirectedRequest, id, "{notrun}: 1\r\nInstance-Id: "+p.id+"\r\n", "")
 	case q.target == "/report":
-		return p.reply(conn, http.StatusOK, "", "Content-Type: application/json\r\n", fmt.Sprintf(`{"stage":"both","models":[],"busy":false,"call_seq":1,"waiting":0,"running":0,"kv_used":0,"kv_total":90000,"handles":0,"free_mb":64,"born":%d}`, p.born))
+		return p.reply(conn, http.StatusOK, "", "Content-Type: application/json\r\n", fmt.Sprintf(`{"stage":"both","models":[],"busy":false,"{beat}":1,"waiting":0,"running":0,"kv_used":0,"kv_total":90000,"handles":0,"{free}":64,"{started}":%d}`, p.born))
 	case q.target == "/health":
-		return p.reply(conn, http.StatusOK, "", "Instance-Id: "+p.id+"\r\n", "")
-	case q.target == "/stage-run":
+		return p.reply(conn, http.StatusOK, "", "{server}: "+p.id+"\r\n", "")
+	case q.target == wire("{run}"):
 		return p.stageRun(conn, q)
-	case q.target == "/stage-free":
+	case q.target == wire("{release}"):
 		return p.reply(conn, http.StatusOK, "", "", "")
 	}
 	p.mu.Lock()
@@ -123,14 +123,14 @@
 }
 
 // stamp returns the header line of the replica's signature.
-func (p *replica) stamp(id string) string { return "Response-Stamp: " + p.id + "." + id + "\r\n" }
+func (p *replica) stamp(id string) string { return "{signature}: " + p.id + "." + id + "\r\n" }
 
 // reply writes an answer with a length. It returns true, as the connection stays open.
 func (p *replica) reply(conn net.Conn, status int, id, lines, body string) bool {
 	if id != "" {
-		lines = "Attempt-Id: " + id + "\r\n" + lines
+		lines = "{attempt}: " + id + "\r\n" + lines
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), lines, len(body), body)
+	_, err := io.WriteString(conn, wire(fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), lines, len(wire(body)), body)))
 	return err == nil
 }
 
@@ -141,7 +141,7 @@
 func (p *replica) stageRun(conn net.Conn, q *received) bool {
 	var call struct{ Items []json.RawMessage }
 	if err := json.Unmarshal([]byte(q.body), &call); err != nil {
-		return p.reply(conn, http.StatusBadRequest, "", "Not-Executed: 1\r\n", "")
+		return p.reply(conn, http.StatusBadRequest, "", "{notrun}: 1\r\n", "")
 	}
 	time.Sleep(stageCallTime)
 	var items []string
--- a/review/world2/twice.go
+++ b/review/world2/twice.go
@@ -24,8 +24,8 @@
 		list[0].answer = w.loseAnswers(list[0])
 	}
 	safe := route("status", "/v1/status/", "safe", 2000)
-	safe["max_attempts"] = 2
-	w.putConfig(fields{"routes": []fields{route("book", "/v1/", "unsafe", 2000), safe}, "services": []fields{ledger()}, "limits": limits(), "tenants": tenants()})
+	safe["{attempts}"] = 2
+	w.putConfig(fields{"routes": []fields{route("book", "/v1/", "unsafe", 2000), safe}, "services": []fields{ledger()}, "limits": limits(), "{accounts}": tenants()})
 	if err := w.startHosts(2, nil); err != nil {
 		return false, err
 	}
@@ -52,7 +52,7 @@
 func (w *world) loseAnswers(p *replica) func(net.Conn, *received) bool {
 	var runs atomic.Int64
 	return func(conn net.Conn, q *received) bool {
-		id := q.header.Get("Attempt-Id")
+		id := q.header.Get(wire("{attempt}"))
 		time.Sleep(15 * time.Millisecond)
 		if runs.Add(1)%lossEvery != 0 {
 			return p.reply(conn, http.StatusOK, id, p.stamp(id), "done by "+p.id)
--- a/review/world2/world.go
+++ b/review/world2/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -90,17 +89,17 @@
 func (w *world) putConfig(config fields) {
 	w.version += 3
 	config["version"] = w.version
-	w.store.Put("config", "main", config)
+	w.store.PutRaw("config", "main", encode(config))
 	w.record.note("operator: configuration %d is acknowledged", w.version)
 }
 
 // putServer writes the entry of a replica.
 func (w *world) putServer(id, service, address, zone string, slots int, more fields) {
-	entry := fields{"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "call_seq": 1, "born": bornMS}
+	entry := fields{"service": service, "address": address, "{domain}": zone, "version": "v1", "slots": slots, "state": "ready", "{cold}": 0, "{beat}": 1, "{started}": bornMS}
 	for k, v := range more {
 		entry[k] = v
 	}
-	w.store.Put("servers", id, entry)
+	w.store.PutRaw("servers", id, encode(entry))
 }
 
 // bornMS is the start of the replicas that do not start again.
@@ -138,26 +137,22 @@
 	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
 	h := &host{name: name, front: at(0), ready: at(1)}
 	all := fields{
-		"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": 2500, "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2500, "rollback_slack_ms": 250,
-		"max_stretch_ms": 6000, "strict_revoke": true, "revoke_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 52, "recover_s": 12, "pass_ms": 300, "again_s": 10,
+		"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000, "ack_ms": 5000, "catch_up_s": 4, "{drain}": 2500, "{grace}": 8, "loss_slack_ms": 200, "{apply}": 2500, "rollback_slack_ms": 250,
+		"max_stretch_ms": 6000, "{strict}": true, "{revoke}": 5000, "{ratio}": 0.2, "{window}": 10, "{slack}": 52, "recover_s": 12, "pass_ms": 300, "again_s": 10,
 	}
 	for k, v := range bounds {
 		all[k] = v
 	}
 	settings := fields{
-		"node_name": name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": "127.0.0.1", "zone": zone, "region": "khomas",
-		"zones":  fields{"khomas-a": "khomas", "khomas-b": "khomas"},
-		"listen": fields{"front": h.front, "ready": h.ready, "control": ""}, "internal_ports": []int{port + 2, port + 3}, "seeds": []string{}, "bootstrap": false, "tolerance_member": false,
-		"limits": fields{"cpu_share": 0.4, "cores": 1, "memory_mb": w.memory, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}, "data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
-		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "stages"}, "bounds": all,
+		"{host}": name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": "127.0.0.1", "{domain}": zone, "region": "khomas",
+		"{domains}": fields{"khomas-a": "khomas", "khomas-b": "khomas"},
+		"listen":    fields{"front": h.front, "ready": h.ready, "control": ""}, "{ports}": []int{port + 2, port + 3}, "seeds": []string{}, "{first}": false, "tolerance_member": false,
+		"limits": fields{"{share}": 0.4, "cores": 1, "{memory}": w.memory, "{files}": 4100, "{link}": 1000.0, "disk_mb": 0}, "data_dir": nil, "discovery": "platform", "entry": "vip", "{heartbeat}": 1200,
+		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "{accounts}", "platform", "stages"}, "bounds": all,
 		"platform": fields{"address": w.address, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
 	}
-	data, err := json.Marshal(settings)
-	if err != nil {
-		return nil, err
-	}
 	h.settings = filepath.Join(w.dir, name+".json")
-	if err := os.WriteFile(h.settings, data, 0o600); err != nil {
+	if err := os.WriteFile(h.settings, encode(settings), 0o600); err != nil {
 		return nil, err
 	}
 	if h.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
@@ -271,7 +266,7 @@
 	if a.err != nil {
 		return fmt.Sprintf("no whole answer after %.3f s (status %d, %d bytes): %v", a.took.Seconds(), a.status, len(a.body), a.err)
 	}
-	return fmt.Sprintf("%d after %.3f s, signature %q, %d bytes %.60q", a.status, a.took.Seconds(), a.header.Get("Response-Stamp"), len(a.body), a.body)
+	return fmt.Sprintf("%d after %.3f s, signature %q, %d bytes %.60q", a.status, a.took.Seconds(), a.header.Get(wire("{signature}")), len(a.body), a.body)
 }
 
 // request is a request of a client, on a connection of its own.
@@ -311,7 +306,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
 	b.WriteString("\r\n" + q.body)
-	return b.String()
+	return wire(b.String())
 }
 
 // ids returns the ids of requests with a prefix, as text.
