review: case 6 answers in the platform's names again, and checks itself without the disruption

Cause: one answer of the stand-ins had been left out of the change of names before, so that case 6 got 502 with and without the disruption.

--- a/review/world2/cases.go
+++ b/review/world2/cases.go
@@ -197,6 +197,6 @@
 		fmt.Fprintf(&body, "%x\r\n%s\r\n", len(event), event)
 	}
 	body.WriteString("0\r\n\r\n")
-	_, err := io.WriteString(conn, wire("HTTP/1.1 200 OK\r\nAttempt-Id: "+id+"\r\n"+p.stamp(id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")+body.String())
+	_, err := io.WriteString(conn, wire("HTTP/1.1 200 OK\r\n{attempt}: "+id+"\r\n"+p.stamp(id)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")+body.String())
 	return err == nil
 }
--- a/review/world2/cut.go
+++ b/review/world2/cut.go
@@ -42,7 +42,7 @@
 	p.answer = func(conn net.Conn, q *received) bool {
 		attempt := q.header.Get(wire("{attempt}"))
 		fmt.Println("runs", attempt)
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+attempt+"\r\n"+p.stamp(attempt)+"Connection: close\r\n\r\n"+firstHalf)
+		_, _ = io.WriteString(conn, wire("HTTP/1.1 200 OK\r\n{attempt}: "+attempt+"\r\n"+p.stamp(attempt)+"Connection: close\r\n\r\n")+firstHalf)
 		fmt.Println("half", attempt)
 		time.Sleep(halfTime)
 		_, _ = io.WriteString(conn, secondHalf)
@@ -187,6 +187,9 @@
 		}
 		a := <-answers
 		w.record.note("client: %s to %s: %s", q.id, h.name, a.text())
+		if !w.trouble && (a.status != http.StatusOK || a.body != firstHalf+secondHalf) {
+			return false, fmt.Errorf("no whole answer without the disruption")
+		}
 		if a.err == nil && a.status/100 == 2 && a.body != firstHalf+secondHalf {
 			isBroken = true
 		}
--- a/review/world2/world.go
+++ b/review/world2/world.go
@@ -295,7 +295,7 @@
 // text returns the request as sent.
 func (q request) text() string {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", q.method, q.path, q.host, q.id, q.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n{attempt}: %s\r\n{deadline}: %d\r\n", q.method, q.path, q.host, q.id, q.deadline.Milliseconds())
 	if q.key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", q.key)
 	}
