httpresponse: an answer that is reset during an upload is not whole

Callers saw: 200 with a part of a server's body, as a complete answer.

Cause: the system tells the failure of a connection once. Where the goroutine that writes the request gets it, the one that reads the answer sees an end in order, which ends a body without a length. The question whether the server's process has ended (verifyEnd) proves nothing: it runs on.

Change: package httpresponse has a connection that tells its reads of the failure that a write got; a read that sees the end awaits the write in progress, for 0.5 s at most. All that reads answers of servers uses it: upstream (requests, streams, stage calls, starts, what is carried) and serverhttp (bilberryd's calls, probes, orders). The failure keeps its errno, so that it counts as broken off by the server.

Why it works: the error is told to a read, to a write, or to nobody yet; the first two now end the answer with it, and in the last case the next call gets it.

--- a/connection/serverhttp/serverhttp.go
+++ b/connection/serverhttp/serverhttp.go
@@ -12,6 +12,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/connection/httpresponse"
 )
 
 const (
@@ -51,12 +53,24 @@
 // New returns a RoundTripper that sends requests by base, which it changes. gate may be nil.
 func New(base *http.Transport, gate Gate) http.RoundTripper {
 	base.MaxResponseHeaderBytes = maxHeadBytes
+	base.DialContext = responseDial(base.DialContext)
 	if gate != nil {
 		base.DialContext = gatedDial(base.DialContext, gate)
 	}
 	return &transport{base: base, gate: gate}
 }
 
+// responseDial returns a dial function of connections by which responses are told whole.
+func responseDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return httpresponse.NewConn(conn), nil
+	}
+}
+
 // gatedDial returns a dial function that asks the gate again when the connection is open, as that may
 // have taken as long as a server needs to answer other requests.
 func gatedDial(dial func(ctx context.Context, network, address string) (net.Conn, error), gate Gate) func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/connection/serverhttp/serverhttp_test.go
+++ b/connection/serverhttp/serverhttp_test.go
@@ -1,6 +1,7 @@
 package serverhttp
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -165,3 +166,30 @@
 	client.CloseIdleConnections()
 	g.Eventually(closed, "10s").Should(Receive())
 }
+
+// Guards against taking a part of an answer for the whole, as the reset of its connection was told to the side
+// that still wrote the request.
+func TestAnswerThatIsResetDuringAnUploadIsNotWhole(t *testing.T) {
+	const tries = 200
+	g := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}))
+	defer srv.Close()
+	client := &http.Client{Transport: New(&http.Transport{DialContext: (&net.Dialer{}).DialContext}, nil)}
+	whole := 0
+	for range tries {
+		resp, err := client.Post(srv.URL, "text/plain", bytes.NewReader(make([]byte, 2<<20)))
+		if err != nil {
+			continue
+		}
+		if _, err := io.ReadAll(resp.Body); err == nil {
+			whole++
+		}
+		_ = resp.Body.Close()
+	}
+	g.Expect(whole).To(BeZero(), "of %d", tries)
+}
--- a/connection/upstream/limits.go
+++ b/connection/upstream/limits.go
@@ -4,11 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bilberrydale/connection/httpresponse"
 )
 
 const (
@@ -32,7 +33,7 @@
 // headReader reads from a connection. It bounds what is read while the head of a response is, and keeps how the
 // server's end has ended the connection.
 type headReader struct {
-	tcp      *net.TCPConn
+	conn     *httpresponse.Conn
 	reading  bool        // the head of a response
 	left     int         // bytes that the head may still have
 	timer    *time.Timer // ends the head; nil before its first byte
@@ -55,7 +56,7 @@
 func (r *headReader) startTimer() {
 	r.timer = time.AfterFunc(maxHeadTime, func() {
 		r.late.Store(true)
-		_ = r.tcp.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		_ = r.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	})
 }
 
@@ -110,12 +111,12 @@
 
 // read reads from the connection and keeps its end. A reset is told by one read only.
 func (r *headReader) read(b []byte) (int, error) {
-	n, err := r.tcp.Read(b)
+	n, err := r.conn.Read(b)
 	switch {
 	case r.broken != nil:
 	case err == io.EOF:
 		r.broken = io.ErrUnexpectedEOF
-	case errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		r.broken = err
 	}
 	return n, err
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bilberrydale/connection/httpresponse"
 )
 
 // Request is a request to a backend server. It must not be changed after it was sent.
@@ -166,14 +168,15 @@
 	number      uint64 // counts the connections of the client
 	address     string // host:port of the server
 	tcp         *net.TCPConn
-	head        *headReader   // reads from tcp
-	reader      *bufio.Reader // reads from head
-	responses   int           // responses received on the connection
-	requestIDs  requestIDs    // of the requests sent on the connection
-	startedAt   int64         // start of the process at its other end, in Unix milliseconds; 0: not asked for
-	idleSince   time.Time     // start of the current idle period
-	idleTimeout time.Duration // after which an idle connection is not used any more
-	closed      atomic.Bool   // set by close
+	out         *httpresponse.Conn // writes to tcp
+	head        *headReader        // reads from out
+	reader      *bufio.Reader      // reads from head
+	responses   int                // responses received on the connection
+	requestIDs  requestIDs         // of the requests sent on the connection
+	startedAt   int64              // start of the process at its other end, in Unix milliseconds; 0: not asked for
+	idleSince   time.Time          // start of the current idle period
+	idleTimeout time.Duration      // after which an idle connection is not used any more
+	closed      atomic.Bool        // set by close
 }
 
 // close closes the connection. Further calls have no effect.
@@ -299,8 +302,9 @@
 	if c.opts.OnConnect != nil {
 		c.opts.OnConnect(address)
 	}
-	head := &headReader{tcp: tcpConn}
-	return &conn{client: c, number: c.lastConn.Add(1), address: address, tcp: tcpConn, head: head, reader: bufio.NewReaderSize(head, 4096)}, nil
+	stream := httpresponse.NewConn(tcpConn)
+	head := &headReader{conn: stream}
+	return &conn{client: c, number: c.lastConn.Add(1), address: address, tcp: tcpConn, out: stream, head: head, reader: bufio.NewReaderSize(head, 4096)}, nil
 }
 
 // Probe opens a connection to a server's address (host:port) and keeps it for the next
--- a/connection/upstream/write.go
+++ b/connection/upstream/write.go
@@ -59,17 +59,12 @@
 		parts = req.Body
 	}
 	if int64(len(head))+req.bodyBytes() <= maxSyncWriteBytes {
-		_, err := k.tcp.Write(append(head, slices.Concat(parts...)...))
+		_, err := k.out.Write(append(head, slices.Concat(parts...)...))
 		result <- err
 		return result
 	}
 	go func() {
-		_, err := k.tcp.Write(head)
-		for _, part := range parts {
-			if err == nil {
-				_, err = k.tcp.Write(part)
-			}
-		}
+		_, err := k.out.WriteParts(slices.Concat([][]byte{head}, parts)...)
 		result <- err
 	}()
 	return result
