httpresponse: an answer with a status below 100 is none

Callers saw: 200 with a body behind a head of status 000, as an answer. The same for 099 and +20.

Change: httpresponse.CheckHead is the one check of a head; upstream asks it for each head, interim ones too, and serverhttp for each response. The connection is closed, as it is not known what the bytes behind are. An attempt with such a head may have run: 502 and no second run for unsafe requests, another server otherwise.

Why it works: statuses of HTTP begin at 100 (RFC 9110, section 15); both libraries' readers pass their heads through the check before anything else sees them.

Sound heads with 100, 103 or no reason pass before and after.

--- a/connection/serverhttp/serverhttp.go
+++ b/connection/serverhttp/serverhttp.go
@@ -108,13 +108,17 @@
 // CloseIdleConnections is called by that of http.Client.
 func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// roundTrip sends a request and bounds the time of the response's head.
+// roundTrip sends a request, bounds the time of the response's head, and checks it.
 func (t *transport) roundTrip(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	var head atomic.Pointer[time.Timer]
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		head.Store(time.AfterFunc(maxHeadTime, func() { cancel(errHeadTooSlow) }))
-	}})
+	var conn net.Conn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotFirstResponseByte: func() {
+			head.Store(time.AfterFunc(maxHeadTime, func() { cancel(errHeadTooSlow) }))
+		},
+	})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
 	if timer := head.Load(); timer != nil {
 		timer.Stop()
@@ -126,6 +130,11 @@
 		cancel(nil)
 		return nil, err
 	}
+	if err := httpresponse.CheckHead(resp); err != nil {
+		_ = conn.Close() // also if net/http has kept it for the next request
+		cancel(nil)
+		return nil, err
+	}
 	resp.Body = &body{resp.Body, func() { cancel(nil) }}
 	return resp, nil
 }
--- a/connection/upstream/brokenanswer_test.go
+++ b/connection/upstream/brokenanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"bilberrydale/internal/headserver"
 )
 
 // longBody is the body of a request that is still being written when its answer comes.
@@ -105,3 +108,39 @@
 		})
 	}
 }
+
+// Guards against an answer whose head is none of HTTP, with what comes behind it.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, head := range headserver.Broken {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			address := headserver.Serve(t, func(*http.Request) string { return head.Response("X: y\r\n", "hello") })
+			client := New(patient)
+			body, err := getText(headserver.Context(t), client, address)
+			g.Expect(err).To(HaveOccurred(), "%q", body)
+			var upstreamErr *Error
+			g.Expect(errors.As(err, &upstreamErr)).To(BeTrue())
+			g.Expect(upstreamErr.Sent).To(BeTrue(), "it may have run")
+			g.Expect(client.OpenConnections()).To(BeZero())
+		})
+	}
+}
+
+// Guards against giving up odd heads that are sound.
+func TestOddHeadIsAnAnswer(t *testing.T) {
+	for name, head := range headserver.Sound {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			address := headserver.Serve(t, func(*http.Request) string { return head.Response("X: y\r\n", "hello") })
+			client := New(patient)
+			for range 2 {
+				body, err := getText(headserver.Context(t), client, address)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(body).To(Equal("hello"))
+			}
+			g.Expect(client.OpenConnections()).To(BeEquivalentTo(1))
+		})
+	}
+}
--- a/connection/upstream/cuthead_test.go
+++ b/connection/upstream/cuthead_test.go
@@ -92,7 +92,7 @@
 						l := acceptAll(t, func(c net.Conn) { serveThenCut(c, reset, responses...) })
 						client := New(patient)
 						for range len(responses) - 1 {
-							_, err := getText(client, l.Addr().String())
+							_, err := getText(t.Context(), client, l.Addr().String())
 							g.Expect(err).NotTo(HaveOccurred())
 						}
 						r, err := client.Do(t.Context(), l.Addr().String(), &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
@@ -125,8 +125,8 @@
 }
 
 // getText sends a request and returns the body of the response.
-func getText(c *Client, address string) (string, error) {
-	r, err := c.Do(context.Background(), address, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+func getText(ctx context.Context, c *Client, address string) (string, error) {
+	r, err := c.Do(ctx, address, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
 	if err != nil {
 		return "", err
 	}
--- a/connection/upstream/limits.go
+++ b/connection/upstream/limits.go
@@ -127,6 +127,9 @@
 	k.head.begin(k.reader.Buffered())
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(k.reader, req)
+		if err == nil {
+			err = httpresponse.CheckHead(resp)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", k.head.end(err))
 		}
--- a/edge/brokenanswer_test.go
+++ b/edge/brokenanswer_test.go
@@ -7,6 +7,9 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"bilberrydale/internal/headserver"
+	"bilberrydale/platform/platformtest"
 )
 
 // longBody is the body of a request that is still being written when its answer comes.
@@ -83,3 +86,76 @@
 		})
 	}
 }
+
+// brokenMark stands in the bodies of responses that clients must not get.
+const brokenMark = "BROKEN"
+
+// sendTo sends a request whose response, or that to a call for it, has a head and a body.
+func (c *cutChecker) sendTo(g *WithT, head headserver.Head, body string) clientResponse {
+	c.plan.set(c.reader.before, func(s *platformtest.Server, w http.ResponseWriter) {
+		s.RespondRaw(w, func(lines string) (string, bool) {
+			return head.Response(lines, strings.ReplaceAll(body, "ADDRESS", s.Address())), false
+		})
+	})
+	r := c.send()
+	g.Eventually(c.plan.met, "5s", "1ms").Should(Equal(1))
+	return r
+}
+
+// Guards against an answer, or a result of a call, whose head is none of HTTP, and against a second run for it.
+func TestBrokenHeadIsNotToldAsAnAnswer(t *testing.T) {
+	t.Parallel()
+	for name, reader := range cutReaders {
+		for way, startHost := range waysToServers {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				p := newTestPlatform(t)
+				c := newCutChecker(g, p, reader, startHost)
+				body := reader.body
+				if !reader.hidden {
+					body = strings.NewReplacer("piece", brokenMark, "the whole answer", brokenMark).Replace(body)
+				}
+				for what, head := range headserver.Broken {
+					ran := len(p.runs("ledger"))
+					r := c.sendTo(g, head, body)
+					g.Expect(r.body).NotTo(ContainSubstring(brokenMark), what)
+					switch {
+					case reader.hidden:
+						c.checkHidden(g, r, false, what)
+					case name == "unsafe":
+						g.Expect(r.status).To(Equal(http.StatusBadGateway), what)
+						g.Expect(r.body).To(ContainSubstring(`"ran":"unknown"`), what)
+						g.Expect(p.runs("ledger")).To(HaveLen(ran), "%s: no other server runs it", what)
+					case r.status == http.StatusOK && r.err == nil:
+						g.Expect(r.body).To(Or(HavePrefix("answer of "), HaveSuffix(lastEvents)), what)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against giving up an answer, or a result of a call, whose head is odd.
+func TestOddHeadIsServed(t *testing.T) {
+	t.Parallel()
+	for name, reader := range cutReaders {
+		for way, startHost := range waysToServers {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				c := newCutChecker(g, newTestPlatform(t), reader, startHost)
+				for what, head := range headserver.Sound {
+					r := c.sendTo(g, head, reader.body)
+					if reader.hidden {
+						c.checkHidden(g, r, true, what)
+						continue
+					}
+					g.Expect(r.err).NotTo(HaveOccurred(), what)
+					g.Expect(r.status).To(Equal(http.StatusOK), what)
+					g.Expect(r.body).To(Equal(reader.before+reader.body), what)
+				}
+			})
+		}
+	}
+}
--- a/edge/cutresponse_test.go
+++ b/edge/cutresponse_test.go
@@ -144,22 +144,10 @@
 			t.Run(name+", "+way, func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				p := newTestPlatform(t)
-				for _, service := range []string{"ledger", "model", "portal"} {
-					p.addServer(service+"-2", service)
-				}
-				h := startHost(p)
-				g.Eventually(func() int { return h.directory.View().Count() }, "10s").Should(Equal(len(p.servers)))
-				c := &cutChecker{p: p, reader: reader, plan: &cutPlan{}}
+				c := newCutChecker(g, newTestPlatform(t), reader, startHost)
 				if way == "carried" {
 					c.reader.stride = max(reader.stride, carriedStride)
 				}
-				c.send = func() clientResponse {
-					return p.send(h, reader.method, reader.path, "x", func(q *platformtest.Request) {
-						q.LastEventID, q.StageItems = reader.lastEventID, []int{1, 1}
-					})
-				}
-				c.observeServers()
 				t.Logf("%d responses cut", c.checkAll(g))
 			})
 		}
@@ -202,6 +190,23 @@
 	wireBytes, headBytes int
 }
 
+// newCutChecker starts a host that uses a way to servers, and returns what sends a reader's requests to it.
+func newCutChecker(g *WithT, p *testPlatform, reader cutReader, startHost func(p *testPlatform) *Host) *cutChecker {
+	for _, service := range []string{"ledger", "model", "portal"} {
+		p.addServer(service+"-2", service)
+	}
+	h := startHost(p)
+	g.Eventually(func() int { return h.directory.View().Count() }, "10s").Should(Equal(len(p.servers)))
+	c := &cutChecker{p: p, reader: reader, plan: &cutPlan{}}
+	c.send = func() clientResponse {
+		return p.send(h, reader.method, reader.path, "x", func(q *platformtest.Request) {
+			q.LastEventID, q.StageItems = reader.lastEventID, []int{1, 1}
+		})
+	}
+	c.observeServers()
+	return c
+}
+
 // observeServers makes all servers respond as planned. They are asked for their starts before each stream.
 func (c *cutChecker) observeServers() {
 	for _, s := range c.p.servers {
--- /dev/null
+++ b/internal/headserver/headserver.go
@@ -0,0 +1,92 @@
+// Package headserver has heads of responses that are none of HTTP, and odd ones that are, for tests of readers of
+// responses.
+package headserver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Head is the start of a response: its status line, header lines, and what comes before them.
+type Head struct {
+	start       string
+	undelimited bool // nothing marks the end of the body
+}
+
+// Broken are the starts of heads that are none of HTTP, by what is wrong.
+var Broken = map[string]Head{
+	"status 000":                         {start: "HTTP/1.1 000 Trouble\r\n"},
+	"status 000 without a length":        {start: "HTTP/1.1 000 Trouble\r\n", undelimited: true},
+	"status 000 before a sound response": {start: "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"status 000 of no length before one": {start: "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"status 099":                         {start: "HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"status with a sign":                 {start: "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"status of four digits":              {start: "HTTP/1.1 2000 OK\r\n"},
+}
+
+// Sound are the starts of odd heads that are sound, by what is odd.
+var Sound = map[string]Head{
+	"interim responses": {start: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"no reason":         {start: "HTTP/1.1 200\r\n"},
+}
+
+// callTime is more than a call that meets a head takes.
+const callTime = 5 * time.Second
+
+// Context returns the context of a call that meets a head: a reader that takes it for sound may wait for its end.
+func Context(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Response returns a response with the head, further header lines and a body.
+func (h Head) Response(lines, body string) string {
+	if !h.undelimited {
+		lines += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return h.start + lines + "\r\n" + body
+}
+
+// Serve starts a server, which answers each request with the bytes that respond returns and keeps the connection
+// open. It returns its host:port.
+func Serve(t *testing.T, respond func(*http.Request) string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn, respond)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// serve answers the requests of a connection.
+func serve(conn net.Conn, respond func(*http.Request) string) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, respond(req)) // the client may have gone
+	}
+}
