httpresponse: an answer whose fields' names are no tokens is none

Control bytes, names of no byte and lines without a colon end in an error of net/http: handled already.

Why it works: upstream and serverhttp pass each head through the check before anything reads a field of it; the check does not depend on what the library's reader lets pass.

--- a/connection/serverhttp/serverhttp.go
+++ b/connection/serverhttp/serverhttp.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -114,7 +115,8 @@
 	var head atomic.Pointer[time.Timer]
 	var conn net.Conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return httpresponse.CheckNames(header) },
 		GotFirstResponseByte: func() {
 			head.Store(time.AfterFunc(maxHeadTime, func() { cancel(errHeadTooSlow) }))
 		},
@@ -130,7 +132,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	if err := httpresponse.CheckHead(resp); err != nil {
+	if err := httpresponse.Check(resp); err != nil {
 		_ = conn.Close() // also if net/http has kept it for the next request
 		cancel(nil)
 		return nil, err
--- a/connection/upstream/limits.go
+++ b/connection/upstream/limits.go
@@ -128,7 +128,7 @@
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(k.reader, req)
 		if err == nil {
-			err = httpresponse.CheckHead(resp)
+			err = httpresponse.Check(resp)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", k.head.end(err))
--- a/internal/headserver/headserver.go
+++ b/internal/headserver/headserver.go
@@ -28,12 +28,32 @@
 	"status 099":                         {start: "HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n"},
 	"status with a sign":                 {start: "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n"},
 	"status of four digits":              {start: "HTTP/1.1 2000 OK\r\n"},
+	"blank in a name":                    {start: "HTTP/1.1 200 OK\r\nX Note: a\r\n"},
+	"blank after a name":                 {start: "HTTP/1.1 200 OK\r\nX-Note : a\r\n"},
+	"blank after the name of the length": {start: "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n", undelimited: true},
+	"blank after that of the coding":     {start: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"},
+	"blank in a name of an interim one":  {start: "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"blank in a name of status 100":      {start: "HTTP/1.1 100 Continue\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	"control byte in a name":             {start: "HTTP/1.1 200 OK\r\nX\x01Note: a\r\n"},
+	"NUL in a name":                      {start: "HTTP/1.1 200 OK\r\nX\x00Note: a\r\n"},
+	"tab in a name":                      {start: "HTTP/1.1 200 OK\r\nX\tNote: a\r\n"},
+	"tab after a name":                   {start: "HTTP/1.1 200 OK\r\nX-Note\t: a\r\n"},
+	"carriage return in a name":          {start: "HTTP/1.1 200 OK\r\nX\rNote: a\r\n"},
+	"delete in a name":                   {start: "HTTP/1.1 200 OK\r\nX\x7fNote: a\r\n"},
+	"no byte of ASCII in a name":         {start: "HTTP/1.1 200 OK\r\nX\xe9Note: a\r\n"},
+	"delimiter in a name":                {start: "HTTP/1.1 200 OK\r\nX(Note): a\r\n"},
+	"no name":                            {start: "HTTP/1.1 200 OK\r\n: a\r\n"},
+	"no colon":                           {start: "HTTP/1.1 200 OK\r\nX-Note\r\n"},
+	"two lengths":                        {start: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"},
 }
 
 // Sound are the starts of odd heads that are sound, by what is odd.
 var Sound = map[string]Head{
 	"interim responses": {start: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n"},
 	"no reason":         {start: "HTTP/1.1 200\r\n"},
+	"bytes of a name":   {start: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0123456789abcxyzABCXYZ: a\r\n"},
+	"one byte for each": {start: "HTTP/1.1 200 OK\r\n!: a\r\n~: b\r\n0: c\r\n"},
+	"odd values":        {start: "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Tab:\ta\tb\t\r\nX-Bytes: \xe9\xff\r\nX-Colon:a: b : c\r\n"},
 }
 
 // callTime is more than a call that meets a head takes.
