httpresponse: a server that switches to another protocol has not answered

Callers saw: an answer with status 101 to a request that asked for no other protocol. Beside that, a load report, an order to an engine, a health check, a call of bilberryd and a call to the store that met one did not end with their time: no further ones followed for that server.

Cause: upstream took 101 for a final answer. net/http's transport hands the connection over with it; reads of that body end with the connection only, not with the context of the request.

Change: httpresponse.Check refuses 101, as no request here asks for another protocol (Upgrade is not passed on). The connection is closed.

Evidence: found by a list of heads that was sent to a host. The tests failed before, also on: edge, unsafe requests, direct and carried (status 101 at the client); upstream; orders, load reports, bilberryd's calls and the store did not end within 20 to 200 s under contexts of 5 s. Control bytes in values end in an error of net/http: handled already, their heads stay in the tests.

--- a/connection/httpresponse/head.go
+++ b/connection/httpresponse/head.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,10 @@
 // minStatus is the smallest status of a response, an interim one included (RFC 9110, section 15).
 const minStatus = 100
 
+// errOtherProtocol means that a server goes on in another protocol. net/http would hand the connection over: reads of
+// the body end with it only, not with the context of the request.
+var errOtherProtocol = errors.New("the server switches to another protocol")
+
 // Check returns an error unless the head of a response, as net/http has read it, is one of HTTP. The connection must
 // not be used any more then: it is not known where the response ends. Otherwise the end of r.Body is checked: it is an
 // error if the trailers before it are none of HTTP.
@@ -18,6 +23,9 @@
 	if r.StatusCode < minStatus {
 		return fmt.Errorf("the head of the answer has status %q", r.Status)
 	}
+	if r.StatusCode == http.StatusSwitchingProtocols {
+		return errOtherProtocol // no request asks for one
+	}
 	if err := CheckNames(r.Header); err != nil {
 		return err
 	}
--- a/connection/upstream/limits.go
+++ b/connection/upstream/limits.go
@@ -133,7 +133,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", k.head.end(err))
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			_ = k.head.end(nil)
 			if k.head.late.Load() {
 				return nil, errHeadTooSlow // the connection cannot be read any more
--- a/internal/headserver/headserver.go
+++ b/internal/headserver/headserver.go
@@ -44,6 +44,10 @@
 	"delimiter in a name":                {start: "HTTP/1.1 200 OK\r\nX(Note): a\r\n"},
 	"no name":                            {start: "HTTP/1.1 200 OK\r\n: a\r\n"},
 	"no colon":                           {start: "HTTP/1.1 200 OK\r\nX-Note\r\n"},
+	"NUL in a value":                     {start: "HTTP/1.1 200 OK\r\nX-Note: a\x00b\r\n"},
+	"control byte in a value":            {start: "HTTP/1.1 200 OK\r\nX-Note: a\x01b\r\n"},
+	"carriage return in a value":         {start: "HTTP/1.1 200 OK\r\nX-Note: a\rb\r\n"},
+	"another protocol":                   {start: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n", undelimited: true},
 	"two lengths":                        {start: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"},
 }
 
