serverpath: the head of an answer that is carried is checked, too

Callers of a host that reaches no server could get an answer with a broken head by way of a host of a build that checks none: status 000, a name with a blank, another protocol.

Cause: the host of the request took the head from the carrier's message as it was. Carriers of this build refuse such a head themselves.

Change: serverpath passes it through httpresponse.CheckHead, the same rule, and ends the exchange at the carrier. The attempt may have run.

What stays open with an older carrier: a body without a length that it took for whole after a reset during an upload; its message does not say how the connection ended.

--- a/connection/httpresponse/head.go
+++ b/connection/httpresponse/head.go
@@ -20,19 +20,24 @@
 // not be used any more then: it is not known where the response ends. Otherwise the end of r.Body is checked: it is an
 // error if the trailers before it are none of HTTP.
 func Check(r *http.Response) error {
-	if r.StatusCode < minStatus {
-		return fmt.Errorf("the head of the answer has status %q", r.Status)
-	}
-	if r.StatusCode == http.StatusSwitchingProtocols {
-		return errOtherProtocol // no request asks for one
-	}
-	if err := CheckNames(r.Header); err != nil {
+	if err := CheckHead(r.StatusCode, r.Header); err != nil {
 		return err
 	}
 	r.Body = &body{r.Body, r}
 	return nil
 }
 
+// CheckHead returns an error unless a status and fields are those of a head of HTTP.
+func CheckHead(status int, fields http.Header) error {
+	if status < minStatus {
+		return fmt.Errorf("the head of the answer has status %03d", status)
+	}
+	if status == http.StatusSwitchingProtocols {
+		return errOtherProtocol // no request asks for one
+	}
+	return CheckNames(fields)
+}
+
 // CheckNames returns an error unless all names of fields are tokens (RFC 9110, section 5.1). net/http lets blanks
 // pass: two readers may take such a line for different fields, or one for none.
 func CheckNames(fields map[string][]string) error {
--- a/connection/serverpath/serverpath.go
+++ b/connection/serverpath/serverpath.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"bilberrydale/connection/httpresponse"
 	"bilberrydale/connection/upstream"
 	"bilberrydale/process/clock"
 	"bilberrydale/process/peer"
@@ -220,6 +221,10 @@
 	cause := fmt.Errorf("carried by %s: %s", host, r.Error)
 	switch {
 	case r.Outcome == answered:
+		if err := httpresponse.CheckHead(r.Status, r.Header); err != nil { // older builds carry any head
+			c.cancelExchange(host, id)
+			return nil, &upstream.Error{Sent: true, ReusedConn: r.ReusedConn, Cause: fmt.Errorf("carried by %s: %w", host, err)}
+		}
 		return newResponse(&carriedBody{client: c, ctx: ctx, host: host, id: id}, &r), nil
 	case r.Outcome == declined && r.Status == http.StatusServiceUnavailable:
 		return nil, &upstream.Error{Withheld: true, Cause: &withheldByCarrier{host, r.Header}}
--- a/connection/serverpath/serverpath_test.go
+++ b/connection/serverpath/serverpath_test.go
@@ -113,6 +113,38 @@
 
 var onePlace = map[string]Place{"one": {"a", "r"}}
 
+// Guards against an answer whose head is none of HTTP, by way of a carrier of a build that checks none.
+func TestBrokenHeadThatIsCarriedIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]sendResponse{
+		"status":         {Header: http.Header{}},
+		"other protocol": {Status: http.StatusSwitchingProtocols},
+		"name":           {Status: http.StatusOK, Header: http.Header{"X Note": {"a"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, func(http.ResponseWriter, *http.Request) {}, nil)
+			link := f.net.Join(peer.Identity{Host: "old", Incarnation: 1, Domain: "a", Region: "r"})
+			link.Handle(methodCheck, func(context.Context, peer.Identity, []byte) ([]byte, error) {
+				return peer.Marshal(checkResponse{Usable: true})
+			})
+			link.Handle(methodSend, func(context.Context, peer.Identity, []byte) ([]byte, error) {
+				head.Outcome, head.BodyEnd, head.First = answered, upstream.EndByClose, readResponse{Data: []byte("x"), Ended: true}
+				return peer.Marshal(head)
+			})
+			cancelled := make(chan struct{}, 1)
+			link.Handle(methodCancel, func(context.Context, peer.Identity, []byte) ([]byte, error) {
+				cancelled <- struct{}{}
+				return peer.Marshal(nil)
+			})
+			_, err := f.send(t.Context())
+			var upstreamErr *upstream.Error
+			g.Expect(errors.As(err, &upstreamErr)).To(BeTrue(), "%v", err)
+			g.Expect(upstreamErr.Sent).To(BeTrue(), "it may have run")
+			g.Eventually(cancelled, "5s").Should(Receive())
+		})
+	}
+}
+
 func TestResponseIsCarriedUnchanged(t *testing.T) {
 	for name, size := range map[string]int{"short": 10, "long": 300_000, "empty": 0} {
 		for _, end := range []upstream.BodyEnd{upstream.EndByLength, upstream.EndByChunks, upstream.EndByClose} {
--- a/connection/upstream/brokenanswer_test.go
+++ b/connection/upstream/brokenanswer_test.go
@@ -39,28 +39,40 @@
 // that still wrote the request.
 func TestAnswerThatIsResetDuringAnUploadIsNotWhole(t *testing.T) {
 	const tries = 200
-	g := NewWithT(t)
-	l := acceptAll(t, func(c net.Conn) {
-		defer c.Close()
-		if _, err := readRequestHead(c); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, earlyHead+"a part")
-		_ = c.(*net.TCPConn).SetLinger(0)
-	})
-	client := New(patient)
-	whole := 0
-	for range tries {
-		body, err := upload(client, l.Addr().String())
-		if err == nil {
-			whole++
-			continue
-		}
-		g.Expect("a part").To(HavePrefix(body))
-		g.Expect(brokeOff(err)).To(BeTrue(), "%v", err)
+	for name, answer := range map[string]string{
+		"no length":           earlyHead + "a part",
+		"no length, closing":  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part",
+		"no length, HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\na part",
+		"part of a length":    "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\na part",
+		"part of the chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
+		"part of a head":      "HTTP/1.1 200 OK\r\nX: y\r\n",
+		"nothing":             "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := acceptAll(t, func(c net.Conn) {
+				defer c.Close()
+				if _, err := readRequestHead(c); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, answer)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			})
+			client := New(patient)
+			whole := 0
+			for range tries {
+				body, err := upload(client, l.Addr().String())
+				if err == nil {
+					whole++
+					continue
+				}
+				g.Expect("a part").To(HavePrefix(body))
+				g.Expect(brokeOff(err)).To(BeTrue(), "%v", err)
+			}
+			g.Expect(whole).To(BeZero(), "of %d", tries)
+			g.Expect(client.OpenConnections()).To(BeZero())
+		})
 	}
-	g.Expect(whole).To(BeZero(), "of %d", tries)
-	g.Expect(client.OpenConnections()).To(BeZero())
 }
 
 // Guards against giving up sound answers that come before their request was read.
