--- a/connection/httpresponse/conn.go
+++ b/connection/httpresponse/conn.go
@@ -1,5 +1,5 @@
-// Package httpresponse has the rules by which what a server sends is an HTTP response, and a whole one. All that
-// read responses of servers keep them: package upstream and package serverhttp.
+// Package httpresponse has the rules by which what a server sends is an HTTP response, and a whole one. Packages
+// upstream and serverhttp, through which all responses of servers are read, and package serverpath keep them.
 package httpresponse
 
 import (
--- a/connection/serverhttp/serverhttp.go
+++ b/connection/serverhttp/serverhttp.go
@@ -1,5 +1,6 @@
-// Package serverhttp is the transport of HTTP clients for backend servers. All requests of a client
-// pass a gate, which also gets the heads of all responses, and the heads are bounded.
+// Package serverhttp is the transport of HTTP clients for backend servers and the platform's store. All
+// requests of a client pass a gate, which also gets the heads of all responses. Heads are bounded, and
+// responses keep the rules of package httpresponse.
 package serverhttp
 
 import (
@@ -61,7 +62,7 @@
 	return &transport{base: base, gate: gate}
 }
 
-// responseDial returns a dial function of connections by which responses are told whole.
+// responseDial returns a dial function whose connections keep the rules of package httpresponse.
 func responseDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/internal/headserver/headserver.go
+++ b/internal/headserver/headserver.go
@@ -40,7 +40,7 @@
 	"tab after a name":                   {start: "HTTP/1.1 200 OK\r\nX-Note\t: a\r\n"},
 	"carriage return in a name":          {start: "HTTP/1.1 200 OK\r\nX\rNote: a\r\n"},
 	"delete in a name":                   {start: "HTTP/1.1 200 OK\r\nX\x7fNote: a\r\n"},
-	"no byte of ASCII in a name":         {start: "HTTP/1.1 200 OK\r\nX\xe9Note: a\r\n"},
+	"byte over 127 in a name":            {start: "HTTP/1.1 200 OK\r\nX\xe9Note: a\r\n"},
 	"delimiter in a name":                {start: "HTTP/1.1 200 OK\r\nX(Note): a\r\n"},
 	"no name":                            {start: "HTTP/1.1 200 OK\r\n: a\r\n"},
 	"no colon":                           {start: "HTTP/1.1 200 OK\r\nX-Note\r\n"},
