soak: broken answers reach no client of real daemons

The incident as the users measured it: three daemons as processes, sound servers beside broken ones, clients with bodies of 2 MiB and of a byte, unsafe requests, safe ones and streams. Servers answer early and reset at once, or send one of nine heads that are none of HTTP. The checks of the soak stay: each answer is whole and of its request, what must run once does.

--- a/Makefile
+++ b/Makefile
@@ -51,5 +51,5 @@
 ROUNDS ?= 6
 HOSTS ?= 3
 soak:
-	go test -count=1 -timeout 4h -run 'TestSoak$$|TestStreamsThroughReleases$$|TestServersFallSilent$$|TestStreamsOfServersThatFallSilent$$|TestHostsThatStop$$' -v ./internal/soak \
+	go test -count=1 -timeout 4h -run 'TestSoak$$|TestStreamsThroughReleases$$|TestServersFallSilent$$|TestStreamsOfServersThatFallSilent$$|TestHostsThatStop$$|TestBrokenAnswersReachNoClient$$' -v ./internal/soak \
 		-soak.seed=$(SEED) -soak.runs=$(RUNS) -soak.requests=$(N) -soak.keep=$(KEEP) -soak.other=$(OTHER) -soak.rounds=$(ROUNDS) -soak.hosts=$(HOSTS)
--- a/internal/soak/environment_test.go
+++ b/internal/soak/environment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -56,6 +57,7 @@
 	breaking      bool           // some streams that clients may take up break off
 	noColdLimit   bool           // engines bear as much cold as warm
 	publicChat    bool           // streams that clients take up need no key
+	maxBodyBytes  int64          // of requests; 0: 100,000
 	silence       *silence       // of the servers; nil: they fall silent behind their relays only
 	stops         *hostStops     // nil: hosts stop as faults
 	variant       configVariant  // of the configuration
@@ -319,7 +321,7 @@
 			{Name: "floor", Batch: batch},
 			{Name: "portal", Batch: batch},
 		},
-		Limits:   plan.Limits{MaxBodyBytes: 100_000, IdleTimeout: variant.idleTimeout()},
+		Limits:   plan.Limits{MaxBodyBytes: cmp.Or(env.maxBodyBytes, 100_000), IdleTimeout: variant.idleTimeout()},
 		Accounts: []plan.Account{{Name: "soap", Keys: keys}},
 	})
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -140,6 +140,7 @@
 	timeouts       map[string]time.Duration // of the clients
 	silence        *silence                 // nil: servers fall silent behind their relays only
 	stops          *hostStops               // played in place of clients and faults; nil: none
+	broken         *brokenAnswers           // played in place of clients and faults; nil: none
 }
 
 // allFaults returns the plan of a run of TestSoak with a seed.
@@ -182,16 +183,19 @@
 	env := newEnvironment(t, binary, *hostsFlag, addresses%20000, p)
 	defer env.keepLogs(seed)
 	env.awaitCondition("all daemons are ready", func() bool { return env.allReady() })
-	if p.stops != nil {
+	switch {
+	case p.stops != nil:
 		p.stops.run(seed, binary)
-	} else {
+	case p.broken != nil:
+		p.broken.run()
+	default:
 		env.runClients(seed, binary, p)
 	}
 	env.endFaults()
 	env.awaitCondition("no server has asked for more time without requests", env.pausesOver)
 	env.awaitCondition("all daemons are ready after the faults", env.allReady)
 	env.checkRecovery()
-	if p.silence == nil { // crashes take the relay of the server
+	if p.silence == nil && p.broken == nil { // crashes take the relay of the server
 		env.checkCrashingRequest(seed)
 	}
 	env.checkEvacuation()
