internal/rawserver: one stand-in that sends responses byte by byte

cutserver and headserver had the same loop over connections. The error of a name that is no token quotes 64 bytes of it: it goes into log lines, and a name may have 64 KiB.

--- a/connection/httpresponse/head.go
+++ b/connection/httpresponse/head.go
@@ -43,7 +43,7 @@
 func CheckNames(fields map[string][]string) error {
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("the answer has a field of the name %q", name)
+			return fmt.Errorf("the answer has a field of the name %.64q", name)
 		}
 	}
 	return nil
--- a/connection/httpresponse/head_test.go
+++ b/connection/httpresponse/head_test.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// Guards against log lines of the size of a head.
+func TestErrorQuotesAPartOfALongName(t *testing.T) {
+	g := NewWithT(t)
+	_, err := read("HTTP/1.1 200 OK\r\nX " + strings.Repeat("x", 10_000) + ": a\r\n\r\n")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(len(err.Error())).To(BeNumerically("<", 200))
+}
+
 // Guards against a reader that passes on what another reader of HTTP takes for something else.
 func FuzzCheck(f *testing.F) {
 	for _, head := range []string{"200 OK\r\nX: y", "000 Trouble", "200 OK\r\nX Note: a", "200 OK\r\nContent-Length : 5", "103 Early\r\n\r\nHTTP/1.1 200 OK"} {
--- a/internal/cutserver/cutserver.go
+++ b/internal/cutserver/cutserver.go
@@ -3,13 +3,12 @@
 package cutserver
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
+
+	"bilberrydale/internal/rawserver"
 )
 
 // framing is how a response marks the end of its body.
@@ -53,9 +52,9 @@
 
 // Server responds to requests. Its responses are cut as Each tells.
 type Server struct {
-	t        *testing.T
-	listener net.Listener
-	respond  func(*http.Request) (status, lines, body string)
+	t       *testing.T
+	address string
+	respond func(*http.Request) (status, lines, body string)
 
 	mu      sync.Mutex // guards the fields below
 	framing framing
@@ -68,18 +67,13 @@
 // sound response to a request.
 func New(t *testing.T, respond func(*http.Request) (status, lines, body string)) *Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &Server{t: t, listener: listener, respond: respond}
-	go s.accept()
+	s := &Server{t: t, respond: respond}
+	s.address = rawserver.Start(t, s.next)
 	return s
 }
 
 // Address returns the host:port of the server.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Each makes calls, of which each meets a response that is cut one byte later, in each framing, by the end of its
 // connection in order and by a reset. Every other one comes on a connection that has been used, if the caller keeps
@@ -121,42 +115,8 @@
 	return r
 }
 
-// accept serves connections until the listener is closed.
-func (s *Server) accept() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(conn)
-	}
-}
-
-// serve responds to the requests of a connection up to one whose response is cut, or ends with it.
-func (s *Server) serve(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		wire, ends, reset := s.next(req)
-		_, _ = io.WriteString(conn, wire) // the client may have gone
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		if ends {
-			return
-		}
-	}
-}
-
 // next returns the bytes of the response to a request, and how the connection ends after them.
-func (s *Server) next(req *http.Request) (wire string, ends, reset bool) {
+func (s *Server) next(req *http.Request) (wire string, end rawserver.End) {
 	status, lines, body := s.respond(req)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,12 +124,15 @@
 	head := s.framing.before + "HTTP/" + s.framing.version + " " + status + "\r\n" + lines + endLines + "\r\n"
 	wire = head + wireBody
 	if s.at < 0 {
-		return wire, false, false
+		return wire, rawserver.KeepOpen
 	}
 	at := min(s.at, len(wire))
 	s.result = Result{
 		Whole: at == len(wire), InBody: at >= len(head), ByClose: endLines == "", Reset: s.reset,
 		Cut: fmt.Sprintf("%s, reset: %t, cut after %q", s.framing.name, s.reset, wire[:at]),
 	}
-	return wire[:at], true, s.reset
+	if s.reset {
+		return wire[:at], rawserver.Reset
+	}
+	return wire[:at], rawserver.Close
 }
--- a/internal/headserver/headserver.go
+++ b/internal/headserver/headserver.go
@@ -3,14 +3,13 @@
 package headserver
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"bilberrydale/internal/rawserver"
 )
 
 // Head is the start of a response: its status line, header lines, and what comes before them.
@@ -82,35 +81,5 @@
 // open. It returns its host:port.
 func Serve(t *testing.T, respond func(*http.Request) string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn, respond)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// serve answers the requests of a connection.
-func serve(conn net.Conn, respond func(*http.Request) string) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, respond(req)) // the client may have gone
-	}
+	return rawserver.Start(t, func(r *http.Request) (string, rawserver.End) { return respond(r), rawserver.KeepOpen })
 }
