process/objectwatch: older versions of an object are not kept

Cause: a follower keeps the changes of the last 256 responses for hosts that read through it, with their values. For the configuration each value is a whole version.

Change: a batch records names and revisions; a watch gets the last change of each object from the copy, and deletions. What is sent to hosts has the same form.

Why it works: a follower applies changes in order and keeps the last, so nobody needs the others. What is kept for an object is now its newest version, whatever the number and the size of the older ones.

--- a/process/objectwatch/history.go
+++ b/process/objectwatch/history.go
@@ -1,6 +1,7 @@
 package objectwatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,17 +14,24 @@
 	version     uint64               // incremented with each change of objects
 	compressed  compressedList
 	revision    Revision      // of objects
-	batches     []batch[T]    // recent changes, oldest first
+	batches     []batch       // recent changes, oldest first
 	trimmedTo   Revision      // changes up to this revision are no longer kept
 	confirmedAt time.Time     // last time at which objects were known to be current; zero: never
 	changed     chan struct{} // closed and replaced at each change
 	listed      chan struct{} // closed at the first list
 }
 
-// batch holds the changes of one response and the revision that they lead to.
-type batch[T any] struct {
+// batch records which objects a response changed, and the revision that the changes lead to. It
+// holds no values: older versions of large objects would fill the memory, and no host needs them.
+type batch struct {
 	revision Revision
-	objects  []Object[T]
+	changes  []change
+}
+
+// change is one changed object of a batch.
+type change struct {
+	name     string
+	revision Revision // of the write or the deletion
 }
 
 // staleAfter is the time without confirmation that indicates a lost source; the normal
@@ -69,7 +77,7 @@
 	}
 	h.revision = revision
 	h.version++
-	h.batches = append(h.batches, batch[T]{revision, objects})
+	h.batches = append(h.batches, newBatch(objects, revision))
 	if len(h.batches) > maxBatches {
 		h.trimmedTo = h.batches[0].revision
 		h.batches = h.batches[1:]
@@ -77,6 +85,15 @@
 	h.notify()
 }
 
+// newBatch returns the batch of changes that lead to a revision.
+func newBatch[T any](objects []Object[T], revision Revision) batch {
+	changes := make([]change, len(objects))
+	for i, o := range objects {
+		changes[i] = change{o.Name, o.Revision}
+	}
+	return batch{revision, changes}
+}
+
 // notify wakes all waiting requests. It has to be called with h.mu held.
 func (h *history[T]) notify() {
 	close(h.changed)
@@ -120,7 +137,7 @@
 
 // update holds the changes after a revision.
 type update[T any] struct {
-	objects     []Object[T]   // the changes, oldest first; empty: none
+	objects     []Object[T]   // the last change of each changed object, oldest first; empty: none
 	revision    Revision      // that the changes lead to
 	confirmedAt time.Time     // last confirmation of the copy
 	changed     chan struct{} // closed at the next change
@@ -134,10 +151,34 @@
 	defer h.mu.Unlock()
 	u := update[T]{revision: h.revision, confirmedAt: h.confirmedAt, changed: h.changed, listed: h.objects != nil}
 	u.trimmed = u.listed && from < h.trimmedTo
-	for _, b := range h.batches {
-		if b.revision > from {
-			u.objects = append(u.objects, b.objects...)
+	u.objects = h.lastChanges(from)
+	return u
+}
+
+// lastChanges returns the last change of each object that has changed after a revision, oldest
+// first. It has to be called with h.mu held.
+func (h *history[T]) lastChanges(from Revision) (objects []Object[T]) {
+	seen := map[string]bool{}
+	for _, b := range slices.Backward(h.batches) {
+		if b.revision <= from {
+			break
+		}
+		for _, c := range slices.Backward(b.changes) {
+			if !seen[c.name] {
+				seen[c.name] = true
+				objects = append(objects, h.lastChange(c))
+			}
 		}
 	}
-	return u
+	slices.Reverse(objects)
+	return objects
+}
+
+// lastChange returns the last change of an object, of which c is the record. It has to be called
+// with h.mu held.
+func (h *history[T]) lastChange(c change) Object[T] {
+	if o, ok := h.objects[c.name]; ok {
+		return o
+	}
+	return Object[T]{Name: c.name, Revision: c.revision, Deleted: true}
 }
