plan, platform: no key is accepted once the last client account is removed

Cause: the decoder turned an empty list of accounts into none, and whether a key is needed was asked of the number of accounts.

Change: plan.Config.Accounts is nil without a list and empty with an empty one; any list requires keys. check-config warns of an empty or a missing list and tells when the need of a key changes; the host's line of a configuration has keys_required.

Why it works: the difference is in the configuration itself, so hosts agree on it also after a restart, and msgpack keeps it between hosts (the same form of message).

--- a/edge/followers.go
+++ b/edge/followers.go
@@ -218,7 +218,7 @@
 	h.plan.Store(p)
 	h.observeWriters()
 	h.log.Info("configuration", "outcome", "in force", "version", p.Version, "revision", o.Revision, "by", trigger,
-		"routes", len(o.Value.Routes), "accounts", len(o.Value.Accounts))
+		"routes", len(o.Value.Routes), "accounts", len(o.Value.Accounts), "keys_required", p.KeysRequired())
 }
 
 // keyFreshnessMargin is subtracted from the platform's limit for accepting a revoked
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -406,10 +406,9 @@
 // timeout.
 const defaultTimeout = 30 * time.Second
 
-// authorize finds the client account by the API key, unless the route is public or no
-// accounts are configured.
+// authorize finds the client account by the API key, unless none is required.
 func (x *exchange) authorize() error {
-	if x.route.Public || !x.plan.HasAccounts() {
+	if x.route.Public || !x.plan.KeysRequired() {
 		return nil
 	}
 	fresh, age := x.opts.KeysFresh()
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -138,6 +138,8 @@
 	Version  int64 // increases with each new configuration
 	Routes   []Route
 	Services []Service
+	// Accounts are the client accounts. nil: requests need no API key; empty: they need one, and no
+	// key is valid.
 	Accounts []Account
 	Limits   Limits
 }
@@ -149,7 +151,7 @@
 	services      map[string]*Service // by name
 	routesByHost  map[string][]*Route // by lower-case host name, longest path prefix first
 	accountsByKey map[string]*Account // by API key
-	accountCount  int                 // accounts, with or without keys
+	keysRequired  bool                // requests need an API key, unless their route is public
 	serviceNames  []string            // in alphabetical order
 }
 
@@ -176,7 +178,7 @@
 	for _, rs := range p.routesByHost {
 		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].PathPrefix) > len(rs[j].PathPrefix) })
 	}
-	p.accountCount = len(c.Accounts)
+	p.keysRequired = c.Accounts != nil
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
 		for _, k := range a.Keys {
@@ -214,9 +216,9 @@
 // AccountByKey returns the client account that has the API key, or nil.
 func (p *Plan) AccountByKey(key string) *Account { return p.accountsByKey[key] }
 
-// HasAccounts reports whether the configuration has client accounts, so that requests need
-// an API key. This holds even if all keys have been revoked.
-func (p *Plan) HasAccounts() bool { return p.accountCount > 0 }
+// KeysRequired reports whether requests need an API key, unless their route is public: the
+// configuration has a list of client accounts, even if all keys or all accounts were removed from it.
+func (p *Plan) KeysRequired() bool { return p.keysRequired }
 
 // Service returns the service with the given name, or nil.
 func (p *Plan) Service(name string) *Service { return p.services[name] }
--- a/version/plan/plan_test.go
+++ b/version/plan/plan_test.go
@@ -39,7 +39,8 @@
 	g.Expect(p.AccountByKey("2").Name).To(Equal("a"))
 	g.Expect(p.AccountByKey("3").Name).To(Equal("b"))
 	g.Expect(p.AccountByKey("")).To(BeNil())
-	g.Expect(p.HasAccounts()).To(BeTrue())
-	g.Expect(Compile(Config{}).HasAccounts()).To(BeFalse())
-	g.Expect(Compile(Config{Accounts: []Account{{Name: "a"}}}).HasAccounts()).To(BeTrue(), "all its keys have been revoked")
+	g.Expect(p.KeysRequired()).To(BeTrue())
+	g.Expect(Compile(Config{}).KeysRequired()).To(BeFalse())
+	g.Expect(Compile(Config{Accounts: []Account{{Name: "a"}}}).KeysRequired()).To(BeTrue(), "all its keys have been revoked")
+	g.Expect(Compile(Config{Accounts: []Account{}}).KeysRequired()).To(BeTrue(), "all accounts have been removed")
 }
--- a/version/plancheck/check.go
+++ b/version/plancheck/check.go
@@ -188,6 +188,12 @@
 
 // checkAccounts checks the client accounts.
 func (k *checker) checkAccounts() {
+	switch {
+	case k.config.Accounts == nil:
+		k.addWarning("accounts", "there is no list of them: requests need no API key")
+	case len(k.config.Accounts) == 0:
+		k.addWarning("accounts", "the list is empty: only requests of public routes are accepted")
+	}
 	names, holders := map[string]bool{}, map[string]string{}
 	for _, a := range k.config.Accounts {
 		place := "account " + a.Name
--- a/version/plancheck/diff.go
+++ b/version/plancheck/diff.go
@@ -34,10 +34,28 @@
 	changes = append(changes, diffEntries("service ", older.Services, newer.Services, func(s plan.Service) string { return s.Name })...)
 	changes = append(changes, diffEntries("account ", older.Accounts, newer.Accounts, func(a plan.Account) string { return a.Name })...)
 	changes = append(changes, diffFields("limits", older.Limits, newer.Limits)...)
+	changes = append(changes, diffKeyRequirement(older, newer)...)
 	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Place, b.Place) })
 	return changes
 }
 
+// diffKeyRequirement compares whether requests need an API key.
+func diffKeyRequirement(older, newer plan.Config) []Change {
+	before, after := keyRequirement(older), keyRequirement(newer)
+	if before == after {
+		return nil
+	}
+	return []Change{{Place: "accounts", Old: before, New: after}}
+}
+
+// keyRequirement tells operators whether requests need an API key.
+func keyRequirement(c plan.Config) string {
+	if c.Accounts == nil {
+		return "requests need no API key"
+	}
+	return "requests need an API key"
+}
+
 // diffEntries compares the entries of two lists by their names.
 func diffEntries[T any](prefix string, older, newer []T, name func(T) string) (changes []Change) {
 	before := map[string]T{}
