process/stages: the graph of stages is worked out once a request

Cause: the time after a stage and the number of stages before it were found along each path through the graph, 2^25 of them, the latter with the lock of the host's stage work held.

Change: places, stages that follow, and times after are worked out once, in time linear in the dependencies; freeing results uses the stages that follow instead of a look through all dependencies.

--- a/process/stages/admission.go
+++ b/process/stages/admission.go
@@ -59,6 +59,7 @@
 	TargetWait  time.Duration   // for other prompts pending at that server
 	FetchFrom   string          // server from which that server transfers a prompt prefix
 
+	graph         graph         // of the request's stages, set by Enqueue
 	late          bool          // see Late
 	refused       bool          // rejected because it would not have ended in time
 	beyondDue     bool          // its account was beyond its due in the last decision among several accounts
@@ -98,6 +99,7 @@
 // start it.
 func (a *Admission) Enqueue(t *Ticket, now time.Time) {
 	a.serviceCache = a.serviceCache[:0]
+	t.graph = t.Request.graph()
 	t.serverSeconds = a.serverSeconds(t.Request)
 	a.shares.forgetBeforeArrival(now)
 	a.shares.join(t, a.service)
--- a/process/stages/admission_test.go
+++ b/process/stages/admission_test.go
@@ -198,9 +198,10 @@
 	r := &Request{Stages: []Stage{
 		{Items: 1}, {Items: 0, DependsOn: []int{0}}, {Items: 2, DependsOn: []int{1}}, {Items: 1},
 	}}
-	g.Expect(r.depth(0)).To(Equal(0))
-	g.Expect(r.depth(2)).To(Equal(1))
-	g.Expect(r.finalStages()).To(Equal([]int{2, 3}))
+	stages := r.graph()
+	g.Expect(stages.positions[0].depth).To(Equal(0))
+	g.Expect(stages.positions[2].depth).To(Equal(1))
+	g.Expect(stages.finalStages()).To(Equal([]int{2, 3}))
 }
 
 // All servers of a stage are missing from the platform's list. Requests that need the stage
--- a/process/stages/coordinator.go
+++ b/process/stages/coordinator.go
@@ -261,7 +261,7 @@
 	w := &requestWork{
 		coordinator: k, ticket: t, request: r, late: late, retried: retried, startedAt: k.clock.Now(), targetTime: r.TargetTime, results: make([][]batcher.Result, len(r.Stages)), openItems: make([]int, len(r.Stages)),
 		stageStarts: make([]time.Time, len(r.Stages)), stageTimes: make([]time.Duration, len(r.Stages)),
-		finished: make(chan struct{}), inputsFetched: make([]bool, len(r.Stages)),
+		finished: make(chan struct{}), inputsFetched: make([]bool, len(r.Stages)), minTimesAfter: k.minTimesAfter(r),
 	}
 	switch {
 	case r.begun():
--- a/process/stages/inputs.go
+++ b/process/stages/inputs.go
@@ -83,11 +83,9 @@
 // allSuccessors reports whether holds is true of every stage that depends on a stage. The
 // caller holds w.mu.
 func (w *requestWork) allSuccessors(stage int, holds func(i int) bool) bool {
-	for i, s := range w.request.Stages {
-		for _, dependency := range s.DependsOn {
-			if dependency == stage && !holds(i) {
-				return false
-			}
+	for _, i := range w.ticket.graph.successors[stage] {
+		if !holds(i) {
+			return false
 		}
 	}
 	return true
--- a/process/stages/latereserve.go
+++ b/process/stages/latereserve.go
@@ -27,15 +27,15 @@
 	return time.Duration(latePathFactor * float64(t.criticalPath))
 }
 
-// fitsLateReserve reports whether the reserve for late requests has capacity for r.
-func (a *Admission) fitsLateReserve(r *Request) bool {
-	for i, s := range r.Stages {
+// fitsLateReserve reports whether the reserve for late requests has capacity for a request.
+func (a *Admission) fitsLateReserve(t *Ticket) bool {
+	for i, s := range t.Request.Stages {
 		svc, ok := a.service(s.Service)
 		if !ok || s.Items == 0 {
 			continue
 		}
 		used := a.lateInFlight[s.Service]
-		if used.items > 0 && used.plus(s).exceeds(svc.inFlightLimit(r.position(i)), lateReserveShare) {
+		if used.items > 0 && used.plus(s).exceeds(svc.inFlightLimit(t.graph.positions[i]), lateReserveShare) {
 			return false
 		}
 	}
--- a/process/stages/limits.go
+++ b/process/stages/limits.go
@@ -45,12 +45,6 @@
 	return float64(a.items) > share*float64(limit.items) || limit.bytes > 0 && float64(a.bytes) > share*float64(limit.bytes)
 }
 
-// stagePosition is the position of a stage in a request's dependency graph.
-type stagePosition struct {
-	depth        int  // stages before it on the longest chain
-	hasSuccessor bool // another stage uses its results; otherwise the request itself uses them
-}
-
 // inFlightLimit returns the amount of work that may be in flight at a stage: what the servers
 // complete between the admission of a request and the end of that stage. Items and result
 // bytes have separate limits (0 bytes: unlimited): otherwise items with small results would
--- a/process/stages/schedule.go
+++ b/process/stages/schedule.go
@@ -70,7 +70,7 @@
 // reserve.
 func (a *Admission) startLateReserve(now time.Time, hasTurn func(*Ticket) bool) {
 	a.late = a.startFitting(a.late, func(t *Ticket) bool {
-		return a.nearLatestStart(t, now) && hasTurn(t) && a.fitsLateReserve(t.Request)
+		return a.nearLatestStart(t, now) && hasTurn(t) && a.fitsLateReserve(t)
 	})
 }
 
@@ -134,7 +134,7 @@
 		if !ok {
 			continue // an unknown service; the request fails with NoServer when it is submitted
 		}
-		at, used := r.position(i), a.inFlight[s.Service]
+		at, used := t.graph.positions[i], a.inFlight[s.Service]
 		if !r.begun() && (reserved.services[s.Service] || used.items > 0 && used.plus(s).exceeds(svc.inFlightLimit(at), 1)) {
 			fits = false
 			t.BlockedBy, t.BlockedByMemory = s.Service, false
--- a/process/stages/stages.go
+++ b/process/stages/stages.go
@@ -6,7 +6,6 @@
 package stages
 
 import (
-	"slices"
 	"time"
 
 	"bilberrydale/process/batcher"
@@ -62,46 +61,6 @@
 // begun reports whether the request has PriorityBegun.
 func (r *Request) begun() bool { return r.Priority <= PriorityBegun }
 
-// finalStages returns the indexes of the stages that no other stage depends on.
-func (r *Request) finalStages() []int {
-	followed := make([]bool, len(r.Stages))
-	for _, s := range r.Stages {
-		for _, dependency := range s.DependsOn {
-			followed[dependency] = true
-		}
-	}
-	var out []int
-	for i := range r.Stages {
-		if !followed[i] {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
-// position returns the position of a stage in the request's dependency graph.
-func (r *Request) position(i int) stagePosition {
-	at := stagePosition{depth: r.depth(i)}
-	for _, s := range r.Stages {
-		at.hasSuccessor = at.hasSuccessor || s.Items > 0 && slices.Contains(s.DependsOn, i)
-	}
-	return at
-}
-
-// depth returns the number of stages on the longest dependency chain before stage i. Skipped
-// stages don't count.
-func (r *Request) depth(i int) int {
-	d := 0
-	for _, dependency := range r.Stages[i].DependsOn {
-		n := r.depth(dependency)
-		if r.Stages[dependency].Items > 0 {
-			n++
-		}
-		d = max(d, n)
-	}
-	return d
-}
-
 // Input is the handle of one stage result that the request needs.
 type Input struct {
 	Handle   string // identifies the result at the server
--- a/process/stages/work.go
+++ b/process/stages/work.go
@@ -16,10 +16,12 @@
 	late        bool // as Ticket.Late, at the start of the execution
 	retried     bool // results of the first execution were lost
 	startedAt   time.Time
-	targetTime  time.Time     // of the final results: Request.TargetTime, or later if the request is late
-	finished    chan struct{} // closed when the work has succeeded or failed
-	inputs      []Input       // results of the final stages
-	err         error         // nil if the work has succeeded
+	targetTime  time.Time // of the final results: Request.TargetTime, or later if the request is late
+	// minTimesAfter is the minimum duration of the stages that follow each stage.
+	minTimesAfter []time.Duration
+	finished      chan struct{} // closed when the work has succeeded or failed
+	inputs        []Input       // results of the final stages
+	err           error         // nil if the work has succeeded
 	// mu guards the fields below, inputs and err.
 	mu            sync.Mutex
 	results       [][]batcher.Result // by stage and item; nil once takeResults has removed them
@@ -110,7 +112,7 @@
 			items[piece].Key = w.request.InputKey
 		}
 	}
-	remaining := w.minTimeAfter(i)
+	remaining := w.minTimesAfter[i]
 	domain, remoteBytes := w.preferredDomain(i)
 	job := &batcher.Job{
 		Items: items, Domain: domain, RemoteBytes: remoteBytes, AllowedRegions: w.request.AllowedRegions, ResultBytes: s.ResultBytes,
@@ -153,25 +155,6 @@
 	return domain, remoteBytes
 }
 
-// minTimeAfter returns the minimum duration of the stages that follow a stage.
-func (w *requestWork) minTimeAfter(i int) time.Duration {
-	var longest time.Duration
-	for j := i + 1; j < len(w.request.Stages); j++ {
-		s := &w.request.Stages[j]
-		for _, dependency := range s.DependsOn {
-			if dependency != i {
-				continue
-			}
-			d := w.minTimeAfter(j)
-			if svc, ok := w.coordinator.service(s.Service); ok && s.Items > 0 {
-				d += svc.CallTime
-			}
-			longest = max(longest, d)
-		}
-	}
-	return longest
-}
-
 // onItemResult records the outcome of one item. The batcher calls it with its own lock held,
 // so everything that may call a batcher runs in another goroutine.
 func (w *requestWork) onItemResult(stage, piece int, r batcher.Result) {
@@ -213,7 +196,7 @@
 		return
 	}
 	w.ended = true
-	for _, i := range w.request.finalStages() {
+	for _, i := range w.ticket.graph.finalStages() {
 		for _, r := range w.results[i] {
 			w.inputs = append(w.inputs, w.newInput(i, r))
 		}
