plan, gateway: a request keeps its route and the services, not the plan

Change: a plan holds each route and service as a copy of its own; a request keeps its route, the limit of bodies, and plan.Services: the services and how the routes use them, which gateway computed for itself before. Idle lines are swept at the first request of a newer plan.

--- a/request/gateway/attempt_test.go
+++ b/request/gateway/attempt_test.go
@@ -22,7 +22,7 @@
 	gw := New(Options{Directory: dir, Clock: clock.NewManual(now), Rand: clock.NewSeeded(1), OneWayLatency: func(domain string) time.Duration {
 		return time.Duration(domain[0]) * time.Millisecond // "a" is nearer
 	}})
-	x := &exchange{Gateway: gw, plan: &plan.Plan{}, route: &plan.Route{}, service: "s", preferredServer: "b"}
+	x := &exchange{Gateway: gw, services: &plan.Services{}, route: &plan.Route{}, service: "s", preferredServer: "b"}
 	g.Expect(x.chooseServer(&attemptHistory{}).ID).To(Equal("b"))
 	g.Expect(x.chooseServer(&attemptHistory{tried: serverSet{"b": true}}).ID).To(Equal("a"))
 	dir.View().Server("b").RecordFailure(now)
--- a/request/gateway/body.go
+++ b/request/gateway/body.go
@@ -23,7 +23,7 @@
 // readBody reads the request body into memory, up to the configured limit. It may wait until other
 // bodies leave room.
 func (x *exchange) readBody() error {
-	limit := x.plan.Limits.MaxBodyBytes
+	limit := x.maxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
--- a/request/gateway/choose.go
+++ b/request/gateway/choose.go
@@ -105,7 +105,7 @@
 
 // coldStartLimit returns the service's limit on requests to cold servers.
 func (x *exchange) coldStartLimit() coldstart.Limit {
-	if s := x.plan.Service(x.service); s != nil {
+	if s := x.services.Service(x.service); s != nil {
 		return s.ColdStart
 	}
 	return coldstart.Limit{}
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -118,8 +118,8 @@
 	pauseWaiters     atomic.Int64 // requests in awaitPause
 	bodies           *bodylimit.Budget
 	lines            waitingLines
-	questions        singleflight.Group          // of askServer, by process of a server
-	uses             atomic.Pointer[serviceUses] // of the plan in use
+	questions        singleflight.Group // of askServer, by process of a server
+	sweptVersion     atomic.Int64       // of the newest plan for which lines were swept
 	uploads          *bodylimit.Uploads
 	readAhead        *readAheadBudget
 	prefillTimes     prefillTimes
@@ -221,8 +221,9 @@
 	clientConn       *http.ResponseController // of w
 	r                *http.Request
 	clientRequest    wire.ClientRequest // decoded headers of r
-	plan             *plan.Plan         // the configuration for the whole request
 	route            *plan.Route
+	services         *plan.Services      // of the configuration of the route
+	maxBodyBytes     int64               // of that configuration; 0: not set
 	account          string              // name of the client account; empty: none
 	priority         int                 // of the client account or the route; 0: most urgent
 	service          string              // that the request itself runs on, after its stages
@@ -355,7 +356,8 @@
 	if p == nil {
 		return errkind.New(errkind.NotReady, "no configuration yet")
 	}
-	x.plan, x.logEntry.PlanVersion = p, p.Version
+	x.services, x.maxBodyBytes, x.logEntry.PlanVersion = p.Services(), p.Limits.MaxBodyBytes, p.Version
+	x.sweepLines(p)
 	if limit, n := p.Limits.MaxHeaderBytes, headerBytes(x.r.Header); limit > 0 && n > limit {
 		return errkind.New(errkind.HeadersTooLarge, "the headers have %d bytes, over %d", n, limit)
 	}
@@ -366,7 +368,7 @@
 	x.logEntry.Route = x.route.Name
 	x.priority = x.route.Priority
 	x.allowed.RouteRegions = x.route.Regions
-	if err := x.authorize(); err != nil {
+	if err := x.authorize(p); err != nil {
 		return err
 	}
 	if x.clientRequest.AttemptID == "" {
@@ -407,8 +409,8 @@
 const defaultTimeout = 30 * time.Second
 
 // authorize finds the client account by the API key, unless none is required.
-func (x *exchange) authorize() error {
-	if x.route.Public || !x.plan.KeysRequired() {
+func (x *exchange) authorize(p *plan.Plan) error {
+	if x.route.Public || !p.KeysRequired() {
 		return nil
 	}
 	fresh, age := x.opts.KeysFresh()
@@ -416,9 +418,9 @@
 	if !fresh {
 		return errkind.New(errkind.KeysNotFresh, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
 	}
-	a := x.plan.AccountByKey(x.clientRequest.APIKey)
+	a := p.AccountByKey(x.clientRequest.APIKey)
 	if a == nil {
-		return errkind.New(errkind.UnknownKey, "no account of configuration %d holds the key", x.plan.Version)
+		return errkind.New(errkind.UnknownKey, "no account of configuration %d holds the key", p.Version)
 	}
 	x.account, x.logEntry.Account = a.Name, a.Name
 	x.allowed.AccountRegions = a.Regions
--- a/request/gateway/placement_test.go
+++ b/request/gateway/placement_test.go
@@ -42,7 +42,7 @@
 		Pool: stages.NewPool(noPeers{}, clock.NewManual(now), stages.NewCoordinator(nil, nil, nil, nil), func(string) string { return "" }, nil),
 	})
 	p := plan.Compile(plan.Config{Services: []plan.Service{{Name: "s", ColdStart: coldstart.Limit{RequestsPerSecond: 2, ColdDuration: time.Second}}}})
-	return &exchange{Gateway: gw, plan: p, route: &plan.Route{Kind: plan.Safe, MaxAttempts: 9, PrefixAffinity: true}, service: "s", allowed: allowed, arrivedAt: now}
+	return &exchange{Gateway: gw, services: p.Services(), route: &plan.Route{Kind: plan.Safe, MaxAttempts: 9, PrefixAffinity: true}, service: "s", allowed: allowed, arrivedAt: now}
 }
 
 // Guards against a request served in a region that its route or client account does not
--- a/request/gateway/prompt.go
+++ b/request/gateway/prompt.go
@@ -18,7 +18,7 @@
 // kvTransferTime returns how long an engine takes to fetch the KV cache of so many tokens
 // from another engine. 0: it cannot.
 func (x *exchange) kvTransferTime(tokens int) time.Duration {
-	if s := x.plan.Service(x.service); s != nil {
+	if s := x.services.Service(x.service); s != nil {
 		return s.Engine.KVTransferTime(tokens)
 	}
 	return 0
--- a/request/gateway/prompt_test.go
+++ b/request/gateway/prompt_test.go
@@ -29,7 +29,7 @@
 	}
 	g := NewWithT(t)
 	g.Expect(source("has", "to")).To(BeEmpty(), "engines without KV transfer")
-	x.plan = plan.Compile(plan.Config{Services: []plan.Service{{Name: "s", Engine: &plan.Engine{KVBytesPerToken: 18432, LinkBytesPerSecond: 4e10}}}})
+	x.services = plan.Compile(plan.Config{Services: []plan.Service{{Name: "s", Engine: &plan.Engine{KVBytesPerToken: 18432, LinkBytesPerSecond: 4e10}}}}).Services()
 	g.Expect(source("has", "to")).To(Equal("has:1"))
 	g.Expect(source("", "has")).To(Equal("has:1"), "the preferred server has the prefix, but refused the request")
 	for _, bad := range []string{"", "to", "far", "leaves", "unknown", "other"} {
--- a/request/gateway/serverspeed_test.go
+++ b/request/gateway/serverspeed_test.go
@@ -23,7 +23,7 @@
 	dir.Replace([]directory.Entry{{ID: "a", Service: "s", Domain: "x", Slots: 4}, {ID: "b", Service: "s", Domain: "x", Slots: 4}}, now)
 	c := clock.NewManual(now)
 	gw := New(Options{Directory: dir, Clock: c, Rand: clock.NewSeeded(1), OneWayLatency: func(string) time.Duration { return time.Millisecond }})
-	x := &exchange{Gateway: gw, plan: &plan.Plan{}, route: &plan.Route{}, service: "s", r: httptest.NewRequest("GET", "/", nil)}
+	x := &exchange{Gateway: gw, services: &plan.Services{}, route: &plan.Route{}, service: "s", r: httptest.NewRequest("GET", "/", nil)}
 	for range 20 {
 		x.respond(dir.View().Server("b"), c, "", 22*time.Millisecond, &upstream.Response{Status: 200, ReusedConn: true})
 	}
--- a/request/gateway/share.go
+++ b/request/gateway/share.go
@@ -56,7 +56,7 @@
 // the tokens that the client states, or the mean of those that others state; elsewhere, and before one was
 // stated, 1: all requests of a service are counted in one unit.
 func (x *exchange) cost() float64 {
-	if !x.usesOfServices().streams[x.service] {
+	if !x.services.HasStreams(x.service) {
 		return 1
 	}
 	return x.statedCosts.of(x.service, x.size())
--- a/request/gateway/share_test.go
+++ b/request/gateway/share_test.go
@@ -39,7 +39,7 @@
 		service string
 		tokens  int
 	}{{"engine", 0}, {"engine", 2000}, {"engine", 0}, {"engine", 3000}, {"engine", 0}, {"ledger", 2000}, {"ledger", 0}} {
-		x := &exchange{Gateway: base.Gateway, plan: routes, route: &plan.Route{}, service: q.service, account: "a"}
+		x := &exchange{Gateway: base.Gateway, services: routes.Services(), route: &plan.Route{}, service: q.service, account: "a"}
 		x.clientRequest.InputTokens = q.tokens
 		g.Expect(x.takeAccountShare()).To(Succeed())
 		x.recordTaken()
--- a/request/gateway/streamduration_test.go
+++ b/request/gateway/streamduration_test.go
@@ -35,7 +35,7 @@
 	}
 	return &exchange{
 		Gateway: gw, arrivedAt: now, targetTime: now.Add(2 * time.Second), deadline: now.Add(timeout),
-		plan: &plan.Plan{}, route: &plan.Route{Name: "r", TargetLatency: 2 * time.Second, Stages: []plan.Stage{{Service: "s"}}},
+		services: &plan.Services{}, route: &plan.Route{Name: "r", TargetLatency: 2 * time.Second, Stages: []plan.Stage{{Service: "s"}}},
 	}
 }
 
--- a/request/gateway/wait.go
+++ b/request/gateway/wait.go
@@ -63,15 +63,23 @@
 	return line.(*waitingLine)
 }
 
+// sweepLines sweeps the lines at the first request of a newer plan.
+func (g *Gateway) sweepLines(p *plan.Plan) {
+	last := g.sweptVersion.Load()
+	if p.Version > last && g.sweptVersion.CompareAndSwap(last, p.Version) {
+		g.lines.sweep(p)
+	}
+}
+
 // sweep removes the idle lines of services, and what is known of routes, that are not in a plan.
-func (l *waitingLines) sweep(p *plan.Plan, services map[string]int) {
+func (l *waitingLines) sweep(p *plan.Plan) {
 	routes := map[string]bool{}
 	for r := range p.Routes() {
 		routes[r.Name] = true
 	}
 	l.byService.Range(func(service, line any) bool {
 		w := line.(*waitingLine)
-		if _, used := services[service.(string)]; !used && w.Len() == 0 {
+		if !p.Services().Used(service.(string)) && w.Len() == 0 {
 			l.byService.Delete(service)
 		}
 		w.timeouts.Range(func(route, _ any) bool {
@@ -308,37 +316,10 @@
 	return waitline.Query{Slots: s.Slots, InFlight: int(s.InFlight.Load()), Rank: x.rank(), ServiceTime: serviceTime, Now: now}
 }
 
-// serviceUses is how the routes of a plan use its services, by service.
-type serviceUses struct {
-	plan       *plan.Plan
-	mostUrgent map[string]int  // priority of the most urgent route
-	streams    map[string]bool // a route of streams leads there
-}
-
-// usesOfServices returns how the routes of the request's plan use its services.
-func (x *exchange) usesOfServices() *serviceUses {
-	if u := x.uses.Load(); u != nil && u.plan == x.plan {
-		return u
-	}
-	u := &serviceUses{x.plan, map[string]int{}, map[string]bool{}}
-	for r := range x.plan.Routes() {
-		for _, t := range r.Targets {
-			if known, ok := u.mostUrgent[t.Service]; !ok || r.Priority < known {
-				u.mostUrgent[t.Service] = r.Priority
-			}
-			u.streams[t.Service] = u.streams[t.Service] || r.Kind == plan.Stream
-		}
-	}
-	if last := x.uses.Swap(u); last != nil && last.plan.Version < u.plan.Version {
-		x.lines.sweep(u.plan, u.mostUrgent)
-	}
-	return u
-}
-
 // rank returns how many priorities the request is below the most urgent route of its service: servers
 // need a reserve for more urgent requests only if there can be such.
 func (x *exchange) rank() int {
-	return max(x.priority-x.usesOfServices().mostUrgent[x.service], 0)
+	return max(x.priority-x.services.MostUrgent(x.service), 0)
 }
 
 // refusedInLine returns the error of a request that was refused while it waited, or on its arrival at
--- a/request/gateway/wait_test.go
+++ b/request/gateway/wait_test.go
@@ -179,8 +179,7 @@
 		for _, s := range services {
 			c.Routes = append(c.Routes, plan.Route{Name: "to " + s, PathPrefix: "/" + s, Targets: []plan.Target{{Service: s}}})
 		}
-		x.plan = plan.Compile(c)
-		x.rank()
+		x.sweepLines(plan.Compile(c))
 	}
 	lines := func() (names []string) {
 		x.lines.byService.Range(func(service, _ any) bool { names = append(names, service.(string)); return true })
--- a/version/plan/plan.go
+++ b/version/plan/plan.go
@@ -1,6 +1,6 @@
 // Package plan holds the configuration currently in use on an entry host, for platforms that
 // store routes, services and API keys in their own object API. A Plan is immutable. A request
-// loads it once and uses it until its end.
+// loads it once, and keeps its route and the services until its end.
 package plan
 
 import (
@@ -148,7 +148,7 @@
 type Plan struct {
 	Version       int64
 	Limits        Limits
-	services      map[string]*Service // by name
+	services      *Services
 	routesByHost  map[string][]*Route // by lower-case host name, longest path prefix first
 	accountsByKey map[string]*Account // by API key
 	keysRequired  bool                // requests need an API key, unless their route is public
@@ -160,20 +160,17 @@
 func Compile(c Config) *Plan {
 	p := &Plan{
 		Version: c.Version, Limits: c.Limits,
-		services:      make(map[string]*Service, len(c.Services)),
+		services:      newServices(c),
 		routesByHost:  make(map[string][]*Route),
 		accountsByKey: make(map[string]*Account),
 	}
-	for i := range c.Services {
-		s := &c.Services[i]
-		p.services[s.Name] = s
+	for _, s := range c.Services {
 		p.serviceNames = append(p.serviceNames, s.Name)
 	}
 	sort.Strings(p.serviceNames)
-	for i := range c.Routes {
-		r := &c.Routes[i]
+	for _, r := range c.Routes { // each a copy of its own, which requests keep without the others
 		host := strings.ToLower(r.Host)
-		p.routesByHost[host] = append(p.routesByHost[host], r)
+		p.routesByHost[host] = append(p.routesByHost[host], &r)
 	}
 	for _, rs := range p.routesByHost {
 		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].PathPrefix) > len(rs[j].PathPrefix) })
@@ -220,8 +217,11 @@
 // configuration has a list of client accounts, even if all keys or all accounts were removed from it.
 func (p *Plan) KeysRequired() bool { return p.keysRequired }
 
+// Services returns the services.
+func (p *Plan) Services() *Services { return p.services }
+
 // Service returns the service with the given name, or nil.
-func (p *Plan) Service(name string) *Service { return p.services[name] }
+func (p *Plan) Service(name string) *Service { return p.services.Service(name) }
 
 // ServiceNames returns the names of all services in alphabetical order. The caller must not
 // modify the slice.
