process/objectwatch: large changes are compressed, once for all hosts

With 127 hosts (a third of 380) and a version of 0.63 MB the responses alone take 76 MB of 184.

Change: changes of 16 KiB and more are compressed for hosts that accept it, once for all that get the same ones, as lists are. The messages are the same: hosts of the build before send no acceptance with a watch, or ignore it, and get or send plain changes.

--- a/process/objectwatch/compress.go
+++ b/process/objectwatch/compress.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,12 +44,51 @@
 	return h.compressed.bytes, revision, confirmedAt, ok, nil
 }
 
+// compressedChanges caches the last large changes that a watch got. All hosts that read through this
+// one get a version of the configuration at the same time: encoded for each, they would take the
+// version's size times the hosts of a region from its memory.
+type compressedChanges[T any] struct {
+	mu      sync.Mutex
+	changes []change // in bytes
+	bytes   []byte   // result of compress; nil: they are small
+}
+
+// minCompressedBytes is the encoded size from which changes are compressed.
+const minCompressedBytes = 16 << 10
+
+// of returns changes in compressed form, or nil if they are small.
+func (c *compressedChanges[T]) of(objects []Object[T]) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changes := changesOf(objects)
+	if slices.Equal(changes, c.changes) {
+		return c.bytes, nil
+	}
+	payload, err := peer.Marshal(encode(objects))
+	if err != nil {
+		return nil, err
+	}
+	var compressed []byte
+	if len(payload) >= minCompressedBytes {
+		if compressed, err = deflate(payload); err != nil {
+			return nil, err
+		}
+	}
+	c.changes, c.bytes = changes, compressed
+	return compressed, nil
+}
+
 // compress encodes objects as msgpack and compresses them with deflate.
 func compress[T any](objects []peerObject[T]) ([]byte, error) {
 	payload, err := peer.Marshal(objects)
 	if err != nil {
 		return nil, err
 	}
+	return deflate(payload)
+}
+
+// deflate compresses a payload.
+func deflate(payload []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
@@ -67,7 +107,7 @@
 // thousand entries.
 const maxDecompressedBytes = 64 << 20
 
-// decompress reverses compress. A list that exceeds maxDecompressedBytes is cut off and fails
+// decompress reverses compress. What exceeds maxDecompressedBytes is cut off and fails
 // to decode.
 func decompress[T any](list []byte) (objects []peerObject[T], err error) {
 	payload, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(list)), maxDecompressedBytes))
--- a/process/objectwatch/compress_test.go
+++ b/process/objectwatch/compress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,44 @@
 	_, err = decompress[string](list[:len(list)-2])
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a reader that exceeds its memory limit as all hosts of its region get a large
+// version of the configuration: it encoded one for each.
+func TestLargeChangeIsCompressedOnce(t *testing.T) {
+	r := newPeerFixture(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	large := strings.Repeat("route to a service with stages, ", minCompressedBytes)
+	for revision, value := range []string{"small", large, large + "changed"} {
+		from := r.api.rev
+		r.api.value, r.api.rev = value, r.api.rev+1
+		r.g.Expect(r.step(r.reader)).To(Succeed())
+		var sent []byte
+		for _, behind := range []Revision{0, 1} {
+			resp, err := r.source.Watch(t.Context(), from-behind, 0)
+			r.g.Expect(err).NotTo(HaveOccurred())
+			r.g.Expect(resp.Objects).To(Equal([]Object[string]{object("a", r.api.rev, value)}))
+			r.g.Expect(resp.AsOf).To(Equal(r.api.rev))
+			if revision == 0 {
+				r.g.Expect(r.reader.history.lastSent.bytes).To(BeNil(), "small changes go as they are")
+				break
+			}
+			r.g.Expect(r.link.responseBytes.Load()).To(BeNumerically("<", len(large)/5))
+			if sent == nil {
+				sent = r.reader.history.lastSent.bytes
+			}
+			r.g.Expect(&r.reader.history.lastSent.bytes[0]).To(BeIdenticalTo(&sent[0]), "produced once")
+		}
+	}
+}
+
+// Guards against a response that a host of an earlier build cannot read.
+func TestLargeChangeIsPlainWhereCompressionIsNotAccepted(t *testing.T) {
+	r := newPeerFixture(t)
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	r.api.value, r.api.rev = strings.Repeat("x", 2*minCompressedBytes), r.api.rev+1
+	r.g.Expect(r.step(r.reader)).To(Succeed())
+	var reply peerResponse[string]
+	r.g.Expect(r.link.Call(t.Context(), "reader", peerMethod("k"), peerRequest{From: r.api.rev - 1, MaxAgeUS: maxAge.Microseconds()}, &reply)).To(Succeed())
+	r.g.Expect(reply.Compressed).To(BeEmpty())
+	r.g.Expect(reply.Objects).To(Equal(encode([]Object[string]{object("a", r.api.rev, r.api.value)})))
+}
--- a/process/objectwatch/history.go
+++ b/process/objectwatch/history.go
@@ -9,10 +9,11 @@
 // history is what a follower serves to other hosts: its copy, the recent changes, and the
 // time of the last confirmation.
 type history[T any] struct {
-	mu          sync.Mutex           // guards all fields except compressed and listed
+	mu          sync.Mutex           // guards all fields except compressed, lastSent and listed
 	objects     map[string]Object[T] // by name; nil before the first list
 	version     uint64               // incremented with each change of objects
 	compressed  compressedList
+	lastSent    compressedChanges[T]
 	revision    Revision      // of objects
 	batches     []batch       // recent changes, oldest first
 	trimmedTo   Revision      // changes up to this revision are no longer kept
@@ -77,7 +78,7 @@
 	}
 	h.revision = revision
 	h.version++
-	h.batches = append(h.batches, newBatch(objects, revision))
+	h.batches = append(h.batches, batch{revision, changesOf(objects)})
 	if len(h.batches) > maxBatches {
 		h.trimmedTo = h.batches[0].revision
 		h.batches = h.batches[1:]
@@ -85,13 +86,13 @@
 	h.notify()
 }
 
-// newBatch returns the batch of changes that lead to a revision.
-func newBatch[T any](objects []Object[T], revision Revision) batch {
+// changesOf returns the records of changes.
+func changesOf[T any](objects []Object[T]) []change {
 	changes := make([]change, len(objects))
 	for i, o := range objects {
 		changes[i] = change{o.Name, o.Revision}
 	}
-	return batch{revision, changes}
+	return changes
 }
 
 // notify wakes all waiting requests. It has to be called with h.mu held.
--- a/process/objectwatch/peersource.go
+++ b/process/objectwatch/peersource.go
@@ -98,7 +98,7 @@
 
 // Watch implements Source.
 func (s *PeerSource[T]) Watch(ctx context.Context, from Revision, wait time.Duration) (Response[T], error) {
-	req := peerRequest{From: from, WaitMS: wait.Milliseconds(), MaxAgeUS: s.MaxAge.Microseconds()}
+	req := peerRequest{From: from, WaitMS: wait.Milliseconds(), MaxAgeUS: s.MaxAge.Microseconds(), AcceptsCompressed: true}
 	return s.request(ctx, req, func(ctx context.Context, elapsed time.Duration, immediate bool) (Response[T], error) {
 		remaining := max(wait-elapsed, 0)
 		if immediate {
--- a/process/objectwatch/serve.go
+++ b/process/objectwatch/serve.go
@@ -18,8 +18,8 @@
 	// With WaitUntilFresh the wait ends as soon as the age does not exceed it.
 	MaxAgeUS       int64
 	WaitUntilFresh bool
-	// AcceptsCompressed reports that the requesting host decodes Compressed; hosts of
-	// earlier versions do not.
+	// AcceptsCompressed reports that the requesting host decodes Compressed in the response; hosts of
+	// earlier versions do not, or do so for lists only.
 	AcceptsCompressed bool
 }
 
@@ -46,7 +46,7 @@
 	AgeAtRequestUS int64
 	HistoryGone    bool   // the changes after peerRequest.From are no longer kept
 	Listed         bool   // false: the responding host has no list yet, and only this field is valid
-	Compressed     []byte // a compressed list, in place of Objects
+	Compressed     []byte // Objects in compressed form, in place of them
 }
 
 // peerMethod returns the method between hosts for a kind of objects.
@@ -107,7 +107,7 @@
 			until = now
 		}
 		if len(u.objects) > 0 || u.trimmed || !now.Before(until) {
-			return peerResponse[T]{Objects: encode(u.objects), AsOf: u.revision, HistoryGone: u.trimmed, Listed: u.listed}, u.confirmedAt, nil
+			return f.watchResponse(req, u)
 		}
 		select {
 		case <-u.changed:
@@ -118,6 +118,18 @@
 	}
 }
 
+// watchResponse returns the response to a watch.
+func (f *Follower[T]) watchResponse(req peerRequest, u update[T]) (resp peerResponse[T], confirmedAt time.Time, err error) {
+	resp = peerResponse[T]{AsOf: u.revision, HistoryGone: u.trimmed, Listed: u.listed}
+	if req.AcceptsCompressed && len(u.objects) > 0 {
+		resp.Compressed, err = f.history.lastSent.of(u.objects)
+	}
+	if len(resp.Compressed) == 0 {
+		resp.Objects = encode(u.objects)
+	}
+	return resp, u.confirmedAt, err
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
