--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -97,16 +97,7 @@
 	p := newTestPlatform(t)
 	p.stopBound = 20 * time.Second // much longer than needed on a busy machine
 	h := p.startHost("front-1")
-	release := make(chan struct{})
-	p.servers["model-1"].SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
-		s := p.servers["model-1"]
-		s.RecordRequest(r)
-		platformtest.Sign(w.Header(), "s")
-		s.WriteEvents(w, 1, 2)
-		<-release
-		s.WriteEvents(w, 3, 5)
-		return true
-	})
+	release := p.holdStreams(t, "model-1")
 	got := make(chan clientResponse, 1)
 	go func() { got <- p.send(h, "POST", "/stream/stream/1", "x") }()
 	g.Eventually(func() int { return len(p.runs("model")) }, "10s").Should(Equal(1))
@@ -120,7 +111,7 @@
 	g.Eventually(h.balancerLeft.Load, "10s").Should(BeTrue())
 	g.Expect(p.send(h, "GET", "/status/1", "").status).To(Equal(http.StatusOK))
 	g.Expect(p.send(h, "POST", "/stream/stream/1", "x").body).To(ContainSubstring(`"kind":"draining","ran":"no"`))
-	close(release)
+	release()
 	var s clientResponse
 	g.Eventually(got, "10s").Should(Receive(&s))
 	g.Expect(s.err).NotTo(HaveOccurred())
--- a/edge/plan_memory_test.go
+++ b/edge/plan_memory_test.go
@@ -1,15 +1,12 @@
 package edge
 
 import (
-	"net/http"
 	"runtime"
-	"sync"
 	"testing"
 	"weak"
 
 	. "github.com/onsi/gomega"
 
-	"bilberrydale/platform/platformtest"
 	"bilberrydale/version/plan"
 )
 
@@ -17,18 +14,7 @@
 // configuration come in quick succession: each stream kept the whole version that it began with.
 func TestOpenStreamsKeepNoReplacedConfiguration(t *testing.T) {
 	g, p, h := newTestHost(t)
-	release := make(chan struct{})
-	end := sync.OnceFunc(func() { close(release) })
-	t.Cleanup(end)
-	p.servers["model-1"].SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
-		s := p.servers["model-1"]
-		s.RecordRequest(r)
-		platformtest.Sign(w.Header(), "s")
-		s.WriteEvents(w, 1, 2)
-		<-release
-		s.WriteEvents(w, 3, 5)
-		return true
-	})
+	release := p.holdStreams(t, "model-1")
 	got := make(chan clientResponse, 1)
 	go func() { got <- p.send(h, "POST", "/stream/stream/1", "x") }()
 	g.Eventually(func() int { return len(p.runs("model")) }, "10s").Should(Equal(1))
@@ -41,7 +27,7 @@
 	g.Eventually(func() *plan.Plan { runtime.GC(); return replaced.Value() }, "10s").Should(BeNil())
 	g.Expect(other.Value()).To(BeNil(), "another route of that version")
 
-	end()
+	release()
 	var s clientResponse
 	g.Eventually(got, "10s").Should(Receive(&s))
 	g.Expect(s.err).NotTo(HaveOccurred())
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -106,6 +106,24 @@
 	return &p.config.Routes[i]
 }
 
+// holdStreams makes a server stop after the first two of five events of its streams, until release
+// is called or the test ends.
+func (p *testPlatform) holdStreams(t *testing.T, id string) (release func()) {
+	held := make(chan struct{})
+	release = sync.OnceFunc(func() { close(held) })
+	t.Cleanup(release)
+	s := p.servers[id]
+	s.SetInterceptor(func(w http.ResponseWriter, r *http.Request) bool {
+		s.RecordRequest(r)
+		platformtest.Sign(w.Header(), "s")
+		s.WriteEvents(w, 1, 2)
+		<-held
+		s.WriteEvents(w, 3, 5)
+		return true
+	})
+	return release
+}
+
 // addServer starts a backend server in failure domain a and lists it.
 func (p *testPlatform) addServer(id, service string) *platformtest.Server {
 	s := platformtest.NewServer(id, service)
